--- /dev/null
+++ b/src/Adapters/HttpPlatform.h
@@ -0,0 +1,52 @@
+#ifndef QUETZALYOKE_ADAPTERS_HTTPPLATFORM_H
+#define QUETZALYOKE_ADAPTERS_HTTPPLATFORM_H
+
+#include "Ports/TableStore.h"
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace httplib {
+class Client;
+}
+
+namespace quetzalyoke {
+
+/// \brief The platform's services over HTTP with JSON bodies.
+///
+/// Thread-safe; each call takes a pooled connection.
+/// \sa TableStore, ObjectStore, InstanceList
+class HttpPlatform : public TableStore, public ObjectStore, public InstanceList
+{
+public:
+    /// \a address is host:port; a call gives up after \a timeout.
+    HttpPlatform(std::string address, std::chrono::milliseconds timeout);
+    ~HttpPlatform() override;
+
+    std::optional<TableRow> read(const std::string &key) override;
+    std::vector<TableRow> scan(const std::string &prefix, Version after) override;
+    std::optional<Version> commit(const std::vector<ConditionalWrite> &writes) override;
+
+    std::optional<std::string> get(const std::string &name) override;
+    void put(const std::string &name, const std::string &body) override;
+
+    std::vector<ListedInstance> instances() override;
+
+private:
+    class Lease;
+
+    std::unique_ptr<httplib::Client> takeClient();
+    void giveBack(std::unique_ptr<httplib::Client> client);
+
+    std::string m_address;
+    std::chrono::milliseconds m_timeout;
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<httplib::Client>> m_idle;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Adapters/HttpServer.h
@@ -0,0 +1,49 @@
+#ifndef QUETZALYOKE_ADAPTERS_HTTPSERVER_H
+#define QUETZALYOKE_ADAPTERS_HTTPSERVER_H
+
+#include "Adapters/Address.h"
+
+#include <httplib.h>
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace quetzalyoke {
+
+/// \brief Bounds of an HTTP server.
+struct HttpServerLimits
+{
+    int connections = 512; ///< Each open connection holds a thread.
+    std::size_t bodyBytes = 8U << 20U;
+    std::chrono::milliseconds readTimeout{10'000};
+};
+
+/// \brief A cpp-httplib server on its own thread, with TCP_NODELAY and stated bounds.
+class HttpServer
+{
+public:
+    explicit HttpServer(const HttpServerLimits &limits);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// For adding routes before listen().
+    httplib::Server &routes() { return m_server; }
+    /// Binds and serves; port 0 picks a free port. Throws Error (BadSettings).
+    void listen(const Address &address);
+    int port() const { return m_port; }
+    void stop();
+
+    /// Adds /metrics, /healthz and /readyz; \a isReady decides the last.
+    void addHealthRoutes(const std::function<bool()> &isReady);
+
+private:
+    httplib::Server m_server;
+    std::thread m_thread;
+    int m_port = 0;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Adapters/Metrics.h
@@ -0,0 +1,27 @@
+#ifndef QUETZALYOKE_ADAPTERS_METRICS_H
+#define QUETZALYOKE_ADAPTERS_METRICS_H
+
+#include <map>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief The process's metrics, kept in one prometheus-cpp registry.
+class Metrics
+{
+public:
+    using Labels = std::map<std::string, std::string>;
+
+    /// Adds \a n to the counter \a name.
+    static void count(const std::string &name, const Labels &labels = {}, double n = 1);
+    /// Sets the gauge \a name.
+    static void gauge(const std::string &name, double value, const Labels &labels = {});
+    /// Adds \a seconds to the latency histogram \a name.
+    static void observe(const std::string &name, double seconds, const Labels &labels = {});
+    /// All metrics in the text exposition format.
+    static std::string text();
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Adapters/Process.h
@@ -0,0 +1,41 @@
+#ifndef QUETZALYOKE_ADAPTERS_PROCESS_H
+#define QUETZALYOKE_ADAPTERS_PROCESS_H
+
+#include "Core/EntryReader.h"
+#include "Core/StrongTypes.h"
+
+#include <functional>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief Start, signals and settings shared by every long-running program.
+///
+/// Reads `--settings FILE`, `--check-settings`, `--help` and `--version`.
+class Process
+{
+public:
+    /// Reads a settings file into the program's own structure.
+    using SettingsReader = std::function<void(const IniDocument &, Problems &)>;
+    /// Runs until stopRequested(); its result is the exit status.
+    using Body = std::function<int()>;
+
+    /// Parses the command line, reads the settings, starts logging and runs \a body.
+    static int run(int argc, char **argv, const std::string &name, const SettingsReader &reader,
+                   const Body &body);
+
+    /// Whether SIGTERM or SIGINT has arrived.
+    static bool stopRequested();
+    /// Whether a second signal asked to stop without waiting.
+    static bool stopForced();
+    /// Waits until a signal arrives or \a timeout has passed; true once a stop is requested.
+    static bool waitForStop(std::chrono::milliseconds timeout);
+
+    static Instant now();
+    /// Whole text of \a path without trailing white space. Throws Error (BadSettings).
+    static std::string readFile(const std::string &path);
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Adapters/SettingsValues.cpp
@@ -0,0 +1,72 @@
+#include "Adapters/SettingsValues.h"
+
+#include "Adapters/Process.h"
+#include "Core/Error.h"
+
+#include <sys/stat.h>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::size_t shortestSecret = 16;
+
+std::optional<Address> parseOrComplain(EntryReader &reader, const std::string &name,
+                                       const std::string &text)
+{
+    try {
+        return Address::parse(text);
+    } catch (const Error &) {
+        reader.complain(name, name + " = " + text + " is no address", "write it as IP:PORT");
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+Address readAddress(EntryReader &reader, const std::string &name,
+                    const std::optional<std::string> &fallback)
+{
+    const std::string text = reader.text(name, fallback);
+    if (text.empty())
+        return {};
+    return parseOrComplain(reader, name, text).value_or(Address());
+}
+
+std::vector<std::string> readAddresses(EntryReader &reader, const std::string &name)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &it : reader.list(name)) {
+        const auto address = parseOrComplain(reader, name, it);
+        if (address)
+            addresses.push_back(address->text());
+    }
+    return addresses;
+}
+
+std::string readSecretFile(EntryReader &reader, const std::string &name)
+{
+    const std::string path = reader.text(name);
+    if (path.empty())
+        return {};
+    struct stat status
+    { };
+    if (stat(path.c_str(), &status) == 0 && (status.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+        reader.complain(name, path + " is open to other users", "chmod 600 " + path);
+        return {};
+    }
+    try {
+        const std::string secret = Process::readFile(path);
+        if (secret.size() < shortestSecret) {
+            reader.complain(name, path + " holds a secret that is too short",
+                            "write at least " + std::to_string(shortestSecret)
+                                + " random characters into it");
+        }
+        return secret;
+    } catch (const Error &e) {
+        reader.complain(name, e.what(), "create it with rights 600");
+        return {};
+    }
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Adapters/ThriftPool.h
@@ -0,0 +1,116 @@
+#ifndef QUETZALYOKE_ADAPTERS_THRIFTPOOL_H
+#define QUETZALYOKE_ADAPTERS_THRIFTPOOL_H
+
+#include "Adapters/Address.h"
+#include "Adapters/FleetGuard.h"
+#include "Core/Error.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief Authenticated connections to one other process, each used for one call at a time.
+///
+/// \tparam Client generated Thrift client of a service that extends FleetMember.
+template<typename Client>
+class ThriftPool
+{
+public:
+    ThriftPool(Address address, std::string secret, std::chrono::milliseconds connectTimeout,
+               std::chrono::milliseconds callTimeout)
+        : m_address(std::move(address)), m_secret(std::move(secret)),
+          m_connectTimeout(connectTimeout), m_callTimeout(callTimeout)
+    { }
+
+    const Address &address() const { return m_address; }
+
+    /// Runs \a call with a connected client. An exception closes that connection.
+    /// Throws Error (PeerUnavailable) where no connection could be made, so that nothing was sent.
+    template<typename Call>
+    auto call(Call &&call)
+    {
+        std::unique_ptr<Client> client = take();
+        if constexpr (std::is_void_v<decltype(call(*client))>) {
+            call(*client);
+            giveBack(std::move(client));
+        } else {
+            auto result = call(*client);
+            giveBack(std::move(client));
+            return result;
+        }
+    }
+
+    /// Closes the idle connections, for example after one of them was found dead.
+    void clear()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_idle.clear();
+    }
+
+private:
+    std::unique_ptr<Client> take()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_idle.empty()) {
+                auto client = std::move(m_idle.back());
+                m_idle.pop_back();
+                return client;
+            }
+        }
+        return connect();
+    }
+
+    void giveBack(std::unique_ptr<Client> client)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_idle.push_back(std::move(client));
+    }
+
+    std::unique_ptr<Client> connect()
+    {
+        using namespace apache::thrift;
+        auto socket = std::make_shared<transport::TSocket>(m_address.host, m_address.port);
+        socket->setConnTimeout(static_cast<int>(m_connectTimeout.count()));
+        socket->setRecvTimeout(static_cast<int>(m_callTimeout.count()));
+        socket->setSendTimeout(static_cast<int>(m_callTimeout.count()));
+        auto framed = std::make_shared<transport::TFramedTransport>(socket);
+        auto client
+            = std::make_unique<Client>(std::make_shared<protocol::TCompactProtocol>(framed));
+        bool trusted = false;
+        try {
+            framed->open();
+            std::string nonce;
+            client->challenge(nonce);
+            trusted = client->authenticate(FleetGuard::proofFor(m_secret, nonce));
+        } catch (const TException &e) {
+            throw Error(ErrorKind::PeerUnavailable,
+                        "can't reach " + m_address.text() + " (" + e.what()
+                            + "); check that the process runs");
+        }
+        if (!trusted) {
+            throw Error(ErrorKind::NotAuthenticated,
+                        m_address.text() + " refused the fleet's secret; check fleet_secret_file");
+        }
+        return client;
+    }
+
+    Address m_address;
+    std::string m_secret;
+    std::chrono::milliseconds m_connectTimeout;
+    std::chrono::milliseconds m_callTimeout;
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<Client>> m_idle;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -0,0 +1,116 @@
+#include "Apps/Agent/AgentDoor.h"
+
+#include "Adapters/Process.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::int64_t longestWaitMillis = 5000;
+constexpr std::int64_t retryWhenFullMillis = 1000;
+
+std::chrono::milliseconds boundedWait(std::int64_t millis)
+{
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, longestWaitMillis));
+}
+
+wire::Progress refusal(const std::string &attemptId, wire::ErrorCode::type error,
+                       wire::RunState::type runState, const std::string &message)
+{
+    wire::Progress progress;
+    progress.attemptId = attemptId;
+    progress.finished = true;
+    progress.error = error;
+    progress.runState = runState;
+    progress.errorMessage = message;
+    progress.retryAfterMillis = retryWhenFullMillis;
+    return progress;
+}
+
+class DoorFactory : public wire::AgentIfFactory
+{
+public:
+    DoorFactory(AttemptTable &table, std::string secret)
+        : m_table(table), m_secret(std::move(secret))
+    { }
+
+    wire::AgentIf *getHandler(const apache::thrift::TConnectionInfo &) override
+    {
+        return new AgentDoor(m_table, m_secret);
+    }
+    void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
+
+private:
+    AttemptTable &m_table;
+    std::string m_secret;
+};
+
+} // namespace
+
+AgentDoor::AgentDoor(AttemptTable &table, const std::string &secret)
+    : m_table(table), m_guard(secret)
+{ }
+
+void AgentDoor::challenge(std::string &nonce)
+{
+    nonce = m_guard.challenge();
+}
+
+bool AgentDoor::authenticate(const std::string &proof)
+{
+    return m_guard.authenticate(proof);
+}
+
+void AgentDoor::events(std::vector<wire::TimelineEvent> &, const std::string &, std::int32_t)
+{
+    m_guard.require();
+}
+
+void AgentDoor::submit(wire::Progress &progress, const wire::Submission &submission,
+                       std::int64_t waitMillis)
+{
+    m_guard.require();
+    const auto admission = m_table.submit(submission, Process::now());
+    if (!admission.attempt) {
+        const bool draining = admission.refusal == wire::ErrorCode::Draining;
+        progress = refusal(submission.attemptId, admission.refusal, wire::RunState::NotRun,
+                           draining ? "the backend server is leaving"
+                                    : "the backend server's queue is full");
+        return;
+    }
+    progress = admission.attempt->fetch(0, boundedWait(waitMillis));
+    progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
+}
+
+void AgentDoor::fetch(wire::Progress &progress, const std::string &attemptId, std::int64_t offset,
+                      std::int64_t waitMillis)
+{
+    m_guard.require();
+    const auto attempt = m_table.find(attemptId);
+    if (!attempt) {
+        progress = refusal(attemptId, wire::ErrorCode::UnknownAttempt, wire::RunState::Unknown,
+                           "this agent does not know the attempt");
+        return;
+    }
+    progress = attempt->fetch(offset, boundedWait(waitMillis));
+    progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
+}
+
+void AgentDoor::cancel(const std::string &attemptId)
+{
+    m_guard.require();
+    const auto attempt = m_table.find(attemptId);
+    if (attempt)
+        attempt->cancel();
+}
+
+std::shared_ptr<apache::thrift::TProcessorFactory> makeAgentDoorFactory(AttemptTable &table,
+                                                                        const std::string &secret)
+{
+    return std::make_shared<wire::AgentProcessorFactory>(
+        std::make_shared<DoorFactory>(table, secret));
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Agent/AgentDoor.h
@@ -0,0 +1,40 @@
+#ifndef QUETZALYOKE_APPS_AGENT_AGENTDOOR_H
+#define QUETZALYOKE_APPS_AGENT_AGENTDOOR_H
+
+#include "Adapters/FleetGuard.h"
+#include "Apps/Agent/AttemptTable.h"
+#include "Wire/generated/Agent.h"
+
+#include <memory>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief Thrift handler of one connection from a gateway.
+class AgentDoor : public wire::AgentIf
+{
+public:
+    AgentDoor(AttemptTable &table, const std::string &secret);
+
+    void challenge(std::string &nonce) override;
+    bool authenticate(const std::string &proof) override;
+    void events(std::vector<wire::TimelineEvent> &events, const std::string &requestId,
+                std::int32_t limit) override;
+    void submit(wire::Progress &progress, const wire::Submission &submission,
+                std::int64_t waitMillis) override;
+    void fetch(wire::Progress &progress, const std::string &attemptId, std::int64_t offset,
+               std::int64_t waitMillis) override;
+    void cancel(const std::string &attemptId) override;
+
+private:
+    AttemptTable &m_table;
+    FleetGuard m_guard;
+};
+
+/// Makes a handler for each connection.
+std::shared_ptr<apache::thrift::TProcessorFactory> makeAgentDoorFactory(AttemptTable &table,
+                                                                        const std::string &secret);
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Agent/AgentSettings.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALYOKE_APPS_AGENT_AGENTSETTINGS_H
+#define QUETZALYOKE_APPS_AGENT_AGENTSETTINGS_H
+
+#include "Adapters/Address.h"
+#include "Core/IniDocument.h"
+#include "Core/StrongTypes.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief Settings of quetzalyoke-agent, read from its `[agent]` section.
+struct AgentSettings
+{
+    InstanceId instance;
+    ServerName server; ///< Name of the backend server in the service list.
+    ZoneName zone;
+    Address listen; ///< Of the Thrift door.
+    Address httpListen; ///< Of /metrics, /healthz and /readyz.
+    Address backend;
+    bool engine = true;
+    Megabytes memory;
+    std::vector<std::string> gateways;
+    std::string fleetSecret;
+    std::string readyFile;
+    int concurrency = 0; ///< Attempts that the backend server runs at once.
+    int queueLength = 0;
+    int connections = 0;
+    std::size_t bufferBytes = 0; ///< Of one answer that its gateway has not fetched yet.
+    std::chrono::milliseconds reportInterval{};
+    std::chrono::milliseconds backendTimeout{};
+    std::chrono::milliseconds keepFinished{}; ///< How long a finished answer can be fetched.
+    std::chrono::milliseconds drainLimit{};
+
+    static AgentSettings read(const IniDocument &document, Problems &problems);
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Agent/main.cpp
@@ -0,0 +1,73 @@
+#include "Adapters/HttpServer.h"
+#include "Adapters/Process.h"
+#include "Adapters/ReadyFile.h"
+#include "Adapters/ThriftServer.h"
+#include "Apps/Agent/AgentDoor.h"
+#include "Apps/Agent/AgentSettings.h"
+#include "Apps/Agent/Dispatcher.h"
+#include "Apps/Agent/Reporter.h"
+
+#include <glog/logging.h>
+
+using namespace quetzalyoke;
+
+namespace {
+
+constexpr int healthConnections = 8;
+constexpr std::chrono::milliseconds drainPoll{20};
+
+// Waits until no attempt is queued or running, the limit has passed, or a second signal came.
+void waitUntilIdle(const AttemptTable &table, std::chrono::milliseconds limit)
+{
+    const Instant end = Process::now() + limit;
+    while (table.queued() + table.running() > 0 && Process::now() < end && !Process::stopForced())
+        std::this_thread::sleep_for(drainPoll);
+}
+
+int serve(const AgentSettings &settings)
+{
+    AttemptTable table({static_cast<std::size_t>(settings.queueLength), settings.bufferBytes,
+                        settings.keepFinished});
+    Dispatcher dispatcher(settings, table);
+    ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
+                      settings.connections);
+    const Address doorAddress{settings.listen.host, door.port()};
+    Reporter reporter(settings, doorAddress.text(), table);
+
+    HttpServerLimits limits;
+    limits.connections = healthConnections;
+    HttpServer http(limits);
+    http.addHealthRoutes([&] { return reporter.isKnown() && !table.isDraining(); });
+    http.listen(settings.httpListen);
+    const Address httpAddress{settings.httpListen.host, http.port()};
+    writeReadyFile(settings.readyFile,
+                   {{"door", doorAddress.text()}, {"http", httpAddress.text()}});
+    LOG(INFO) << "event=started instance=" << settings.instance.text()
+              << " door=" << doorAddress.text() << " http=" << httpAddress.text();
+
+    while (!Process::waitForStop(std::chrono::seconds(1)))
+        continue;
+    LOG(INFO) << "event=draining queued=" << table.queued() << " running=" << table.running();
+    table.drain();
+    reporter.reportNow();
+    waitUntilIdle(table, settings.drainLimit);
+    reporter.stop();
+    dispatcher.stop();
+    door.stop();
+    http.stop();
+    LOG(INFO) << "event=stopped";
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    AgentSettings settings;
+    return Process::run(
+        argc, argv, "quetzalyoke-agent",
+        [&settings](const IniDocument &document, Problems &problems) {
+            settings = AgentSettings::read(document, problems);
+        },
+        [&settings] { return serve(settings); });
+}
--- /dev/null
+++ b/src/Apps/Gateway/Fleet.cpp
@@ -0,0 +1,69 @@
+#include "Apps/Gateway/Fleet.h"
+
+#include "Adapters/Process.h"
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout{500};
+// Longer than the longest wait that a gateway asks of an agent.
+constexpr std::chrono::milliseconds callTimeout{3000};
+
+} // namespace
+
+Fleet::Fleet(const GatewaySettings &settings)
+    : m_settings(settings), m_policy(powerOfTwoChoices()), m_directory(settings.agentSilence),
+      m_random(std::random_device{}())
+{ }
+
+void Fleet::update(const AgentStatus &status)
+{
+    const std::lock_guard lock(m_mutex);
+    m_directory.update(status, Process::now());
+}
+
+std::optional<ChosenAgent> Fleet::choose(const RoutingRequest &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto serves = [&request](const AgentStatus &status) {
+        const bool adapterReady = request.adapter.empty() || status.ready.contains(request.adapter);
+        return adapterReady && status.ready.contains(request.target);
+    };
+    const auto candidates = m_directory.candidates(Process::now(), serves);
+    const auto chosen = m_policy(request, candidates, m_random);
+    if (!chosen)
+        return std::nullopt;
+    return ChosenAgent{chosen->status.instance, chosen->status.incarnation,
+                       poolForLocked(chosen->status.address)};
+}
+
+void Fleet::suspect(const InstanceId &instance)
+{
+    const std::lock_guard lock(m_mutex);
+    m_directory.suspect(instance);
+}
+
+void Fleet::adjustOwnLoad(const InstanceId &instance, std::int64_t change)
+{
+    const std::lock_guard lock(m_mutex);
+    m_directory.adjustOwnLoad(instance, change);
+}
+
+std::vector<AgentDirectory::Candidate> Fleet::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_directory.all();
+}
+
+std::shared_ptr<AgentPool> Fleet::poolForLocked(const std::string &address)
+{
+    auto &pool = m_pools[address];
+    if (!pool) {
+        pool = std::make_shared<AgentPool>(Address::parse(address), m_settings.fleetSecret,
+                                           connectTimeout, callTimeout);
+    }
+    return pool;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/Fleet.h
@@ -0,0 +1,52 @@
+#ifndef QUETZALYOKE_APPS_GATEWAY_FLEET_H
+#define QUETZALYOKE_APPS_GATEWAY_FLEET_H
+
+#include "Adapters/ThriftPool.h"
+#include "Apps/Gateway/GatewaySettings.h"
+#include "Core/AgentDirectory.h"
+#include "Core/Router.h"
+#include "Wire/generated/Agent.h"
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace quetzalyoke {
+
+using AgentPool = ThriftPool<wire::AgentClient>;
+
+/// \brief An agent chosen for an attempt.
+struct ChosenAgent
+{
+    InstanceId instance;
+    Incarnation incarnation;
+    std::shared_ptr<AgentPool> pool;
+};
+
+/// \brief The agents that this gateway knows, with connections to them.
+class Fleet
+{
+public:
+    explicit Fleet(const GatewaySettings &settings);
+
+    void update(const AgentStatus &status);
+    std::optional<ChosenAgent> choose(const RoutingRequest &request);
+    void suspect(const InstanceId &instance);
+    void adjustOwnLoad(const InstanceId &instance, std::int64_t change);
+    std::vector<AgentDirectory::Candidate> all() const;
+
+private:
+    std::shared_ptr<AgentPool> poolForLocked(const std::string &address);
+
+    const GatewaySettings &m_settings;
+    RoutingPolicy m_policy;
+    mutable std::mutex m_mutex; // of the members below
+    AgentDirectory m_directory;
+    std::unordered_map<std::string, std::shared_ptr<AgentPool>> m_pools;
+    std::mt19937_64 m_random;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -0,0 +1,134 @@
+#include "Apps/Gateway/GatewayDoor.h"
+
+namespace quetzalyoke {
+
+namespace {
+
+AgentStatus statusFrom(const wire::AgentReport &report)
+{
+    AgentStatus status;
+    status.instance = InstanceId(report.instance);
+    status.incarnation = Incarnation(report.incarnation);
+    status.sequence = report.sequence;
+    status.zone = ZoneName(report.zone);
+    status.address = report.address;
+    status.server = ServerName(report.serverName);
+    status.engine = report.backendKind == "engine";
+    status.queued = report.queued;
+    status.running = report.running;
+    status.capacity = report.capacity;
+    status.draining = report.draining;
+    for (const wire::ModelState &it : report.models) {
+        if (it.ready)
+            status.ready.insert(it.name);
+    }
+    return status;
+}
+
+std::vector<wire::ModelState> wantedFor(const Configuration &configuration,
+                                        const ServerName &server)
+{
+    std::vector<wire::ModelState> wanted;
+    const auto it = configuration.plan.holdings.find(server);
+    if (it == configuration.plan.holdings.end())
+        return wanted;
+    for (const PlannedHolding &holding : it->second) {
+        wire::ModelState state;
+        state.name = holding.name;
+        state.version = holding.version;
+        state.memoryMb = holding.memory.count();
+        state.adapter = holding.adapter;
+        wanted.push_back(state);
+    }
+    return wanted;
+}
+
+class DoorFactory : public wire::GatewayIfFactory
+{
+public:
+    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
+        : m_settings(settings), m_state(state), m_fleet(fleet)
+    { }
+
+    wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
+    {
+        return new GatewayDoor(m_settings, m_state, m_fleet);
+    }
+    void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
+
+private:
+    const GatewaySettings &m_settings;
+    SharedState &m_state;
+    Fleet &m_fleet;
+};
+
+} // namespace
+
+GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
+    : m_state(state), m_fleet(fleet), m_guard(settings.fleetSecret)
+{ }
+
+void GatewayDoor::challenge(std::string &nonce)
+{
+    nonce = m_guard.challenge();
+}
+
+bool GatewayDoor::authenticate(const std::string &proof)
+{
+    return m_guard.authenticate(proof);
+}
+
+void GatewayDoor::events(std::vector<wire::TimelineEvent> &, const std::string &, std::int32_t)
+{
+    m_guard.require();
+}
+
+void GatewayDoor::report(wire::ReportReply &reply, const wire::AgentReport &report)
+{
+    m_guard.require();
+    AgentStatus status = statusFrom(report);
+    const auto configuration = m_state.configuration();
+    if (configuration) {
+        const auto server = configuration->list.servers.find(status.server);
+        if (server != configuration->list.servers.end() && !status.engine)
+            status.ready.insert(server->second.service.text());
+        reply.configurationVersion = configuration->version.count();
+        reply.planVersion = configuration->version.count();
+        if (report.planVersion < reply.planVersion)
+            reply.wanted = wantedFor(*configuration, status.server);
+    }
+    m_fleet.update(status);
+}
+
+void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &)
+{
+    m_guard.require();
+    answer.stateVersion = m_state.version().count();
+}
+
+void GatewayDoor::stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion)
+{
+    m_guard.require();
+    for (const StateRow &it : m_state.rowsAfter(Version(sinceVersion))) {
+        wire::StateRow row;
+        row.key = it.key;
+        row.value = it.value;
+        row.version = it.version.count();
+        rows.push_back(row);
+    }
+}
+
+std::int64_t GatewayDoor::spendShare(const std::string &, std::int64_t)
+{
+    m_guard.require();
+    return 0;
+}
+
+std::shared_ptr<apache::thrift::TProcessorFactory>
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
+{
+    return std::make_shared<wire::GatewayProcessorFactory>(
+        std::make_shared<DoorFactory>(settings, state, fleet));
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -0,0 +1,41 @@
+#ifndef QUETZALYOKE_APPS_GATEWAY_GATEWAYDOOR_H
+#define QUETZALYOKE_APPS_GATEWAY_GATEWAYDOOR_H
+
+#include "Adapters/FleetGuard.h"
+#include "Apps/Gateway/Fleet.h"
+#include "Apps/Gateway/SharedState.h"
+#include "Wire/generated/Gateway.h"
+
+#include <memory>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief Thrift handler of one connection from an agent or another gateway.
+class GatewayDoor : public wire::GatewayIf
+{
+public:
+    GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet);
+
+    void challenge(std::string &nonce) override;
+    bool authenticate(const std::string &proof) override;
+    void events(std::vector<wire::TimelineEvent> &events, const std::string &requestId,
+                std::int32_t limit) override;
+    void report(wire::ReportReply &reply, const wire::AgentReport &report) override;
+    void exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest) override;
+    void stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion) override;
+    std::int64_t spendShare(const std::string &account, std::int64_t tokens) override;
+
+private:
+    SharedState &m_state;
+    Fleet &m_fleet;
+    FleetGuard m_guard;
+};
+
+/// Makes a handler for each connection.
+std::shared_ptr<apache::thrift::TProcessorFactory>
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet);
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -0,0 +1,55 @@
+#include "Apps/Gateway/GatewaySettings.h"
+
+#include "Adapters/SettingsValues.h"
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::int64_t mebibyte = 1'048'576;
+
+} // namespace
+
+GatewaySettings GatewaySettings::read(const IniDocument &document, Problems &problems)
+{
+    GatewaySettings settings;
+    bool found = false;
+    for (const IniSection &it : document.sections()) {
+        if (it.kind != "gateway") {
+            problems.push_back({document.file(), it.line, "unknown section [" + it.kind + "]",
+                                "put all settings below [gateway]"});
+            continue;
+        }
+        found = true;
+        EntryReader reader(document.file(), it, problems);
+        settings.instance = InstanceId(reader.text("instance"));
+        settings.zone = ZoneName(reader.text("zone"));
+        settings.httpListen = readAddress(reader, "http_listen");
+        settings.listen = readAddress(reader, "listen");
+        settings.peers = readAddresses(reader, "peers");
+        settings.platform = readAddress(reader, "platform_address").text();
+        settings.fleetSecret = readSecretFile(reader, "fleet_secret_file");
+        settings.operatorSecret = readSecretFile(reader, "operator_secret_file");
+        settings.readyFile = reader.text("ready_file", "");
+        settings.connections = static_cast<int>(reader.number("connections", 1, 16384, 1024));
+        settings.doorConnections
+            = static_cast<int>(reader.number("door_connections", 1, 16384, 1024));
+        settings.bodyBytes = static_cast<std::size_t>(
+            reader.number("body_bytes", 1024, 256 * mebibyte, 8 * mebibyte));
+        settings.pollInterval = reader.milliseconds("poll_interval_ms", 10, 60'000, 500);
+        settings.platformTimeout = reader.milliseconds("platform_timeout_ms", 10, 60'000, 1000);
+        settings.freshness = reader.milliseconds("freshness_ms", 100, 60'000, 3000);
+        settings.agentSilence = reader.milliseconds("agent_silence_ms", 100, 600'000, 3000);
+        settings.defaultDeadline
+            = reader.milliseconds("default_deadline_ms", 100, 3'600'000, 60'000);
+        settings.drainLimit = reader.milliseconds("drain_limit_ms", 0, 3'600'000, 120'000);
+        reader.finish();
+    }
+    if (!found) {
+        problems.push_back(
+            {document.file(), 0, "no [gateway] section", "start the file with a line [gateway]"});
+    }
+    return settings;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -0,0 +1,41 @@
+#ifndef QUETZALYOKE_APPS_GATEWAY_GATEWAYSETTINGS_H
+#define QUETZALYOKE_APPS_GATEWAY_GATEWAYSETTINGS_H
+
+#include "Adapters/Address.h"
+#include "Core/IniDocument.h"
+#include "Core/StrongTypes.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief Settings of quetzalyoke-gateway, read from its `[gateway]` section.
+struct GatewaySettings
+{
+    InstanceId instance;
+    ZoneName zone;
+    Address httpListen; ///< For callers, operators and health.
+    Address listen; ///< Thrift, for agents and other gateways.
+    std::vector<std::string> peers; ///< Thrift addresses of the other gateways.
+    std::string platform; ///< host:port
+    std::string fleetSecret;
+    std::string operatorSecret;
+    std::string readyFile;
+    int connections = 0; ///< Of callers at once.
+    int doorConnections = 0; ///< Of agents and gateways at once.
+    std::size_t bodyBytes = 0;
+    std::chrono::milliseconds pollInterval{}; ///< Of the table.
+    std::chrono::milliseconds platformTimeout{};
+    std::chrono::milliseconds freshness{}; ///< Keyed traffic needs state no older than this.
+    std::chrono::milliseconds agentSilence{}; ///< Then an agent gets no new work.
+    std::chrono::milliseconds defaultDeadline{};
+    std::chrono::milliseconds drainLimit{};
+
+    static GatewaySettings read(const IniDocument &document, Problems &problems);
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Gateway/OperatorApi.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALYOKE_APPS_GATEWAY_OPERATORAPI_H
+#define QUETZALYOKE_APPS_GATEWAY_OPERATORAPI_H
+
+#include "Adapters/HttpPlatform.h"
+#include "Apps/Gateway/Fleet.h"
+#include "Apps/Gateway/SharedState.h"
+#include "Apps/Gateway/StateSync.h"
+
+#include <httplib.h>
+
+#include <functional>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief HTTP face towards operators, behind a credential of its own.
+class OperatorApi
+{
+public:
+    OperatorApi(const GatewaySettings &settings, HttpPlatform &platform, SharedState &state,
+                StateSync &sync, Fleet &fleet);
+
+    void addRoutes(httplib::Server &server);
+
+private:
+    using Handler = std::function<void(const httplib::Request &, httplib::Response &)>;
+
+    /// Wraps \a handler in the check of the credential and the translation of errors.
+    Handler guarded(Handler handler);
+    void showConfiguration(const httplib::Request &req, httplib::Response &res);
+    void applyConfiguration(const httplib::Request &req, httplib::Response &res);
+    void listKeys(const httplib::Request &req, httplib::Response &res);
+    void grantKey(const httplib::Request &req, httplib::Response &res);
+    void withdrawKey(const httplib::Request &req, httplib::Response &res);
+    void status(const httplib::Request &req, httplib::Response &res);
+
+    const GatewaySettings &m_settings;
+    HttpPlatform &m_platform;
+    SharedState &m_state;
+    StateSync &m_sync;
+    Fleet &m_fleet;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Core/EntryReader.cpp
@@ -0,0 +1,142 @@
+#include "Core/EntryReader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace quetzalyoke {
+
+namespace {
+
+std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const std::string &it : words)
+        text += (text.empty() ? "" : ", ") + it;
+    return text;
+}
+
+} // namespace
+
+EntryReader::EntryReader(std::string file, const IniSection &section, Problems &problems)
+    : m_file(std::move(file)), m_section(section), m_problems(problems)
+{ }
+
+const IniEntry *EntryReader::find(const std::string &name) const
+{
+    const auto it = std::find_if(m_section.entries.begin(), m_section.entries.end(),
+                                 [&name](const IniEntry &entry) { return entry.name == name; });
+    return it == m_section.entries.end() ? nullptr : &*it;
+}
+
+std::string EntryReader::text(const std::string &name, const std::optional<std::string> &fallback)
+{
+    m_known.insert(name);
+    const IniEntry *entry = find(name);
+    if (entry && !entry->value.empty())
+        return entry->value;
+    if (!fallback) {
+        complain(name, "[" + m_section.kind + "] has no " + name,
+                 "add a line \"" + name + " = ...\"");
+    }
+    return fallback.value_or("");
+}
+
+std::int64_t EntryReader::number(const std::string &name, std::int64_t least, std::int64_t most,
+                                 const std::optional<std::int64_t> &fallback)
+{
+    m_known.insert(name);
+    const IniEntry *entry = find(name);
+    if (!entry && fallback)
+        return *fallback;
+    const std::string value = entry ? entry->value : text(name);
+    if (!entry)
+        return least;
+    std::int64_t n = 0;
+    const char *end = value.data() + value.size();
+    const auto [last, ec] = std::from_chars(value.data(), end, n);
+    if (ec != std::errc() || last != end || n < least || n > most) {
+        complain(name, name + " = " + value + " is out of range",
+                 "give a whole number from " + std::to_string(least) + " to "
+                     + std::to_string(most));
+        return least;
+    }
+    return n;
+}
+
+std::chrono::milliseconds EntryReader::milliseconds(const std::string &name, std::int64_t least,
+                                                    std::int64_t most,
+                                                    const std::optional<std::int64_t> &fallback)
+{
+    return std::chrono::milliseconds(number(name, least, most, fallback));
+}
+
+bool EntryReader::flag(const std::string &name, bool fallback)
+{
+    return choice(name, {"yes", "no"}, fallback ? "yes" : "no") == "yes";
+}
+
+std::string EntryReader::choice(const std::string &name, const std::vector<std::string> &choices,
+                                const std::optional<std::string> &fallback)
+{
+    const std::string value = text(name, fallback);
+    if (std::find(choices.begin(), choices.end(), value) != choices.end())
+        return value;
+    if (find(name))
+        complain(name, name + " = " + value + " is not known", "give one of: " + joined(choices));
+    return choices.front();
+}
+
+std::vector<std::string> EntryReader::list(const std::string &name)
+{
+    m_known.insert(name);
+    m_lists.insert(name);
+    std::vector<std::string> values;
+    for (const IniEntry &it : m_section.entries) {
+        if (it.name != name)
+            continue;
+        std::istringstream stream(it.value);
+        std::string word;
+        while (std::getline(stream, word, ',')) {
+            const auto first = word.find_first_not_of(" \t");
+            if (first == std::string::npos)
+                continue;
+            values.push_back(word.substr(first, word.find_last_not_of(" \t") - first + 1));
+        }
+    }
+    return values;
+}
+
+int EntryReader::lineOf(const std::string &name) const
+{
+    const IniEntry *entry = find(name);
+    return entry ? entry->line : m_section.line;
+}
+
+void EntryReader::complain(const std::string &name, const std::string &what,
+                           const std::string &remedy)
+{
+    m_problems.push_back({m_file, lineOf(name), what, remedy});
+}
+
+void EntryReader::finish()
+{
+    std::set<std::string> seen;
+    for (const IniEntry &it : m_section.entries) {
+        if (!m_known.contains(it.name)) {
+            m_problems.push_back({m_file, it.line,
+                                  "[" + m_section.kind + "] has no setting named " + it.name,
+                                  "remove it, or correct it to one of: "
+                                      + joined({m_known.begin(), m_known.end()})});
+            continue;
+        }
+        if (m_lists.contains(it.name))
+            continue;
+        if (!seen.insert(it.name).second) {
+            m_problems.push_back(
+                {m_file, it.line, it.name + " is given twice", "keep one of the lines"});
+        }
+    }
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Core/FloorPlan.h
@@ -0,0 +1,33 @@
+#ifndef QUETZALYOKE_CORE_FLOORPLAN_H
+#define QUETZALYOKE_CORE_FLOORPLAN_H
+
+#include "Core/ServiceList.h"
+
+#include <map>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief A model or adapter that a server should hold.
+struct PlannedHolding
+{
+    std::string name;
+    std::string version;
+    Megabytes memory;
+    bool adapter = false;
+};
+
+/// \brief Which server holds which models: one copy of every model, adapters beside their base.
+///
+/// A pure function of the service list, so that all gateways compute the same plan.
+struct FloorPlan
+{
+    std::map<ServerName, std::vector<PlannedHolding>> holdings;
+    std::vector<ModelName> unplaced; ///< Models that fit on no server with their adapters.
+
+    static FloorPlan compute(const ServiceList &list);
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Core/IniDocument.cpp
@@ -0,0 +1,100 @@
+#include "Core/IniDocument.h"
+
+#include <ini.h>
+
+#include <cstring>
+#include <sstream>
+
+namespace quetzalyoke {
+
+namespace {
+
+// State shared between the line reader and the entry handler of one ini_parse_stream() call.
+struct ParseState
+{
+    std::istringstream stream;
+    std::string file;
+    int line = 0;
+    std::vector<IniSection> *sections = nullptr;
+    Problems *problems = nullptr;
+};
+
+// inih cuts lines that are longer than its buffer, so long lines are refused here by number
+// and given to inih as empty ones. Headings are read here too: inih names a section to its
+// handler only with the first entry, which would lose empty sections.
+std::string trimmed(const std::string &text)
+{
+    const auto first = text.find_first_not_of(" \t\r");
+    if (first == std::string::npos)
+        return {};
+    const auto last = text.find_last_not_of(" \t\r");
+    return text.substr(first, last - first + 1);
+}
+
+void addSection(ParseState &state, const std::string &heading)
+{
+    IniSection section;
+    const auto space = heading.find(' ');
+    section.kind = heading.substr(0, space);
+    if (space != std::string::npos)
+        section.name = trimmed(heading.substr(space));
+    section.line = state.line;
+    state.sections->push_back(section);
+}
+
+char *readLine(char *buf, int size, void *context)
+{
+    auto &state = *static_cast<ParseState *>(context);
+    std::string line;
+    if (!std::getline(state.stream, line))
+        return nullptr;
+    ++state.line;
+    line = trimmed(line);
+    if (static_cast<int>(line.size()) > IniDocument::maximumLineLength) {
+        state.problems->push_back({state.file, state.line,
+                                   "line is longer than "
+                                       + std::to_string(IniDocument::maximumLineLength)
+                                       + " characters",
+                                   "split the value over several lines of the same name"});
+        line.clear();
+    }
+    if (!line.empty() && line.front() == '[' && line.find(']') != std::string::npos)
+        addSection(state, trimmed(line.substr(1, line.find(']') - 1)));
+    line += '\n';
+    std::strncpy(buf, line.c_str(), static_cast<std::size_t>(size) - 1);
+    buf[size - 1] = '\0';
+    return buf;
+}
+
+int takeEntry(void *context, const char *, const char *name, const char *value)
+{
+    auto &state = *static_cast<ParseState *>(context);
+    if (state.sections->empty()) {
+        state.problems->push_back({state.file, state.line, "entry before the first section",
+                                   "put it below a [section] line"});
+        return 1;
+    }
+    state.sections->back().entries.push_back({name, value ? value : "", state.line});
+    return 1;
+}
+
+} // namespace
+
+IniDocument IniDocument::parse(const std::string &text, const std::string &file, Problems &problems)
+{
+    IniDocument document;
+    document.m_file = file;
+    ParseState state;
+    state.stream.str(text);
+    state.file = file;
+    state.sections = &document.m_sections;
+    state.problems = &problems;
+    const int badLine = ini_parse_stream(readLine, &state, takeEntry, &state);
+    if (badLine > 0) {
+        problems.push_back({file, badLine, "line is neither [section] nor name = value",
+                            "write it as name = value, or start it with ; for a comment"});
+    }
+    return document;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Core/IniDocument.h
@@ -0,0 +1,50 @@
+#ifndef QUETZALYOKE_CORE_INIDOCUMENT_H
+#define QUETZALYOKE_CORE_INIDOCUMENT_H
+
+#include "Core/Problem.h"
+
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief One `name = value` line.
+struct IniEntry
+{
+    std::string name;
+    std::string value;
+    int line = 0;
+};
+
+/// \brief One `[kind name]` section with its entries in file order.
+struct IniSection
+{
+    std::string kind; ///< First word of the heading.
+    std::string name; ///< The rest of the heading; may be empty.
+    int line = 0;
+    std::vector<IniEntry> entries;
+};
+
+/// \brief An INI text split into sections, with line numbers kept.
+///
+/// Lines are at most maximumLineLength characters; a longer value is written as several
+/// lines of the same name.
+class IniDocument
+{
+public:
+    static constexpr int maximumLineLength = 198;
+
+    /// Mistakes of form are added to \a problems; the rest of the text is still read.
+    static IniDocument parse(const std::string &text, const std::string &file, Problems &problems);
+
+    const std::string &file() const { return m_file; }
+    const std::vector<IniSection> &sections() const { return m_sections; }
+
+private:
+    std::string m_file;
+    std::vector<IniSection> m_sections;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Core/Problem.cpp
@@ -0,0 +1,18 @@
+#include "Core/Problem.h"
+
+namespace quetzalyoke {
+
+std::string Problem::text() const
+{
+    return file + ":" + std::to_string(line) + ": " + what + "; " + remedy;
+}
+
+std::string describe(const Problems &problems)
+{
+    std::string text;
+    for (const Problem &it : problems)
+        text += it.text() + "\n";
+    return text;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Core/StrongTypes.h
@@ -0,0 +1,91 @@
+#ifndef QUETZALYOKE_CORE_STRONGTYPES_H
+#define QUETZALYOKE_CORE_STRONGTYPES_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace quetzalyoke {
+
+/// \brief A textual identifier that can't be mixed up with one of another kind.
+template<typename Tag>
+class StrongId
+{
+public:
+    StrongId() = default;
+    explicit StrongId(std::string text) : m_text(std::move(text)) { }
+
+    const std::string &text() const { return m_text; }
+    bool isEmpty() const { return m_text.empty(); }
+
+    auto operator<=>(const StrongId &) const = default;
+
+private:
+    std::string m_text;
+};
+
+/// \brief A whole number with a unit. Only numbers of the same unit add and compare.
+template<typename Tag>
+class Quantity
+{
+public:
+    constexpr Quantity() = default;
+    constexpr explicit Quantity(std::int64_t count) : m_count(count) { }
+
+    constexpr std::int64_t count() const { return m_count; }
+
+    constexpr auto operator<=>(const Quantity &) const = default;
+    constexpr Quantity operator+(Quantity other) const { return Quantity(m_count + other.m_count); }
+    constexpr Quantity operator-(Quantity other) const { return Quantity(m_count - other.m_count); }
+    constexpr Quantity &operator+=(Quantity other)
+    {
+        m_count += other.m_count;
+        return *this;
+    }
+    constexpr Quantity &operator-=(Quantity other)
+    {
+        m_count -= other.m_count;
+        return *this;
+    }
+
+private:
+    std::int64_t m_count = 0;
+};
+
+using AccountId = StrongId<struct AccountTag>; ///< Client account.
+using KeyId = StrongId<struct KeyTag>; ///< Public id of an account's key.
+using ModelName = StrongId<struct ModelTag>;
+using AdapterName = StrongId<struct AdapterTag>;
+using ServiceName = StrongId<struct ServiceTag>;
+using ServerName = StrongId<struct ServerTag>; ///< Backend server.
+using InstanceId = StrongId<struct InstanceTag>; ///< Instance of the system's processes.
+using ZoneName = StrongId<struct ZoneTag>; ///< Availability zone.
+using RequestId = StrongId<struct RequestTag>;
+using AttemptId = StrongId<struct AttemptTag>; ///< One try at one request.
+using Fingerprint = StrongId<struct FingerprintTag>; ///< Hash of account and body.
+
+using Tokens = Quantity<struct TokensTag>;
+using TokensPerSecond = Quantity<struct TokensPerSecondTag>;
+using Megabytes = Quantity<struct MegabytesTag>;
+using Version = Quantity<struct VersionTag>; ///< Of state in the table; only rises.
+using Incarnation = Quantity<struct IncarnationTag>; ///< Of an instance; rises with each start.
+
+/// Time as the decision modules see it: monotonic, passed in by the caller.
+using Duration = std::chrono::microseconds;
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+} // namespace quetzalyoke
+
+template<typename Tag>
+struct std::hash<quetzalyoke::StrongId<Tag>>
+{
+    std::size_t operator()(const quetzalyoke::StrongId<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>()(id.text());
+    }
+};
+
+#endif
--- /dev/null
+++ b/src/StandIns/Platform/PlatformApi.cpp
@@ -0,0 +1,155 @@
+#include "StandIns/Platform/PlatformApi.h"
+
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace quetzalyoke::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json toJson(const TableRow &row)
+{
+    return {{"key", row.key}, {"value", row.value}, {"version", row.version.count()}};
+}
+
+void answer(httplib::Response &res, int status, const Json &body)
+{
+    res.status = status;
+    res.set_content(body.dump(), "application/json");
+}
+
+std::vector<ConditionalWrite> writesFrom(const Json &body)
+{
+    std::vector<ConditionalWrite> writes;
+    for (const Json &it : body.at("writes")) {
+        ConditionalWrite write{it.at("key"), {}, {}};
+        if (it.contains("value"))
+            write.value = it.at("value").get<std::string>();
+        if (it.contains("expected"))
+            write.expected = Version(it.at("expected"));
+        writes.push_back(write);
+    }
+    return writes;
+}
+
+// Ends the connection without an answer.
+void loseAnswer(httplib::Response &res)
+{
+    res.set_content_provider(1, "application/json",
+                             [](size_t, size_t, httplib::DataSink &) { return false; });
+}
+
+} // namespace
+
+void PlatformApi::addRoutes(httplib::Server &server)
+{
+    const auto bind = [this](void (PlatformApi::*method)(const httplib::Request &,
+                                                         httplib::Response &)) -> Handler {
+        return [this, method](const auto &req, auto &res) { (this->*method)(req, res); };
+    };
+    server.Get("/table/row", withFaults(bind(&PlatformApi::readRow)));
+    server.Get("/table/scan", withFaults(bind(&PlatformApi::scanRows)));
+    server.Post("/table/commit", withFaults(bind(&PlatformApi::commitRows)));
+    server.Get("/objects/(.+)", withFaults(bind(&PlatformApi::getObject)));
+    server.Put("/objects/(.+)", withFaults(bind(&PlatformApi::putObject)));
+    server.Get("/instances", withFaults(bind(&PlatformApi::listInstances)));
+    server.Put("/instances", bind(&PlatformApi::setInstances));
+    server.Post("/faults", bind(&PlatformApi::setFaults));
+}
+
+PlatformApi::Handler PlatformApi::withFaults(Handler handler)
+{
+    return [this, handler = std::move(handler)](const auto &req, auto &res) {
+        const FaultPlan plan = m_faults.current();
+        if (plan.delay.count() > 0)
+            std::this_thread::sleep_for(plan.delay);
+        if (plan.outage) {
+            answer(res, 503, {{"error", "outage"}});
+            return;
+        }
+        handler(req, res);
+    };
+}
+
+void PlatformApi::readRow(const httplib::Request &req, httplib::Response &res)
+{
+    const auto row = m_table.read(req.get_param_value("key"));
+    if (row)
+        answer(res, 200, toJson(*row));
+    else
+        answer(res, 404, {{"error", "no such row"}});
+}
+
+void PlatformApi::scanRows(const httplib::Request &req, httplib::Response &res)
+{
+    const Version after(std::stoll(req.get_param_value("after")));
+    Json rows = Json::array();
+    for (const TableRow &it : m_table.scan(req.get_param_value("prefix"), after))
+        rows.push_back(toJson(it));
+    answer(res, 200, {{"rows", rows}});
+}
+
+void PlatformApi::commitRows(const httplib::Request &req, httplib::Response &res)
+{
+    const auto version = m_table.commit(writesFrom(Json::parse(req.body)));
+    if (m_faults.takeLostAnswer()) {
+        loseAnswer(res);
+        return;
+    }
+    if (version)
+        answer(res, 200, {{"version", version->count()}});
+    else
+        answer(res, 409, {{"error", "a condition does not hold"}});
+}
+
+void PlatformApi::getObject(const httplib::Request &req, httplib::Response &res)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_objects.find(req.matches[1]);
+    res.status = it == m_objects.end() ? 404 : 200;
+    if (it != m_objects.end())
+        res.set_content(it->second, "application/octet-stream");
+}
+
+void PlatformApi::putObject(const httplib::Request &req, httplib::Response &res)
+{
+    const std::lock_guard lock(m_mutex);
+    m_objects[req.matches[1]] = req.body;
+    res.status = 204;
+}
+
+void PlatformApi::listInstances(const httplib::Request &, httplib::Response &res)
+{
+    const auto shownAt = std::chrono::steady_clock::now() - m_faults.current().listLag;
+    const std::lock_guard lock(m_mutex);
+    std::string body = R"({"instances":[]})";
+    for (const ListState &it : m_lists) {
+        if (it.since <= shownAt)
+            body = it.body;
+    }
+    res.set_content(body, "application/json");
+}
+
+void PlatformApi::setInstances(const httplib::Request &req, httplib::Response &res)
+{
+    const std::lock_guard lock(m_mutex);
+    m_lists.push_back({std::chrono::steady_clock::now(), req.body});
+    res.status = 204;
+}
+
+void PlatformApi::setFaults(const httplib::Request &req, httplib::Response &res)
+{
+    const Json body = Json::parse(req.body);
+    FaultPlan plan;
+    plan.outage = body.value("outage", false);
+    plan.lostAnswers = body.value("lost_answers", 0);
+    plan.delay = std::chrono::milliseconds(body.value("delay_ms", 0));
+    plan.listLag = std::chrono::milliseconds(body.value("list_lag_ms", 0));
+    m_faults.set(plan);
+    res.status = 204;
+}
+
+} // namespace quetzalyoke::standins
--- /dev/null
+++ b/src/StandIns/Platform/PlatformApi.h
@@ -0,0 +1,51 @@
+#ifndef QUETZALYOKE_STANDINS_PLATFORM_PLATFORMAPI_H
+#define QUETZALYOKE_STANDINS_PLATFORM_PLATFORMAPI_H
+
+#include "StandIns/Platform/Faults.h"
+#include "StandIns/Platform/Table.h"
+
+#include <httplib.h>
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace quetzalyoke::standins {
+
+/// \brief HTTP face of the platform stand-in: table, objects, instance list and faults.
+class PlatformApi
+{
+public:
+    void addRoutes(httplib::Server &server);
+
+private:
+    using Handler = std::function<void(const httplib::Request &, httplib::Response &)>;
+
+    /// Wraps \a handler in the delay and the outage of the fault plan.
+    Handler withFaults(Handler handler);
+    void readRow(const httplib::Request &req, httplib::Response &res);
+    void scanRows(const httplib::Request &req, httplib::Response &res);
+    void commitRows(const httplib::Request &req, httplib::Response &res);
+    void getObject(const httplib::Request &req, httplib::Response &res);
+    void putObject(const httplib::Request &req, httplib::Response &res);
+    void listInstances(const httplib::Request &req, httplib::Response &res);
+    void setInstances(const httplib::Request &req, httplib::Response &res);
+    void setFaults(const httplib::Request &req, httplib::Response &res);
+
+    struct ListState
+    {
+        std::chrono::steady_clock::time_point since;
+        std::string body;
+    };
+
+    Table m_table;
+    Faults m_faults;
+    std::mutex m_mutex; // of the members below
+    std::map<std::string, std::string> m_objects;
+    std::deque<ListState> m_lists;
+};
+
+} // namespace quetzalyoke::standins
+
+#endif
--- /dev/null
+++ b/src/StandIns/Platform/main.cpp
@@ -0,0 +1,24 @@
+#include "StandIns/Platform/PlatformApi.h"
+#include "StandIns/StandInMain.h"
+
+using namespace quetzalyoke;
+
+int main(int argc, char **argv)
+{
+    standins::StandInSettings settings;
+    const auto readSettings = [&settings](const IniDocument &document, Problems &problems) {
+        for (const IniSection &it : document.sections()) {
+            EntryReader reader(document.file(), it, problems);
+            settings = standins::StandInSettings::read(reader);
+            reader.finish();
+        }
+    };
+    return Process::run(argc, argv, "quetzalyoke-standin-platform", readSettings, [&settings] {
+        HttpServerLimits limits;
+        limits.connections = settings.connections;
+        HttpServer server(limits);
+        standins::PlatformApi api;
+        api.addRoutes(server.routes());
+        return standins::serveUntilStopped(server, settings);
+    });
+}
--- /dev/null
+++ b/src/StandIns/StandInMain.h
@@ -0,0 +1,27 @@
+#ifndef QUETZALYOKE_STANDINS_STANDINMAIN_H
+#define QUETZALYOKE_STANDINS_STANDINMAIN_H
+
+#include "Adapters/HttpServer.h"
+#include "Adapters/Process.h"
+#include "Adapters/ReadyFile.h"
+
+#include <string>
+
+namespace quetzalyoke::standins {
+
+/// \brief Address and bounds that every stand-in reads from its `[standin]` section.
+struct StandInSettings
+{
+    Address listen;
+    std::string readyFile;
+    int connections = 0;
+
+    static StandInSettings read(EntryReader &reader);
+};
+
+/// Serves until a stop is requested.
+int serveUntilStopped(HttpServer &server, const StandInSettings &settings);
+
+} // namespace quetzalyoke::standins
+
+#endif
