Settle the interfaces between the parts

Account limits, waiting order, acceptance of operators' changes and the hybrid clock on messages get their interface with a plain implementation, so that each can be filled in without touching the others.

--- a/src/Apps/Agent/AgentSettings.h
+++ b/src/Apps/Agent/AgentSettings.h
@@ -27,6 +27,7 @@
     std::string readyFile;
     int concurrency = 0; ///< Attempts that the backend server runs at once.
     int queueLength = 0;
+    std::string queuePolicy; ///< Order of waiting attempts; see RequestQueue.
     int connections = 0;
     std::size_t bufferBytes = 0; ///< Of one answer that its gateway has not fetched yet.
     std::chrono::milliseconds reportInterval{};
--- a/src/Apps/Agent/AttemptTable.cpp
+++ b/src/Apps/Agent/AttemptTable.cpp
@@ -1,8 +1,12 @@
 #include "Apps/Agent/AttemptTable.h"
 
+#include "Adapters/Process.h"
+
 namespace quetzalyoke {
 
-AttemptTable::AttemptTable(const Limits &limits) : m_limits(limits) { }
+AttemptTable::AttemptTable(const Limits &limits, std::unique_ptr<RequestQueue> queue)
+    : m_limits(limits), m_queue(std::move(queue))
+{ }
 
 AttemptTable::Admission AttemptTable::submit(const wire::Submission &submission, Instant now)
 {
@@ -12,11 +16,12 @@
         return {it->second, wire::ErrorCode::None};
     if (m_draining)
         return {nullptr, wire::ErrorCode::Draining};
-    if (m_queue.size() >= m_limits.queueLength)
+    if (m_queue->size() >= m_limits.queueLength)
         return {nullptr, wire::ErrorCode::QueueFull};
     auto attempt = std::make_shared<Attempt>(submission, now, m_limits.bufferBytes);
     m_attempts.emplace(submission.attemptId, attempt);
-    m_queue.push_back(attempt);
+    m_queue->push({AttemptId(submission.attemptId), AccountId(submission.account),
+                   submission.priority, Tokens(submission.estimatedTokens), attempt->deadline()});
     m_available.notify_one();
     return {attempt, wire::ErrorCode::None};
 }
@@ -31,12 +36,13 @@
 std::shared_ptr<Attempt> AttemptTable::takeNext(std::chrono::milliseconds wait)
 {
     std::unique_lock lock(m_mutex);
-    if (!m_available.wait_for(lock, wait, [this] { return !m_queue.empty(); }))
+    if (!m_available.wait_for(lock, wait, [this] { return m_queue->size() > 0; }))
+        return nullptr;
+    const auto next = m_queue->pop(Process::now());
+    if (!next)
         return nullptr;
-    auto attempt = m_queue.front();
-    m_queue.pop_front();
     ++m_running;
-    return attempt;
+    return m_attempts.at(next->id.text());
 }
 
 void AttemptTable::release()
@@ -69,7 +75,7 @@
 std::size_t AttemptTable::queued() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_queue.size();
+    return m_queue->size();
 }
 
 std::size_t AttemptTable::running() const
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -2,9 +2,9 @@
 #define QUETZALYOKE_APPS_AGENT_ATTEMPTTABLE_H
 
 #include "Apps/Agent/Attempt.h"
+#include "Core/RequestQueue.h"
 
 #include <condition_variable>
-#include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -26,7 +26,7 @@
         std::chrono::milliseconds keepFinished{};
     };
 
-    explicit AttemptTable(const Limits &limits);
+    AttemptTable(const Limits &limits, std::unique_ptr<RequestQueue> queue);
 
     struct Admission
     {
@@ -57,7 +57,7 @@
     mutable std::mutex m_mutex; // of the members below
     std::condition_variable m_available;
     std::unordered_map<std::string, std::shared_ptr<Attempt>> m_attempts;
-    std::deque<std::shared_ptr<Attempt>> m_queue;
+    std::unique_ptr<RequestQueue> m_queue;
     std::size_t m_running = 0;
     bool m_draining = false;
 };
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -26,8 +26,9 @@
 
 int serve(const AgentSettings &settings)
 {
-    AttemptTable table({static_cast<std::size_t>(settings.queueLength), settings.bufferBytes,
-                        settings.keepFinished});
+    const AttemptTable::Limits tableLimits{static_cast<std::size_t>(settings.queueLength),
+                                           settings.bufferBytes, settings.keepFinished};
+    AttemptTable table(tableLimits, requestQueueFactory(settings.queuePolicy)());
     Dispatcher dispatcher(settings, table);
     ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
                       settings.connections);
--- a/src/Apps/Gateway/OperatorApi.cpp
+++ b/src/Apps/Gateway/OperatorApi.cpp
@@ -40,8 +40,9 @@
 } // namespace
 
 OperatorApi::OperatorApi(const GatewaySettings &settings, HttpPlatform &platform,
-                         SharedState &state, StateSync &sync, Fleet &fleet)
-    : m_settings(settings), m_platform(platform), m_state(state), m_sync(sync), m_fleet(fleet)
+                         SharedState &state, StateSync &sync, Fleet &fleet, ChangeGate &gate)
+    : m_settings(settings), m_platform(platform), m_state(state), m_sync(sync), m_fleet(fleet),
+      m_gate(gate)
 { }
 
 void OperatorApi::addRoutes(httplib::Server &server)
@@ -85,6 +86,7 @@
 
 void OperatorApi::applyConfiguration(const httplib::Request &req, httplib::Response &res)
 {
+    m_gate.requireMayAccept();
     const Version seen(std::stoll("0" + req.get_param_value("seen")));
     Problems problems;
     const ServiceList list = ServiceList::parse(req.body, "service-list", problems);
@@ -100,6 +102,7 @@
                         + "; look at it again (quetzalyokectl show) and repeat your change");
     }
     m_sync.refresh();
+    m_gate.waitUntilInForce(*version);
     LOG(INFO) << "event=configuration_applied version=" << version->count();
     answer(res, 200, {{"version", version->count()}});
 }
@@ -117,6 +120,7 @@
 
 void OperatorApi::grantKey(const httplib::Request &req, httplib::Response &res)
 {
+    m_gate.requireMayAccept();
     const AccountId account(req.get_param_value("account"));
     const auto configuration = m_state.configuration();
     if (!configuration || !configuration->list.accounts.contains(account)) {
@@ -132,6 +136,7 @@
 
 void OperatorApi::withdrawKey(const httplib::Request &req, httplib::Response &res)
 {
+    m_gate.requireMayAccept();
     const KeyId id(req.matches[1]);
     const auto row = m_platform.read(StateCache::keyRowName(id));
     if (!row)
@@ -139,8 +144,13 @@
                       {{"error", "no key " + id.text() + "; see quetzalyokectl key list"}});
     KeyRecord record = KeyRecord::fromJson(row->value);
     record.withdrawn = true;
-    m_platform.commit({{row->key, record.toJson(), {}}});
+    const auto version = m_platform.commit({{row->key, record.toJson(), row->version}});
+    if (!version) {
+        throw Error(ErrorKind::Conflict,
+                    "key " + id.text() + " was changed at the same time; withdraw it again");
+    }
     m_sync.refresh();
+    m_gate.waitUntilInForce(*version);
     answer(res, 200, {{"id", id.text()}, {"withdrawn", true}});
 }
 
--- a/src/Apps/Gateway/OperatorApi.h
+++ b/src/Apps/Gateway/OperatorApi.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_APPS_GATEWAY_OPERATORAPI_H
 
 #include "Adapters/HttpPlatform.h"
+#include "Apps/Gateway/ChangeGate.h"
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
@@ -18,7 +19,7 @@
 {
 public:
     OperatorApi(const GatewaySettings &settings, HttpPlatform &platform, SharedState &state,
-                StateSync &sync, Fleet &fleet);
+                StateSync &sync, Fleet &fleet, ChangeGate &gate);
 
     void addRoutes(httplib::Server &server);
 
@@ -39,6 +40,7 @@
     SharedState &m_state;
     StateSync &m_sync;
     Fleet &m_fleet;
+    ChangeGate &m_gate;
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -4,6 +4,7 @@
 #include "Adapters/ReadyFile.h"
 #include "Adapters/ThriftServer.h"
 #include "Apps/Gateway/CallerApi.h"
+#include "Apps/Gateway/ChangeGate.h"
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/GatewayDoor.h"
 #include "Apps/Gateway/GatewaySettings.h"
@@ -35,7 +36,8 @@
     Relay relay(settings, fleet);
     StateSync sync(settings, platform, state);
     CallerApi callers(settings, state, relay);
-    OperatorApi operators(settings, platform, state, sync, fleet);
+    OpenChangeGate gate;
+    OperatorApi operators(settings, platform, state, sync, fleet, gate);
 
     ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet),
                       settings.doorConnections);
--- /dev/null
+++ b/src/Core/RequestQueue.cpp
@@ -0,0 +1,45 @@
+#include "Core/RequestQueue.h"
+
+#include "Core/Error.h"
+
+#include <deque>
+
+namespace quetzalyoke {
+
+namespace {
+
+class FifoQueue : public RequestQueue
+{
+public:
+    void push(const QueuedAttempt &attempt) override { m_attempts.push_back(attempt); }
+
+    std::optional<QueuedAttempt> pop(Instant) override
+    {
+        if (m_attempts.empty())
+            return std::nullopt;
+        QueuedAttempt attempt = m_attempts.front();
+        m_attempts.pop_front();
+        return attempt;
+    }
+
+    std::size_t size() const override { return m_attempts.size(); }
+
+private:
+    std::deque<QueuedAttempt> m_attempts;
+};
+
+} // namespace
+
+std::unique_ptr<RequestQueue> makeFifoQueue()
+{
+    return std::make_unique<FifoQueue>();
+}
+
+RequestQueueFactory requestQueueFactory(const std::string &name)
+{
+    if (name == "fifo")
+        return makeFifoQueue;
+    throw Error(ErrorKind::BadSettings, "queue_policy = " + name + " is not known; use fifo");
+}
+
+} // namespace quetzalyoke
--- a/src/Wire/quetzalyoke.thrift
+++ b/src/Wire/quetzalyoke.thrift
@@ -1,6 +1,12 @@
 // Calls between the processes of quetzalyoke. Times are milliseconds unless a name says otherwise.
 namespace cpp quetzalyoke.wire
 
+// Hybrid logical clock, carried by messages so that the time line keeps causal order.
+struct HybridTime {
+    1: i64 physicalMicros,
+    2: i64 logical,
+}
+
 // Whether a request that did not complete reached a backend server.
 enum RunState {
     NotRun = 0,
@@ -46,6 +52,7 @@
     14: string fingerprint,      // of account and body, for crash counting
     15: i64 configurationVersion,
     16: bool model,              // model request (engine) or plain service call
+    17: HybridTime clock,
 }
 
 // What is known of an attempt from a byte offset on.
@@ -65,6 +72,8 @@
     13: i64 retryAfterMillis,
     14: i64 promptTokens,
     15: i64 load,                // queued and running attempts, piggybacked
+    16: HybridTime clock,
+    17: i64 incarnation,         // of the agent
 }
 
 struct ModelState {
@@ -93,6 +102,7 @@
     15: i64 capacity,            // attempts the backend server runs at once
     16: i64 planVersion,
     17: list<string> suspects,   // fingerprints seen in flight at a crash
+    18: HybridTime clock,
 }
 
 struct ReportReply {
@@ -101,6 +111,7 @@
     3: i64 planVersion,
     4: list<ModelState> wanted,  // models and adapters this server should hold, when plan is newer
     5: list<string> quarantined, // fingerprints that must not run any more
+    6: HybridTime clock,
 }
 
 // What one gateway tells another; all versions only rise.
@@ -114,6 +125,7 @@
     7: list<AgentReport> agents,
     8: list<string> quarantined,
     9: bool leaving,
+    10: HybridTime clock,
 }
 
 struct StateRow {
@@ -123,8 +135,8 @@
 }
 
 struct TimelineEvent {
-    1: i64 physicalMicros,       // hybrid logical clock
-    2: i64 logical,
+    1: HybridTime time,
+    2: i64 sequence,             // within the instance's incarnation
     3: string instance,
     4: i64 incarnation,
     5: string requestId,
