--- a/src/Adapters/HttpServer.cpp
+++ b/src/Adapters/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Adapters/HttpServer.h"
 
 #include "Adapters/Metrics.h"
+#include "Adapters/internal/ElasticPool.h"
 #include "Core/Error.h"
 
 namespace quetzalyoke {
@@ -8,17 +9,18 @@
 namespace {
 
 constexpr std::size_t unlimitedKeepAlive = 1'000'000'000;
+constexpr std::size_t headerBytes = 65'536; // of one request, over its body
 
 } // namespace
 
 HttpServer::HttpServer(const HttpServerLimits &limits)
+    : m_server({limits.bodyBytes + headerBytes, limits.requestTime, limits.writeTime})
 {
     const auto n = static_cast<std::size_t>(limits.connections);
-    m_server.new_task_queue = [n] { return new httplib::ThreadPool(n); };
+    m_server.new_task_queue = [n] { return new internal::ElasticPool(n); };
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(unlimitedKeepAlive);
     m_server.set_payload_max_length(limits.bodyBytes);
-    m_server.set_read_timeout(limits.readTimeout);
 }
 
 HttpServer::~HttpServer()
--- a/src/Adapters/HttpServer.h
+++ b/src/Adapters/HttpServer.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_ADAPTERS_HTTPSERVER_H
 
 #include "Adapters/Address.h"
+#include "Adapters/internal/WatchedServer.h"
 
 #include <httplib.h>
 
@@ -16,10 +17,13 @@
 {
     int connections = 512; ///< Each open connection holds a thread.
     std::size_t bodyBytes = 8U << 20U;
-    std::chrono::milliseconds readTimeout{10'000};
+    std::chrono::milliseconds requestTime{10'000}; ///< For a request to arrive whole.
+    std::chrono::milliseconds writeTime{10'000}; ///< For a slow caller to take some bytes.
 };
 
-/// \brief A cpp-httplib server on its own thread, with TCP_NODELAY and stated bounds.
+/// \brief A cpp-httplib server with TCP_NODELAY, stated bounds and one thread a connection.
+///
+/// Connections beyond the bound are refused at once.
 class HttpServer
 {
 public:
@@ -35,11 +39,14 @@
     int port() const { return m_port; }
     void stop();
 
+    /// Whether the caller of the request that the calling thread handles has gone away.
+    static bool callerHasGone() { return internal::WatchedServer::callerHasGone(); }
+
     /// Adds /metrics, /healthz and /readyz; \a isReady decides the last.
     void addHealthRoutes(const std::function<bool()> &isReady);
 
 private:
-    httplib::Server m_server;
+    internal::WatchedServer m_server;
     std::thread m_thread;
     int m_port = 0;
 };
--- a/src/Adapters/Process.cpp
+++ b/src/Adapters/Process.cpp
@@ -72,6 +72,7 @@
             return 0;
         }
         installSignals();
+        incarnation();
         return body();
     } catch (const Error &e) {
         LOG(ERROR) << "event=start_failed program=" << name << " reason=\"" << e.what() << '"';
@@ -102,6 +103,14 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+Incarnation Process::incarnation()
+{
+    static const Incarnation started(std::chrono::duration_cast<std::chrono::microseconds>(
+                                         std::chrono::system_clock::now().time_since_epoch())
+                                         .count());
+    return started;
+}
+
 std::string Process::readFile(const std::string &path)
 {
     std::ifstream file(path);
--- a/src/Adapters/Process.h
+++ b/src/Adapters/Process.h
@@ -32,6 +32,8 @@
     static bool waitForStop(std::chrono::milliseconds timeout);
 
     static Instant now();
+    /// Of this process: the wall-clock time of its start, in microseconds.
+    static Incarnation incarnation();
     /// Whole text of \a path without trailing white space. Throws Error (BadSettings).
     static std::string readFile(const std::string &path);
 };
--- /dev/null
+++ b/src/Adapters/internal/ElasticPool.cpp
@@ -0,0 +1,64 @@
+#include "Adapters/internal/ElasticPool.h"
+
+namespace quetzalyoke::internal {
+
+namespace {
+
+thread_local bool overloaded = false;
+
+} // namespace
+
+ElasticPool::ElasticPool(std::size_t limit) : m_limit(limit) { }
+
+bool ElasticPool::isOverloaded()
+{
+    return overloaded;
+}
+
+void ElasticPool::enqueue(std::function<void()> job)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool needsThread = m_idle <= m_jobs.size();
+        if (!needsThread || m_threads.size() < m_limit) {
+            m_jobs.push_back(std::move(job));
+            if (needsThread)
+                m_threads.emplace_back([this] { work(); });
+            m_available.notify_one();
+            return;
+        }
+    }
+    overloaded = true;
+    job();
+    overloaded = false;
+}
+
+void ElasticPool::work()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        ++m_idle;
+        m_available.wait(lock, [this] { return m_stopping || !m_jobs.empty(); });
+        --m_idle;
+        if (m_jobs.empty())
+            return;
+        const auto job = std::move(m_jobs.front());
+        m_jobs.pop_front();
+        lock.unlock();
+        job();
+        lock.lock();
+    }
+}
+
+void ElasticPool::shutdown()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+        m_available.notify_all();
+    }
+    for (std::thread &it : m_threads)
+        it.join();
+}
+
+} // namespace quetzalyoke::internal
--- a/src/Apps/Agent/AgentDoor.cpp
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -29,6 +29,27 @@
     return progress;
 }
 
+const char *reasonOf(wire::ErrorCode::type error)
+{
+    switch (error) {
+    case wire::ErrorCode::Draining:
+        return "the backend server is leaving";
+    case wire::ErrorCode::AgentRestarted:
+        return "the backend server's agent was restarted";
+    case wire::ErrorCode::UnknownAttempt:
+        return "the attempt is over";
+    default:
+        return "the backend server's queue is full; ask again";
+    }
+}
+
+// An attempt that this agent has spent may have run; every other refusal comes before that.
+wire::RunState::type stateOf(wire::ErrorCode::type error)
+{
+    return error == wire::ErrorCode::UnknownAttempt ? wire::RunState::Unknown
+                                                    : wire::RunState::NotRun;
+}
+
 class DoorFactory : public wire::AgentIfFactory
 {
 public:
@@ -74,10 +95,8 @@
     m_guard.require();
     const auto admission = m_table.submit(submission, Process::now());
     if (!admission.attempt) {
-        const bool draining = admission.refusal == wire::ErrorCode::Draining;
-        progress = refusal(submission.attemptId, admission.refusal, wire::RunState::NotRun,
-                           draining ? "the backend server is leaving"
-                                    : "the backend server's queue is full");
+        progress = refusal(submission.attemptId, admission.refusal, stateOf(admission.refusal),
+                           reasonOf(admission.refusal));
         return;
     }
     progress = admission.attempt->fetch(0, boundedWait(waitMillis));
@@ -98,12 +117,10 @@
     progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
 }
 
-void AgentDoor::cancel(const std::string &attemptId)
+wire::RunState::type AgentDoor::cancel(const std::string &attemptId)
 {
     m_guard.require();
-    const auto attempt = m_table.find(attemptId);
-    if (attempt)
-        attempt->cancel();
+    return m_table.cancel(attemptId, Process::now());
 }
 
 std::shared_ptr<apache::thrift::TProcessorFactory> makeAgentDoorFactory(AttemptTable &table,
--- a/src/Apps/Agent/AgentDoor.h
+++ b/src/Apps/Agent/AgentDoor.h
@@ -24,7 +24,7 @@
                 std::int64_t waitMillis) override;
     void fetch(wire::Progress &progress, const std::string &attemptId, std::int64_t offset,
                std::int64_t waitMillis) override;
-    void cancel(const std::string &attemptId) override;
+    wire::RunState::type cancel(const std::string &attemptId) override;
 
 private:
     AttemptTable &m_table;
--- a/src/Apps/Agent/Attempt.cpp
+++ b/src/Apps/Agent/Attempt.cpp
@@ -1,5 +1,7 @@
 #include "Apps/Agent/Attempt.h"
 
+#include <utility>
+
 namespace quetzalyoke {
 
 Attempt::Attempt(const wire::Submission &submission, Instant now, std::size_t bufferBytes)
@@ -23,17 +25,29 @@
     return m_cancelled;
 }
 
-bool Attempt::hasStarted() const
+wire::RunState::type Attempt::cancel()
 {
-    const std::lock_guard lock(m_mutex);
-    return m_started;
+    std::function<void()> hook;
+    wire::RunState::type state{};
+    {
+        const std::lock_guard lock(m_mutex);
+        state = runStateLocked();
+        if (m_finished)
+            return state;
+        m_cancelled = true;
+        m_delivered = true; // nobody waits for it any more
+        hook = std::exchange(m_cancelHook, nullptr);
+        m_changed.notify_all();
+    }
+    if (hook)
+        hook();
+    return state;
 }
 
-void Attempt::cancel()
+void Attempt::setCancelHook(std::function<void()> hook)
 {
     const std::lock_guard lock(m_mutex);
-    m_cancelled = true;
-    m_changed.notify_all();
+    m_cancelHook = std::move(hook);
 }
 
 void Attempt::setHeaders(int status, std::vector<wire::Header> headers)
@@ -75,10 +89,32 @@
     endLocked(now);
 }
 
+void Attempt::turnAway(Instant now, const std::string &message,
+                       std::chrono::milliseconds retryAfter)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_started = false;
+        m_headersKnown = false;
+    }
+    fail(now, wire::ErrorCode::ModelNotReady, message, retryAfter);
+}
+
+void Attempt::failInCrash(Instant now, const std::string &incident,
+                          std::chrono::milliseconds retryAfter)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_incident = incident;
+    }
+    fail(now, wire::ErrorCode::BackendCrashed, "the backend server crashed; ask again", retryAfter);
+}
+
 void Attempt::endLocked(Instant now)
 {
     m_finished = true;
     m_finishedAt = now;
+    m_cancelHook = nullptr;
     m_changed.notify_all();
 }
 
@@ -86,7 +122,8 @@
 {
     std::unique_lock lock(m_mutex);
     const auto hasNews = [this, offset] {
-        return m_finished || m_bufferOffset + static_cast<std::int64_t>(m_buffer.size()) > offset;
+        const bool firstHeaders = offset == 0 && m_headersKnown;
+        return m_finished || firstHeaders || endOffsetLocked() > offset;
     };
     m_changed.wait_for(lock, wait, hasNews);
 
@@ -99,37 +136,48 @@
     if (offset == 0)
         progress.headers = m_headers;
     progress.runState = runStateLocked();
-    if (offset < m_bufferOffset) {
+    if (offset < m_bufferOffset || offset > endOffsetLocked()) {
         progress.finished = true;
         progress.error = wire::ErrorCode::UnknownAttempt;
-        progress.errorMessage = "the answer's bytes before this offset were released already";
+        progress.errorMessage = "the answer's bytes at this offset are no longer kept";
         progress.runState = wire::RunState::Partial;
         return progress;
     }
-    // Bytes before the offset have arrived at the gateway and are not asked for again.
-    const auto released = static_cast<std::size_t>(offset - m_bufferOffset);
-    m_buffer.erase(0, released);
-    m_bufferOffset = offset;
-    progress.data = m_buffer;
-    if (released > 0)
-        m_changed.notify_all();
+    releaseLocked(offset);
+    progress.data = m_buffer.substr(static_cast<std::size_t>(offset - m_bufferOffset));
     progress.finished = m_finished;
-    progress.totalLength = m_bufferOffset + static_cast<std::int64_t>(m_buffer.size());
+    progress.totalLength = endOffsetLocked();
     progress.error = m_error;
     progress.errorMessage = m_errorMessage;
     progress.retryAfterMillis = m_retryAfter.count();
+    progress.incident = m_incident;
+    m_delivered = m_delivered || m_finished;
     return progress;
 }
 
+// Bytes before the offset have arrived at the gateway and are not asked for again.
+void Attempt::releaseLocked(std::int64_t offset)
+{
+    const bool keepsWhole = !m_submission.idempotent && m_buffer.size() < m_bufferBytes;
+    if (keepsWhole || offset == m_bufferOffset)
+        return;
+    m_buffer.erase(0, static_cast<std::size_t>(offset - m_bufferOffset));
+    m_bufferOffset = offset;
+    m_changed.notify_all();
+}
+
+std::int64_t Attempt::endOffsetLocked() const
+{
+    return m_bufferOffset + static_cast<std::int64_t>(m_buffer.size());
+}
+
 wire::RunState::type Attempt::runStateLocked() const
 {
     if (!m_started)
         return wire::RunState::NotRun;
     if (m_finished && m_error == wire::ErrorCode::None)
         return wire::RunState::Completed;
-    return m_bufferOffset + static_cast<std::int64_t>(m_buffer.size()) > 0
-        ? wire::RunState::Partial
-        : wire::RunState::Unknown;
+    return endOffsetLocked() > 0 ? wire::RunState::Partial : wire::RunState::Unknown;
 }
 
 bool Attempt::isFinished() const
@@ -144,4 +192,10 @@
     return m_finishedAt;
 }
 
+bool Attempt::isDelivered() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_delivered;
+}
+
 } // namespace quetzalyoke
--- a/src/Apps/Agent/Attempt.h
+++ b/src/Apps/Agent/Attempt.h
@@ -6,15 +6,19 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace quetzalyoke {
 
 /// \brief One attempt at a request: its submission, and its answer as far as it has come.
 ///
 /// The backend thread appends; gateway threads fetch from an offset, which also releases the
-/// bytes before it. The buffer is bounded, so a slow caller slows the backend's stream.
+/// bytes before it. The buffer is bounded, so a slow caller slows the backend's stream. The
+/// answer to a request that is not idempotent is kept whole while it fits, so that another
+/// gateway can still fetch it.
 class Attempt
 {
 public:
@@ -26,9 +30,10 @@
     /// Marks the attempt as handed to the backend server; false where it was cancelled before.
     bool start();
     bool isCancelled() const;
-    bool hasStarted() const;
-    /// Cancels; an attempt that has not started will never run.
-    void cancel();
+    /// Cancels and says whether the attempt had started; one that had not will never run.
+    wire::RunState::type cancel();
+    /// Called once when the attempt is cancelled; nothing to take it back.
+    void setCancelHook(std::function<void()> hook);
 
     void setHeaders(int status, std::vector<wire::Header> headers);
     /// Appends answer bytes. Waits while the buffer is full; false once cancelled.
@@ -36,16 +41,25 @@
     void finish(Instant now);
     void fail(Instant now, wire::ErrorCode::type error, const std::string &message,
               std::chrono::milliseconds retryAfter);
+    /// As fail(), for a backend server that turned the request away without running it.
+    void turnAway(Instant now, const std::string &message, std::chrono::milliseconds retryAfter);
+    /// As fail(), for a crash of the backend server.
+    void failInCrash(Instant now, const std::string &incident,
+                     std::chrono::milliseconds retryAfter);
 
     /// What is known from \a offset on; waits up to \a wait for something new.
     wire::Progress fetch(std::int64_t offset, std::chrono::milliseconds wait);
 
     bool isFinished() const;
     Instant finishedAt() const;
+    /// Whether a gateway has fetched the answer to its end.
+    bool isDelivered() const;
 
 private:
     wire::RunState::type runStateLocked() const;
     void endLocked(Instant now);
+    void releaseLocked(std::int64_t offset);
+    std::int64_t endOffsetLocked() const;
 
     const wire::Submission m_submission;
     const Instant m_deadline;
@@ -53,9 +67,11 @@
 
     mutable std::mutex m_mutex; // of the members below
     std::condition_variable m_changed;
+    std::function<void()> m_cancelHook;
     bool m_started = false;
     bool m_cancelled = false;
     bool m_finished = false;
+    bool m_delivered = false;
     Instant m_finishedAt;
     bool m_headersKnown = false;
     int m_status = 0;
@@ -66,6 +82,7 @@
     wire::ErrorCode::type m_error = wire::ErrorCode::None;
     std::string m_errorMessage;
     std::chrono::milliseconds m_retryAfter{0};
+    std::string m_incident;
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Agent/AttemptTable.cpp
+++ b/src/Apps/Agent/AttemptTable.cpp
@@ -2,10 +2,24 @@
 
 #include "Adapters/Process.h"
 
+#include <algorithm>
+
 namespace quetzalyoke {
 
+namespace {
+
+constexpr Duration spentMemory = std::chrono::hours(1);
+constexpr std::size_t spentLimit = 200'000;
+constexpr Duration pauseBetweenAlone = std::chrono::seconds(1);
+// Failures of several attempts within this time belong to one crash.
+constexpr Duration crashWindow = std::chrono::seconds(2);
+constexpr std::size_t suspicionLimit = 1024;
+
+} // namespace
+
 AttemptTable::AttemptTable(const Limits &limits, std::unique_ptr<RequestQueue> queue)
-    : m_limits(limits), m_queue(std::move(queue))
+    : m_limits(limits), m_queue(std::move(queue)), m_spent(spentMemory, spentLimit),
+      m_lastCrashAt(Instant::min())
 { }
 
 AttemptTable::Admission AttemptTable::submit(const wire::Submission &submission, Instant now)
@@ -14,14 +28,25 @@
     const auto it = m_attempts.find(submission.attemptId);
     if (it != m_attempts.end())
         return {it->second, wire::ErrorCode::None};
+    const AttemptId id(submission.attemptId);
+    if (m_spent.contains(id))
+        return {nullptr, wire::ErrorCode::UnknownAttempt};
+    // A gateway that is told "refused" relies on it also for copies that arrive later.
+    m_spent.add(id, now);
+    if (submission.agentIncarnation != Process::incarnation().count())
+        return {nullptr, wire::ErrorCode::AgentRestarted};
     if (m_draining)
         return {nullptr, wire::ErrorCode::Draining};
-    if (m_queue->size() >= m_limits.queueLength)
+    if (m_queue->size() + m_alone.size() >= m_limits.queueLength)
         return {nullptr, wire::ErrorCode::QueueFull};
     auto attempt = std::make_shared<Attempt>(submission, now, m_limits.bufferBytes);
     m_attempts.emplace(submission.attemptId, attempt);
-    m_queue->push({AttemptId(submission.attemptId), AccountId(submission.account),
-                   submission.priority, Tokens(submission.estimatedTokens), attempt->deadline()});
+    if (submission.runAlone) {
+        m_alone.push_back(attempt);
+    } else {
+        m_queue->push({id, AccountId(submission.account), submission.priority,
+                       Tokens(submission.estimatedTokens), attempt->deadline()});
+    }
     m_available.notify_one();
     return {attempt, wire::ErrorCode::None};
 }
@@ -33,22 +58,92 @@
     return it == m_attempts.end() ? nullptr : it->second;
 }
 
+wire::RunState::type AttemptTable::cancel(const std::string &attemptId, Instant now)
+{
+    const auto attempt = find(attemptId);
+    if (attempt)
+        return attempt->cancel();
+    const std::lock_guard lock(m_mutex);
+    const AttemptId id(attemptId);
+    const bool mayHaveRun = m_spent.contains(id);
+    m_spent.add(id, now);
+    return mayHaveRun ? wire::RunState::Unknown : wire::RunState::NotRun;
+}
+
 std::shared_ptr<Attempt> AttemptTable::takeNext(std::chrono::milliseconds wait)
 {
     std::unique_lock lock(m_mutex);
-    if (!m_available.wait_for(lock, wait, [this] { return m_queue->size() > 0; }))
+    if (!m_available.wait_for(lock, wait, [this] { return canTakeLocked(Process::now()); }))
         return nullptr;
-    const auto next = m_queue->pop(Process::now());
-    if (!next)
-        return nullptr;
-    ++m_running;
-    return m_attempts.at(next->id.text());
+    auto attempt = popLocked(Process::now());
+    if (attempt)
+        m_running.emplace(attempt->submission().attemptId, attempt);
+    return attempt;
+}
+
+bool AttemptTable::aloneIsDueLocked(Instant now) const
+{
+    return !m_alone.empty() && now >= m_nextAloneAt;
+}
+
+bool AttemptTable::canTakeLocked(Instant now) const
+{
+    if (m_aloneRuns)
+        return false;
+    if (aloneIsDueLocked(now))
+        return m_running.empty();
+    return m_queue->size() > 0;
 }
 
-void AttemptTable::release()
+std::shared_ptr<Attempt> AttemptTable::popLocked(Instant now)
+{
+    if (aloneIsDueLocked(now)) {
+        auto attempt = m_alone.front();
+        m_alone.pop_front();
+        m_aloneRuns = true;
+        return attempt;
+    }
+    const auto next = m_queue->pop(now);
+    return next ? m_attempts.at(next->id.text()) : nullptr;
+}
+
+void AttemptTable::release(const std::shared_ptr<Attempt> &attempt, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_running.erase(attempt->submission().attemptId);
+    if (attempt->submission().runAlone) {
+        m_aloneRuns = false;
+        m_nextAloneAt = now + pauseBetweenAlone;
+    }
+    if (m_aloneRuns || !m_alone.empty() || attempt->submission().runAlone)
+        m_available.notify_all();
+}
+
+std::string AttemptTable::noteCrash(Instant now)
 {
     const std::lock_guard lock(m_mutex);
-    --m_running;
+    if (m_crashes == 0 || now - m_lastCrashAt > crashWindow)
+        ++m_crashes;
+    m_lastCrashAt = now;
+    const std::string incident
+        = std::to_string(Process::incarnation().count()) + "/" + std::to_string(m_crashes);
+    for (const auto &[id, attempt] : m_running) {
+        wire::Suspicion suspicion;
+        suspicion.fingerprint = attempt->submission().fingerprint;
+        suspicion.incidents = {incident};
+        const auto known = std::find(m_suspicions.begin(), m_suspicions.end(), suspicion);
+        if (known == m_suspicions.end())
+            m_suspicions.push_back(suspicion);
+    }
+    while (m_suspicions.size() > suspicionLimit)
+        m_suspicions.pop_front();
+    return incident;
+}
+
+std::vector<wire::Suspicion> AttemptTable::suspicions() const
+{
+    const std::lock_guard lock(m_mutex);
+    return {m_suspicions.begin(), m_suspicions.end()};
 }
 
 void AttemptTable::drain()
@@ -75,13 +170,22 @@
 std::size_t AttemptTable::queued() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_queue->size();
+    return m_queue->size() + m_alone.size();
 }
 
 std::size_t AttemptTable::running() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_running;
+    return m_running.size();
+}
+
+bool AttemptTable::isIdle() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_queue->size() + m_alone.size() + m_running.size() > 0)
+        return false;
+    return std::all_of(m_attempts.begin(), m_attempts.end(),
+                       [](const auto &entry) { return entry.second->isDelivered(); });
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -3,18 +3,24 @@
 
 #include "Apps/Agent/Attempt.h"
 #include "Core/RequestQueue.h"
+#include "Core/SpentAttempts.h"
 
 #include <condition_variable>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace quetzalyoke {
 
 /// \brief The attempts an agent knows, and the bounded queue of those that wait.
 ///
-/// An attempt id is accepted once: a repeated submission finds the first one's attempt.
+/// An attempt id is accepted once: a repeated submission finds the first one's attempt, and an
+/// id that was refused or forgotten never starts. An attempt that must run alone waits until
+/// nothing runs, and nothing else starts beside it.
 /// Lock order: the table's lock before an attempt's.
 class AttemptTable
 {
@@ -37,11 +43,19 @@
     /// Queues a new attempt, or finds the one with the same id.
     Admission submit(const wire::Submission &submission, Instant now);
     std::shared_ptr<Attempt> find(const std::string &attemptId) const;
+    /// Cancels; an attempt that has not started, or not even arrived, never will.
+    wire::RunState::type cancel(const std::string &attemptId, Instant now);
 
     /// Next attempt to run; waits up to \a wait for one.
     std::shared_ptr<Attempt> takeNext(std::chrono::milliseconds wait);
     /// Says that an attempt taken by takeNext() no longer runs.
-    void release();
+    void release(const std::shared_ptr<Attempt> &attempt, Instant now);
+
+    /// Notes a crash of the backend server: every attempt in flight is suspected. Returns the
+    /// crash's id; failures shortly after one another belong to one crash.
+    std::string noteCrash(Instant now);
+    /// Suspicions of recent crashes, for the gateways.
+    std::vector<wire::Suspicion> suspicions() const;
 
     /// Refuses new attempts from now on.
     void drain();
@@ -51,14 +65,27 @@
 
     std::size_t queued() const;
     std::size_t running() const;
+    /// Whether nothing is queued or running and every answer has been fetched to its end.
+    bool isIdle() const;
 
 private:
+    bool canTakeLocked(Instant now) const;
+    bool aloneIsDueLocked(Instant now) const;
+    std::shared_ptr<Attempt> popLocked(Instant now);
+
     const Limits m_limits;
     mutable std::mutex m_mutex; // of the members below
     std::condition_variable m_available;
     std::unordered_map<std::string, std::shared_ptr<Attempt>> m_attempts;
     std::unique_ptr<RequestQueue> m_queue;
-    std::size_t m_running = 0;
+    std::deque<std::shared_ptr<Attempt>> m_alone; // waiting attempts that must run alone
+    std::unordered_map<std::string, std::shared_ptr<Attempt>> m_running;
+    bool m_aloneRuns = false;
+    Instant m_nextAloneAt; // other work runs in between
+    SpentAttempts m_spent;
+    std::deque<wire::Suspicion> m_suspicions; // newest last
+    std::int64_t m_crashes = 0;
+    Instant m_lastCrashAt;
     bool m_draining = false;
 };
 
--- a/src/Apps/Agent/BackendClient.cpp
+++ b/src/Apps/Agent/BackendClient.cpp
@@ -11,6 +11,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds retryAfterFailure{1000};
+constexpr std::chrono::milliseconds retryAfterTurnedAway{200};
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+// A crashed process refuses connections at once; a few tries cover the moment of its end.
+constexpr int crashProbes = 5;
+constexpr std::chrono::milliseconds crashProbeInterval{20};
 
 bool isHopByHop(const std::string &name)
 {
@@ -63,54 +69,104 @@
     return json["usage"].value("completion_tokens", std::int64_t(0));
 }
 
+// An engine answers a request for a model that it does not hold, or cannot take now, with one
+// of these before it runs anything.
+bool isTurnedAway(const Attempt &attempt, const httplib::Response &response)
+{
+    return attempt.submission().model
+        && (response.status == statusNotFound || response.status == statusUnavailable);
+}
+
 } // namespace
 
-BackendClient::BackendClient(const Address &backend, std::chrono::milliseconds timeout)
-    : m_backend(backend), m_timeout(timeout),
-      m_client(std::make_unique<httplib::Client>(backend.host, backend.port))
+BackendClient::BackendClient(const Address &backend, std::chrono::milliseconds timeout,
+                             CrashHook onCrash)
+    : m_backend(backend), m_timeout(timeout), m_onCrash(std::move(onCrash))
 {
-    m_client->set_tcp_nodelay(true);
-    m_client->set_keep_alive(true);
-    m_client->set_connection_timeout(timeout);
-    m_client->set_read_timeout(timeout);
-    m_client->set_write_timeout(timeout);
+    connect();
 }
 
 BackendClient::~BackendClient() = default;
 
+void BackendClient::connect()
+{
+    m_client = std::make_unique<httplib::Client>(m_backend.host, m_backend.port);
+    m_client->set_tcp_nodelay(true);
+    m_client->set_keep_alive(true);
+    m_client->set_connection_timeout(m_timeout);
+    m_client->set_read_timeout(m_timeout);
+    m_client->set_write_timeout(m_timeout);
+}
+
 void BackendClient::run(Attempt &attempt)
 {
-    httplib::Request req = requestFor(attempt.submission());
+    // A kept connection may have been closed by the backend server just now. Then a call that
+    // can't be repeated would end as "unknown" for nothing, so it gets a connection of its own.
+    if (!attempt.submission().idempotent)
+        connect();
+    attempt.setCancelHook([this] { m_client->stop(); });
+    send(attempt, requestFor(attempt.submission()));
+    attempt.setCancelHook(nullptr);
+}
+
+void BackendClient::send(Attempt &attempt, const httplib::Request &prepared)
+{
+    httplib::Request req = prepared;
     TokenCounter counter;
     bool eventStream = false;
+    bool turnedAway = false;
     std::string whole;
     req.response_handler = [&](const httplib::Response &response) {
+        turnedAway = isTurnedAway(attempt, response);
         eventStream = isEventStream(response);
-        attempt.setHeaders(response.status, answerHeaders(response));
+        if (!turnedAway)
+            attempt.setHeaders(response.status, answerHeaders(response));
         return !attempt.isCancelled();
     };
     req.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
+        if (turnedAway)
+            return true;
         const Tokens tokens = eventStream ? counter.count({data, n}) : Tokens();
         if (!eventStream && attempt.submission().model)
             whole.append(data, n);
         return attempt.append(data, n, tokens.count());
     };
     const auto result = m_client->send(req);
-    const Instant now = Process::now();
-    if (result) {
-        if (!whole.empty())
-            attempt.append("", 0, usedTokens(whole));
-        attempt.finish(now);
-        return;
+    if (!result)
+        return fail(attempt, httplib::to_string(result.error()));
+    if (turnedAway) {
+        return attempt.turnAway(Process::now(), "the model is not ready on this backend server",
+                                retryAfterTurnedAway);
     }
+    if (!whole.empty())
+        attempt.append("", 0, usedTokens(whole));
+    attempt.finish(Process::now());
+}
+
+void BackendClient::fail(Attempt &attempt, const std::string &reason)
+{
+    connect();
     if (attempt.isCancelled()) {
-        attempt.fail(now, wire::ErrorCode::Cancelled, "the caller went away", {});
-        return;
+        return attempt.fail(Process::now(), wire::ErrorCode::Cancelled, "the caller went away", {});
     }
-    attempt.fail(now, wire::ErrorCode::BackendFailed,
-                 "the backend server gave no whole answer (" + httplib::to_string(result.error())
-                     + ")",
+    if (backendIsDown())
+        return attempt.failInCrash(Process::now(), m_onCrash(), retryAfterFailure);
+    attempt.fail(Process::now(), wire::ErrorCode::BackendFailed,
+                 "the backend server gave no whole answer (" + reason + "); ask again",
                  retryAfterFailure);
 }
 
+bool BackendClient::backendIsDown() const
+{
+    httplib::Client probe(m_backend.host, m_backend.port);
+    probe.set_connection_timeout(crashProbeInterval);
+    for (int i = 0; i < crashProbes; ++i) {
+        const auto result = probe.Get("/");
+        if (!result && result.error() == httplib::Error::Connection)
+            return true;
+        std::this_thread::sleep_for(crashProbeInterval);
+    }
+    return false;
+}
+
 } // namespace quetzalyoke
--- a/src/Apps/Agent/BackendClient.h
+++ b/src/Apps/Agent/BackendClient.h
@@ -5,27 +5,39 @@
 #include "Apps/Agent/Attempt.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace httplib {
 class Client;
-}
+struct Request;
+} // namespace httplib
 
 namespace quetzalyoke {
 
-/// \brief One connection to the backend server, used by one worker.
+/// \brief One worker's connection to the backend server.
 class BackendClient
 {
 public:
-    BackendClient(const Address &backend, std::chrono::milliseconds timeout);
+    /// Notes a crash of the backend server and returns its id.
+    using CrashHook = std::function<std::string()>;
+
+    BackendClient(const Address &backend, std::chrono::milliseconds timeout, CrashHook onCrash);
     ~BackendClient();
 
     /// Runs \a attempt to its end and fills in the answer.
     void run(Attempt &attempt);
 
 private:
-    Address m_backend;
-    std::chrono::milliseconds m_timeout;
+    void connect();
+    void send(Attempt &attempt, const httplib::Request &req);
+    void fail(Attempt &attempt, const std::string &reason);
+    bool backendIsDown() const;
+
+    const Address m_backend;
+    const std::chrono::milliseconds m_timeout;
+    const CrashHook m_onCrash;
     std::unique_ptr<httplib::Client> m_client;
 };
 
--- a/src/Apps/Agent/Dispatcher.h
+++ b/src/Apps/Agent/Dispatcher.h
@@ -5,25 +5,31 @@
 #include "Apps/Agent/AttemptTable.h"
 
 #include <atomic>
+#include <functional>
 #include <thread>
 #include <vector>
 
 namespace quetzalyoke {
 
+class BackendClient;
+
 /// \brief The workers that run waiting attempts, one connection to the backend server each.
 class Dispatcher
 {
 public:
-    Dispatcher(const AgentSettings &settings, AttemptTable &table);
+    /// \a onCrash runs after a crash of the backend server was noted, on a worker's thread.
+    Dispatcher(const AgentSettings &settings, AttemptTable &table, std::function<void()> onCrash);
     ~Dispatcher();
 
     void stop();
 
 private:
     void work();
+    void run(BackendClient &client, Attempt &attempt);
 
     const AgentSettings &m_settings;
     AttemptTable &m_table;
+    const std::function<void()> m_onCrash;
     std::atomic<bool> m_stopping{false};
     std::vector<std::thread> m_workers;
 };
--- a/src/Apps/Agent/Reporter.cpp
+++ b/src/Apps/Agent/Reporter.cpp
@@ -15,13 +15,6 @@
 constexpr std::chrono::milliseconds callTimeout{2000};
 constexpr std::chrono::milliseconds orderTimeout{30'000};
 
-// Rises with each start of the process on a machine whose clock is roughly right.
-std::int64_t newIncarnation()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-}
-
 const wire::ModelState *findState(const std::vector<wire::ModelState> &states,
                                   const std::string &name)
 {
@@ -34,7 +27,7 @@
 
 Reporter::Reporter(const AgentSettings &settings, std::string doorAddress, AttemptTable &table)
     : m_settings(settings), m_doorAddress(std::move(doorAddress)), m_table(table),
-      m_orders(settings.backend, orderTimeout), m_incarnation(newIncarnation())
+      m_orders(settings.backend, orderTimeout), m_incarnation(Process::incarnation().count())
 {
     for (const std::string &it : settings.gateways) {
         m_gateways.push_back(std::make_unique<GatewayPool>(Address::parse(it), settings.fleetSecret,
@@ -102,6 +95,7 @@
     report.memoryTotalMb = m_settings.memory.count();
     report.capacity = m_settings.concurrency;
     report.planVersion = m_planVersion;
+    report.suspicions = m_table.suspicions();
     return report;
 }
 
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -16,11 +16,12 @@
 constexpr int healthConnections = 8;
 constexpr std::chrono::milliseconds drainPoll{20};
 
-// Waits until no attempt is queued or running, the limit has passed, or a second signal came.
+// Waits until every attempt has run and its answer was fetched, the limit has passed, or a
+// second signal came.
 void waitUntilIdle(const AttemptTable &table, std::chrono::milliseconds limit)
 {
     const Instant end = Process::now() + limit;
-    while (table.queued() + table.running() > 0 && Process::now() < end && !Process::stopForced())
+    while (!table.isIdle() && Process::now() < end && !Process::stopForced())
         std::this_thread::sleep_for(drainPoll);
 }
 
@@ -29,11 +30,11 @@
     const AttemptTable::Limits tableLimits{static_cast<std::size_t>(settings.queueLength),
                                            settings.bufferBytes, settings.keepFinished};
     AttemptTable table(tableLimits, requestQueueFactory(settings.queuePolicy)());
-    Dispatcher dispatcher(settings, table);
     ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
                       settings.connections);
     const Address doorAddress{settings.listen.host, door.port()};
     Reporter reporter(settings, doorAddress.text(), table);
+    Dispatcher dispatcher(settings, table, [&reporter] { reporter.reportNow(); });
 
     HttpServerLimits limits;
     limits.connections = healthConnections;
@@ -52,8 +53,8 @@
     table.drain();
     reporter.reportNow();
     waitUntilIdle(table, settings.drainLimit);
-    reporter.stop();
     dispatcher.stop();
+    reporter.stop();
     door.stop();
     http.stop();
     LOG(INFO) << "event=stopped";
--- /dev/null
+++ b/src/Apps/Gateway/AnswerStream.cpp
@@ -0,0 +1,145 @@
+#include "Apps/Gateway/AnswerStream.h"
+
+#include "Adapters/Metrics.h"
+#include "Adapters/Process.h"
+
+#include <thread>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::int64_t fetchWaitMillis = 250;
+// How long a lost agent may take to be reachable again before its answer is given up.
+constexpr std::chrono::seconds reconnectLimit{5};
+constexpr std::chrono::milliseconds reconnectPause{50};
+constexpr std::chrono::milliseconds retrySoon{1000};
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+RunState fromWire(wire::RunState::type state)
+{
+    switch (state) {
+    case wire::RunState::NotRun:
+        return RunState::NotRun;
+    case wire::RunState::Partial:
+    case wire::RunState::Completed:
+        return RunState::Partial;
+    case wire::RunState::Unknown:
+        break;
+    }
+    return RunState::Unknown;
+}
+
+const char *codeFor(wire::ErrorCode::type error)
+{
+    switch (error) {
+    case wire::ErrorCode::DeadlinePassed:
+        return "deadline_passed";
+    case wire::ErrorCode::QueueFull:
+        return "queue_full";
+    case wire::ErrorCode::Draining:
+        return "backend_leaving";
+    case wire::ErrorCode::BackendCrashed:
+        return "backend_crashed";
+    case wire::ErrorCode::ModelNotReady:
+        return "model_not_ready";
+    case wire::ErrorCode::Cancelled:
+        return "cancelled";
+    default:
+        return "backend_failed";
+    }
+}
+
+} // namespace
+
+Refusal refusalFrom(const wire::Progress &progress)
+{
+    Refusal refusal;
+    const bool late = progress.error == wire::ErrorCode::DeadlinePassed;
+    refusal.status = late ? statusTimeout : statusUnavailable;
+    refusal.code = codeFor(progress.error);
+    refusal.message = progress.errorMessage;
+    refusal.runState = fromWire(progress.runState);
+    refusal.retryAfter = std::chrono::milliseconds(progress.retryAfterMillis);
+    return refusal;
+}
+
+AnswerStream::AnswerStream(Fleet &fleet, ChosenAgent agent, const wire::Progress &first)
+    : m_fleet(fleet), m_agent(std::move(agent)), m_progress(first), m_status(first.status),
+      m_headers(first.headers)
+{
+    m_fleet.adjustOwnLoad(m_agent.instance, 1);
+}
+
+AnswerStream::~AnswerStream()
+{
+    m_fleet.adjustOwnLoad(m_agent.instance, -1);
+    if (m_ended)
+        return;
+    try {
+        m_agent.pool->call([this](wire::AgentClient &it) { it.cancel(m_progress.attemptId); });
+    } catch (const std::exception &) {
+        Metrics::count("cancels_failed_total");
+    }
+}
+
+AnswerStream::Result AnswerStream::read(std::string &data, Tokens &tokens)
+{
+    if (!m_fetched && !fetch())
+        return m_ended ? Result::Broken : Result::Nothing;
+    m_fetched = false;
+    return take(data, tokens);
+}
+
+// The agent keeps the answer, so after a cut a new connection goes on from the same offset.
+bool AnswerStream::fetch()
+{
+    const std::string attemptId = m_progress.attemptId;
+    try {
+        m_agent.pool->call([&](wire::AgentClient &it) {
+            it.fetch(m_progress, attemptId, m_offset, fetchWaitMillis);
+        });
+        m_failing = false;
+        return true;
+    } catch (const std::exception &) {
+        m_agent.pool->clear();
+        m_progress.attemptId = attemptId;
+    }
+    const Instant now = Process::now();
+    if (!m_failing)
+        m_failingSince = now;
+    m_failing = true;
+    if (now - m_failingSince < reconnectLimit) {
+        std::this_thread::sleep_for(reconnectPause);
+        return false;
+    }
+    m_fleet.suspect(m_agent.instance);
+    m_ended = true;
+    m_refusal = {statusBadGateway, "backend_lost",
+                 "the backend server was lost while it answered; ask again",
+                 m_offset > 0 ? RunState::Partial : RunState::Unknown, retrySoon};
+    return false;
+}
+
+AnswerStream::Result AnswerStream::take(std::string &data, Tokens &tokens)
+{
+    if (m_progress.offset == m_offset) {
+        data += m_progress.data;
+        m_offset += static_cast<std::int64_t>(m_progress.data.size());
+        tokens += Tokens(m_progress.tokens - m_tokens);
+        m_tokens = m_progress.tokens;
+    }
+    if (!m_progress.finished)
+        return m_progress.data.empty() ? Result::Nothing : Result::Data;
+    m_ended = true;
+    if (m_progress.error == wire::ErrorCode::None && m_progress.totalLength == m_offset)
+        return Result::End;
+    m_refusal = refusalFrom(m_progress);
+    m_refusal.status = statusBadGateway;
+    m_refusal.runState = RunState::Partial;
+    return Result::Broken;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/AnswerWriter.cpp
@@ -0,0 +1,137 @@
+#include "Apps/Gateway/AnswerWriter.h"
+
+#include "Adapters/HttpServer.h"
+#include "Adapters/Metrics.h"
+#include "Adapters/Process.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <thread>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::string_view eventEnd = "\n\n";
+// Tokens charged and handed over at once; a small number keeps a small share usable.
+constexpr Tokens mostTokensAtOnce{16};
+constexpr Duration longestPause = std::chrono::milliseconds(50);
+constexpr std::int64_t millisPerSecond = 1000;
+
+Tokens tokensIn(std::string_view event)
+{
+    return TokenCounter().count(event);
+}
+
+} // namespace
+
+PacedStream::PacedStream(std::unique_ptr<AnswerStream> answer, const Call &call,
+                         AccountLimits &limits)
+    : m_answer(std::move(answer)), m_account(call.account), m_limits(limits),
+      m_prompt(call.estimate.prompt)
+{ }
+
+bool PacedStream::writeNext(httplib::DataSink &sink)
+{
+    if (m_pieceEnd == 0)
+        findPiece();
+    if (m_pieceEnd > 0)
+        return handOver(sink);
+    if (m_complete) {
+        Metrics::count("completed_total");
+        sink.done();
+        return true;
+    }
+    return readMore() && sink.is_writable();
+}
+
+bool PacedStream::readMore()
+{
+    Tokens tokens;
+    const auto status = m_answer->read(m_data, tokens);
+    if (status == AnswerStream::Result::Broken) {
+        Metrics::count("broken_total", {{"code", m_answer->refusal().code}});
+        return false;
+    }
+    m_complete = status == AnswerStream::Result::End;
+    return true;
+}
+
+// A piece is a few whole events; what follows the last whole event waits for the rest of it.
+void PacedStream::findPiece()
+{
+    m_pieceTokens = m_prompt;
+    Tokens answerTokens;
+    while (answerTokens < mostTokensAtOnce) {
+        const auto end = m_data.find(eventEnd, m_pieceEnd);
+        if (end == std::string::npos)
+            break;
+        const std::size_t next = end + eventEnd.size();
+        answerTokens += tokensIn(std::string_view(m_data).substr(m_pieceEnd, next - m_pieceEnd));
+        m_pieceEnd = next;
+    }
+    if (m_pieceEnd == 0 && m_complete)
+        m_pieceEnd = m_data.size();
+    m_pieceTokens += answerTokens;
+}
+
+bool PacedStream::handOver(httplib::DataSink &sink)
+{
+    const Duration wait = m_limits.charge(m_account, m_pieceTokens, Process::now());
+    if (wait > Duration::zero()) {
+        std::this_thread::sleep_for(std::min(wait, longestPause));
+        return sink.is_writable();
+    }
+    m_prompt = Tokens();
+    const bool written = sink.write(m_data.data(), m_pieceEnd);
+    m_data.erase(0, m_pieceEnd);
+    m_pieceEnd = 0;
+    return written;
+}
+
+bool chargeWhole(AccountLimits &limits, const AccountId &account, Tokens n)
+{
+    while (true) {
+        const Duration wait = limits.charge(account, n, Process::now());
+        if (wait == Duration::zero())
+            return true;
+        if (wait == Duration::max() || HttpServer::callerHasGone())
+            return false;
+        std::this_thread::sleep_for(std::min(wait, longestPause));
+    }
+}
+
+void writeRefusal(const Refusal &refusal, httplib::Response &res)
+{
+    using Json = nlohmann::json;
+    Metrics::count("refusals_total", {{"code", refusal.code}});
+    res.status = refusal.status;
+    res.set_header("Quetzalyoke-Run-State", runStateText(refusal.runState));
+    if (refusal.retryAfter.count() > 0) {
+        const auto seconds = (refusal.retryAfter.count() + millisPerSecond - 1) / millisPerSecond;
+        res.set_header("Retry-After", std::to_string(seconds));
+        res.set_header("Retry-After-Ms", std::to_string(refusal.retryAfter.count()));
+    }
+    const Json body{{"error",
+                     {{"message", refusal.message},
+                      {"type", refusal.code},
+                      {"code", refusal.code},
+                      {"run_state", runStateText(refusal.runState)}}}};
+    res.set_content(body.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json");
+}
+
+std::string writeHead(const AnswerStream &answer, httplib::Response &res)
+{
+    std::string type = "application/octet-stream";
+    res.status = answer.status();
+    for (const wire::Header &it : answer.headers()) {
+        if (strcasecmp(it.name.c_str(), "Content-Type") == 0)
+            type = it.value;
+        else
+            res.set_header(it.name, it.value);
+    }
+    return type;
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Gateway/Authenticator.cpp
+++ b/src/Apps/Gateway/Authenticator.cpp
@@ -1,15 +1,12 @@
 #include "Apps/Gateway/Authenticator.h"
 
 #include "Adapters/Crypto.h"
+#include "Core/KeyText.h"
 
 namespace quetzalyoke {
 
 namespace {
 
-constexpr const char *keyMark = "qy_";
-constexpr std::size_t keyMarkLength = 3;
-constexpr int idBytes = 6;
-constexpr int secretBytes = 24;
 constexpr std::chrono::milliseconds retryWhenStale{1000};
 
 Refusal wrongKey()
@@ -25,9 +22,8 @@
 
 GrantedKey makeKey(const AccountId &account)
 {
-    const std::string id = randomHex(idBytes);
-    const std::string secret = randomHex(secretBytes);
-    return {{KeyId(id), account, sha256Hex(secret), false}, keyMark + id + "_" + secret};
+    const KeyText key{KeyId(randomHex(KeyText::idBytes)), randomHex(KeyText::secretBytes)};
+    return {{key.id, account, sha256Hex(key.secret), false}, key.text()};
 }
 
 Authenticator::Authenticator(const SharedState &state) : m_state(state) { }
@@ -40,14 +36,13 @@
                        "this instance can't tell whether keys are still valid; ask again",
                        RunState::NotRun, retryWhenStale};
     }
-    const auto split = keyText.rfind('_');
-    if (!keyText.starts_with(keyMark) || split < keyMarkLength || split == std::string::npos)
+    const auto key = KeyText::parse(keyText);
+    if (!key)
         return wrongKey();
-    const KeyId id(keyText.substr(keyMarkLength, split - keyMarkLength));
-    const auto record = m_state.findKey(id);
+    const auto record = m_state.findKey(key->id);
     // An unknown id costs the same hash and comparison as a known one.
     const std::string expected = record ? record->hash : sha256Hex("");
-    const bool matches = equalInConstantTime(sha256Hex(keyText.substr(split + 1)), expected);
+    const bool matches = equalInConstantTime(sha256Hex(key->secret), expected);
     if (!record || !matches || record->withdrawn)
         return wrongKey();
     return record->account;
--- /dev/null
+++ b/src/Apps/Gateway/Call.h
@@ -0,0 +1,34 @@
+#ifndef QUETZALYOKE_APPS_GATEWAY_CALL_H
+#define QUETZALYOKE_APPS_GATEWAY_CALL_H
+
+#include "Core/StrongTypes.h"
+#include "Ports/AccountLimits.h"
+#include "Wire/generated/quetzalyoke_types.h"
+
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief A request that was let in.
+struct Call
+{
+    RequestId id;
+    AccountId account; ///< Empty on open routes.
+    std::string target; ///< Model or plain service.
+    std::string adapter;
+    std::string method;
+    std::string path; ///< With query, as the backend server gets it.
+    std::vector<wire::Header> headers;
+    std::string body;
+    bool idempotent = true;
+    bool model = true;
+    std::string idempotencyKey; ///< Empty: none.
+    Fingerprint fingerprint;
+    Instant deadline;
+    TokenEstimate estimate;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Apps/Gateway/CallerApi.cpp
+++ b/src/Apps/Gateway/CallerApi.cpp
@@ -1,61 +1,47 @@
 #include "Apps/Gateway/CallerApi.h"
 
-#include "Adapters/Crypto.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
-#include "Core/TokenCounter.h"
+#include "Apps/Gateway/AnswerWriter.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace quetzalyoke {
 
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr const char *servicePrefix = "/services/";
-constexpr int requestIdBytes = 8;
-constexpr std::int64_t defaultAnswerTokens = 256;
-
-std::string presentedKey(const httplib::Request &req)
-{
-    const std::string authorization = req.get_header_value("Authorization");
-    static const std::string bearer = "Bearer ";
-    if (authorization.starts_with(bearer))
-        return authorization.substr(bearer.size());
-    return req.get_header_value("X-Api-Key");
-}
+constexpr std::chrono::milliseconds retrySoon{1000};
+constexpr int statusForbidden = 403;
+constexpr int statusTooManyRequests = 429;
+constexpr int statusUnavailable = 503;
 
-template<std::size_t n>
-bool isOneOf(const std::string &name, const char *const (&names)[n])
+bool isStreamed(const std::string &contentType)
 {
-    return std::any_of(std::begin(names), std::end(names),
-                       [&name](const char *it) { return strcasecmp(it, name.c_str()) == 0; });
+    return contentType.starts_with("text/event-stream");
 }
 
-// No backend server sees the key, wherever the caller put it.
-std::vector<wire::Header> forwardedHeaders(const httplib::Request &req, const std::string &key)
+void writeStored(const StoredAnswer &answer, httplib::Response &res)
 {
-    static const char *const dropped[]
-        = {"Authorization", "X-Api-Key",  "Cookie",       "REMOTE_ADDR", "REMOTE_PORT",
-           "LOCAL_ADDR",    "LOCAL_PORT", "X-Request-Id", "X-Attempt-Id"};
-    std::vector<wire::Header> headers;
-    for (const auto &[name, value] : req.headers) {
-        if (isOneOf(name, dropped) || (!key.empty() && value.find(key) != std::string::npos))
-            continue;
-        wire::Header header;
-        header.name = name;
-        header.value = value;
-        headers.push_back(header);
+    std::string type = "application/octet-stream";
+    res.status = answer.status;
+    for (const auto &[name, value] : answer.headers) {
+        if (strcasecmp(name.c_str(), "Content-Type") == 0)
+            type = value;
+        else
+            res.set_header(name, value);
     }
-    return headers;
+    res.set_content(answer.body, type);
 }
 
-Refusal badRequest(const std::string &message)
+StoredAnswer headOf(const AnswerStream &answer)
 {
-    return {400, "invalid_request", message, RunState::NotRun, {}};
+    StoredAnswer stored;
+    stored.status = answer.status();
+    for (const wire::Header &it : answer.headers())
+        stored.headers.emplace_back(it.name, it.value);
+    return stored;
 }
 
 } // namespace
@@ -73,219 +59,177 @@
     std::atomic<int> &m_count;
 };
 
-void writeRefusal(const Refusal &refusal, httplib::Response &res)
-{
-    Metrics::count("refusals_total", {{"code", refusal.code}});
-    res.status = refusal.status;
-    res.set_header("Quetzalyoke-Run-State", runStateText(refusal.runState));
-    if (refusal.retryAfter.count() > 0) {
-        const auto seconds = (refusal.retryAfter.count() + 999) / 1000;
-        res.set_header("Retry-After", std::to_string(seconds));
-        res.set_header("Retry-After-Ms", std::to_string(refusal.retryAfter.count()));
-    }
-    const Json body{{"error",
-                     {{"message", refusal.message},
-                      {"type", refusal.code},
-                      {"code", refusal.code},
-                      {"run_state", runStateText(refusal.runState)}}}};
-    res.set_content(body.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json");
-}
-
-CallerApi::CallerApi(const GatewaySettings &settings, const SharedState &state, Relay &relay)
-    : m_settings(settings), m_state(state), m_authenticator(state), m_relay(relay)
+CallerApi::CallerApi(const GatewaySettings &settings, const SharedState &state, Relay &relay,
+                     AccountLimits &limits, IdempotencyStore &idempotency)
+    : m_state(state), m_authenticator(state), m_reader(settings), m_relay(relay), m_limits(limits),
+      m_idempotency(idempotency)
 { }
 
 void CallerApi::addRoutes(httplib::Server &server)
 {
-    server.Get("/v1/models", [this](const auto &req, auto &res) { listModels(req, res); });
-    const auto complete = [this](const auto &req, auto &res) { this->complete(req, res); };
-    server.Post("/v1/chat/completions", complete);
-    server.Post("/v1/completions", complete);
-    const auto service = [this](const auto &req, auto &res) { callService(req, res); };
+    server.Get("/v1/models", admitted(&CallerApi::listModels));
+    server.Post("/v1/chat/completions", admitted(&CallerApi::complete));
+    server.Post("/v1/completions", admitted(&CallerApi::complete));
+    const auto service = admitted(&CallerApi::callService);
     server.Get("/services/.*", service);
     server.Post("/services/.*", service);
     server.Put("/services/.*", service);
     server.Patch("/services/.*", service);
     server.Delete("/services/.*", service);
+    server.Options("/services/.*", service);
 }
 
-std::optional<AccountId> CallerApi::admit(const httplib::Request &req, httplib::Response &res)
+httplib::Server::Handler CallerApi::admitted(Handler handler)
 {
-    const auto configuration = m_state.configuration();
+    return [this, handler](const httplib::Request &req, httplib::Response &res) {
+        const auto mark = std::make_shared<InFlight>(m_inFlight);
+        const auto configuration = m_state.configuration();
+        const auto result = admit(req, configuration.get());
+        if (const auto *refusal = std::get_if<Refusal>(&result))
+            return writeRefusal(*refusal, res);
+        (this->*handler)(req, res, *configuration, std::get<AccountId>(result), mark);
+    };
+}
+
+std::variant<AccountId, Refusal> CallerApi::admit(const httplib::Request &req,
+                                                  const Configuration *configuration) const
+{
+    if (!m_accepting) {
+        return Refusal{statusUnavailable, "instance_leaving",
+                       "this instance is stopping; ask again", RunState::NotRun, retrySoon};
+    }
     if (!configuration) {
-        writeRefusal({503, "not_configured", "no service list is in force yet; ask again",
-                      RunState::NotRun, std::chrono::seconds(1)},
-                     res);
-        return std::nullopt;
+        return Refusal{statusUnavailable, "not_configured",
+                       "no service list is in force yet; ask again", RunState::NotRun, retrySoon};
     }
     if (configuration->list.isOpen(req.method, req.path))
         return AccountId();
-    const auto result = m_authenticator.authenticate(presentedKey(req), Process::now());
-    if (const auto *refusal = std::get_if<Refusal>(&result)) {
-        writeRefusal(*refusal, res);
-        return std::nullopt;
+    auto result = m_authenticator.authenticate(RequestReader::presentedKey(req), Process::now());
+    const auto *account = std::get_if<AccountId>(&result);
+    if (account && !configuration->list.accounts.contains(*account)) {
+        return Refusal{statusForbidden,
+                       "unknown_account",
+                       "the key's account is no longer listed; ask your operator",
+                       RunState::NotRun,
+                       {}};
     }
-    const auto &account = std::get<AccountId>(result);
-    if (!configuration->list.accounts.contains(account)) {
-        writeRefusal(
-            {403, "unknown_account", "the key's account is no longer listed", RunState::NotRun, {}},
-            res);
-        return std::nullopt;
-    }
-    return account;
+    return result;
 }
 
-void CallerApi::listModels(const httplib::Request &req, httplib::Response &res)
+void CallerApi::listModels(const httplib::Request &, httplib::Response &res,
+                           const Configuration &configuration, const AccountId &,
+                           const InFlightMark &)
 {
-    if (!admit(req, res))
-        return;
     Json data = Json::array();
-    const auto configuration = m_state.configuration();
-    for (const auto &[name, it] : configuration->list.models)
+    for (const auto &[name, it] : configuration.list.models)
         data.push_back({{"id", name.text()}, {"object", "model"}});
-    for (const auto &[name, it] : configuration->list.adapters)
+    for (const auto &[name, it] : configuration.list.adapters)
         data.push_back({{"id", name.text()}, {"object", "model"}, {"parent", it.base.text()}});
     res.set_content(Json{{"object", "list"}, {"data", data}}.dump(), "application/json");
 }
 
-Call CallerApi::makeCall(const httplib::Request &req, const AccountId &account) const
+void CallerApi::complete(const httplib::Request &req, httplib::Response &res,
+                         const Configuration &configuration, const AccountId &account,
+                         const InFlightMark &mark)
 {
-    Call call;
-    call.id = RequestId(m_settings.instance.text() + "-" + randomHex(requestIdBytes));
-    call.account = account;
-    call.method = req.method;
-    call.headers = forwardedHeaders(req, presentedKey(req));
-    call.body = req.body;
-    call.deadline = Process::now() + m_settings.defaultDeadline;
-    const auto millis = req.get_header_value<std::uint64_t>("Quetzalyoke-Deadline-Ms");
-    if (millis > 0)
-        call.deadline = Process::now() + std::chrono::milliseconds(millis);
-    return call;
+    run(m_reader.readCompletion(req, configuration.list, account), res, mark);
 }
 
-void CallerApi::complete(const httplib::Request &req, httplib::Response &res)
+void CallerApi::callService(const httplib::Request &req, httplib::Response &res,
+                            const Configuration &configuration, const AccountId &account,
+                            const InFlightMark &mark)
 {
-    const auto account = admit(req, res);
-    if (!account)
-        return;
-    const Json body = Json::parse(req.body, nullptr, false);
-    if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
-        return writeRefusal(badRequest("the body must be a JSON object with a \"model\""), res);
-    const auto configuration = m_state.configuration();
-    const std::string name = body["model"];
-    Call call = makeCall(req, *account);
-    call.path = req.path;
-    const auto adapter = configuration->list.adapters.find(AdapterName(name));
-    if (adapter != configuration->list.adapters.end()) {
-        call.target = adapter->second.base.text();
-        call.adapter = name;
-    } else if (configuration->list.models.contains(ModelName(name))) {
-        call.target = name;
-    } else {
-        return writeRefusal({404,
-                             "unknown_model",
-                             "no model named \"" + name + "\" is listed; see /v1/models",
-                             RunState::NotRun,
-                             {}},
-                            res);
+    run(m_reader.readServiceCall(req, configuration.list, account), res, mark);
+}
+
+void CallerApi::run(const RequestReader::Result &request, httplib::Response &res,
+                    const InFlightMark &mark)
+{
+    if (const auto *refusal = std::get_if<Refusal>(&request))
+        return writeRefusal(*refusal, res);
+    const Call &call = std::get<Call>(request);
+    res.set_header("X-Request-Id", call.id.text());
+    if (!call.account.isEmpty()) {
+        const auto refusal = m_limits.admit(call.account, call.estimate, Process::now());
+        if (refusal)
+            return writeRefusal(*refusal, res);
     }
-    const Json limit = body.value("max_tokens", Json(defaultAnswerTokens));
-    if (!limit.is_number_integer() || limit.get<std::int64_t>() < 1)
-        return writeRefusal(badRequest("max_tokens must be a whole number above 0"), res);
-    call.estimatedTokens
-        = estimatePromptTokens(req.body.size()) + Tokens(limit.get<std::int64_t>());
-    run(call, res);
+    if (!call.idempotent && !call.idempotencyKey.empty())
+        return runOnce(call, res);
+    relay(call, res, mark);
 }
 
-void CallerApi::callService(const httplib::Request &req, httplib::Response &res)
+void CallerApi::runOnce(const Call &call, httplib::Response &res)
 {
-    const auto account = admit(req, res);
-    if (!account)
-        return;
-    const std::string rest = req.target.substr(std::string(servicePrefix).size());
-    const auto nameEnd = rest.find_first_of("/?");
-    const std::string name = rest.substr(0, nameEnd);
-    std::string path = nameEnd == std::string::npos ? "/" : rest.substr(nameEnd);
-    if (path.front() == '?')
-        path.insert(0, "/");
-    const auto configuration = m_state.configuration();
-    const auto service = configuration->list.services.find(ServiceName(name));
-    if (service == configuration->list.services.end()) {
-        return writeRefusal({404,
-                             "unknown_service",
-                             "no service named \"" + name + "\" is listed",
-                             RunState::NotRun,
-                             {}},
-                            res);
+    const AttemptId attempt = m_relay.newAttemptId();
+    const auto agent = m_relay.choose(call);
+    const auto claimed = m_idempotency.claim(call, attempt, agent);
+    if (const auto *refusal = std::get_if<Refusal>(&claimed))
+        return writeRefusal(*refusal, res);
+    if (const auto *answer = std::get_if<StoredAnswer>(&claimed)) {
+        res.set_header("Quetzalyoke-Replayed", "yes");
+        return writeStored(*answer, res);
     }
-    const std::string key = presentedKey(req);
-    if (!key.empty() && path.find(key) != std::string::npos)
-        return writeRefusal(badRequest("send the key in the Authorization header only"), res);
-    Call call = makeCall(req, *account);
-    call.target = name;
-    call.path = path;
-    call.model = false;
-    const std::string plainPath = path.substr(0, path.find('?'));
-    const auto &patterns = service->second.nonIdempotent;
-    call.idempotent = std::none_of(patterns.begin(), patterns.end(), [&](const CallPattern &it) {
-        return it.matches(req.method, plainPath);
-    });
-    run(call, res);
+    const auto &claim = std::get<IdempotencyStore::Claim>(claimed);
+    const auto result = m_relay.open(call, attempt, agent);
+    if (const auto *refusal = std::get_if<Refusal>(&result)) {
+        m_idempotency.refuse(claim, refusal->runState);
+        return writeRefusal(*refusal, res);
+    }
+    const auto answer = readWhole(*std::get<0>(result), call, res);
+    if (!answer)
+        return m_idempotency.refuse(claim, RunState::Unknown);
+    // Kept before it is handed over, so that a repeat finds it whatever happens to this one.
+    m_idempotency.complete(claim, *answer);
+    writeStored(*answer, res);
 }
 
-void CallerApi::run(const Call &call, httplib::Response &res)
+void CallerApi::relay(const Call &call, httplib::Response &res, const InFlightMark &mark)
 {
     auto result = m_relay.open(call);
-    res.set_header("X-Request-Id", call.id.text());
     if (const auto *refusal = std::get_if<Refusal>(&result))
         return writeRefusal(*refusal, res);
-    std::shared_ptr<AnswerStream> answer = std::move(std::get<0>(result));
-    res.status = answer->status();
-    std::string type = "application/octet-stream";
-    for (const wire::Header &it : answer->headers()) {
-        if (strcasecmp(it.name.c_str(), "Content-Type") == 0)
-            type = it.value;
-        else
-            res.set_header(it.name, it.value);
+    auto answer = std::move(std::get<0>(result));
+    httplib::Response head;
+    const std::string type = writeHead(*answer, head);
+    if (!isStreamed(type)) {
+        const auto whole = readWhole(*answer, call, res);
+        if (whole)
+            writeStored(*whole, res);
+        return;
     }
-    if (type.starts_with("text/event-stream"))
-        return stream(answer, res);
-    std::string body;
-    Tokens tokens;
-    const Instant started = Process::now();
+    res.status = head.status;
+    for (const auto &[name, value] : head.headers)
+        res.set_header(name, value);
+    const auto stream = std::make_shared<PacedStream>(std::move(answer), call, m_limits);
+    res.set_chunked_content_provider(
+        type, [stream, mark](size_t, httplib::DataSink &sink) { return stream->writeNext(sink); });
+}
+
+std::optional<StoredAnswer> CallerApi::readWhole(AnswerStream &answer, const Call &call,
+                                                 httplib::Response &res)
+{
+    StoredAnswer whole = headOf(answer);
+    Tokens tokens = call.model ? call.estimate.prompt : call.estimate.answerLimit;
     auto status = AnswerStream::Result::Nothing;
     while (status == AnswerStream::Result::Nothing || status == AnswerStream::Result::Data)
-        status = answer->read(body, tokens);
+        status = answer.read(whole.body, tokens);
     if (status == AnswerStream::Result::Broken) {
-        res.headers.clear();
-        res.set_header("X-Request-Id", call.id.text());
-        return writeRefusal(answer->refusal(), res);
+        writeRefusal(answer.refusal(), res);
+        return std::nullopt;
+    }
+    if (!call.account.isEmpty() && !chargeWhole(m_limits, call.account, tokens)) {
+        writeRefusal({statusTooManyRequests,
+                      "answer_exceeds_burst",
+                      "the answer has more tokens than the account's burst; ask for fewer, or "
+                      "stream it",
+                      RunState::Partial,
+                      {}},
+                     res);
+        return std::nullopt;
     }
-    Metrics::observe("body_seconds",
-                     std::chrono::duration<double>(Process::now() - started).count());
     Metrics::count("completed_total");
-    res.set_content(body, type);
-}
-
-void CallerApi::stream(const std::shared_ptr<AnswerStream> &answer, httplib::Response &res)
-{
-    auto inFlight = std::make_shared<InFlight>(m_inFlight);
-    res.set_chunked_content_provider("text/event-stream",
-                                     [answer, inFlight](size_t, httplib::DataSink &sink) {
-                                         std::string data;
-                                         Tokens tokens;
-                                         const auto status = answer->read(data, tokens);
-                                         if (!data.empty() && !sink.write(data.data(), data.size()))
-                                             return false;
-                                         if (status == AnswerStream::Result::Broken)
-                                             return false;
-                                         if (status == AnswerStream::Result::End) {
-                                             sink.done();
-                                             Metrics::count("completed_total");
-                                             return true;
-                                         }
-                                         return sink.is_writable();
-                                     });
+    return whole;
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/CallerApi.h
+++ b/src/Apps/Gateway/CallerApi.h
@@ -3,12 +3,16 @@
 
 #include "Apps/Gateway/Authenticator.h"
 #include "Apps/Gateway/GatewaySettings.h"
+#include "Apps/Gateway/IdempotencyStore.h"
 #include "Apps/Gateway/Relay.h"
+#include "Apps/Gateway/RequestReader.h"
 #include "Apps/Gateway/SharedState.h"
+#include "Ports/AccountLimits.h"
 
 #include <httplib.h>
 
 #include <atomic>
+#include <optional>
 #include <string>
 
 namespace quetzalyoke {
@@ -17,34 +21,53 @@
 class CallerApi
 {
 public:
-    CallerApi(const GatewaySettings &settings, const SharedState &state, Relay &relay);
+    CallerApi(const GatewaySettings &settings, const SharedState &state, Relay &relay,
+              AccountLimits &limits, IdempotencyStore &idempotency);
 
     void addRoutes(httplib::Server &server);
     /// Requests whose answer is not whole yet.
     int inFlight() const { return m_inFlight; }
+    /// Refuses requests that come from now on; those in flight go on.
+    void stopAccepting() { m_accepting = false; }
 
 private:
     class InFlight;
+    using InFlightMark = std::shared_ptr<InFlight>;
+    using Handler
+        = void (CallerApi::*)(const httplib::Request &, httplib::Response &, const Configuration &,
+                              const AccountId &, const InFlightMark &);
 
-    void listModels(const httplib::Request &req, httplib::Response &res);
-    void complete(const httplib::Request &req, httplib::Response &res);
-    void callService(const httplib::Request &req, httplib::Response &res);
-    /// Account of the caller; nothing where the answer has been refused.
-    std::optional<AccountId> admit(const httplib::Request &req, httplib::Response &res);
-    Call makeCall(const httplib::Request &req, const AccountId &account) const;
-    void run(const Call &call, httplib::Response &res);
-    void stream(const std::shared_ptr<AnswerStream> &answer, httplib::Response &res);
-
-    const GatewaySettings &m_settings;
-    const SharedState &m_state;
+    httplib::Server::Handler admitted(Handler handler);
+    /// Account of the caller, empty on open routes, or why the request is refused.
+    std::variant<AccountId, Refusal> admit(const httplib::Request &req,
+                                           const Configuration *configuration) const;
+    void listModels(const httplib::Request &req, httplib::Response &res,
+                    const Configuration &configuration, const AccountId &account,
+                    const InFlightMark &mark);
+    void complete(const httplib::Request &req, httplib::Response &res,
+                  const Configuration &configuration, const AccountId &account,
+                  const InFlightMark &mark);
+    void callService(const httplib::Request &req, httplib::Response &res,
+                     const Configuration &configuration, const AccountId &account,
+                     const InFlightMark &mark);
+    void run(const RequestReader::Result &request, httplib::Response &res,
+             const InFlightMark &mark);
+    void runOnce(const Call &call, httplib::Response &res);
+    void relay(const Call &call, httplib::Response &res, const InFlightMark &mark);
+    /// Waits for the whole answer; nothing where it was refused, which is written to \a res.
+    std::optional<StoredAnswer> readWhole(AnswerStream &answer, const Call &call,
+                                          httplib::Response &res);
+
+    SharedState const &m_state;
     Authenticator m_authenticator;
+    RequestReader m_reader;
     Relay &m_relay;
+    AccountLimits &m_limits;
+    IdempotencyStore &m_idempotency;
     std::atomic<int> m_inFlight{0};
+    std::atomic<bool> m_accepting{true};
 };
 
-/// Writes \a refusal as the error body and headers that callers know.
-void writeRefusal(const Refusal &refusal, httplib::Response &res);
-
 } // namespace quetzalyoke
 
 #endif
--- a/src/Apps/Gateway/Fleet.cpp
+++ b/src/Apps/Gateway/Fleet.cpp
@@ -38,6 +38,12 @@
                        poolForLocked(chosen->status.address)};
 }
 
+std::shared_ptr<AgentPool> Fleet::poolFor(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    return poolForLocked(address);
+}
+
 void Fleet::suspect(const InstanceId &instance)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/Apps/Gateway/Fleet.h
+++ b/src/Apps/Gateway/Fleet.h
@@ -32,6 +32,8 @@
 
     void update(const AgentStatus &status);
     std::optional<ChosenAgent> choose(const RoutingRequest &request);
+    /// Connections to the agent at \a address.
+    std::shared_ptr<AgentPool> poolFor(const std::string &address);
     void suspect(const InstanceId &instance);
     void adjustOwnLoad(const InstanceId &instance, std::int64_t change);
     std::vector<AgentDirectory::Candidate> all() const;
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -46,13 +46,14 @@
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
-    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-        : m_settings(settings), m_state(state), m_fleet(fleet)
+    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                CrashWatch &crashes)
+        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes)
     { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet);
+        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
@@ -60,12 +61,14 @@
     const GatewaySettings &m_settings;
     SharedState &m_state;
     Fleet &m_fleet;
+    CrashWatch &m_crashes;
 };
 
 } // namespace
 
-GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-    : m_state(state), m_fleet(fleet), m_guard(settings.fleetSecret)
+GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                         CrashWatch &crashes)
+    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_guard(settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -98,11 +101,14 @@
             reply.wanted = wantedFor(*configuration, status.server);
     }
     m_fleet.update(status);
+    m_crashes.add(report.suspicions, report.instance);
 }
 
-void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &)
+void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
+    m_crashes.add(digest.suspicions);
+    answer.suspicions = m_crashes.suspicions();
     answer.stateVersion = m_state.version().count();
 }
 
@@ -125,10 +131,11 @@
 }
 
 std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                       CrashWatch &crashes)
 {
     return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet));
+        std::make_shared<DoorFactory>(settings, state, fleet, crashes));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -42,6 +42,7 @@
         settings.agentSilence = reader.milliseconds("agent_silence_ms", 100, 600'000, 3000);
         settings.defaultDeadline
             = reader.milliseconds("default_deadline_ms", 100, 3'600'000, 60'000);
+        settings.stopGrace = reader.milliseconds("stop_grace_ms", 0, 600'000, 2000);
         settings.drainLimit = reader.milliseconds("drain_limit_ms", 0, 3'600'000, 120'000);
         reader.finish();
     }
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds freshness{}; ///< Keyed traffic needs state no older than this.
     std::chrono::milliseconds agentSilence{}; ///< Then an agent gets no new work.
     std::chrono::milliseconds defaultDeadline{};
+    std::chrono::milliseconds stopGrace{}; ///< Served on after a stop was asked for.
     std::chrono::milliseconds drainLimit{};
 
     static GatewaySettings read(const IniDocument &document, Problems &problems);
--- /dev/null
+++ b/src/Apps/Gateway/IdempotencyStore.cpp
@@ -0,0 +1,289 @@
+#include "Apps/Gateway/IdempotencyStore.h"
+
+#include "Adapters/Crypto.h"
+#include "Adapters/Metrics.h"
+#include "Adapters/Process.h"
+#include "Core/Error.h"
+
+#include <glog/logging.h>
+
+#include <array>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr const char *rowPrefix = "idempotency/";
+constexpr std::chrono::hours keepFor{24};
+// After its deadline an owner still settles its row; clocks of gateways may differ by this much.
+constexpr std::chrono::seconds ownerMargin{10};
+constexpr std::chrono::milliseconds retryInProgress{1000};
+constexpr std::chrono::milliseconds retryTableOut{2000};
+constexpr std::chrono::seconds settleInterval{1};
+constexpr std::chrono::minutes settleLimit{30};
+constexpr std::size_t pendingLimit = 10'000;
+constexpr std::size_t keptBodyBytes = 262'144;
+constexpr std::int64_t recoverWaitMillis = 100;
+constexpr unsigned sweepShards = 256; // by the first byte of the row's hash
+constexpr int settlesPerSweep = 30;
+constexpr int statusConflict = 409;
+constexpr int statusUnavailable = 503;
+constexpr int statusUnprocessable = 422;
+
+WallTime wallNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+std::string rowKeyFor(const Call &call)
+{
+    return rowPrefix
+        + sha256Hex(call.account.text() + '\n' + call.target + '\n' + call.idempotencyKey);
+}
+
+Refusal tableOut()
+{
+    return {statusUnavailable, "table_unavailable",
+            "the request can't be protected against running twice now; ask again", RunState::NotRun,
+            retryTableOut};
+}
+
+Refusal refusalFor(RepeatDecision decision)
+{
+    switch (decision) {
+    case RepeatDecision::InProgress:
+        return {statusConflict, "in_progress",
+                "a request with this Idempotency-Key is in progress; ask again", RunState::Unknown,
+                retryInProgress};
+    case RepeatDecision::KeyReused:
+        return {statusUnprocessable,
+                "idempotency_key_reused",
+                "this Idempotency-Key came with another request before; use a new one",
+                RunState::NotRun,
+                {}};
+    default:
+        return {statusConflict,
+                "outcome_unknown",
+                "the first request with this Idempotency-Key may have run; it will not run again; "
+                "check its effect",
+                RunState::Unknown,
+                {}};
+    }
+}
+
+} // namespace
+
+IdempotencyStore::IdempotencyStore(TableStore &table, Fleet &fleet) : m_table(table), m_fleet(fleet)
+{
+    m_thread = std::thread([this] { work(); });
+}
+
+IdempotencyStore::~IdempotencyStore()
+{
+    stop();
+}
+
+void IdempotencyStore::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+        m_wake.notify_all();
+    }
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+std::variant<IdempotencyStore::Claim, StoredAnswer, Refusal>
+IdempotencyStore::claim(const Call &call, const AttemptId &attempt,
+                        const std::optional<ChosenAgent> &agent)
+{
+    Claim claim;
+    claim.rowKey = rowKeyFor(call);
+    claim.record.attempt = attempt;
+    claim.record.fingerprint = call.fingerprint;
+    if (agent) {
+        claim.record.agentAddress = agent->pool->address().text();
+        claim.record.agentIncarnation = agent->incarnation;
+    }
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(call.deadline - Process::now());
+    claim.record.ownerEnds = wallNow() + left + ownerMargin;
+    claim.record.expires = wallNow() + keepFor;
+    try {
+        const auto version = m_table.commit({{claim.rowKey, claim.record.toJson(), Version(0)}});
+        if (version) {
+            claim.version = *version;
+            return claim;
+        }
+    } catch (const Error &e) {
+        if (e.kind() != ErrorKind::OutcomeUnknown)
+            return tableOut();
+        Metrics::count("table_answers_lost_total");
+    }
+    // Either the row was there before, or the answer was lost and the row may be this one's.
+    try {
+        const auto row = m_table.read(claim.rowKey);
+        if (!row) {
+            settle({claim, std::nullopt});
+            return tableOut();
+        }
+        return repeat(call, claim, *row);
+    } catch (const Error &) {
+        // The row may exist without anything having run: it is taken back when the table is.
+        settle({claim, std::nullopt});
+        return tableOut();
+    }
+}
+
+std::variant<IdempotencyStore::Claim, StoredAnswer, Refusal>
+IdempotencyStore::repeat(const Call &call, const Claim &own, const TableRow &row)
+{
+    const IdempotencyRecord record = IdempotencyRecord::fromJson(row.value);
+    const auto decision = decideRepeat(record, call.fingerprint, own.record.attempt, wallNow());
+    if (decision == RepeatDecision::Mine) {
+        Claim claim = own;
+        claim.version = row.version;
+        return claim;
+    }
+    if (decision == RepeatDecision::Replay) {
+        if (!record.answer.bodyDropped)
+            return record.answer;
+        return Refusal{statusConflict,
+                       "already_completed",
+                       "the first request completed; its answer was too large to keep",
+                       RunState::Partial,
+                       {}};
+    }
+    if (decision == RepeatDecision::InProgress || decision == RepeatDecision::Unknown) {
+        const auto recovered = recover(record, row);
+        if (recovered)
+            return *recovered;
+    }
+    return refusalFor(decision);
+}
+
+// The gateway that ran the request may have died; its agent keeps the whole answer for a while.
+std::optional<StoredAnswer> IdempotencyStore::recover(const IdempotencyRecord &record,
+                                                      const TableRow &row)
+{
+    if (record.state != IdempotencyRecord::State::Running || record.agentAddress.empty())
+        return std::nullopt;
+    wire::Progress progress;
+    try {
+        const auto pool = m_fleet.poolFor(record.agentAddress);
+        pool->call([&](wire::AgentClient &it) {
+            it.fetch(progress, record.attempt.text(), 0, recoverWaitMillis);
+        });
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+    const auto n = static_cast<std::int64_t>(progress.data.size());
+    const bool whole = progress.finished && progress.error == wire::ErrorCode::None
+        && progress.headersKnown && progress.totalLength == n;
+    if (!whole)
+        return std::nullopt;
+    StoredAnswer answer;
+    answer.status = progress.status;
+    answer.body = progress.data;
+    for (const wire::Header &it : progress.headers)
+        answer.headers.emplace_back(it.name, it.value);
+    Metrics::count("answers_recovered_total");
+    complete({row.key, record, row.version}, answer);
+    return answer;
+}
+
+void IdempotencyStore::complete(const Claim &claim, const StoredAnswer &answer)
+{
+    IdempotencyRecord record = claim.record;
+    record.state = IdempotencyRecord::State::Done;
+    record.answer = answer;
+    if (record.answer.body.size() > keptBodyBytes) {
+        record.answer.body.clear();
+        record.answer.bodyDropped = true;
+    }
+    settle({claim, record.toJson()});
+}
+
+void IdempotencyStore::refuse(const Claim &claim, RunState state)
+{
+    if (state == RunState::NotRun)
+        return settle({claim, std::nullopt});
+    IdempotencyRecord record = claim.record;
+    record.state = IdempotencyRecord::State::Unknown;
+    settle({claim, record.toJson()});
+}
+
+void IdempotencyStore::settle(const Settlement &settlement)
+{
+    if (trySettle(settlement))
+        return;
+    const std::lock_guard lock(m_mutex);
+    if (m_pending.size() >= pendingLimit) {
+        Metrics::count("settlements_dropped_total");
+        return;
+    }
+    m_pending.push_back(settlement);
+}
+
+// True once nothing is left to do: the write took effect, or the row is no longer this claim's.
+bool IdempotencyStore::trySettle(const Settlement &settlement)
+{
+    try {
+        Version version = settlement.claim.version;
+        if (version == Version()) {
+            const auto row = m_table.read(settlement.claim.rowKey);
+            if (!row)
+                return false; // the lost write may still arrive
+            if (IdempotencyRecord::fromJson(row->value).attempt != settlement.claim.record.attempt)
+                return true;
+            version = row->version;
+        }
+        m_table.commit({{settlement.claim.rowKey, settlement.value, version}});
+        return true;
+    } catch (const Error &e) {
+        // A settling write may be repeated: its condition fails if it took effect before.
+        Metrics::count("settlements_failed_total");
+        return false;
+    }
+}
+
+void IdempotencyStore::work()
+{
+    int rounds = 0;
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        m_wake.wait_for(lock, settleInterval, [this] { return m_stopping; });
+        std::deque<Settlement> pending;
+        pending.swap(m_pending);
+        lock.unlock();
+        for (const Settlement &it : pending) {
+            const bool over = it.claim.record.ownerEnds + settleLimit < wallNow();
+            if (!over && !trySettle(it)) {
+                const std::lock_guard again(m_mutex);
+                m_pending.push_back(it);
+            }
+        }
+        if (++rounds % settlesPerSweep == 0)
+            sweepExpired();
+        lock.lock();
+    }
+}
+
+// Deletes expired rows, one shard of the key space at a time so that a scan stays small.
+void IdempotencyStore::sweepExpired()
+{
+    std::array<char, 3> shard{};
+    std::snprintf(shard.data(), shard.size(), "%02x", m_sweepShard % sweepShards);
+    ++m_sweepShard;
+    try {
+        for (const TableRow &it : m_table.scan(std::string(rowPrefix) + shard.data(), Version())) {
+            if (IdempotencyRecord::fromJson(it.value).expires < wallNow())
+                m_table.commit({{it.key, std::nullopt, it.version}});
+        }
+    } catch (const Error &) {
+        Metrics::count("sweeps_failed_total");
+    }
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Gateway/Relay.cpp
+++ b/src/Apps/Gateway/Relay.cpp
@@ -1,6 +1,7 @@
 #include "Apps/Gateway/Relay.h"
 
 #include "Adapters/Crypto.h"
+#include "Adapters/HttpServer.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Core/Error.h"
@@ -10,193 +11,219 @@
 namespace {
 
 constexpr std::int64_t fetchWaitMillis = 250;
-constexpr int attemptLimit = 3;
-constexpr int fetchFailureLimit = 5;
-constexpr int submitTryLimit = 3;
 constexpr int attemptIdBytes = 12;
-constexpr std::chrono::milliseconds retrySoon{1000};
+constexpr double retriesPerRequest = 0.1;
+constexpr double retryReserve = 20;
 
-RunState fromWire(wire::RunState::type state)
+RunState stateFrom(wire::RunState::type state)
 {
-    switch (state) {
-    case wire::RunState::NotRun:
-        return RunState::NotRun;
-    case wire::RunState::Partial:
-    case wire::RunState::Completed:
-        return RunState::Partial;
-    case wire::RunState::Unknown:
-        break;
-    }
-    return RunState::Unknown;
-}
-
-Refusal refusalFrom(const wire::Progress &progress)
-{
-    Refusal refusal;
-    refusal.status = progress.error == wire::ErrorCode::DeadlinePassed ? 504 : 503;
-    refusal.code = progress.error == wire::ErrorCode::DeadlinePassed ? "deadline_passed"
-                                                                     : "backend_unavailable";
-    refusal.message = progress.errorMessage;
-    refusal.runState = fromWire(progress.runState);
-    refusal.retryAfter = std::chrono::milliseconds(progress.retryAfterMillis);
-    return refusal;
+    return state == wire::RunState::NotRun ? RunState::NotRun : RunState::Unknown;
 }
 
 } // namespace
 
-AnswerStream::AnswerStream(Fleet &fleet, ChosenAgent agent, const wire::Progress &first)
-    : m_fleet(fleet), m_agent(std::move(agent)), m_progress(first), m_status(m_progress.status),
-      m_headers(m_progress.headers)
+// One call of Relay::open(): carries out the steps that its RequestFlow asks for.
+class Relay::Run
 {
-    m_fleet.adjustOwnLoad(m_agent.instance, 1);
-}
-
-AnswerStream::~AnswerStream()
-{
-    m_fleet.adjustOwnLoad(m_agent.instance, -1);
-    if (m_ended)
-        return;
-    try {
-        m_agent.pool->call([this](wire::AgentClient &it) { it.cancel(m_progress.attemptId); });
-    } catch (const std::exception &) {
-        Metrics::count("cancels_failed_total");
+public:
+    Run(Relay &relay, const Call &call, const std::optional<AttemptId> &firstId,
+        const std::optional<ChosenAgent> &firstAgent)
+        : m_relay(relay), m_call(call), m_nextId(firstId), m_nextAgent(firstAgent),
+          m_flow(call.idempotent, call.deadline, RequestFlow::Limits(),
+                 [&relay] { return relay.takeRetry(); })
+    {
+        m_routing.target = call.target;
+        m_routing.adapter = call.adapter;
+        m_routing.zone = relay.m_settings.zone;
     }
-}
-
-AnswerStream::Result AnswerStream::read(std::string &data, Tokens &tokens)
-{
-    if (!m_fetched && !fetch())
-        return m_ended ? Result::Broken : Result::Nothing;
-    m_fetched = false;
-    return take(data, tokens);
-}
 
-bool AnswerStream::fetch()
-{
-    const std::string attemptId = m_progress.attemptId;
-    try {
-        m_agent.pool->call([&](wire::AgentClient &it) {
-            it.fetch(m_progress, attemptId, m_offset, fetchWaitMillis);
-        });
-        m_failures = 0;
-        return true;
-    } catch (const std::exception &) {
-        // The agent keeps the answer, so a new connection goes on from the same offset.
-        m_agent.pool->clear();
-        m_progress.attemptId = attemptId;
-        if (++m_failures < fetchFailureLimit)
-            return false;
+    Result run()
+    {
+        RequestFlow::Step step = m_flow.start();
+        while (true) {
+            switch (step) {
+            case RequestFlow::Step::ChooseServer:
+                step = choose();
+                break;
+            case RequestFlow::Step::Submit:
+                prepareSubmission();
+                step = submit();
+                break;
+            case RequestFlow::Step::Resubmit:
+                step = submit();
+                break;
+            case RequestFlow::Step::AwaitAnswer:
+                step = awaitAnswer();
+                break;
+            case RequestFlow::Step::Deliver:
+                return std::make_unique<AnswerStream>(m_relay.m_fleet, *m_agent, m_progress);
+            case RequestFlow::Step::Refuse:
+                return m_flow.refusal();
+            }
+        }
     }
-    m_fleet.suspect(m_agent.instance);
-    m_ended = true;
-    m_refusal = {502, "backend_lost", "the backend server was lost while it answered; ask again",
-                 m_offset > 0 ? RunState::Partial : RunState::Unknown, retrySoon};
-    return false;
-}
 
-AnswerStream::Result AnswerStream::take(std::string &data, Tokens &tokens)
-{
-    data += m_progress.data;
-    m_offset += static_cast<std::int64_t>(m_progress.data.size());
-    tokens += Tokens(m_progress.tokens - m_tokens);
-    m_tokens = m_progress.tokens;
-    if (!m_progress.finished)
-        return m_progress.data.empty() ? Result::Nothing : Result::Data;
-    m_ended = true;
-    if (m_progress.error == wire::ErrorCode::None && m_progress.totalLength == m_offset)
-        return Result::End;
-    m_refusal = refusalFrom(m_progress);
-    m_refusal.runState = RunState::Partial;
-    return Result::Broken;
-}
+private:
+    RequestFlow::Step choose()
+    {
+        const auto verdict = m_relay.m_crashes.verdict(m_call.fingerprint);
+        if (verdict == CrashLedger::Verdict::Refuse)
+            return refuseCrashing();
+        m_runAlone = verdict == CrashLedger::Verdict::RunAlone;
+        m_agent = m_nextAgent ? m_nextAgent : m_relay.m_fleet.choose(m_routing);
+        m_nextAgent.reset();
+        if (!m_agent)
+            return m_flow.onNoServer();
+        m_routing.excluded.insert(m_agent->instance);
+        return m_flow.onServerChosen();
+    }
 
-Relay::Relay(const GatewaySettings &settings, Fleet &fleet) : m_settings(settings), m_fleet(fleet)
-{ }
+    RequestFlow::Step refuseCrashing()
+    {
+        const Duration wait = m_relay.m_crashes.remaining(m_call.fingerprint);
+        return m_flow.onCrashesServers(std::chrono::ceil<std::chrono::milliseconds>(wait));
+    }
 
-std::variant<std::unique_ptr<AnswerStream>, Refusal> Relay::open(const Call &call)
-{
-    RoutingRequest request{call.target, call.adapter, m_settings.zone, {}};
-    Refusal refusal{503, "no_server", "no backend server can take this request now; ask again",
-                    RunState::NotRun, retrySoon};
-    for (int i = 0; i < attemptLimit; ++i) {
-        const auto agent = m_fleet.choose(request);
-        if (!agent)
-            return refusal;
-        Outcome outcome = attempt(call, *agent);
-        if (outcome.stream)
-            return std::move(outcome.stream);
-        refusal = outcome.refusal;
-        if (!outcome.tryAnother)
-            return refusal;
-        Metrics::count("retries_total");
-        request.excluded.insert(agent->instance);
+    void prepareSubmission()
+    {
+        const AttemptId id = m_nextId ? *m_nextId : m_relay.newAttemptId();
+        m_nextId.reset();
+        m_submission = wire::Submission();
+        m_submission.requestId = m_call.id.text();
+        m_submission.attemptId = id.text();
+        m_submission.account = m_call.account.text();
+        m_submission.target = m_call.target;
+        m_submission.adapter = m_call.adapter;
+        m_submission.method = m_call.method;
+        m_submission.path = m_call.path;
+        m_submission.headers = m_call.headers;
+        m_submission.body = m_call.body;
+        m_submission.idempotent = m_call.idempotent;
+        m_submission.model = m_call.model;
+        m_submission.fingerprint = m_call.fingerprint.text();
+        m_submission.runAlone = m_runAlone;
+        m_submission.agentIncarnation = m_agent->incarnation.count();
+        m_submission.estimatedTokens
+            = (m_call.estimate.prompt + m_call.estimate.answerLimit).count();
     }
-    return refusal;
-}
 
-Relay::Outcome Relay::attempt(const Call &call, const ChosenAgent &agent)
-{
-    const wire::Submission submission = submissionFor(call);
-    wire::Progress progress;
-    bool sent = false;
-    for (int tries = 0;; ++tries) {
+    RequestFlow::Step submit()
+    {
+        const auto left = m_call.deadline - Process::now();
+        if (left <= Duration::zero())
+            return m_flow.onDeadline(cancel());
+        m_submission.deadlineMillis
+            = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+        bool sent = false;
         try {
-            agent.pool->call([&](wire::AgentClient &it) {
+            m_agent->pool->call([&](wire::AgentClient &it) {
                 sent = true;
-                it.submit(progress, submission, fetchWaitMillis);
+                it.submit(m_progress, m_submission, fetchWaitMillis);
             });
-            break;
         } catch (const std::exception &e) {
-            agent.pool->clear();
-            // The agent accepts an attempt id once, so the same submission may be sent again.
-            if (sent && tries + 1 < submitTryLimit)
-                continue;
-            m_fleet.suspect(agent.instance);
-            const RunState state = sent ? RunState::Unknown : RunState::NotRun;
-            Refusal refusal{503, "backend_lost", std::string(e.what()), state, retrySoon};
-            return {nullptr, refusal, !sent || call.idempotent};
+            m_agent->pool->clear();
+            if (!sent)
+                m_relay.m_fleet.suspect(m_agent->instance);
+            return sent ? m_flow.onLinkLost(e.what()) : m_flow.onNeverSent(e.what());
         }
+        return judgeProgress();
+    }
+
+    RequestFlow::Step judgeProgress()
+    {
+        if (m_progress.headersKnown)
+            return m_flow.onAnswerBegan();
+        if (!m_progress.finished)
+            return m_flow.onAccepted(Process::now());
+        if (m_progress.error == wire::ErrorCode::AgentRestarted)
+            return m_flow.onAgentRestarted();
+        noteCrash();
+        return m_flow.onRefused(refusalFrom(m_progress));
+    }
+
+    // The agent tells all gateways of a crash; this one must know before the caller asks again.
+    void noteCrash()
+    {
+        if (m_progress.incident.empty())
+            return;
+        wire::Suspicion suspicion;
+        suspicion.fingerprint = m_call.fingerprint.text();
+        suspicion.incidents = {m_progress.incident};
+        m_relay.m_crashes.add({suspicion}, m_agent->instance.text());
     }
-    while (!progress.headersKnown && !progress.finished && Process::now() < call.deadline) {
+
+    RequestFlow::Step awaitAnswer()
+    {
+        if (Process::now() >= m_call.deadline)
+            return m_flow.onDeadline(cancel());
+        if (HttpServer::callerHasGone())
+            return m_flow.onCallerGone(cancel());
         try {
-            agent.pool->call([&](wire::AgentClient &it) {
-                it.fetch(progress, submission.attemptId, 0, fetchWaitMillis);
+            m_agent->pool->call([&](wire::AgentClient &it) {
+                it.fetch(m_progress, m_submission.attemptId, 0, fetchWaitMillis);
             });
         } catch (const std::exception &e) {
-            m_fleet.suspect(agent.instance);
-            Refusal refusal{502, "backend_lost", e.what(), RunState::Unknown, retrySoon};
-            return {nullptr, refusal, call.idempotent};
+            m_agent->pool->clear();
+            return m_flow.onLinkLost(e.what());
+        }
+        return judgeProgress();
+    }
+
+    RunState cancel()
+    {
+        auto state = wire::RunState::Unknown;
+        try {
+            m_agent->pool->call(
+                [&](wire::AgentClient &it) { state = it.cancel(m_submission.attemptId); });
+        } catch (const std::exception &) {
+            Metrics::count("cancels_failed_total");
         }
+        return stateFrom(state);
     }
-    if (progress.headersKnown)
-        return {std::make_unique<AnswerStream>(m_fleet, agent, progress), {}, false};
-    if (progress.finished) {
-        const Refusal refusal = refusalFrom(progress);
-        return {nullptr, refusal, refusal.runState == RunState::NotRun || call.idempotent};
+
+    Relay &m_relay;
+    const Call &m_call;
+    std::optional<AttemptId> m_nextId;
+    std::optional<ChosenAgent> m_nextAgent;
+    RequestFlow m_flow;
+    RoutingRequest m_routing;
+    std::optional<ChosenAgent> m_agent;
+    bool m_runAlone = false;
+    wire::Submission m_submission;
+    wire::Progress m_progress;
+};
+
+Relay::Relay(const GatewaySettings &settings, Fleet &fleet, CrashWatch &crashes)
+    : m_settings(settings), m_fleet(fleet), m_crashes(crashes),
+      m_retryBudget(retriesPerRequest, retryReserve)
+{ }
+
+AttemptId Relay::newAttemptId() const
+{
+    return AttemptId(m_settings.instance.text() + "-" + randomHex(attemptIdBytes));
+}
+
+std::optional<ChosenAgent> Relay::choose(const Call &call)
+{
+    return m_fleet.choose({call.target, call.adapter, m_settings.zone, {}});
+}
+
+Relay::Result Relay::open(const Call &call, const std::optional<AttemptId> &firstId,
+                          const std::optional<ChosenAgent> &firstAgent)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_retryBudget.onRequest();
     }
-    const RunState state = fromWire(progress.runState);
-    return {nullptr, {504, "deadline_passed", "the deadline passed", state, retrySoon}, false};
+    return Run(*this, call, firstId, firstAgent).run();
 }
 
-wire::Submission Relay::submissionFor(const Call &call) const
+bool Relay::takeRetry()
 {
-    wire::Submission submission;
-    submission.requestId = call.id.text();
-    submission.attemptId = m_settings.instance.text() + "-" + randomHex(attemptIdBytes);
-    submission.account = call.account.text();
-    submission.target = call.target;
-    submission.adapter = call.adapter;
-    submission.method = call.method;
-    submission.path = call.path;
-    submission.headers = call.headers;
-    submission.body = call.body;
-    submission.idempotent = call.idempotent;
-    submission.model = call.model;
-    submission.estimatedTokens = call.estimatedTokens.count();
-    const auto remaining = call.deadline - Process::now();
-    submission.deadlineMillis
-        = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-    return submission;
+    const std::lock_guard lock(m_mutex);
+    const bool taken = m_retryBudget.takeRetry();
+    Metrics::count(taken ? "retries_total" : "retries_denied_total");
+    return taken;
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/Relay.h
+++ b/src/Apps/Gateway/Relay.h
@@ -1,95 +1,50 @@
 #ifndef QUETZALYOKE_APPS_GATEWAY_RELAY_H
 #define QUETZALYOKE_APPS_GATEWAY_RELAY_H
 
+#include "Apps/Gateway/AnswerStream.h"
+#include "Apps/Gateway/Call.h"
+#include "Apps/Gateway/CrashWatch.h"
 #include "Apps/Gateway/Fleet.h"
-#include "Core/Refusal.h"
-#include "Wire/generated/quetzalyoke_types.h"
+#include "Core/RequestFlow.h"
+#include "Core/RetryBudget.h"
 
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
-#include <vector>
 
 namespace quetzalyoke {
 
-/// \brief A request that was let in.
-struct Call
-{
-    RequestId id;
-    AccountId account; ///< Empty on open routes.
-    std::string target;
-    std::string adapter;
-    std::string method;
-    std::string path; ///< With query, as the backend server gets it.
-    std::vector<wire::Header> headers;
-    std::string body;
-    bool idempotent = true;
-    bool model = true;
-    Instant deadline;
-    Tokens estimatedTokens;
-};
-
-/// \brief An answer on its way from an agent; closing it early cancels the attempt.
-class AnswerStream
-{
-public:
-    AnswerStream(Fleet &fleet, ChosenAgent agent, const wire::Progress &first);
-    ~AnswerStream();
-    AnswerStream(const AnswerStream &) = delete;
-    AnswerStream &operator=(const AnswerStream &) = delete;
-
-    int status() const { return m_status; }
-    const std::vector<wire::Header> &headers() const { return m_headers; }
-
-    enum class Result {
-        Data, ///< Bytes were added.
-        Nothing, ///< None came within the wait.
-        End, ///< The answer is whole.
-        Broken, ///< It never will be; see refusal().
-    };
-    /// Adds the next bytes to \a data; \a tokens grows by the tokens in them.
-    Result read(std::string &data, Tokens &tokens);
-    const Refusal &refusal() const { return m_refusal; }
-
-private:
-    Result take(std::string &data, Tokens &tokens);
-    bool fetch();
-
-    Fleet &m_fleet;
-    ChosenAgent m_agent;
-    wire::Progress m_progress;
-    bool m_fetched = true; // m_progress holds something that read() has not returned yet
-    std::int64_t m_offset = 0;
-    std::int64_t m_tokens = 0;
-    int m_status = 0;
-    std::vector<wire::Header> m_headers;
-    bool m_ended = false;
-    int m_failures = 0;
-    Refusal m_refusal;
-};
-
 /// \brief Sends calls to agents and brings back their answers.
+/// \sa RequestFlow
 class Relay
 {
 public:
-    Relay(const GatewaySettings &settings, Fleet &fleet);
+    Relay(const GatewaySettings &settings, Fleet &fleet, CrashWatch &crashes);
+
+    using Result = std::variant<std::unique_ptr<AnswerStream>, Refusal>;
+
+    /// An attempt id that no other gateway and no earlier start of this one has used.
+    AttemptId newAttemptId() const;
+    /// An agent that can take \a call, or nothing.
+    std::optional<ChosenAgent> choose(const Call &call);
 
     /// Runs \a call until the answer's headers are known, or gives the reason why there is none.
-    std::variant<std::unique_ptr<AnswerStream>, Refusal> open(const Call &call);
+    /// The first attempt gets \a firstId and goes to \a firstAgent where they are given.
+    Result open(const Call &call, const std::optional<AttemptId> &firstId = {},
+                const std::optional<ChosenAgent> &firstAgent = {});
 
 private:
-    struct Outcome
-    {
-        std::unique_ptr<AnswerStream> stream;
-        Refusal refusal;
-        bool tryAnother = false;
-    };
+    class Run;
 
-    Outcome attempt(const Call &call, const ChosenAgent &agent);
-    wire::Submission submissionFor(const Call &call) const;
+    bool takeRetry();
 
     const GatewaySettings &m_settings;
     Fleet &m_fleet;
+    CrashWatch &m_crashes;
+    std::mutex m_mutex; // of the member below
+    RetryBudget m_retryBudget;
 };
 
 } // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/RequestReader.cpp
@@ -0,0 +1,216 @@
+#include "Apps/Gateway/RequestReader.h"
+
+#include "Adapters/Crypto.h"
+#include "Adapters/Process.h"
+#include "Core/KeyText.h"
+#include "Core/TokenCounter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace quetzalyoke {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view servicePrefix = "/services/";
+constexpr int requestIdBytes = 8;
+constexpr std::int64_t defaultAnswerTokens = 256;
+constexpr std::int64_t mostAnswerTokens = 1'000'000;
+constexpr std::int64_t mostDeadlineMillis = 24LL * 3600 * 1000;
+constexpr std::size_t longestIdempotencyKey = 255;
+// A plain-service call generates no tokens, but is metered all the same.
+constexpr Tokens serviceCallTokens{1};
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+
+Refusal badRequest(const std::string &message)
+{
+    return {statusBadRequest, "invalid_request", message, RunState::NotRun, {}};
+}
+
+bool isOwnHeader(const std::string &name)
+{
+    static const char *const names[] = {"Authorization", "X-Api-Key",    "REMOTE_ADDR",
+                                        "REMOTE_PORT",   "LOCAL_ADDR",   "LOCAL_PORT",
+                                        "X-Request-Id",  "X-Attempt-Id", "Quetzalyoke-Deadline-Ms"};
+    return std::any_of(std::begin(names), std::end(names),
+                       [&name](const char *it) { return strcasecmp(it, name.c_str()) == 0; });
+}
+
+std::vector<wire::Header> forwardedHeaders(const httplib::Request &req)
+{
+    std::vector<wire::Header> headers;
+    for (const auto &[name, value] : req.headers) {
+        if (isOwnHeader(name) || KeyText::occursIn(value))
+            continue;
+        wire::Header header;
+        header.name = name;
+        header.value = value;
+        headers.push_back(header);
+    }
+    return headers;
+}
+
+bool keyOccursOutsideHeaders(const httplib::Request &req)
+{
+    const bool inQuery = std::any_of(req.params.begin(), req.params.end(), [](const auto &it) {
+        return KeyText::occursIn(it.first) || KeyText::occursIn(it.second);
+    });
+    return inQuery || KeyText::occursIn(req.target) || KeyText::occursIn(req.path)
+        || KeyText::occursIn(req.body);
+}
+
+// Backend servers resolve "." and ".." in different ways, which would let a path pass for an
+// open or an idempotent one that it is not.
+bool hasDotSegments(const std::string &path)
+{
+    const std::string whole = path + "/";
+    return whole.find("/../") != std::string::npos || whole.find("/./") != std::string::npos;
+}
+
+std::optional<std::int64_t> wholeNumber(const std::string &text, std::int64_t most)
+{
+    std::int64_t n = 0;
+    const char *end = text.data() + text.size();
+    const auto [last, ec] = std::from_chars(text.data(), end, n);
+    if (ec != std::errc() || last != end || n < 1 || n > most)
+        return std::nullopt;
+    return n;
+}
+
+// The most tokens that the caller wants, or nothing where the body's limit is no such number.
+std::optional<Tokens> answerLimit(const Json &body)
+{
+    for (const char *name : {"max_completion_tokens", "max_tokens"}) {
+        const auto it = body.find(name);
+        if (it == body.end() || it->is_null())
+            continue;
+        if (!it->is_number_integer())
+            return std::nullopt;
+        const auto n = it->get<std::int64_t>();
+        if (n < 1 || n > mostAnswerTokens)
+            return std::nullopt;
+        return Tokens(n);
+    }
+    return Tokens(defaultAnswerTokens);
+}
+
+} // namespace
+
+RequestReader::RequestReader(const GatewaySettings &settings) : m_settings(settings) { }
+
+std::string RequestReader::presentedKey(const httplib::Request &req)
+{
+    static const std::string bearer = "Bearer ";
+    const std::string authorization = req.get_header_value("Authorization");
+    if (authorization.starts_with(bearer))
+        return authorization.substr(bearer.size());
+    return req.get_header_value("X-Api-Key");
+}
+
+RequestReader::Result RequestReader::readCommon(const httplib::Request &req,
+                                                const AccountId &account) const
+{
+    if (keyOccursOutsideHeaders(req))
+        return badRequest("send the key in the Authorization header only");
+    if (hasDotSegments(req.path))
+        return badRequest("the path may not hold \".\" or \"..\" segments");
+    Call call;
+    call.id = RequestId(m_settings.instance.text() + "-" + randomHex(requestIdBytes));
+    call.account = account;
+    call.method = req.method;
+    call.headers = forwardedHeaders(req);
+    call.body = req.body;
+    call.idempotencyKey = req.get_header_value("Idempotency-Key");
+    if (call.idempotencyKey.size() > longestIdempotencyKey)
+        return badRequest("the Idempotency-Key may have 255 characters at the most");
+    call.deadline = Process::now() + m_settings.defaultDeadline;
+    if (req.has_header("Quetzalyoke-Deadline-Ms")) {
+        const auto millis
+            = wholeNumber(req.get_header_value("Quetzalyoke-Deadline-Ms"), mostDeadlineMillis);
+        if (!millis)
+            return badRequest("Quetzalyoke-Deadline-Ms must be a whole number of milliseconds");
+        call.deadline = Process::now() + std::chrono::milliseconds(*millis);
+    }
+    return call;
+}
+
+RequestReader::Result RequestReader::readCompletion(const httplib::Request &req,
+                                                    const ServiceList &list,
+                                                    const AccountId &account) const
+{
+    const Json body = Json::parse(req.body, nullptr, false);
+    if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
+        return badRequest("the body must be a JSON object with a \"model\"");
+    if (body.contains("stream") && !body["stream"].is_boolean())
+        return badRequest("\"stream\" must be true or false");
+    const auto limit = answerLimit(body);
+    if (!limit)
+        return badRequest("max_tokens must be a whole number from 1 to 1000000");
+    Result result = readCommon(req, account);
+    auto *call = std::get_if<Call>(&result);
+    if (!call)
+        return result;
+    const std::string name = body["model"];
+    const auto adapter = list.adapters.find(AdapterName(name));
+    if (adapter != list.adapters.end()) {
+        call->target = adapter->second.base.text();
+        call->adapter = name;
+    } else if (list.models.contains(ModelName(name))) {
+        call->target = name;
+    } else {
+        return Refusal{statusNotFound,
+                       "unknown_model",
+                       "no model named \"" + name + "\" is listed; see /v1/models",
+                       RunState::NotRun,
+                       {}};
+    }
+    call->path = req.path;
+    call->estimate = {estimatePromptTokens(req.body.size()), *limit, body.value("stream", false)};
+    call->fingerprint = Fingerprint(sha256Hex(account.text() + '\n' + req.path + '\n' + req.body));
+    return result;
+}
+
+RequestReader::Result RequestReader::readServiceCall(const httplib::Request &req,
+                                                     const ServiceList &list,
+                                                     const AccountId &account) const
+{
+    const std::string rest = req.path.substr(servicePrefix.size());
+    const std::string name = rest.substr(0, rest.find('/'));
+    const auto service = list.services.find(ServiceName(name));
+    // The name as it was sent must be plain too, since the rest of the target is passed on.
+    const std::string prefix = std::string(servicePrefix) + name;
+    if (service == list.services.end() || !req.target.starts_with(prefix)) {
+        return Refusal{statusNotFound,
+                       "unknown_service",
+                       "no service named \"" + name + "\" is listed",
+                       RunState::NotRun,
+                       {}};
+    }
+    Result result = readCommon(req, account);
+    auto *call = std::get_if<Call>(&result);
+    if (!call)
+        return result;
+    call->target = name;
+    call->model = false;
+    call->path = req.target.substr(prefix.size());
+    if (!call->path.starts_with('/'))
+        call->path.insert(0, "/");
+    std::string plainPath = rest.substr(name.size());
+    if (plainPath.empty())
+        plainPath = "/";
+    const auto &patterns = service->second.nonIdempotent;
+    call->idempotent = std::none_of(patterns.begin(), patterns.end(), [&](const CallPattern &it) {
+        return it.matches(req.method, plainPath);
+    });
+    call->estimate = {Tokens(), serviceCallTokens, false};
+    call->fingerprint = Fingerprint(
+        sha256Hex(account.text() + '\n' + req.method + '\n' + req.target + '\n' + req.body));
+    return result;
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -21,6 +21,17 @@
 
 constexpr std::chrono::milliseconds drainPoll{20};
 
+// Lets every account have everything.
+class NoAccountLimits : public AccountLimits
+{
+public:
+    std::optional<Refusal> admit(const AccountId &, const TokenEstimate &, Instant) override
+    {
+        return std::nullopt;
+    }
+    Duration charge(const AccountId &, Tokens, Instant) override { return Duration::zero(); }
+};
+
 void waitUntilIdle(const CallerApi &callers, std::chrono::milliseconds limit)
 {
     const Instant end = Process::now() + limit;
@@ -28,23 +39,33 @@
         std::this_thread::sleep_for(drainPoll);
 }
 
+void waitForGrace(std::chrono::milliseconds grace)
+{
+    const Instant end = Process::now() + grace;
+    while (Process::now() < end && !Process::stopForced())
+        std::this_thread::sleep_for(drainPoll);
+}
+
 int serve(const GatewaySettings &settings)
 {
     HttpPlatform platform(settings.platform, settings.platformTimeout);
     SharedState state(settings.freshness);
     Fleet fleet(settings);
-    Relay relay(settings, fleet);
+    CrashWatch crashes;
+    Relay relay(settings, fleet, crashes);
+    IdempotencyStore idempotency(platform, fleet);
+    NoAccountLimits limits;
     StateSync sync(settings, platform, state);
-    CallerApi callers(settings, state, relay);
+    CallerApi callers(settings, state, relay, limits, idempotency);
     OpenChangeGate gate;
     OperatorApi operators(settings, platform, state, sync, fleet, gate);
 
-    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet),
+    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet, crashes),
                       settings.doorConnections);
-    HttpServerLimits limits;
-    limits.connections = settings.connections;
-    limits.bodyBytes = settings.bodyBytes;
-    HttpServer http(limits);
+    HttpServerLimits httpLimits;
+    httpLimits.connections = settings.connections;
+    httpLimits.bodyBytes = settings.bodyBytes;
+    HttpServer http(httpLimits);
     callers.addRoutes(http.routes());
     operators.addRoutes(http.routes());
     http.addHealthRoutes([&] {
@@ -60,11 +81,15 @@
 
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
+    // Not ready at once, but requests are served until callers' balancer has noticed.
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
+    waitForGrace(settings.stopGrace);
+    callers.stopAccepting();
     waitUntilIdle(callers, settings.drainLimit);
     http.stop();
     door.stop();
     sync.stop();
+    idempotency.stop();
     LOG(INFO) << "event=stopped";
     return 0;
 }
--- /dev/null
+++ b/src/Core/KeyText.cpp
@@ -0,0 +1,47 @@
+#include "Core/KeyText.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::string_view mark = "qy_";
+constexpr std::size_t idLength = 2 * KeyText::idBytes;
+constexpr std::size_t secretLength = 2 * KeyText::secretBytes;
+constexpr std::size_t textLength = mark.size() + idLength + 1 + secretLength;
+
+bool isHex(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+}
+
+} // namespace
+
+std::string KeyText::text() const
+{
+    return std::string(mark) + id.text() + "_" + secret;
+}
+
+std::optional<KeyText> KeyText::parse(std::string_view text)
+{
+    if (text.size() != textLength || !text.starts_with(mark))
+        return std::nullopt;
+    const std::string_view id = text.substr(mark.size(), idLength);
+    const std::string_view secret = text.substr(textLength - secretLength);
+    if (text[mark.size() + idLength] != '_' || !isHex(id) || !isHex(secret))
+        return std::nullopt;
+    return KeyText{KeyId(std::string(id)), std::string(secret)};
+}
+
+bool KeyText::occursIn(std::string_view text)
+{
+    for (auto at = text.find(mark); at != std::string_view::npos; at = text.find(mark, at + 1)) {
+        if (parse(text.substr(at, textLength)))
+            return true;
+    }
+    return false;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Core/SpentAttempts.h
@@ -0,0 +1,41 @@
+#ifndef QUETZALYOKE_CORE_SPENTATTEMPTS_H
+#define QUETZALYOKE_CORE_SPENTATTEMPTS_H
+
+#include "Core/StrongTypes.h"
+
+#include <deque>
+#include <unordered_set>
+#include <utility>
+
+namespace quetzalyoke {
+
+/// \brief Ids of attempts that must not start any more, however late their submission arrives.
+class SpentAttempts
+{
+public:
+    /// Ids are kept for \a memory, and at most \a limit of them.
+    SpentAttempts(Duration memory, std::size_t limit) : m_memory(memory), m_limit(limit) { }
+
+    void add(const AttemptId &id, Instant now)
+    {
+        if (m_ids.insert(id).second)
+            m_order.emplace_back(now, id);
+        while (!m_order.empty()
+               && (m_order.size() > m_limit || m_order.front().first + m_memory < now)) {
+            m_ids.erase(m_order.front().second);
+            m_order.pop_front();
+        }
+    }
+
+    bool contains(const AttemptId &id) const { return m_ids.contains(id); }
+
+private:
+    const Duration m_memory;
+    const std::size_t m_limit;
+    std::unordered_set<AttemptId> m_ids;
+    std::deque<std::pair<Instant, AttemptId>> m_order; // oldest first
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Wire/quetzalyoke.thrift
+++ b/src/Wire/quetzalyoke.thrift
@@ -26,7 +26,8 @@
     BackendCrashed = 7,
     Cancelled = 8,
     ModelNotReady = 9,
-    FingerprintMismatch = 10,
+    RequestCrashesServers = 10,
+    AgentRestarted = 11,
 }
 
 struct Header {
@@ -53,6 +54,8 @@
     15: i64 configurationVersion,
     16: bool model,              // model request (engine) or plain service call
     17: HybridTime clock,
+    18: i64 agentIncarnation,    // that the attempt was meant for
+    19: bool runAlone,           // with no other attempt on the backend server
 }
 
 // What is known of an attempt from a byte offset on.
@@ -74,6 +77,13 @@
     15: i64 load,                // queued and running attempts, piggybacked
     16: HybridTime clock,
     17: i64 incarnation,         // of the agent
+    18: string incident,         // id of the crash that ended the attempt
+}
+
+// A request that was in flight when backend servers crashed.
+struct Suspicion {
+    1: string fingerprint,
+    2: list<string> incidents,   // one id for each crash, the same at every instance
 }
 
 struct ModelState {
@@ -101,7 +111,7 @@
     14: i64 configurationVersion,
     15: i64 capacity,            // attempts the backend server runs at once
     16: i64 planVersion,
-    17: list<string> suspects,   // fingerprints seen in flight at a crash
+    17: list<Suspicion> suspicions,
     18: HybridTime clock,
 }
 
@@ -110,7 +120,6 @@
     2: string configuration,     // the service list, when newer than the report's version
     3: i64 planVersion,
     4: list<ModelState> wanted,  // models and adapters this server should hold, when plan is newer
-    5: list<string> quarantined, // fingerprints that must not run any more
     6: HybridTime clock,
 }
 
@@ -123,7 +132,7 @@
     5: i64 tableReadAgeMillis,   // since the start of the last successful read
     6: i64 membershipEpoch,
     7: list<AgentReport> agents,
-    8: list<string> quarantined,
+    8: list<Suspicion> suspicions,
     9: bool leaving,
     10: HybridTime clock,
 }
@@ -154,7 +163,8 @@
 service Agent extends FleetMember {
     Progress submit(1: Submission submission, 2: i64 waitMillis),
     Progress fetch(1: string attemptId, 2: i64 offset, 3: i64 waitMillis),
-    void cancel(1: string attemptId),
+    // Says whether the attempt had started; one that had not never will.
+    RunState cancel(1: string attemptId),
 }
 
 service Gateway extends FleetMember {
