Batch, cache, lag and fail in the engine stand-in

The engine stand-in slept for each stream on its own, so its speed did not depend on its load, and nothing could be made to go wrong with it.

One loop now steps all running sequences (base time, time for each sequence, prefill for each uncached prompt token), the batch is bounded with a queue by X-Priority, prompt prefixes are cached in limited memory, load reports lag, cache events come late and with gaps, answers can be cancelled and resumed, and POST /faults loses, delays, duplicates and reorders orders and delays and cuts answers. Words are a hash of model and prompt with an index, so that a test can tell whose answer it holds. A load that was unloaded while it ran no longer becomes ready. The weight store is asked by GET /weights/NAME?kind=model|adapter where weight_store is set.

--- /dev/null
+++ b/src/StandIns/Engine/Batch.h
@@ -0,0 +1,65 @@
+#ifndef QUETZALYOKE_STANDINS_ENGINE_BATCH_H
+#define QUETZALYOKE_STANDINS_ENGINE_BATCH_H
+
+#include "StandIns/Engine/EngineSettings.h"
+#include "StandIns/Engine/PrefixCache.h"
+#include "StandIns/Engine/Sequence.h"
+
+#include <condition_variable>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace quetzalyoke::standins {
+
+/// \brief Continuous batching: one loop steps all running sequences by one word each.
+///
+/// Lock order: the batch's lock before a sequence's.
+class Batch
+{
+public:
+    explicit Batch(const EngineSettings &settings);
+    ~Batch();
+    Batch(const Batch &) = delete;
+    Batch &operator=(const Batch &) = delete;
+
+    void add(const std::shared_ptr<Sequence> &sequence);
+    /// Cancels every sequence whose request or attempt id is \a id.
+    void cancel(const std::string &id);
+
+    struct Load
+    {
+        std::size_t running = 0;
+        std::size_t queued = 0;
+    };
+    Load load() const;
+    /// One JSON object a line for each request that started to run.
+    std::string record() const;
+    std::vector<CacheEvent> cacheEvents(std::int64_t after, Instant before) const;
+
+private:
+    using SequenceList = std::list<std::shared_ptr<Sequence>>;
+
+    void work();
+    void admitLocked();
+    void startLocked(const std::shared_ptr<Sequence> &sequence);
+    std::int64_t prefillLocked();
+    void stepLocked();
+
+    const EngineSettings m_settings;
+    mutable std::mutex m_mutex; // of the members below
+    std::condition_variable m_available;
+    SequenceList m_waiting; // by priority, then arrival
+    SequenceList m_running;
+    SequenceList m_started; // for the record
+    PrefixCache m_cache;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace quetzalyoke::standins
+
+#endif
--- a/src/StandIns/Engine/Engine.cpp
+++ b/src/StandIns/Engine/Engine.cpp
@@ -1,9 +1,11 @@
 #include "StandIns/Engine/Engine.h"
 
+#include "Adapters/Process.h"
+#include "StandIns/Engine/Answer.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <memory>
 #include <thread>
 
 namespace quetzalyoke::standins {
@@ -12,7 +14,7 @@
 
 using Json = nlohmann::json;
 
-constexpr int defaultAnswerTokens = 16;
+constexpr std::int64_t defaultAnswerTokens = 16;
 
 void answer(httplib::Response &res, int status, const Json &body)
 {
@@ -25,191 +27,153 @@
     return {{"error", {{"message", message}, {"type", "engine_error"}}}};
 }
 
-std::string word(int i)
+std::string messageFor(int status)
 {
-    return "token" + std::to_string(i) + " ";
+    if (status == 412)
+        return "fencing number is old";
+    if (status == 507)
+        return "out of memory";
+    return "the weight store gave no weights";
 }
 
-Json chunkBody(const std::string &model, bool chat, const std::string &text)
+Json recordFor(const httplib::Request &req, const std::string &model)
 {
-    Json choice{{"index", 0}, {"finish_reason", nullptr}};
-    if (chat)
-        choice["delta"] = {{"content", text}};
-    else
-        choice["text"] = text;
-    return {{"object", chat ? "chat.completion.chunk" : "text_completion"},
+    Json headers = Json::object();
+    for (const auto &[name, value] : req.headers)
+        headers[name] = value;
+    return {{"request", req.get_header_value("X-Request-Id")},
+            {"attempt", req.get_header_value("X-Attempt-Id")},
             {"model", model},
-            {"choices", Json::array({choice})}};
+            {"target", req.target},
+            {"headers", headers}};
 }
 
-Json wholeBody(const std::string &model, bool chat, const std::string &text, int tokens)
+int priorityOf(const httplib::Request &req)
 {
-    Json choice{{"index", 0}, {"finish_reason", "stop"}};
-    if (chat)
-        choice["message"] = {{"role", "assistant"}, {"content", text}};
-    else
-        choice["text"] = text;
-    return {{"object", chat ? "chat.completion" : "text_completion"},
-            {"model", model},
-            {"choices", Json::array({choice})},
-            {"usage", {{"prompt_tokens", 1}, {"completion_tokens", tokens}}}};
+    return std::atoi(req.get_header_value("X-Priority").c_str());
 }
 
 } // namespace
 
-Engine::Engine(const EngineSettings &settings) : m_settings(settings) { }
+Engine::Engine(const EngineSettings &settings)
+    : m_settings(settings), m_memory(settings), m_batch(settings)
+{ }
 
 void Engine::addRoutes(httplib::Server &server)
 {
+    const auto bind
+        = [this](void (Engine::*method)(const httplib::Request &, httplib::Response &)) {
+              return [this, method](const auto &req, auto &res) { (this->*method)(req, res); };
+          };
     server.Post("/v1/chat/completions",
                 [this](const auto &req, auto &res) { complete(req, res, true); });
     server.Post("/v1/completions",
                 [this](const auto &req, auto &res) { complete(req, res, false); });
-    server.Post("/orders", [this](const auto &req, auto &res) { order(req, res); });
-    server.Get("/load", [this](const auto &req, auto &res) { report(req, res); });
-    server.Get("/record", [this](const auto &req, auto &res) { record(req, res); });
+    server.Post("/orders", bind(&Engine::order));
+    server.Post("/cancel", bind(&Engine::cancel));
+    server.Get("/load", bind(&Engine::report));
+    server.Get("/cache-events", bind(&Engine::cacheEvents));
+    server.Post("/faults", bind(&Engine::setFaults));
+    server.Get("/record", [this](const auto &, auto &res) {
+        res.set_content(m_batch.record(), "application/x-ndjson");
+    });
 }
 
 void Engine::complete(const httplib::Request &req, httplib::Response &res, bool chat)
 {
     const Json body = Json::parse(req.body, nullptr, false);
-    if (body.is_discarded() || !body.contains("model"))
+    if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
         return answer(res, 400, errorBody("body is no JSON object with a model"));
     const std::string model = body["model"];
-    if (!isHeld(model))
+    if (!m_memory.isReady(model))
         return answer(res, 404, errorBody("model " + model + " is not loaded"));
-    const int tokens = body.value("max_tokens", defaultAnswerTokens);
-    Json headers = Json::object();
-    for (const auto &[name, value] : req.headers)
-        headers[name] = value;
-    {
-        const std::lock_guard lock(m_mutex);
-        ++m_running;
-        m_record.push_back(Json{
-            {"request", req.get_header_value("X-Request-Id")},
-            {"model", model},
-            {"target", req.target},
-            {"headers",
-             headers}}.dump());
-    }
-    const auto finished = [this](bool) {
-        const std::lock_guard lock(m_mutex);
-        --m_running;
-    };
-    if (!body.value("stream", false)) {
-        std::string text;
-        for (int i = 0; i < tokens; ++i)
-            text += word(i);
-        std::this_thread::sleep_for(m_settings.stepTime * tokens);
-        finished(true);
-        return answer(res, 200, wholeBody(model, chat, text, tokens));
-    }
-    auto sent = std::make_shared<int>(0);
-    res.set_chunked_content_provider(
-        "text/event-stream",
-        [this, sent, tokens, model, chat](size_t, httplib::DataSink &sink) {
-            if (*sent == tokens) {
-                static const std::string end = "data: [DONE]\n\n";
-                sink.write(end.data(), end.size());
-                sink.done();
-                return true;
-            }
-            std::this_thread::sleep_for(m_settings.stepTime);
-            const std::string event
-                = "data: " + chunkBody(model, chat, word((*sent)++)).dump() + "\n\n";
-            return sink.write(event.data(), event.size());
-        },
-        finished);
+    std::this_thread::sleep_for(m_faults.answerDelay());
+    Answer::Form form;
+    form.chat = chat;
+    form.stream = body.value("stream", false);
+    form.cut = m_faults.takeCutAnswer();
+    form.lastWord = body.value("max_tokens", defaultAnswerTokens);
+    // A resumed answer goes on after the words that its caller has.
+    form.firstWord = std::clamp<std::int64_t>(body.value("resume_from_token", 0), 0, form.lastWord);
+    auto sequence = std::make_shared<Sequence>(Prompt(model, body), form.firstWord, form.lastWord);
+    sequence->priority = priorityOf(req);
+    sequence->crashesEngine = body.value("crash_engine", false);
+    sequence->record = recordFor(req, model);
+    m_batch.add(sequence);
+    Answer::send(std::make_shared<Answer>(sequence, form), res);
 }
 
 void Engine::order(const httplib::Request &req, httplib::Response &res)
 {
     const Json body = Json::parse(req.body, nullptr, false);
-    if (body.is_discarded())
-        return answer(res, 400, errorBody("order is no JSON"));
-    const std::string name = body.value("name", "");
-    {
-        const std::lock_guard lock(m_mutex);
-        const std::int64_t fencing = body.value("fencing", std::int64_t(0));
-        if (m_settings.checksFencing && fencing < m_fencing)
-            return answer(res, 412, errorBody("fencing number is old"));
-        m_fencing = std::max(m_fencing, fencing);
+    if (!body.is_object())
+        return answer(res, 400, errorBody("order is no JSON object"));
+    const EngineOrder order = EngineOrder::fromJson(body);
+    if (m_faults.takeLostOrder()) {
+        res.set_content_provider(1, "application/json",
+                                 [](size_t, size_t, httplib::DataSink &) { return false; });
+        return;
     }
-    if (body.value("order", "") == "unload") {
-        const std::lock_guard lock(m_mutex);
-        const auto it = m_holdings.find(name);
-        if (it != m_holdings.end()) {
-            m_used -= it->second.memory;
-            m_holdings.erase(it);
-        }
-        return answer(res, 200, Json::object());
-    }
-    Holding holding;
-    holding.version = body.value("version", "");
-    holding.memory = Megabytes(body.value("memory_mb", std::int64_t(0)));
-    holding.adapter = body.value("adapter", false);
-    const int status = load(name, holding);
-    answer(res, status, status == 200 ? Json::object() : errorBody("out of memory"));
+    const bool twice = m_faults.takeDuplicatedOrder();
+    std::this_thread::sleep_for(m_faults.orderDelay());
+    m_faults.waitForTurn();
+    const int status = m_memory.carryOut(order);
+    if (twice)
+        m_memory.carryOut(order);
+    m_faults.orderDone();
+    answer(res, status, status == 200 ? Json::object() : errorBody(messageFor(status)));
 }
 
-int Engine::load(const std::string &name, const Holding &holding)
+void Engine::cancel(const httplib::Request &req, httplib::Response &res)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto it = m_holdings.find(name);
-        if (it != m_holdings.end() && it->second.version == holding.version)
-            return 200;
-        if (m_used + holding.memory > m_settings.memory) {
-            m_overcommitted = true;
-            return 507;
-        }
-        if (it != m_holdings.end())
-            m_used -= it->second.memory;
-        m_used += holding.memory;
-        m_peak = std::max(m_peak, m_used);
-        m_holdings[name] = holding;
-    }
-    std::this_thread::sleep_for(holding.adapter ? m_settings.adapterLoadTime : m_settings.loadTime);
-    const std::lock_guard lock(m_mutex);
-    m_holdings[name].ready = true;
-    return 200;
+    const Json body = Json::parse(req.body, nullptr, false);
+    if (!body.is_object())
+        return answer(res, 400, errorBody("body is no JSON object with a request or an attempt"));
+    m_batch.cancel(body.value("attempt", body.value("request", "")));
+    answer(res, 200, Json::object());
+}
+
+std::chrono::microseconds Engine::lag() const
+{
+    return std::max<std::chrono::microseconds>(m_settings.scaled(m_settings.reportLag),
+                                               m_faults.reportLag());
 }
 
+// The counts lag as the settings say; the holdings only where a fault makes the report late.
 void Engine::report(const httplib::Request &, httplib::Response &res)
 {
+    Json body = m_memory.report(m_faults.reportLag());
+    const Instant now = Process::now();
     const std::lock_guard lock(m_mutex);
-    Json holdings = Json::array();
-    for (const auto &[name, it] : m_holdings) {
-        holdings.push_back({{"name", name},
-                            {"version", it.version},
-                            {"memory_mb", it.memory.count()},
-                            {"adapter", it.adapter},
-                            {"ready", it.ready}});
-    }
-    answer(res, 200,
-           {{"holdings", holdings},
-            {"running", m_running},
-            {"memory_mb", m_settings.memory.count()},
-            {"used_mb", m_used.count()},
-            {"peak_mb", m_peak.count()},
-            {"overcommitted", m_overcommitted},
-            {"fencing", m_fencing}});
+    m_loads.put(m_batch.load(), now);
+    const Batch::Load load = m_loads.at(now - lag());
+    body["running"] = load.running;
+    body["queued"] = load.queued;
+    answer(res, 200, body);
 }
 
-void Engine::record(const httplib::Request &, httplib::Response &res)
+void Engine::cacheEvents(const httplib::Request &req, httplib::Response &res)
 {
-    const std::lock_guard lock(m_mutex);
-    std::string body;
-    for (const std::string &it : m_record)
-        body += it + "\n";
-    res.set_content(body, "application/x-ndjson");
+    const std::int64_t after = std::atoll(req.get_param_value("after").c_str());
+    const Instant before = Process::now() - m_settings.scaled(m_settings.cacheEventLag);
+    Json events = Json::array();
+    for (const CacheEvent &it : m_batch.cacheEvents(after, before)) {
+        if (m_settings.cacheEventGap > 0 && it.sequence % m_settings.cacheEventGap == 0)
+            continue;
+        events.push_back({{"sequence", it.sequence},
+                          {"block", std::to_string(it.block)},
+                          {"event", it.stored ? "stored" : "evicted"}});
+    }
+    answer(res, 200, {{"events", events}});
 }
 
-bool Engine::isHeld(const std::string &model)
+void Engine::setFaults(const httplib::Request &req, httplib::Response &res)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto it = m_holdings.find(model);
-    return it != m_holdings.end() && it->second.ready;
+    const Json body = Json::parse(req.body, nullptr, false);
+    if (!body.is_object())
+        return answer(res, 400, errorBody("faults are no JSON object"));
+    m_faults.set(body);
+    res.status = 204;
 }
 
 } // namespace quetzalyoke::standins
--- a/src/StandIns/Engine/Engine.h
+++ b/src/StandIns/Engine/Engine.h
@@ -1,31 +1,23 @@
 #ifndef QUETZALYOKE_STANDINS_ENGINE_ENGINE_H
 #define QUETZALYOKE_STANDINS_ENGINE_ENGINE_H
 
-#include "Core/StrongTypes.h"
+#include "StandIns/Engine/Batch.h"
+#include "StandIns/Engine/EngineMemory.h"
+#include "StandIns/Engine/EngineSettings.h"
+#include "StandIns/Engine/Lagged.h"
+#include "StandIns/Engine/OrderFaults.h"
 
 #include <httplib.h>
 
-#include <chrono>
-#include <map>
+#include <memory>
 #include <mutex>
-#include <string>
-#include <vector>
 
 namespace quetzalyoke::standins {
 
-/// \brief Sizes and speeds of the engine stand-in.
-struct EngineSettings
-{
-    Megabytes memory;
-    std::chrono::milliseconds stepTime{5}; ///< Between two tokens.
-    std::chrono::milliseconds loadTime{50}; ///< Of a model.
-    std::chrono::milliseconds adapterLoadTime{7};
-    bool checksFencing = true; ///< Refuses orders with an old fencing number.
-};
-
 /// \brief A model engine's HTTP face with invented answers.
 ///
-/// Completions, load orders, a load report, and a record of everything it ran.
+/// Completions, load orders, cancellation, a load report, cache events, faults, and a record of
+/// everything that it ran.
 class Engine
 {
 public:
@@ -34,30 +26,20 @@
     void addRoutes(httplib::Server &server);
 
 private:
-    struct Holding
-    {
-        std::string version;
-        Megabytes memory;
-        bool adapter = false;
-        bool ready = false;
-    };
-
     void complete(const httplib::Request &req, httplib::Response &res, bool chat);
     void order(const httplib::Request &req, httplib::Response &res);
+    void cancel(const httplib::Request &req, httplib::Response &res);
     void report(const httplib::Request &req, httplib::Response &res);
-    void record(const httplib::Request &req, httplib::Response &res);
-    bool isHeld(const std::string &model);
-    int load(const std::string &name, const Holding &holding);
-
-    EngineSettings m_settings;
-    std::mutex m_mutex; // of the members below
-    std::map<std::string, Holding> m_holdings;
-    Megabytes m_used;
-    std::int64_t m_fencing = 0;
-    std::int64_t m_running = 0;
-    Megabytes m_peak;
-    bool m_overcommitted = false;
-    std::vector<std::string> m_record; // one JSON object an entry
+    void cacheEvents(const httplib::Request &req, httplib::Response &res);
+    void setFaults(const httplib::Request &req, httplib::Response &res);
+    std::chrono::microseconds lag() const;
+
+    const EngineSettings m_settings;
+    EngineMemory m_memory;
+    Batch m_batch;
+    OrderFaults m_faults;
+    std::mutex m_mutex; // of the member below
+    Lagged<Batch::Load> m_loads;
 };
 
 } // namespace quetzalyoke::standins
--- /dev/null
+++ b/src/StandIns/Engine/EngineMemory.cpp
@@ -0,0 +1,159 @@
+#include "StandIns/Engine/EngineMemory.h"
+
+#include "Adapters/Process.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace quetzalyoke::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int carriedOut = 200;
+constexpr int oldFencing = 412;
+constexpr int storeFailed = 503;
+constexpr int outOfMemory = 507;
+constexpr std::chrono::seconds storeTimeout{600};
+
+} // namespace
+
+EngineOrder EngineOrder::fromJson(const Json &body)
+{
+    EngineOrder order;
+    order.unload = body.value("order", "") == "unload";
+    order.name = body.value("name", "");
+    order.version = body.value("version", "");
+    order.memory = Megabytes(body.value("memory_mb", std::int64_t(0)));
+    order.adapter = body.value("adapter", false);
+    order.fencing = body.value("fencing", std::int64_t(0));
+    return order;
+}
+
+EngineMemory::EngineMemory(const EngineSettings &settings) : m_settings(settings)
+{
+    rememberLocked();
+}
+
+int EngineMemory::carryOut(const EngineOrder &order)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_settings.checksFencing && order.fencing < m_fencing)
+            return oldFencing;
+        m_fencing = std::max(m_fencing, order.fencing);
+        if (order.unload) {
+            unloadLocked(order.name);
+            return carriedOut;
+        }
+    }
+    return load(order);
+}
+
+bool EngineMemory::isReady(const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_holdings.find(name);
+    return it != m_holdings.end() && it->second.ready;
+}
+
+Json EngineMemory::report(std::chrono::microseconds lag) const
+{
+    const std::lock_guard lock(m_mutex);
+    return {{"holdings", m_history.at(Process::now() - lag)},
+            {"memory_mb", m_settings.memory.count()},
+            {"used_mb", m_used.count()},
+            {"peak_mb", m_peak.count()},
+            {"overcommitted", m_overcommitted},
+            {"fencing", m_fencing},
+            {"model_loads", m_modelLoads},
+            {"adapter_loads", m_adapterLoads}};
+}
+
+int EngineMemory::load(const EngineOrder &order)
+{
+    int status = carriedOut;
+    std::int64_t generation = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        generation = reserveLocked(order, status);
+    }
+    if (generation == 0)
+        return status;
+    const bool fetched = fetchWeights(order);
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_holdings.find(order.name);
+    // Unloaded or loaded anew in the meantime.
+    if (it == m_holdings.end() || it->second.generation != generation)
+        return carriedOut;
+    if (!fetched) {
+        unloadLocked(order.name);
+        return storeFailed;
+    }
+    it->second.ready = true;
+    rememberLocked();
+    return carriedOut;
+}
+
+std::int64_t EngineMemory::reserveLocked(const EngineOrder &order, int &status)
+{
+    const auto it = m_holdings.find(order.name);
+    if (it != m_holdings.end() && it->second.order.version == order.version)
+        return 0;
+    if (m_used + order.memory > m_settings.memory) {
+        m_overcommitted = true;
+        status = outOfMemory;
+        return 0;
+    }
+    m_peak = std::max(m_peak, m_used + order.memory);
+    if (it != m_holdings.end())
+        m_used -= it->second.order.memory;
+    m_used += order.memory;
+    ++(order.adapter ? m_adapterLoads : m_modelLoads);
+    m_holdings[order.name] = {order, false, ++m_generation};
+    rememberLocked();
+    return m_generation;
+}
+
+void EngineMemory::unloadLocked(const std::string &name)
+{
+    const auto it = m_holdings.find(name);
+    if (it == m_holdings.end())
+        return;
+    m_used -= it->second.order.memory;
+    m_holdings.erase(it);
+    rememberLocked();
+}
+
+bool EngineMemory::fetchWeights(const EngineOrder &order) const
+{
+    if (!m_settings.weightStore) {
+        const auto time = order.adapter ? m_settings.adapterLoadTime : m_settings.loadTime;
+        std::this_thread::sleep_for(m_settings.scaled(time));
+        return true;
+    }
+    httplib::Client client(m_settings.weightStore->host, m_settings.weightStore->port);
+    client.set_tcp_nodelay(true);
+    client.set_read_timeout(storeTimeout);
+    const std::string kind = order.adapter ? "adapter" : "model";
+    const auto result = client.Get("/weights/" + order.name + "?kind=" + kind);
+    return result && result->status == carriedOut;
+}
+
+void EngineMemory::rememberLocked()
+{
+    Json holdings = Json::array();
+    for (const auto &[name, it] : m_holdings) {
+        holdings.push_back({{"name", name},
+                            {"version", it.order.version},
+                            {"memory_mb", it.order.memory.count()},
+                            {"adapter", it.order.adapter},
+                            {"ready", it.ready}});
+    }
+    m_history.put(std::move(holdings), Process::now());
+}
+
+} // namespace quetzalyoke::standins
--- /dev/null
+++ b/src/StandIns/Engine/Lagged.h
@@ -0,0 +1,42 @@
+#ifndef QUETZALYOKE_STANDINS_ENGINE_LAGGED_H
+#define QUETZALYOKE_STANDINS_ENGINE_LAGGED_H
+
+#include "Core/StrongTypes.h"
+
+#include <deque>
+#include <utility>
+
+namespace quetzalyoke::standins {
+
+/// \brief Past values of something that is shown with a lag. Not thread-safe.
+template<typename Value>
+class Lagged
+{
+public:
+    void put(Value value, Instant now)
+    {
+        m_values.push_back({now, std::move(value)});
+        while (m_values.size() > kept)
+            m_values.pop_front();
+    }
+
+    /// The value that held at \a time, or the oldest one known.
+    Value at(Instant time) const
+    {
+        Value found = m_values.empty() ? Value() : m_values.front().second;
+        for (const auto &[since, value] : m_values) {
+            if (since <= time)
+                found = value;
+        }
+        return found;
+    }
+
+private:
+    static constexpr std::size_t kept = 4096;
+
+    std::deque<std::pair<Instant, Value>> m_values;
+};
+
+} // namespace quetzalyoke::standins
+
+#endif
--- /dev/null
+++ b/src/StandIns/Engine/Sequence.cpp
@@ -0,0 +1,44 @@
+#include "StandIns/Engine/Sequence.h"
+
+namespace quetzalyoke::standins {
+
+std::int64_t Sequence::waitForMore(std::int64_t sent, std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, wait, [&] { return m_made > sent || m_cancelled; });
+    return m_made;
+}
+
+void Sequence::advance()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_made;
+    m_changed.notify_all();
+}
+
+void Sequence::cancel()
+{
+    const std::lock_guard lock(m_mutex);
+    m_cancelled = true;
+    m_changed.notify_all();
+}
+
+bool Sequence::isCancelled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_cancelled;
+}
+
+bool Sequence::isWhole() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_made >= m_limit;
+}
+
+std::int64_t Sequence::words() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_made;
+}
+
+} // namespace quetzalyoke::standins
--- a/src/StandIns/Engine/main.cpp
+++ b/src/StandIns/Engine/main.cpp
@@ -11,11 +11,7 @@
         for (const IniSection &it : document.sections()) {
             EntryReader reader(document.file(), it, problems);
             settings = standins::StandInSettings::read(reader);
-            engineSettings.memory = Megabytes(reader.number("memory_mb", 1, 1'000'000, 80'000));
-            engineSettings.stepTime = reader.milliseconds("step_ms", 0, 10'000, 5);
-            engineSettings.loadTime = reader.milliseconds("load_ms", 0, 600'000, 50);
-            engineSettings.adapterLoadTime = reader.milliseconds("adapter_load_ms", 0, 60'000, 7);
-            engineSettings.checksFencing = reader.flag("checks_fencing", true);
+            engineSettings = standins::EngineSettings::read(reader);
             reader.finish();
         }
     };
--- /dev/null
+++ b/test/EngineStandInTest.cpp
@@ -0,0 +1,131 @@
+#include "StandIns/Engine/Batch.h"
+#include "StandIns/Engine/EngineMemory.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace quetzalyoke::standins;
+
+namespace {
+
+constexpr std::chrono::seconds patience{10};
+
+EngineSettings smallEngine()
+{
+    EngineSettings settings;
+    settings.memory = Megabytes(100);
+    settings.stepTime = std::chrono::milliseconds(1);
+    settings.loadTime = std::chrono::microseconds(0);
+    settings.prefillLimit = 64;
+    settings.batchLimit = 1;
+    settings.cacheBlocks = 8;
+    return settings;
+}
+
+std::shared_ptr<Sequence> sequenceOf(const std::string &prompt, int priority)
+{
+    const nlohmann::json body{{"prompt", prompt}};
+    auto sequence = std::make_shared<Sequence>(Prompt("quick-answer", body), 0, 3);
+    sequence->priority = priority;
+    sequence->record = {{"request", prompt}, {"attempt", prompt + "-1"}};
+    return sequence;
+}
+
+EngineOrder loadOrder(const std::string &name, std::int64_t memory, std::int64_t fencing)
+{
+    EngineOrder order;
+    order.name = name;
+    order.version = "1";
+    order.memory = Megabytes(memory);
+    order.fencing = fencing;
+    return order;
+}
+
+void waitUntilWhole(const Sequence &sequence)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!sequence.isWhole() && std::chrono::steady_clock::now() < end)
+        std::this_thread::yield();
+    ASSERT_TRUE(sequence.isWhole());
+}
+
+} // namespace
+
+TEST(EngineStandInTest, RunsWaitingRequestsByPriority)
+{
+    Batch batch(smallEngine());
+    const auto last = sequenceOf("last", 2);
+    batch.add(sequenceOf("first", 0));
+    batch.add(last);
+    batch.add(sequenceOf("urgent", 1));
+    waitUntilWhole(*last);
+    const std::string record = batch.record();
+    EXPECT_LT(record.find("\"urgent\""), record.find("\"last\""));
+}
+
+TEST(EngineStandInTest, RecordSaysWhetherARequestFinished)
+{
+    Batch batch(smallEngine());
+    const auto sequence = sequenceOf("whole", 0);
+    batch.add(sequence);
+    waitUntilWhole(*sequence);
+    const auto line = nlohmann::json::parse(batch.record());
+    EXPECT_EQ(line["finished"], true);
+    EXPECT_EQ(line["attempt"], "whole-1");
+}
+
+TEST(EngineStandInTest, CachesTheSharedPrefixOfPrompts)
+{
+    const std::string prefix(128, 'p');
+    const Prompt first("quick-answer", {{"prompt", prefix + std::string(64, 'a')}});
+    const Prompt second("quick-answer", {{"prompt", prefix + std::string(64, 'b')}});
+    PrefixCache cache(8);
+    EXPECT_EQ(cache.use(first.blocks(), Instant()), 0U);
+    EXPECT_EQ(cache.use(second.blocks(), Instant()), 2U);
+}
+
+TEST(EngineStandInTest, EvictsTheLeastRecentlyUsedBlock)
+{
+    PrefixCache cache(2);
+    cache.use({1}, Instant());
+    cache.use({2}, Instant());
+    cache.use({1}, Instant());
+    cache.use({3}, Instant());
+    EXPECT_EQ(cache.use({2}, Instant()), 0U);
+    const auto events = cache.events(0, Instant());
+    ASSERT_GE(events.size(), 4U);
+    EXPECT_FALSE(events[2].stored);
+    EXPECT_EQ(events[2].block, 2U);
+}
+
+TEST(EngineStandInTest, DerivesWordsFromModelAndPrompt)
+{
+    const Prompt prompt("quick-answer", {{"prompt", "hay"}});
+    const Prompt other("quick-answer", {{"prompt", "oats"}});
+    EXPECT_NE(prompt.word(0), other.word(0));
+    // FNV-1a of the empty text and of "a", as published.
+    EXPECT_EQ(hash32(""), 0x811c9dc5U);
+    EXPECT_EQ(hash32("a"), 0xe40c292cU);
+}
+
+TEST(EngineStandInTest, RefusesAndFlagsAnOrderBeyondItsMemory)
+{
+    EngineMemory memory(smallEngine());
+    EXPECT_EQ(memory.carryOut(loadOrder("a", 60, 1)), 200);
+    EXPECT_EQ(memory.report({})["overcommitted"], false);
+    EXPECT_EQ(memory.carryOut(loadOrder("b", 41, 1)), 507);
+    EXPECT_EQ(memory.report({})["overcommitted"], true);
+    EXPECT_EQ(memory.report({})["peak_mb"], 60);
+}
+
+TEST(EngineStandInTest, RefusesOldFencingOnlyWhereItIsChecked)
+{
+    EngineSettings settings = smallEngine();
+    EngineMemory checking(settings);
+    EXPECT_EQ(checking.carryOut(loadOrder("a", 1, 5)), 200);
+    EXPECT_EQ(checking.carryOut(loadOrder("b", 1, 4)), 412);
+    settings.checksFencing = false;
+    EngineMemory obeying(settings);
+    EXPECT_EQ(obeying.carryOut(loadOrder("a", 1, 5)), 200);
+    EXPECT_EQ(obeying.carryOut(loadOrder("b", 1, 4)), 200);
+}
