Add quetzalyoke-load, open and closed loop

There was no way to say how a fleet served a demand. quetzalyoke-load reads an experiment from an INI file (accounts, models and adapters by popularity, shared prompt prefixes, bursts, rises, timed events), draws all requests from a seed beforehand and sends each at its time; latency counts from the time it was due, so late starts are not hidden. It reports attainment in all, per accelerator and for the worst account, refusals by kind and those of requests within their account's rate by an exact bucket, percentiles, loads spent, and from the stand-ins' records what was lost, doubled or untruly refused.

--- /dev/null
+++ b/src/Apps/Load/Report.h
@@ -0,0 +1,25 @@
+#ifndef QUETZALYOKE_APPS_LOAD_REPORT_H
+#define QUETZALYOKE_APPS_LOAD_REPORT_H
+
+#include "Apps/Load/Experiment.h"
+#include "Apps/Load/Outcome.h"
+#include "Apps/Load/RunRecord.h"
+#include "Apps/Load/Schedule.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// Measures of an experiment from what was planned, seen by callers and run by the stand-ins.
+nlohmann::json makeReport(const Experiment &experiment, const std::vector<PlannedRequest> &requests,
+                          const std::vector<Outcome> &outcomes, const RunRecord &record);
+
+/// \a report in lines for people.
+std::string describeReport(const nlohmann::json &report);
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Load/RunRecord.cpp
@@ -0,0 +1,54 @@
+#include "Apps/Load/RunRecord.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+
+namespace quetzalyoke {
+
+namespace {
+
+using Json = nlohmann::json;
+
+void addRuns(RunRecord &record, const std::string &text)
+{
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        const Json json = Json::parse(line, nullptr, false);
+        if (json.is_object())
+            ++record.runs[json.value("request", "")];
+    }
+}
+
+void addLoads(RunRecord &record, const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return;
+    record.modelLoads += json.value("model_loads", 0);
+    record.adapterLoads += json.value("adapter_loads", 0);
+    record.overcommitted += json.value("overcommitted", false) ? 1 : 0;
+}
+
+} // namespace
+
+RunRecord RunRecord::collect(const std::vector<Address> &standIns)
+{
+    RunRecord record;
+    for (const Address &it : standIns) {
+        httplib::Client client(it.host, it.port);
+        const auto runs = client.Get("/record");
+        if (!runs) {
+            ++record.unreachable;
+            continue;
+        }
+        addRuns(record, runs->body);
+        const auto load = client.Get("/load");
+        if (load && load->status == 200)
+            addLoads(record, load->body);
+    }
+    return record;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Load/Schedule.cpp
@@ -0,0 +1,192 @@
+#include "Apps/Load/Schedule.h"
+
+#include "Core/TokenBucket.h"
+#include "Core/TokenCounter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <random>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::size_t bytesPerToken = 4;
+constexpr double microsPerSecond = 1e6;
+
+bool holds(const DemandChange &change, const std::string &name, Duration at)
+{
+    return change.name == name && change.from <= at && at < change.until;
+}
+
+double factor(const std::vector<DemandChange> &changes, const std::string &name, Duration at)
+{
+    double times = 1;
+    for (const DemandChange &it : changes) {
+        if (holds(it, name, at))
+            times *= it.times;
+    }
+    return times;
+}
+
+std::string filler(const std::string &start, std::int64_t tokens)
+{
+    std::string text = start;
+    const auto bytes = static_cast<std::size_t>(tokens) * bytesPerToken;
+    while (text.size() < bytes)
+        text += " of " + start;
+    text.resize(std::max(bytes, start.size()));
+    return text;
+}
+
+// Draws the requests of one account.
+class AccountSource
+{
+public:
+    AccountSource(const Experiment &experiment, const AccountDemand &demand, std::uint64_t seed)
+        : m_experiment(experiment), m_demand(demand),
+          m_random(seed ^ std::hash<std::string>()(demand.name.text()))
+    {
+        rankTargets();
+    }
+
+    void add(std::vector<PlannedRequest> &requests)
+    {
+        if (m_demand.requestsPerSecond > 0)
+            addModelRequests(requests);
+        if (m_demand.bookingsPerSecond > 0 && !m_experiment.bookingPath.empty())
+            addBookings(requests);
+    }
+
+private:
+    // Each account has favourites of its own; they don't depend on the seed.
+    void rankTargets()
+    {
+        m_targets = m_experiment.targets;
+        std::mt19937_64 order(std::hash<std::string>()(m_demand.name.text()));
+        std::shuffle(m_targets.begin(), m_targets.end(), order);
+        for (std::size_t i = 0; i < m_targets.size(); ++i)
+            m_weights.push_back(1
+                                / std::pow(static_cast<double>(i + 1), m_experiment.zipfExponent));
+    }
+
+    std::vector<double> weightsAt(Duration at) const
+    {
+        std::vector<double> weights = m_weights;
+        for (std::size_t i = 0; i < m_targets.size(); ++i)
+            weights[i] *= factor(m_experiment.rises, m_targets[i], at);
+        return weights;
+    }
+
+    double rateAt(Duration at, const std::vector<double> &weights) const
+    {
+        const auto sum = [](const std::vector<double> &values) {
+            double total = 0;
+            for (const double it : values)
+                total += it;
+            return total;
+        };
+        return m_demand.requestsPerSecond * sum(weights) / sum(m_weights)
+            * factor(m_experiment.bursts, m_demand.name.text(), at);
+    }
+
+    Duration gap(double perSecond)
+    {
+        std::exponential_distribution<double> draw(perSecond);
+        return Duration(1 + static_cast<std::int64_t>(draw(m_random) * microsPerSecond));
+    }
+
+    std::int64_t around(std::int64_t mean)
+    {
+        return std::uniform_int_distribution<std::int64_t>((mean + 1) / 2,
+                                                           mean + mean / 2)(m_random);
+    }
+
+    void addModelRequests(std::vector<PlannedRequest> &requests)
+    {
+        std::vector<double> weights = weightsAt(Duration::zero());
+        for (Duration at = gap(rateAt(Duration::zero(), weights)); at < m_experiment.length;
+             at += gap(rateAt(at, weights))) {
+            weights = weightsAt(at);
+            std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+            PlannedRequest request;
+            request.at = at;
+            request.account = m_demand.name;
+            request.target = m_targets[pick(m_random)];
+            request.prompt = promptFor(request.target);
+            request.answerTokens = around(m_demand.answerTokens);
+            requests.push_back(request);
+        }
+    }
+
+    std::string promptFor(const std::string &target)
+    {
+        std::uniform_int_distribution<std::int64_t> prefix(1, m_demand.prefixes);
+        const std::string shared
+            = m_demand.name.text() + " " + target + " history " + std::to_string(prefix(m_random));
+        const std::string own = "question " + std::to_string(m_random());
+        std::string text;
+        if (m_demand.prefixTokens > 0)
+            text = filler(shared, m_demand.prefixTokens);
+        return text + filler(own, around(m_demand.promptTokens));
+    }
+
+    void addBookings(std::vector<PlannedRequest> &requests)
+    {
+        for (Duration at = gap(m_demand.bookingsPerSecond); at < m_experiment.length;
+             at += gap(m_demand.bookingsPerSecond)) {
+            PlannedRequest request;
+            request.at = at;
+            request.account = m_demand.name;
+            request.prompt = R"({"booking":")" + std::to_string(m_random()) + "\"}";
+            requests.push_back(request);
+        }
+    }
+
+    const Experiment &m_experiment;
+    const AccountDemand &m_demand;
+    std::mt19937_64 m_random;
+    std::vector<std::string> m_targets; // most popular first
+    std::vector<double> m_weights;
+};
+
+// Charges each request in full at its intended start; what is beyond the bucket isn't charged.
+void markWithinRate(std::vector<PlannedRequest> &requests, const Experiment &experiment)
+{
+    std::map<AccountId, TokenBucket> buckets;
+    for (const AccountDemand &it : experiment.accounts)
+        buckets.emplace(it.name, TokenBucket(it.rate, it.burst, Instant()));
+    for (PlannedRequest &it : requests) {
+        if (it.isBooking())
+            continue;
+        const Tokens tokens = estimatePromptTokens(it.body().size()) + Tokens(it.answerTokens);
+        it.withinRate = buckets.at(it.account).take(tokens, Instant(it.at));
+    }
+}
+
+} // namespace
+
+std::string PlannedRequest::body() const
+{
+    if (isBooking())
+        return prompt;
+    return nlohmann::json{
+        {"model", target}, {"prompt", prompt}, {"stream", true}, {"max_tokens", answerTokens}}
+        .dump();
+}
+
+std::vector<PlannedRequest> planRequests(const Experiment &experiment, std::uint64_t seed)
+{
+    std::vector<PlannedRequest> requests;
+    for (const AccountDemand &it : experiment.accounts)
+        AccountSource(experiment, it, seed).add(requests);
+    std::stable_sort(requests.begin(), requests.end(),
+                     [](const auto &a, const auto &b) { return a.at < b.at; });
+    markWithinRate(requests, experiment);
+    return requests;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/test/LoadScheduleTest.cpp
@@ -0,0 +1,117 @@
+#include "Apps/Load/AnswerReader.h"
+#include "Apps/Load/Report.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+using namespace quetzalyoke;
+
+namespace {
+
+constexpr std::uint64_t seed = 7;
+
+Experiment twoAccounts()
+{
+    const std::string text = "[experiment steady]\nseconds = 100\naccelerators = 2\nmodels = 4\n"
+                             "[account small]\nrate_tokens_per_s = 1000\nburst_tokens = 10000\n"
+                             "requests_per_minute = 60\nanswer_tokens = 8\n"
+                             "[account large]\nrate_tokens_per_s = 100\nburst_tokens = 200\n"
+                             "requests_per_minute = 120\nprefix_tokens = 64\n"
+                             "[burst large]\nfrom_s = 50\nuntil_s = 100\ntimes = 5\n";
+    Problems problems;
+    const Experiment experiment
+        = Experiment::read(IniDocument::parse(text, "test", problems), problems);
+    EXPECT_EQ(describe(problems), "");
+    return experiment;
+}
+
+Outcome answered(std::chrono::milliseconds firstToken)
+{
+    Outcome outcome;
+    outcome.kind = Outcome::Kind::Whole;
+    outcome.firstToken = firstToken;
+    outcome.whole = firstToken;
+    outcome.tokens = 1;
+    return outcome;
+}
+
+} // namespace
+
+TEST(LoadScheduleTest, RepeatsARunFromItsSeed)
+{
+    std::cout << "seed " << seed << "\n";
+    const auto first = planRequests(twoAccounts(), seed);
+    const auto second = planRequests(twoAccounts(), seed);
+    ASSERT_EQ(first.size(), second.size());
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        EXPECT_EQ(first[i].at, second[i].at);
+        EXPECT_EQ(first[i].body(), second[i].body());
+    }
+    EXPECT_NE(planRequests(twoAccounts(), seed + 1).front().at, first.front().at);
+}
+
+TEST(LoadScheduleTest, MarksWhatIsBeyondTheRate)
+{
+    std::cout << "seed " << seed << "\n";
+    std::int64_t beyondSmall = 0;
+    std::int64_t beyondLarge = 0;
+    for (const PlannedRequest &it : planRequests(twoAccounts(), seed)) {
+        if (!it.withinRate)
+            ++(it.account.text() == "small" ? beyondSmall : beyondLarge);
+    }
+    EXPECT_EQ(beyondSmall, 0);
+    EXPECT_GT(beyondLarge, 0);
+}
+
+TEST(LoadScheduleTest, CountsLateAndRefusedRequestsAsNotAttained)
+{
+    const Experiment experiment = twoAccounts();
+    std::vector<PlannedRequest> requests(4);
+    for (PlannedRequest &it : requests) {
+        it.account = AccountId("small");
+        it.target = "model-1";
+    }
+    requests[3].withinRate = false;
+    Outcome refused;
+    refused.kind = Outcome::Kind::Refused;
+    refused.refusal = "no_server";
+    const std::vector<Outcome> outcomes{answered(std::chrono::milliseconds(930)),
+                                        answered(std::chrono::milliseconds(931)), refused, refused};
+    const auto report = makeReport(experiment, requests, outcomes, {});
+    EXPECT_EQ(report["attained"], 1);
+    EXPECT_EQ(report["within_rate"], 3);
+    EXPECT_EQ(report["refused_within_rate"], 1);
+    EXPECT_EQ(report["refusals"]["no_server"], 2);
+}
+
+TEST(LoadScheduleTest, FindsDoubledAndLostBookingsAndUntrueRefusals)
+{
+    std::vector<PlannedRequest> requests(3);
+    std::vector<Outcome> outcomes(3, answered(std::chrono::milliseconds(1)));
+    outcomes[0].requestId = "doubled";
+    outcomes[1].requestId = "lost";
+    outcomes[2].requestId = "untrue";
+    outcomes[2].kind = Outcome::Kind::Refused;
+    outcomes[2].runState = "not-run";
+    RunRecord record;
+    record.runs = {{"doubled", 2}, {"untrue", 1}};
+    const auto faults = makeReport(twoAccounts(), requests, outcomes, record)["faults"];
+    EXPECT_EQ(faults["doubled_bookings"], 1);
+    EXPECT_EQ(faults["lost_bookings"], 1);
+    EXPECT_EQ(faults["untrue_refusals"], 1);
+}
+
+TEST(LoadScheduleTest, SeesAnAnswerThatBelongsToAnotherRequest)
+{
+    AnswerReader own("0a-");
+    own.take("data: {\"text\":\"0a-0 \"}\n\ndata: {\"te", Instant());
+    own.take("xt\":\"0a-1 \"}\n\ndata: [DONE]\n\n", Instant());
+    EXPECT_TRUE(own.isEnded());
+    EXPECT_FALSE(own.isForeign());
+    EXPECT_EQ(own.tokens(), 2);
+    AnswerReader other("0a-");
+    other.take("data: {\"text\":\"0b-0 \"}\n", Instant());
+    EXPECT_TRUE(other.isForeign());
+}
