Route by an index with a choice of policies; queue fairly

There was one policy, and one order of waiting attempts, so nothing could be compared.

The agents are now indexed by model, adapter and service, and by zone, and a policy looks at a few of them in place. Policies by routing_policy: random, round_robin, least_loaded (a scan, kept as a baseline), power_of_two and affinity (the default: the prefix's home by rendezvous hashing within a window of 16, against two random agents of the own zone and two of all; the home wins unless it is busier by a quarter of its capacity). A server's load is the last report corrected by what this gateway has sent and got back since. queue_policy = fair (the default) is start-time fair queueing by account, weighted by tokens, within a priority; fifo stays as the baseline. The old ready-set rule holds: an adapter's request goes to servers that have it; RoutingRequest::adapterOnDemand is there for when an agent may load it.

Ruled out: a heap by load (each report would move entries in every model's heap), and rendezvous hashing over all of a model's servers (linear in them).

--- a/src/Apps/Agent/AgentSettings.cpp
+++ b/src/Apps/Agent/AgentSettings.cpp
@@ -35,7 +35,7 @@
         settings.readyFile = reader.text("ready_file", "");
         settings.concurrency = static_cast<int>(reader.number("concurrency", 1, 4096, 64));
         settings.queueLength = static_cast<int>(reader.number("queue_length", 0, 65536, 1024));
-        settings.queuePolicy = reader.text("queue_policy", "fifo");
+        settings.queuePolicy = reader.choice("queue_policy", {"fifo", "fair"}, "fair");
         settings.connections = static_cast<int>(reader.number("connections", 1, 16384, 1024));
         settings.bufferBytes = static_cast<std::size_t>(
             reader.number("buffer_bytes", 1024, 64 * mebibyte, mebibyte));
--- a/src/Apps/Gateway/CallerApi.cpp
+++ b/src/Apps/Gateway/CallerApi.cpp
@@ -53,6 +53,19 @@
     return headers;
 }
 
+// The first text that the engine sees; requests that share it share cached work.
+std::string promptStart(const Json &body)
+{
+    const Json prompt = body.value("prompt", Json());
+    if (prompt.is_string())
+        return prompt;
+    const Json messages = body.value("messages", Json());
+    if (!messages.is_array() || messages.empty() || !messages[0].is_object())
+        return {};
+    const Json content = messages[0].value("content", Json());
+    return content.is_string() ? content.get<std::string>() : std::string();
+}
+
 Refusal badRequest(const std::string &message)
 {
     return {400, "invalid_request", message, RunState::NotRun, {}};
@@ -194,6 +207,7 @@
         return writeRefusal(badRequest("max_tokens must be a whole number above 0"), res);
     call.estimatedTokens
         = estimatePromptTokens(req.body.size()) + Tokens(limit.get<std::int64_t>());
+    call.prefix = prefixOf(name, promptStart(body));
     run(call, res);
 }
 
--- a/src/Apps/Gateway/Fleet.cpp
+++ b/src/Apps/Gateway/Fleet.cpp
@@ -13,8 +13,8 @@
 } // namespace
 
 Fleet::Fleet(const GatewaySettings &settings)
-    : m_settings(settings), m_policy(powerOfTwoChoices()), m_directory(settings.agentSilence),
-      m_random(std::random_device{}())
+    : m_settings(settings), m_policy(routingPolicy(settings.routingPolicy)),
+      m_directory(settings.agentSilence), m_random(std::random_device{}())
 { }
 
 void Fleet::update(const AgentStatus &status)
@@ -26,12 +26,7 @@
 std::optional<ChosenAgent> Fleet::choose(const RoutingRequest &request)
 {
     const std::lock_guard lock(m_mutex);
-    const auto serves = [&request](const AgentStatus &status) {
-        const bool adapterReady = request.adapter.empty() || status.ready.contains(request.adapter);
-        return adapterReady && status.ready.contains(request.target);
-    };
-    const auto candidates = m_directory.candidates(Process::now(), serves);
-    const auto chosen = m_policy(request, candidates, m_random);
+    const auto *chosen = m_policy(request, m_directory, Process::now(), m_random);
     if (!chosen)
         return std::nullopt;
     return ChosenAgent{chosen->status.instance, chosen->status.incarnation,
@@ -50,6 +45,12 @@
     m_directory.adjustOwnLoad(instance, change);
 }
 
+void Fleet::observeLoad(const InstanceId &instance, std::int64_t load)
+{
+    const std::lock_guard lock(m_mutex);
+    m_directory.observeLoad(instance, load);
+}
+
 std::vector<AgentDirectory::Candidate> Fleet::all() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/Apps/Gateway/Fleet.h
+++ b/src/Apps/Gateway/Fleet.h
@@ -34,6 +34,8 @@
     std::optional<ChosenAgent> choose(const RoutingRequest &request);
     void suspect(const InstanceId &instance);
     void adjustOwnLoad(const InstanceId &instance, std::int64_t change);
+    /// Takes the load that an answer of the agent carried.
+    void observeLoad(const InstanceId &instance, std::int64_t load);
     std::vector<AgentDirectory::Candidate> all() const;
 
 private:
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -43,6 +43,9 @@
         settings.defaultDeadline
             = reader.milliseconds("default_deadline_ms", 100, 3'600'000, 60'000);
         settings.drainLimit = reader.milliseconds("drain_limit_ms", 0, 3'600'000, 120'000);
+        settings.routingPolicy = reader.choice(
+            "routing_policy", {"random", "round_robin", "least_loaded", "power_of_two", "affinity"},
+            "affinity");
         reader.finish();
     }
     if (!found) {
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -32,6 +32,7 @@
     std::chrono::milliseconds agentSilence{}; ///< Then an agent gets no new work.
     std::chrono::milliseconds defaultDeadline{};
     std::chrono::milliseconds drainLimit{};
+    std::string routingPolicy; ///< See routingPolicy().
 
     static GatewaySettings read(const IniDocument &document, Problems &problems);
 };
--- a/src/Apps/Gateway/Relay.cpp
+++ b/src/Apps/Gateway/Relay.cpp
@@ -115,7 +115,7 @@
 
 std::variant<std::unique_ptr<AnswerStream>, Refusal> Relay::open(const Call &call)
 {
-    RoutingRequest request{call.target, call.adapter, m_settings.zone, {}};
+    RoutingRequest request{call.target, call.adapter, m_settings.zone, {}, call.prefix};
     Refusal refusal{503, "no_server", "no backend server can take this request now; ask again",
                     RunState::NotRun, retrySoon};
     for (int i = 0; i < attemptLimit; ++i) {
--- a/src/Apps/Gateway/Relay.h
+++ b/src/Apps/Gateway/Relay.h
@@ -27,6 +27,7 @@
     bool model = true;
     Instant deadline;
     Tokens estimatedTokens;
+    std::uint64_t prefix = 0; ///< Of the prompt; see prefixOf().
 };
 
 /// \brief An answer on its way from an agent; closing it early cancels the attempt.
--- a/src/Core/AgentDirectory.cpp
+++ b/src/Core/AgentDirectory.cpp
@@ -1,21 +1,69 @@
 #include "Core/AgentDirectory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalyoke {
 
+namespace {
+
+using Candidate = AgentDirectory::Candidate;
+using List = AgentDirectory::Group::List;
+
+bool isBefore(const Candidate *a, const Candidate *b)
+{
+    return a->status.instance < b->status.instance;
+}
+
+void insert(List &list, const Candidate *candidate)
+{
+    list.insert(std::lower_bound(list.begin(), list.end(), candidate, isBefore), candidate);
+}
+
+void remove(List &list, const Candidate *candidate)
+{
+    const auto it = std::lower_bound(list.begin(), list.end(), candidate, isBefore);
+    if (it != list.end() && *it == candidate)
+        list.erase(it);
+}
+
+} // namespace
+
+// A report counts this gateway's own attempts too, as they were when it was made.
+std::int64_t AgentDirectory::Candidate::load() const
+{
+    return std::max(ownLoad, reportedLoad + ownLoad - ownLoadAtReport);
+}
+
+const List &AgentDirectory::Group::in(const ZoneName &zone) const
+{
+    static const List none;
+    const auto it = zones.find(zone);
+    return it == zones.end() ? none : it->second;
+}
+
 AgentDirectory::AgentDirectory(Duration silenceLimit) : m_silenceLimit(silenceLimit) { }
 
 bool AgentDirectory::update(const AgentStatus &status, Instant now)
 {
-    Entry &entry = m_agents[status.instance];
-    const AgentStatus &known = entry.candidate.status;
+    auto &entry = m_agents[status.instance];
+    const bool isNew = !entry;
+    if (isNew)
+        entry = std::make_unique<Entry>();
+    const AgentStatus &known = entry->status;
     if (std::pair(known.incarnation, known.sequence)
         >= std::pair(status.incarnation, status.sequence))
         return false;
-    entry.candidate.status = status;
-    entry.heardAt = now;
-    entry.suspected = false;
+    const bool moved = isNew || known.ready != status.ready || known.zone != status.zone;
+    if (moved)
+        removeFromGroups(*entry);
+    entry->status = status;
+    entry->reportedLoad = status.queued + status.running;
+    entry->ownLoadAtReport = entry->ownLoad;
+    entry->heardAt = now;
+    entry->suspected = false;
+    if (moved)
+        addToGroups(*entry);
     return true;
 }
 
@@ -23,22 +71,66 @@
 {
     const auto it = m_agents.find(instance);
     if (it != m_agents.end())
-        it->second.suspected = true;
+        it->second->suspected = true;
 }
 
 void AgentDirectory::adjustOwnLoad(const InstanceId &instance, std::int64_t change)
 {
     const auto it = m_agents.find(instance);
     if (it != m_agents.end())
-        it->second.candidate.ownLoad += change;
+        it->second->ownLoad += change;
+}
+
+void AgentDirectory::observeLoad(const InstanceId &instance, std::int64_t load)
+{
+    const auto it = m_agents.find(instance);
+    if (it == m_agents.end())
+        return;
+    it->second->reportedLoad = load;
+    it->second->ownLoadAtReport = it->second->ownLoad;
+}
+
+const AgentDirectory::Group &AgentDirectory::serving(const std::string &target) const
+{
+    static const Group none;
+    const auto it = m_groups.find(target);
+    return it == m_groups.end() ? none : it->second;
+}
+
+bool AgentDirectory::mayTakeWork(const Candidate &candidate, Instant now) const
+{
+    const auto &entry = static_cast<const Entry &>(candidate);
+    return !entry.suspected && !entry.status.draining && entry.heardAt + m_silenceLimit >= now;
 }
 
 std::vector<AgentDirectory::Candidate> AgentDirectory::all() const
 {
     std::vector<Candidate> list;
     for (const auto &[id, entry] : m_agents)
-        list.push_back(entry.candidate);
+        list.push_back(*entry);
+    std::sort(list.begin(), list.end(),
+              [](const auto &a, const auto &b) { return isBefore(&a, &b); });
     return list;
 }
 
+void AgentDirectory::addToGroups(const Entry &entry)
+{
+    for (const std::string &it : entry.status.ready) {
+        Group &group = m_groups[it];
+        insert(group.all, &entry);
+        insert(group.zones[entry.status.zone], &entry);
+    }
+}
+
+void AgentDirectory::removeFromGroups(const Entry &entry)
+{
+    for (const std::string &it : entry.status.ready) {
+        Group &group = m_groups[it];
+        remove(group.all, &entry);
+        remove(group.zones[entry.status.zone], &entry);
+        if (group.all.empty())
+            m_groups.erase(it);
+    }
+}
+
 } // namespace quetzalyoke
--- a/src/Core/AgentDirectory.h
+++ b/src/Core/AgentDirectory.h
@@ -4,8 +4,10 @@
 #include "Core/StrongTypes.h"
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace quetzalyoke {
@@ -30,7 +32,8 @@
 /// \brief The agents that a gateway knows, from their reports.
 ///
 /// A report that is older than the one known is dropped; an agent that has been silent for
-/// longer than the limit gets no new work.
+/// longer than the limit gets no new work. Agents are indexed by what they can answer, so that
+/// a routing decision looks at a few of them without going through all.
 class AgentDirectory
 {
 public:
@@ -40,42 +43,55 @@
     bool update(const AgentStatus &status, Instant now);
     /// Drops an agent until its next report, for example after a connection to it failed.
     void suspect(const InstanceId &instance);
+    /// Changes the number of attempts that this gateway itself has at an agent.
     void adjustOwnLoad(const InstanceId &instance, std::int64_t change);
+    /// Takes an agent's queued and running attempts as an answer of it said them.
+    void observeLoad(const InstanceId &instance, std::int64_t load);
 
-    /// One agent that may take work, with the load that this gateway itself has put on it.
+    /// \brief One agent, with the load that this gateway itself has put on it.
     struct Candidate
     {
         AgentStatus status;
         std::int64_t ownLoad = 0;
+        std::int64_t reportedLoad = 0; ///< Queued and running, as last heard.
+        std::int64_t ownLoadAtReport = 0; ///< Of ownLoad, the part that was known then.
+
+        /// The report corrected by what this gateway has sent and got back since.
+        std::int64_t load() const;
     };
 
-    /// Live agents, not draining, that \a accepts says yes to.
-    template<typename Predicate>
-    std::vector<Candidate> candidates(Instant now, Predicate &&accepts) const
+    /// \brief Agents that can answer for one model, adapter or service, by instance id.
+    struct Group
     {
-        std::vector<Candidate> found;
-        for (const auto &[id, entry] : m_agents) {
-            if (entry.suspected || entry.candidate.status.draining)
-                continue;
-            if (entry.heardAt + m_silenceLimit < now || !accepts(entry.candidate.status))
-                continue;
-            found.push_back(entry.candidate);
-        }
-        return found;
-    }
+        using List = std::vector<const Candidate *>;
+
+        List all;
+        std::map<ZoneName, List> zones;
+
+        /// Those in \a zone; empty where there is none.
+        const List &in(const ZoneName &zone) const;
+    };
+
+    /// Agents with \a target ready; not all of them need be fit for new work.
+    const Group &serving(const std::string &target) const;
+    /// Whether \a candidate, from serving(), is heard of, not suspected and not draining.
+    bool mayTakeWork(const Candidate &candidate, Instant now) const;
 
     std::vector<Candidate> all() const;
 
 private:
-    struct Entry
+    struct Entry : Candidate
     {
-        Candidate candidate;
         Instant heardAt;
         bool suspected = false;
     };
 
+    void addToGroups(const Entry &entry);
+    void removeFromGroups(const Entry &entry);
+
     Duration m_silenceLimit;
-    std::map<InstanceId, Entry> m_agents;
+    std::unordered_map<InstanceId, std::unique_ptr<Entry>> m_agents;
+    std::unordered_map<std::string, Group> m_groups; // by model, adapter or service
 };
 
 } // namespace quetzalyoke
--- a/src/Core/RequestQueue.cpp
+++ b/src/Core/RequestQueue.cpp
@@ -1,6 +1,7 @@
 #include "Core/RequestQueue.h"
 
 #include "Core/Error.h"
+#include "Core/FairQueue.h"
 
 #include <deque>
 
@@ -39,7 +40,10 @@
 {
     if (name == "fifo")
         return makeFifoQueue;
-    throw Error(ErrorKind::BadSettings, "queue_policy = " + name + " is not known; use fifo");
+    if (name == "fair")
+        return [] { return std::make_unique<FairQueue>(); };
+    throw Error(ErrorKind::BadSettings,
+                "queue_policy = " + name + " is not known; use fifo or fair");
 }
 
 } // namespace quetzalyoke
--- a/src/Core/RequestQueue.h
+++ b/src/Core/RequestQueue.h
@@ -37,7 +37,8 @@
 /// First come, first served, the plain baseline.
 std::unique_ptr<RequestQueue> makeFifoQueue();
 
-/// Factory for the policy named \a name in the settings ("fifo"). Throws Error (BadSettings).
+/// Factory for the policy named \a name in the settings ("fifo" or "fair"). Throws Error
+/// (BadSettings).
 RequestQueueFactory requestQueueFactory(const std::string &name);
 
 } // namespace quetzalyoke
--- a/src/Core/Router.cpp
+++ b/src/Core/Router.cpp
@@ -1,48 +1,229 @@
 #include "Core/Router.h"
 
+#include "Core/Error.h"
+
 #include <algorithm>
+#include <limits>
+#include <memory>
 
 namespace quetzalyoke {
 
 namespace {
 
 using Candidate = AgentDirectory::Candidate;
+using List = AgentDirectory::Group::List;
+
+// Costs in shares of a server's capacity: what a choice may be busier and still be preferred.
+constexpr double otherZoneCost = 0.125;
+constexpr double missingAdapterCost = 0.25;
+constexpr double lostPrefixCost = 0.25;
+
+constexpr std::size_t sampleTries = 4; // draws until one is fit for work
+constexpr std::size_t homeWindow = 16; // agents among which a prefix has its home
+constexpr std::size_t prefixBytes = 256;
+
+// One decision: the request with the agents that may take it.
+class Decision
+{
+public:
+    Decision(const RoutingRequest &request, const AgentDirectory &directory, Instant now)
+        : m_request(request), m_directory(directory), m_now(now),
+          m_target(request.adapter.empty() ? request.target : request.adapter)
+    { }
+
+    const AgentDirectory::Group &ready() const { return m_directory.serving(m_target); }
+    const AgentDirectory::Group &base() const { return m_directory.serving(m_request.target); }
+    bool mayLoadAdapter() const { return m_request.adapterOnDemand && !m_request.adapter.empty(); }
+
+    bool isFit(const Candidate &candidate) const
+    {
+        return m_directory.mayTakeWork(candidate, m_now)
+            && !m_request.excluded.contains(candidate.status.instance);
+    }
+
+    double cost(const Candidate &candidate) const
+    {
+        const auto capacity
+            = static_cast<double>(std::max<std::int64_t>(1, candidate.status.capacity));
+        double sum = static_cast<double>(candidate.load()) / capacity;
+        if (candidate.status.zone != m_request.zone)
+            sum += otherZoneCost;
+        if (mayLoadAdapter() && !candidate.status.ready.contains(m_request.adapter))
+            sum += missingAdapterCost;
+        return sum;
+    }
+
+    // A random agent that is fit for work; looks through all only where chance finds none.
+    const Candidate *sample(const List &list, std::mt19937_64 &random) const
+    {
+        if (list.empty())
+            return nullptr;
+        std::uniform_int_distribution<std::size_t> pick(0, list.size() - 1);
+        for (std::size_t i = 0; i < sampleTries; ++i) {
+            const Candidate *candidate = list[pick(random)];
+            if (isFit(*candidate))
+                return candidate;
+        }
+        return firstFit(list, pick(random));
+    }
 
-// Waiting work for each slot; the reported load lags, so this gateway's own count is a floor.
-double loadOf(const Candidate &candidate)
+    const Candidate *firstFit(const List &list, std::size_t start) const
+    {
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            const Candidate *candidate = list[(start + i) % list.size()];
+            if (isFit(*candidate))
+                return candidate;
+        }
+        return nullptr;
+    }
+
+private:
+    const RoutingRequest &m_request;
+    const AgentDirectory &m_directory;
+    const Instant m_now;
+    const std::string &m_target;
+};
+
+// The cheapest candidate offered so far.
+class Best
+{
+public:
+    explicit Best(const Decision &decision) : m_decision(decision) { }
+
+    void offer(const Candidate *candidate, double extraCost = 0)
+    {
+        if (!candidate)
+            return;
+        const double cost = m_decision.cost(*candidate) + extraCost;
+        if (cost >= m_cost)
+            return;
+        m_cost = cost;
+        m_candidate = candidate;
+    }
+
+    const Candidate *candidate() const { return m_candidate; }
+
+private:
+    const Decision &m_decision;
+    const Candidate *m_candidate = nullptr;
+    double m_cost = std::numeric_limits<double>::infinity();
+};
+
+// Two of the own zone and two of all; where the adapter may be loaded, two with its base.
+void offerSamples(Best &best, const Decision &decision, const ZoneName &zone,
+                  std::mt19937_64 &random, double extraCost)
 {
-    const std::int64_t reported = candidate.status.queued + candidate.status.running;
-    const auto load = static_cast<double>(std::max(reported, candidate.ownLoad));
-    return load / static_cast<double>(std::max<std::int64_t>(1, candidate.status.capacity));
+    for (int i = 0; i < 2; ++i) {
+        best.offer(decision.sample(decision.ready().in(zone), random), extraCost);
+        best.offer(decision.sample(decision.ready().all, random), extraCost);
+        if (decision.mayLoadAdapter())
+            best.offer(decision.sample(decision.base().all, random), extraCost);
+    }
 }
 
-std::vector<Candidate> nearest(const RoutingRequest &request,
-                               const std::vector<Candidate> &candidates)
+std::uint64_t mix(std::uint64_t value)
 {
-    std::vector<Candidate> sameZone;
-    std::vector<Candidate> others;
-    for (const Candidate &it : candidates) {
-        if (request.excluded.contains(it.status.instance))
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+// Rendezvous hashing within a window: a server that comes or goes moves few prefixes.
+const Candidate *homeOf(std::uint64_t prefix, const List &list, const Decision &decision)
+{
+    if (list.empty())
+        return nullptr;
+    const Candidate *home = nullptr;
+    std::uint64_t highest = 0;
+    const std::size_t start = mix(prefix) % list.size();
+    const std::size_t n = std::min(homeWindow, list.size());
+    for (std::size_t i = 0; i < n; ++i) {
+        const Candidate *candidate = list[(start + i) % list.size()];
+        const std::uint64_t weight
+            = mix(prefix ^ std::hash<InstanceId>()(candidate->status.instance));
+        if ((home && weight <= highest) || !decision.isFit(*candidate))
             continue;
-        (it.status.zone == request.zone && loadOf(it) < 1 ? sameZone : others).push_back(it);
+        home = candidate;
+        highest = weight;
     }
-    return sameZone.empty() ? others : sameZone;
+    return home;
 }
 
-} // namespace
+const Candidate *pickRandom(const RoutingRequest &request, const AgentDirectory &directory,
+                            Instant now, std::mt19937_64 &random)
+{
+    const Decision decision(request, directory, now);
+    return decision.sample(decision.ready().all, random);
+}
+
+const Candidate *pickLeastLoaded(const RoutingRequest &request, const AgentDirectory &directory,
+                                 Instant now, std::mt19937_64 &)
+{
+    const Decision decision(request, directory, now);
+    Best best(decision);
+    for (const Candidate *it : decision.ready().all) {
+        if (decision.isFit(*it))
+            best.offer(it);
+    }
+    return best.candidate();
+}
+
+const Candidate *pickOfTwo(const RoutingRequest &request, const AgentDirectory &directory,
+                           Instant now, std::mt19937_64 &random)
+{
+    const Decision decision(request, directory, now);
+    Best best(decision);
+    offerSamples(best, decision, request.zone, random, 0);
+    return best.candidate();
+}
 
-RoutingPolicy powerOfTwoChoices()
-{
-    return [](const RoutingRequest &request, const std::vector<Candidate> &candidates,
-              std::mt19937_64 &random) -> std::optional<Candidate> {
-        const std::vector<Candidate> choices = nearest(request, candidates);
-        if (choices.empty())
-            return std::nullopt;
-        std::uniform_int_distribution<std::size_t> pick(0, choices.size() - 1);
-        const Candidate &first = choices[pick(random)];
-        const Candidate &second = choices[pick(random)];
-        return loadOf(second) < loadOf(first) ? second : first;
+// The prefix's homes, in the own zone and in all, unless they are much busier than others.
+const Candidate *pickByAffinity(const RoutingRequest &request, const AgentDirectory &directory,
+                                Instant now, std::mt19937_64 &random)
+{
+    const Decision decision(request, directory, now);
+    Best best(decision);
+    const double lost = request.prefix == 0 ? 0 : lostPrefixCost;
+    if (request.prefix != 0)
+        best.offer(homeOf(request.prefix, decision.ready().all, decision));
+    offerSamples(best, decision, request.zone, random, lost);
+    return best.candidate();
+}
+
+RoutingPolicy roundRobin()
+{
+    return [next = std::size_t(0)](const RoutingRequest &request, const AgentDirectory &directory,
+                                   Instant now, std::mt19937_64 &) mutable {
+        const Decision decision(request, directory, now);
+        const List &list = decision.ready().all;
+        return list.empty() ? nullptr : decision.firstFit(list, next++ % list.size());
     };
 }
 
+} // namespace
+
+RoutingPolicy routingPolicy(const std::string &name)
+{
+    if (name == "random")
+        return pickRandom;
+    if (name == "round_robin")
+        return roundRobin();
+    if (name == "least_loaded")
+        return pickLeastLoaded;
+    if (name == "power_of_two")
+        return pickOfTwo;
+    if (name == "affinity")
+        return pickByAffinity;
+    throw Error(ErrorKind::BadSettings,
+                "routing_policy = " + name
+                    + " is not known; use random, round_robin, least_loaded, power_of_two or "
+                      "affinity");
+}
+
+std::uint64_t prefixOf(std::string_view target, std::string_view prompt)
+{
+    const std::hash<std::string_view> hash;
+    return mix(hash(target)) ^ hash(prompt.substr(0, prefixBytes));
+}
+
 } // namespace quetzalyoke
--- a/src/Core/Router.h
+++ b/src/Core/Router.h
@@ -4,10 +4,9 @@
 #include "Core/AgentDirectory.h"
 
 #include <functional>
-#include <optional>
 #include <random>
+#include <set>
 #include <string>
-#include <vector>
 
 namespace quetzalyoke {
 
@@ -18,14 +17,22 @@
     std::string adapter; ///< Empty: none.
     ZoneName zone; ///< Of the gateway.
     std::set<InstanceId> excluded; ///< Tried already.
+    std::uint64_t prefix = 0; ///< Hash of the prompt's beginning; see prefixOf(). 0: none.
+    bool adapterOnDemand = false; ///< A server with only the base may load the adapter.
 };
 
-/// Picks one of the candidates, or nothing where there is none.
-using RoutingPolicy = std::function<std::optional<AgentDirectory::Candidate>(
-    const RoutingRequest &, const std::vector<AgentDirectory::Candidate> &, std::mt19937_64 &)>;
+/// Picks an agent for a request, or nothing where none can take it.
+///
+/// The agent stays the directory's and is valid until its next change.
+using RoutingPolicy = std::function<const AgentDirectory::Candidate *(
+    const RoutingRequest &, const AgentDirectory &, Instant now, std::mt19937_64 &)>;
 
-/// \brief Routing by the lesser load of two random candidates, own zone first.
-RoutingPolicy powerOfTwoChoices();
+/// Policy named \a name in the settings: "random", "round_robin", "least_loaded",
+/// "power_of_two" or "affinity". Throws Error (BadSettings).
+RoutingPolicy routingPolicy(const std::string &name);
+
+/// Hash of the beginning of \a prompt to \a target, for RoutingRequest::prefix.
+std::uint64_t prefixOf(std::string_view target, std::string_view prompt);
 
 } // namespace quetzalyoke
 
--- /dev/null
+++ b/test/FairQueueTest.cpp
@@ -0,0 +1,117 @@
+#include "Core/FairQueue.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <random>
+
+using namespace quetzalyoke;
+
+namespace {
+
+constexpr std::uint64_t seed = 23;
+constexpr std::int64_t largest = 100; // tokens of one attempt
+
+QueuedAttempt attemptOf(const std::string &account, std::int64_t tokens, int priority = 0)
+{
+    static int n = 0;
+    QueuedAttempt attempt;
+    attempt.id = AttemptId(std::to_string(++n));
+    attempt.account = AccountId(account);
+    attempt.priority = priority;
+    attempt.estimate = Tokens(tokens);
+    return attempt;
+}
+
+std::string nextAccount(RequestQueue &queue)
+{
+    const auto attempt = queue.pop(Instant());
+    return attempt ? attempt->account.text() : "";
+}
+
+} // namespace
+
+TEST(FairQueueTest, SharesTokensEquallyWhileAllWait)
+{
+    std::cout << "seed " << seed << "\n";
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<std::int64_t> tokens(1, largest);
+    FairQueue queue;
+    std::map<std::string, std::int64_t> waiting;
+    std::map<std::string, std::int64_t> served;
+    for (int i = 0; i < 900; ++i) {
+        const std::string account = i % 9 == 0 ? "small" : "large-" + std::to_string(i % 2);
+        queue.push(attemptOf(account, tokens(random)));
+        ++waiting[account];
+    }
+    while (waiting["small"] > 0 && waiting["large-0"] > 0 && waiting["large-1"] > 0) {
+        const auto attempt = queue.pop(Instant());
+        ASSERT_TRUE(attempt);
+        --waiting[attempt->account.text()];
+        served[attempt->account.text()] += attempt->estimate.count();
+        EXPECT_LE(std::abs(served["small"] - served["large-0"]), 2 * largest);
+        EXPECT_LE(std::abs(served["small"] - served["large-1"]), 2 * largest);
+    }
+}
+
+TEST(FairQueueTest, AnArrivalWaitsForAtMostOneAttemptOfEachOtherAccount)
+{
+    FairQueue queue;
+    for (int i = 0; i < 1000; ++i)
+        queue.push(attemptOf("large", largest));
+    for (int i = 0; i < 500; ++i)
+        EXPECT_EQ(nextAccount(queue), "large");
+    queue.push(attemptOf("small", largest));
+    const std::string first = nextAccount(queue);
+    EXPECT_TRUE(first == "small" || nextAccount(queue) == "small");
+}
+
+TEST(FairQueueTest, AnIdleAccountGainsNoCredit)
+{
+    FairQueue queue;
+    for (int i = 0; i < 200; ++i)
+        queue.push(attemptOf("large", 10));
+    for (int i = 0; i < 100; ++i)
+        queue.pop(Instant());
+    for (int i = 0; i < 100; ++i)
+        queue.push(attemptOf("late", 10));
+    std::map<std::string, int> served;
+    for (int i = 0; i < 100; ++i)
+        ++served[nextAccount(queue)];
+    EXPECT_GE(served["large"], 49);
+}
+
+TEST(FairQueueTest, LowerPriorityNumbersRunFirst)
+{
+    FairQueue queue;
+    queue.push(attemptOf("later", 1, 5));
+    queue.push(attemptOf("first", 1000, 0));
+    EXPECT_EQ(nextAccount(queue), "first");
+    EXPECT_EQ(nextAccount(queue), "later");
+}
+
+TEST(FairQueueTest, GivesEveryAttemptOnceAndIdlesOnlyWhenEmpty)
+{
+    std::cout << "seed " << seed << "\n";
+    std::mt19937_64 random(seed);
+    FairQueue queue;
+    std::set<AttemptId> waiting;
+    for (int i = 0; i < 10'000; ++i) {
+        ASSERT_EQ(queue.size(), waiting.size());
+        if (random() % 2 == 0) {
+            const auto attempt = attemptOf("account-" + std::to_string(random() % 5),
+                                           static_cast<std::int64_t>(random() % largest),
+                                           static_cast<int>(random() % 3));
+            waiting.insert(attempt.id);
+            queue.push(attempt);
+            continue;
+        }
+        const auto attempt = queue.pop(Instant());
+        ASSERT_EQ(attempt.has_value(), !waiting.empty());
+        if (attempt) {
+            ASSERT_EQ(waiting.erase(attempt->id), 1U);
+        }
+    }
+}
--- /dev/null
+++ b/test/RouterTest.cpp
@@ -0,0 +1,156 @@
+#include "Core/Router.h"
+#include "Core/Error.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <map>
+
+using namespace quetzalyoke;
+
+namespace {
+
+constexpr std::uint64_t seed = 11;
+constexpr Duration silence = std::chrono::seconds(3);
+const ZoneName zoneA("zone-a");
+const ZoneName zoneB("zone-b");
+
+class RouterTest : public testing::Test
+{
+protected:
+    void SetUp() override { std::cout << "seed " << seed << "\n"; }
+
+    void add(const std::string &name, const ZoneName &zone, std::int64_t load,
+             const std::set<std::string> &ready)
+    {
+        AgentStatus status;
+        status.instance = InstanceId(name);
+        status.sequence = ++m_sequence;
+        status.zone = zone;
+        status.ready = ready;
+        status.running = load;
+        status.capacity = 8;
+        m_directory.update(status, m_now);
+    }
+
+    std::string pick(const std::string &policy, const RoutingRequest &request)
+    {
+        const auto *chosen = routingPolicy(policy)(request, m_directory, m_now, m_random);
+        return chosen ? chosen->status.instance.text() : "";
+    }
+
+    static RoutingRequest modelRequest() { return {"m", "", zoneA, {}}; }
+
+    std::int64_t m_sequence = 0;
+    Instant m_now{std::chrono::hours(1)};
+    AgentDirectory m_directory{silence};
+    std::mt19937_64 m_random{seed};
+};
+
+const char *const policies[]
+    = {"random", "round_robin", "least_loaded", "power_of_two", "affinity"};
+
+} // namespace
+
+TEST_F(RouterTest, EveryPolicyPicksOnlyAgentsThatAreReadyLiveAndNotExcluded)
+{
+    add("ready", zoneB, 100, {"m"});
+    add("excluded", zoneA, 0, {"m"});
+    add("suspected", zoneA, 0, {"m"});
+    m_directory.suspect(InstanceId("suspected"));
+    add("other", zoneA, 0, {"n"});
+    RoutingRequest request = modelRequest();
+    request.excluded = {InstanceId("excluded")};
+    request.prefix = 5;
+    for (const char *it : policies) {
+        for (int i = 0; i < 50; ++i)
+            EXPECT_EQ(pick(it, request), "ready") << it;
+    }
+    m_now += silence + Duration(1);
+    for (const char *it : policies)
+        EXPECT_EQ(pick(it, request), "") << it;
+}
+
+TEST_F(RouterTest, FollowsAnAgentThatStopsServingOrLeaves)
+{
+    add("first", zoneA, 0, {"m"});
+    add("second", zoneA, 0, {"m"});
+    add("first", zoneA, 0, {"n"});
+    for (const char *it : policies)
+        EXPECT_EQ(pick(it, modelRequest()), "second") << it;
+    EXPECT_EQ(m_directory.serving("n").all.size(), 1U);
+    AgentStatus leaving = m_directory.serving("m").all[0]->status;
+    leaving.sequence = ++m_sequence;
+    leaving.draining = true;
+    m_directory.update(leaving, m_now);
+    for (const char *it : policies)
+        EXPECT_EQ(pick(it, modelRequest()), "") << it;
+}
+
+TEST_F(RouterTest, CorrectsALaggingReportByItsOwnRequests)
+{
+    add("a", zoneA, 2, {"m"});
+    m_directory.adjustOwnLoad(InstanceId("a"), 3);
+    const auto *agent = m_directory.serving("m").all[0];
+    EXPECT_EQ(agent->load(), 5);
+    m_directory.observeLoad(InstanceId("a"), 4);
+    EXPECT_EQ(agent->load(), 4);
+    m_directory.adjustOwnLoad(InstanceId("a"), -2);
+    EXPECT_EQ(agent->load(), 2);
+}
+
+TEST_F(RouterTest, PrefersTheOwnZoneUntilItIsBusy)
+{
+    add("near", zoneA, 0, {"m"});
+    add("far", zoneB, 0, {"m"});
+    for (const char *it : {"least_loaded", "power_of_two", "affinity"})
+        EXPECT_EQ(pick(it, modelRequest()), "near") << it;
+    add("near", zoneA, 64, {"m"});
+    std::map<std::string, int> picks;
+    for (int i = 0; i < 200; ++i)
+        ++picks[pick("power_of_two", modelRequest())];
+    EXPECT_GT(picks["far"], picks["near"]);
+}
+
+TEST_F(RouterTest, KeepsAPrefixAtItsHomeUnlessThatIsMuchBusier)
+{
+    for (int i = 0; i < 20; ++i)
+        add("agent-" + std::to_string(i), zoneA, 0, {"m"});
+    RoutingRequest request = modelRequest();
+    request.prefix = prefixOf("m", "the same beginning");
+    const std::string home = pick("affinity", request);
+    for (int i = 0; i < 50; ++i)
+        EXPECT_EQ(pick("affinity", request), home);
+    add(home, zoneA, 64, {"m"});
+    EXPECT_NE(pick("affinity", request), home);
+}
+
+TEST_F(RouterTest, SpreadsPrefixesOverAgents)
+{
+    for (int i = 0; i < 20; ++i)
+        add("agent-" + std::to_string(i), zoneA, 0, {"m"});
+    std::map<std::string, int> homes;
+    for (std::uint64_t i = 1; i <= 1000; ++i) {
+        RoutingRequest request = modelRequest();
+        request.prefix = prefixOf("m", "prompt " + std::to_string(i));
+        ++homes[pick("affinity", request)];
+    }
+    EXPECT_EQ(homes.size(), 20U);
+}
+
+TEST_F(RouterTest, SendsAnAdapterToABaseOnlyWhereItMayBeLoaded)
+{
+    add("base", zoneA, 0, {"m"});
+    RoutingRequest request = modelRequest();
+    request.adapter = "x";
+    EXPECT_EQ(pick("affinity", request), "");
+    request.adapterOnDemand = true;
+    EXPECT_EQ(pick("affinity", request), "base");
+    add("holder", zoneA, 1, {"m", "x"});
+    EXPECT_EQ(pick("affinity", request), "holder");
+}
+
+TEST_F(RouterTest, RefusesAnUnknownPolicyByName)
+{
+    EXPECT_THROW(routingPolicy("guess"), Error);
+}
