--- a/src/Apps/Gateway/Relay.cpp
+++ b/src/Apps/Gateway/Relay.cpp
@@ -35,6 +35,7 @@
         m_routing.target = call.target;
         m_routing.adapter = call.adapter;
         m_routing.zone = relay.m_settings.zone;
+        m_routing.prefix = call.prefix;
     }
 
     Result run()
@@ -205,7 +206,7 @@
 
 std::optional<ChosenAgent> Relay::choose(const Call &call)
 {
-    return m_fleet.choose({call.target, call.adapter, m_settings.zone, {}});
+    return m_fleet.choose({call.target, call.adapter, m_settings.zone, {}, call.prefix});
 }
 
 Relay::Result Relay::open(const Call &call, const std::optional<AttemptId> &firstId,
