Run scripted scenarios over real processes

Cause: what must hold was not checked over real processes under failure. Ruled out: a parser of our own and shell scripts; Lua comes from a library and a scenario stays readable. Links are TCP relays inside the runner, so that no scenario needs rights over the machine's network. Change: quetzalyoke-scenario embeds Lua; verbs start, kill, stop, freeze and thaw processes, cut and heal links, drive operators and callers and read the stand-ins' records. One file in test/scenarios is one test.

--- a/src/Apps/Agent/AgentSettings.cpp
+++ b/src/Apps/Agent/AgentSettings.cpp
@@ -26,6 +26,7 @@
         settings.server = ServerName(reader.text("server"));
         settings.zone = ZoneName(reader.text("zone"));
         settings.listen = readAddress(reader, "listen");
+        settings.advertise = reader.text("advertise", "");
         settings.httpListen = readAddress(reader, "http_listen");
         settings.backend = readAddress(reader, "backend");
         settings.engine = reader.choice("backend_kind", {"engine", "service"}) == "engine";
--- a/src/Apps/Agent/AgentSettings.h
+++ b/src/Apps/Agent/AgentSettings.h
@@ -18,6 +18,7 @@
     ServerName server; ///< Name of the backend server in the service list.
     ZoneName zone;
     Address listen; ///< Of the Thrift door.
+    std::string advertise; ///< Where gateways reach the door; empty: the address bound.
     Address httpListen; ///< Of /metrics, /healthz and /readyz.
     Address backend;
     bool engine = true;
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -33,7 +33,9 @@
     ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
                       settings.connections);
     const Address doorAddress{settings.listen.host, door.port()};
-    Reporter reporter(settings, doorAddress.text(), table);
+    const std::string advertised
+        = settings.advertise.empty() ? doorAddress.text() : settings.advertise;
+    Reporter reporter(settings, advertised, table);
 
     HttpServerLimits limits;
     limits.connections = healthConnections;
--- a/src/Apps/Gateway/CallerApi.cpp
+++ b/src/Apps/Gateway/CallerApi.cpp
@@ -16,6 +16,8 @@
 using Json = nlohmann::json;
 
 constexpr const char *servicePrefix = "/services/";
+constexpr const char *keyElsewhereMessage
+    = "the target or body holds the key; send it in the Authorization header only";
 constexpr int requestIdBytes = 8;
 constexpr std::int64_t defaultAnswerTokens = 256;
 
@@ -53,6 +55,14 @@
     return headers;
 }
 
+// Target and body reach the backend server as they are.
+bool keyIsElsewhere(const httplib::Request &req)
+{
+    const std::string key = presentedKey(req);
+    return !key.empty()
+        && (req.target.find(key) != std::string::npos || req.body.find(key) != std::string::npos);
+}
+
 Refusal badRequest(const std::string &message)
 {
     return {400, "invalid_request", message, RunState::NotRun, {}};
@@ -168,6 +178,8 @@
     const auto account = admit(req, res);
     if (!account)
         return;
+    if (keyIsElsewhere(req))
+        return writeRefusal(badRequest(keyElsewhereMessage), res);
     const Json body = Json::parse(req.body, nullptr, false);
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
         return writeRefusal(badRequest("the body must be a JSON object with a \"model\""), res);
@@ -218,9 +230,8 @@
                              {}},
                             res);
     }
-    const std::string key = presentedKey(req);
-    if (!key.empty() && path.find(key) != std::string::npos)
-        return writeRefusal(badRequest("send the key in the Authorization header only"), res);
+    if (keyIsElsewhere(req))
+        return writeRefusal(badRequest(keyElsewhereMessage), res);
     Call call = makeCall(req, *account);
     call.target = name;
     call.path = path;
--- /dev/null
+++ b/test/scenarios/lib/fleet.lua
@@ -0,0 +1,491 @@
+-- Verbs of the scenarios: processes, links, operators, callers, records and expectations.
+-- Requiring this module defines them as globals.
+
+local OPERATOR_SECRET = "operator-secret-of-the-scenario"
+local FLEET_SECRET = "fleet-secret-of-the-scenario"
+local STOP_LIMIT_MS = 15000
+local OPERATOR_TIMEOUT_MS = 20000
+
+local processes = {} -- name -> {kind, program, settings, addresses, links to it}
+local linksTo = {}   -- name of the far end -> list of {link, address kind}
+local servers = {}   -- names of the backend servers, in order
+local gateways = {}  -- names of the gateways, in order
+
+-- Expectations ---------------------------------------------------------------------------------
+
+function fail(text)
+    error(text, 2)
+end
+
+function expect(condition, text)
+    if not condition then error("expected " .. text, 2) end
+    return condition
+end
+
+function expectEqual(seen, wanted, text)
+    if seen ~= wanted then
+        error(string.format("expected %s: %s, seen %s", text, tostring(wanted), tostring(seen)), 2)
+    end
+end
+
+function now()
+    return host.now_ms()
+end
+
+-- Polls `condition` until it returns a true value, at most `limitMs`; returns that value.
+function eventually(limitMs, text, condition)
+    local deadline = now() + limitMs
+    local detail
+    while true do
+        local value
+        value, detail = condition()
+        if value then return value end
+        if now() > deadline then
+            error(string.format("expected within %d ms: %s%s", limitMs, text,
+                                detail and (" (" .. tostring(detail) .. ")") or ""), 2)
+        end
+        host.poll_pause()
+    end
+end
+
+-- Polls `condition` for `windowMs` and fails as soon as it does not hold.
+function throughout(windowMs, text, condition)
+    local deadline = now() + windowMs
+    repeat
+        local value, detail = condition()
+        if not value then
+            error(string.format("expected all the time: %s%s", text,
+                                detail and (" (" .. tostring(detail) .. ")") or ""), 2)
+        end
+        host.poll_pause()
+    until now() > deadline
+end
+
+-- Processes ------------------------------------------------------------------------------------
+
+local function settingsText(section, values)
+    local lines = {"[" .. section .. "]"}
+    for name, value in pairs(values) do
+        if value == true then value = "yes" elseif value == false then value = "no" end
+        lines[#lines + 1] = name .. " = " .. tostring(value)
+    end
+    return table.concat(lines, "\n") .. "\n"
+end
+
+local function merged(...)
+    local result = {}
+    for _, values in ipairs({...}) do
+        for name, value in pairs(values) do result[name] = value end
+    end
+    return result
+end
+
+local function secretFile(name, text)
+    return host.write_file{name = name, text = text .. "\n"}
+end
+
+-- The address of the link between two processes; it exists before its far end does.
+local function link(from, to, kind)
+    local name = from .. ">" .. to .. ":" .. kind
+    local known = linksTo[to] or {}
+    linksTo[to] = known
+    if not known[name] then
+        known[name] = {kind = kind, address = host.add_link{name = name}}
+        local far = processes[to]
+        if far and far.addresses then
+            host.set_link{name = name, target = far.addresses[kind]}
+        end
+    end
+    return known[name].address
+end
+
+local function launch(name)
+    local it = processes[name]
+    it.addresses = host.start{name = name, program = it.program,
+                              settings = settingsText(it.section, it.settings)}
+    for linkName, known in pairs(linksTo[name] or {}) do
+        host.set_link{name = linkName, target = it.addresses[known.kind]}
+    end
+    return name
+end
+
+local function define(name, program, section, settings)
+    processes[name] = {program = program, section = section, settings = settings}
+    return launch(name)
+end
+
+function startPlatform(settings)
+    return define("platform", "quetzalyoke-standin-platform", "standin",
+                  merged({listen = "127.0.0.1:0", connections = 128}, settings or {}))
+end
+
+function startEngine(name, settings)
+    servers[#servers + 1] = name
+    return define(name, "quetzalyoke-standin-engine", "standin",
+                  merged({listen = "127.0.0.1:0", connections = 64, load_ms = 20, step_ms = 2},
+                         settings or {}))
+end
+
+function startService(name, settings)
+    servers[#servers + 1] = name
+    return define(name, "quetzalyoke-standin-service", "standin",
+                  merged({listen = "127.0.0.1:0", connections = 64}, settings or {}))
+end
+
+-- `peers` are the names of the other gateways, also of those not started yet.
+function startGateway(name, peers, settings)
+    gateways[#gateways + 1] = name
+    local addresses = {}
+    for _, it in ipairs(peers) do addresses[#addresses + 1] = link(name, it, "door") end
+    return define(name, "quetzalyoke-gateway", "gateway", merged({
+        instance = name,
+        zone = "zone-a",
+        http_listen = "127.0.0.1:0",
+        listen = "127.0.0.1:0",
+        peers = table.concat(addresses, ", "),
+        platform_address = link(name, "platform", "http"),
+        fleet_secret_file = secretFile("fleet.secret", FLEET_SECRET),
+        operator_secret_file = secretFile("operator.secret", OPERATOR_SECRET),
+        connections = 64,
+        poll_interval_ms = 100,
+        platform_timeout_ms = 500,
+        freshness_ms = 1000,
+        agent_silence_ms = 1500,
+    }, settings or {}))
+end
+
+-- Starts the agent of backend server `server` as process "agent-<server>".
+function startAgent(server, settings)
+    local name = "agent-" .. server
+    local isEngine = processes[server].program == "quetzalyoke-standin-engine"
+    local addresses = {}
+    for _, it in ipairs(gateways) do addresses[#addresses + 1] = link(name, it, "door") end
+    return define(name, "quetzalyoke-agent", "agent", merged({
+        instance = name,
+        server = server,
+        zone = "zone-a",
+        listen = "127.0.0.1:0",
+        http_listen = "127.0.0.1:0",
+        advertise = link("gateways", name, "door"),
+        backend = link(name, server, "http"),
+        backend_kind = isEngine and "engine" or "service",
+        memory_mb = isEngine and 80000 or 0,
+        gateways = table.concat(addresses, ", "),
+        fleet_secret_file = secretFile("fleet.secret", FLEET_SECRET),
+        concurrency = 16,
+        connections = 64,
+        report_interval_ms = 100,
+    }, settings or {}))
+end
+
+function kill(name)
+    host.signal{name = name, signal = "KILL"}
+    eventually(2000, name .. " has ended", function()
+        return host.wait_for_end{name = name}.ended
+    end)
+end
+
+-- Asks the process to stop without waiting for its end.
+function askToStop(name)
+    host.signal{name = name, signal = "TERM"}
+end
+
+function expectStopped(name, limitMs)
+    local ending = host.wait_for_end{name = name, limit_ms = limitMs or STOP_LIMIT_MS}
+    expect(ending.ended, name .. " to end in time")
+    expectEqual(ending.exit_status, 0, "exit status of " .. name)
+end
+
+function hasEnded(name)
+    return host.wait_for_end{name = name}.ended
+end
+
+function stop(name)
+    askToStop(name)
+    expectStopped(name)
+end
+
+function freeze(name)
+    host.signal{name = name, signal = "STOP"}
+end
+
+function thaw(name)
+    host.signal{name = name, signal = "CONT"}
+end
+
+-- Starts a process again under its old name and settings, as a replacement would.
+function restart(name, settings)
+    processes[name].settings = merged(processes[name].settings, settings or {})
+    launch(name)
+end
+
+-- Links ----------------------------------------------------------------------------------------
+
+local function setLinks(from, to, state)
+    local found = false
+    for name in pairs(linksTo[to] or {}) do
+        if name:sub(1, #from + 1) == from .. ">" then
+            host.set_link{name = name, state = state}
+            found = true
+        end
+    end
+    expect(found, "a link from " .. from .. " to " .. to)
+end
+
+-- how: "closed" ends connections, "silent" holds all bytes, "deaf" holds the answers.
+-- From "gateways" means from every gateway.
+function cut(from, to, how)
+    setLinks(from, to, how or "closed")
+end
+
+function heal(from, to)
+    setLinks(from, to, "open")
+end
+
+-- Platform and stand-ins -----------------------------------------------------------------------
+
+-- One HTTP exchange; a table with whole, status, headers (lower case), body, error, took_ms.
+local function exchange(question)
+    return host.answer{call = host.send(question), wait = true}
+end
+
+local function toStandIn(name, kind, method, path, body)
+    local answer = exchange{address = processes[name].addresses.http, method = method,
+                            path = path, body = body or ""}
+    expect(answer.whole and answer.status < 300,
+           string.format("%s to take %s (%s %s)", name, path, answer.status, answer.error))
+    return answer
+end
+
+-- Fields of the platform: outage, lost_answers, delay_ms, list_lag_ms. Without any: all is well.
+function faults(name, plan)
+    toStandIn(name, "http", "POST", "/faults", host.json_text(plan or {}))
+end
+
+-- Sets the platform's list of instances: {{instance=, address=, leaving=}, ...}.
+function listInstances(instances)
+    local list = #instances == 0 and "[]" or host.json_text(instances)
+    toStandIn("platform", "http", "PUT", "/instances", '{"instances":' .. list .. "}")
+end
+
+-- What a backend server ran: a list of {request=, headers=, body=, ...}.
+function record(server)
+    local entries = {}
+    for line in toStandIn(server, "http", "GET", "/record").body:gmatch("[^\n]+") do
+        entries[#entries + 1] = host.json_value(line)
+    end
+    return entries
+end
+
+function engineLoad(server)
+    return host.json_value(toStandIn(server, "http", "GET", "/load").body)
+end
+
+-- How often any living backend server's record contains `mark`.
+function runsOf(mark)
+    local n = 0
+    for _, server in ipairs(servers) do
+        if not hasEnded(server) then
+            for _, it in ipairs(record(server)) do
+                if host.json_text(it):find(mark, 1, true) then n = n + 1 end
+            end
+        end
+    end
+    return n
+end
+
+-- Operators ------------------------------------------------------------------------------------
+
+local function operate(gateway, method, path, body)
+    return exchange{address = processes[gateway].addresses.http, method = method, path = path,
+                    body = body or "", timeout_ms = OPERATOR_TIMEOUT_MS,
+                    headers = {Authorization = "Bearer " .. OPERATOR_SECRET}}
+end
+
+local function accepted(answer, what)
+    expect(answer.whole and answer.status == 200,
+           string.format("%s (%d %s%s)", what, answer.status, answer.body, answer.error))
+    return host.json_value(answer.body)
+end
+
+-- The version in force at a gateway, and its text.
+function configuration(gateway)
+    local it = accepted(operate(gateway, "GET", "/operator/configuration"), "a configuration")
+    return it.version, it.text
+end
+
+-- Answers the raw result; 200 is accepted.
+function tryApply(gateway, text, seen)
+    return operate(gateway, "PUT", "/operator/configuration?seen=" .. seen, text)
+end
+
+-- Puts a service list in force; answers its version.
+function apply(gateway, text)
+    local seen = configuration(gateway)
+    return accepted(tryApply(gateway, text, seen), "the list to be accepted").version
+end
+
+-- Version that a gateway works by, without asking the table; nil where it does not answer.
+function versionInForce(gateway)
+    local answer = operate(gateway, "GET", "/operator/status")
+    if not answer.whole or answer.status ~= 200 then return nil end
+    return host.json_value(answer.body).configuration_version
+end
+
+-- Agents that a gateway knows, as in quetzalyokectl status.
+function status(gateway)
+    return accepted(operate(gateway, "GET", "/operator/status"), "a status")
+end
+
+-- Answers {id=, key=}.
+function grant(gateway, account)
+    return accepted(operate(gateway, "POST", "/operator/keys?account=" .. account), "a key")
+end
+
+function tryWithdraw(gateway, id)
+    return operate(gateway, "DELETE", "/operator/keys/" .. id)
+end
+
+function withdraw(gateway, id)
+    accepted(tryWithdraw(gateway, id), "the key to be withdrawn")
+end
+
+-- Callers --------------------------------------------------------------------------------------
+
+local function question(gateway, args)
+    local headers = merged(args.headers or {})
+    if args.key then headers.Authorization = "Bearer " .. args.key end
+    if args.idempotencyKey then headers["Idempotency-Key"] = args.idempotencyKey end
+    if args.deadlineMs then headers["Quetzalyoke-Deadline-Ms"] = tostring(args.deadlineMs) end
+    return {address = processes[gateway].addresses.http, method = args.method or "GET",
+            path = args.path, body = args.body or "", headers = headers,
+            timeout_ms = args.timeoutMs or 10000, connection = args.connection}
+end
+
+-- Sends a request and waits for its answer. `connection` names a connection kept open.
+function call(gateway, args)
+    return exchange(question(gateway, args))
+end
+
+-- Sends a request in the background. peek() shows what has arrived so far, finish() waits for
+-- the end, abandon() hangs up.
+function send(gateway, args)
+    local id = host.send(question(gateway, args))
+    return {
+        peek = function() return host.answer{call = id} end,
+        finish = function() return host.answer{call = id, wait = true} end,
+        abandon = function() host.abandon{call = id} end,
+    }
+end
+
+-- A model request.
+function completion(model, args)
+    args = args or {}
+    local body = merged({model = model, max_tokens = args.tokens or 4, stream = args.stream or false,
+                         messages = {{role = "user", content = args.prompt or "hello"}}},
+                        args.body or {})
+    return merged(args, {method = "POST", path = "/v1/chat/completions",
+                         body = host.json_text(body)})
+end
+
+-- A booking at the service "counter", which must run at most once.
+function booking(mark, args)
+    return merged({method = "POST", path = "/services/counter/bookings",
+                   body = host.json_text{mark = mark}}, args or {})
+end
+
+function runState(answer)
+    return answer.headers["quetzalyoke-run-state"]
+end
+
+function isCompleted(answer)
+    return answer.whole and answer.status >= 200 and answer.status < 300
+end
+
+-- A word for messages about an answer.
+function describe(answer)
+    return string.format("status %d, run state %s, error '%s', body %s", answer.status,
+                         runState(answer) or "-", answer.error, answer.body:sub(1, 200))
+end
+
+-- Fleets ---------------------------------------------------------------------------------------
+
+ACCOUNT = "pony-club"
+SECOND_ACCOUNT = "large-station"
+
+-- Text of a service list. Fields: engines (names or {name=, fencing=}), services (names),
+-- models {name = memory_mb}, version, rate, burst.
+function serviceList(options)
+    local lines = {}
+    local function add(...) lines[#lines + 1] = string.format(...) end
+    for _, it in ipairs(options.engines or {}) do
+        add("[server %s]\nkind = engine\nzone = zone-a\nmemory_mb = %d\nfencing = %s", it,
+            options.memory or 80000, options.fencing or "checked")
+    end
+    for _, it in ipairs(options.services or {}) do
+        add("[server %s]\nkind = service\nzone = zone-a\nservice = counter", it)
+    end
+    for name, memory in pairs(options.models or {}) do
+        add("[model %s]\nversion = %s\nmemory_mb = %d", name, options.version or "1", memory)
+    end
+    if #(options.services or {}) > 0 then
+        add("[service counter]\nnon_idempotent = POST /bookings*")
+        add("[open GET /services/counter/hours]")
+    end
+    for _, it in ipairs({ACCOUNT, SECOND_ACCOUNT}) do
+        add("[account %s]\nrate_tokens_per_s = %d\nburst_tokens = %d", it,
+            options.rate or 100000, options.burst or 100000)
+    end
+    return table.concat(lines, "\n") .. "\n"
+end
+
+local function names(prefix, n)
+    local result = {}
+    for i = 1, n do result[i] = prefix .. i end
+    return result
+end
+
+-- Starts a platform, gateways, backend servers with their agents, and applies a service list.
+-- Options: gateways, engines, services (counts), models, rate, burst, fencing, and
+-- platformSettings, gatewaySettings, engineSettings, agentSettings, serviceSettings.
+-- Answers {gateways=, engines=, services=, list=, key=, keyId=}.
+function startFleet(options)
+    options = options or {}
+    local fleet = {gateways = names("gateway-", options.gateways or 2),
+                   engines = names("engine-", options.engines or 0),
+                   services = names("counter-", options.services or 0)}
+    startPlatform(options.platformSettings)
+    for _, it in ipairs(fleet.engines) do startEngine(it, options.engineSettings) end
+    for _, it in ipairs(fleet.services) do startService(it, options.serviceSettings) end
+    for _, it in ipairs(fleet.gateways) do
+        local peers = {}
+        for _, peer in ipairs(fleet.gateways) do
+            if peer ~= it then peers[#peers + 1] = peer end
+        end
+        startGateway(it, peers, options.gatewaySettings)
+    end
+    for _, it in ipairs(fleet.engines) do startAgent(it, options.agentSettings) end
+    for _, it in ipairs(fleet.services) do startAgent(it, options.agentSettings) end
+    fleet.list = merged(options, {engines = fleet.engines, services = fleet.services})
+    local version = apply("gateway-1", serviceList(fleet.list))
+    local granted = grant("gateway-1", ACCOUNT)
+    fleet.key, fleet.keyId = granted.key, granted.id
+    for _, it in ipairs(fleet.gateways) do awaitServing(it, fleet, version) end
+    return fleet
+end
+
+-- Waits until a gateway serves the fleet's models and services.
+function awaitServing(gateway, fleet, version)
+    eventually(15000, gateway .. " to serve", function()
+        if version and (versionInForce(gateway) or 0) < version then return false end
+        for model in pairs(fleet.list.models or {}) do
+            local answer = call(gateway, completion(model, {key = fleet.key, tokens = 1}))
+            if not isCompleted(answer) then return false, describe(answer) end
+        end
+        if #fleet.services > 0 then
+            local answer = call(gateway, {path = "/services/counter/hours", key = fleet.key})
+            if not isCompleted(answer) then return false, describe(answer) end
+        end
+        return true
+    end)
+end
--- /dev/null
+++ b/test/scenarios/not_run_is_true.lua
@@ -0,0 +1,78 @@
+-- Point 6: whatever the refusal, "not-run" is said only of requests that no backend server saw.
+require("fleet")
+
+local fleet = startFleet{gateways = 2, services = 1, engines = 1, models = {small = 1000},
+                         agentSettings = {concurrency = 1, queue_length = 1}}
+local gateway = "gateway-1"
+local seenRefusals = 0
+
+local function check(mark, answer)
+    if isCompleted(answer) then return end
+    seenRefusals = seenRefusals + 1
+    expect(runState(answer), "a run state in the refusal of " .. mark .. ": " .. describe(answer))
+    if runState(answer) == "not-run" then
+        expectEqual(runsOf(mark), 0, "runs of refused " .. mark .. ", " .. describe(answer))
+    end
+end
+
+-- No key, an unknown key, an unknown service and model, a body that is no JSON.
+check("no-key", call(gateway, booking("no-key")))
+check("bad-key", call(gateway, booking("bad-key", {key = "qy-unknown"})))
+check("bad-service", call(gateway, {path = "/services/nowhere/bad-service", key = fleet.key}))
+check("bad-model", call(gateway, completion("unknown", {key = fleet.key, prompt = "bad-model"})))
+check("bad-body", call(gateway, {method = "POST", path = "/v1/chat/completions",
+                                 key = fleet.key, body = "bad-body"}))
+expectEqual(seenRefusals, 5, "refusals of bad requests")
+
+-- The queue overflows: one call runs, one waits, the others are refused.
+local calls = {}
+for i = 1, 6 do
+    local mark = "full-" .. i .. "-end"
+    calls[mark] = send(gateway, booking(mark, {
+        key = fleet.key, path = "/services/counter/bookings?sleep_ms=300"}))
+end
+local refusals = seenRefusals
+for mark, it in pairs(calls) do check(mark, it.finish()) end
+expect(seenRefusals > refusals, "a full queue to refuse")
+
+-- The deadline passes while one runs and one waits.
+local running = send(gateway, booking("late-running", {
+    key = fleet.key, deadlineMs = 200, path = "/services/counter/bookings?sleep_ms=800"}))
+eventually(2000, "the first call to run", function() return runsOf("late-running") == 1 end)
+local waiting = send(gateway, booking("late-waiting", {key = fleet.key, deadlineMs = 200}))
+refusals = seenRefusals
+check("late-running", running.finish())
+check("late-waiting", waiting.finish())
+expect(seenRefusals > refusals, "a passed deadline to refuse")
+eventually(3000, "the server to be idle", function()
+    return isCompleted(call(gateway, {path = "/services/counter/idle", key = fleet.key}))
+end)
+
+-- The service hangs up in the middle, the agent's link is cut while the call runs.
+local cutCall = send(gateway, booking("cut-link", {
+    key = fleet.key, path = "/services/counter/bookings?sleep_ms=500"}))
+eventually(2000, "the call to run", function() return runsOf("cut-link") == 1 end)
+cut("gateways", "agent-counter-1")
+local answer = cutCall.finish()
+heal("gateways", "agent-counter-1")
+check("cut-link", answer)
+expect(runState(answer) ~= "not-run", "no \"not-run\" of a call that runs: " .. describe(answer))
+
+-- The agent is killed while the call runs; another waits in its queue.
+eventually(5000, "the agent to be chosen again", function()
+    return isCompleted(call(gateway, {path = "/services/counter/idle", key = fleet.key}))
+end)
+running = send(gateway, booking("killed-running", {
+    key = fleet.key, path = "/services/counter/bookings?sleep_ms=500"}))
+eventually(2000, "the call to run", function() return runsOf("killed-running") == 1 end)
+waiting = send(gateway, booking("killed-waiting", {key = fleet.key}))
+kill("agent-counter-1")
+check("killed-running", running.finish())
+check("killed-waiting", waiting.finish())
+
+-- No agent at all.
+eventually(5000, "a refusal for want of a server", function()
+    local refused = call(gateway, booking("no-agent", {key = fleet.key}))
+    check("no-agent", refused)
+    return runState(refused) == "not-run"
+end)
--- /dev/null
+++ b/test/scenarios/runner/HttpCall.cpp
@@ -0,0 +1,76 @@
+#include "HttpCall.h"
+
+namespace quetzalyoke::scenarios {
+
+using Clock = std::chrono::steady_clock;
+
+std::unique_ptr<httplib::Client> makeClient(const Address &address)
+{
+    auto client = std::make_unique<httplib::Client>(address.host, address.port);
+    client->set_tcp_nodelay(true);
+    client->set_keep_alive(true);
+    return client;
+}
+
+HttpCall::HttpCall(HttpQuestion question, httplib::Client *client) : m_question(std::move(question))
+{
+    if (!client) {
+        m_client = makeClient(m_question.address);
+        client = m_client.get();
+    }
+    m_thread = std::thread([this, client] { run(*client); });
+}
+
+HttpCall::~HttpCall()
+{
+    abandon();
+    if (m_client)
+        m_client->stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+HttpAnswer HttpCall::answer() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_answer;
+}
+
+HttpAnswer HttpCall::waitForEnd()
+{
+    if (m_thread.joinable())
+        m_thread.join();
+    return answer();
+}
+
+void HttpCall::run(httplib::Client &client)
+{
+    client.set_connection_timeout(m_question.timeout);
+    client.set_read_timeout(m_question.timeout);
+    client.set_write_timeout(m_question.timeout);
+    httplib::Request req;
+    req.method = m_question.method;
+    req.path = m_question.path;
+    req.headers = m_question.headers;
+    req.body = m_question.body;
+    req.response_handler = [this](const httplib::Response &res) {
+        const std::lock_guard lock(m_mutex);
+        m_answer.status = res.status;
+        m_answer.headers = res.headers;
+        return !m_abandoned;
+    };
+    req.content_receiver = [this](const char *data, size_t n, uint64_t, uint64_t) {
+        const std::lock_guard lock(m_mutex);
+        m_answer.body.append(data, n);
+        return !m_abandoned;
+    };
+    const auto started = Clock::now();
+    const httplib::Result result = client.send(req);
+    const std::lock_guard lock(m_mutex);
+    m_answer.finished = true;
+    m_answer.whole = static_cast<bool>(result);
+    m_answer.error = result ? "" : httplib::to_string(result.error());
+    m_answer.took = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - started);
+}
+
+} // namespace quetzalyoke::scenarios
--- /dev/null
+++ b/test/scenarios/runner/HttpCall.h
@@ -0,0 +1,69 @@
+#ifndef QUETZALYOKE_SCENARIOS_HTTPCALL_H
+#define QUETZALYOKE_SCENARIOS_HTTPCALL_H
+
+#include "Adapters/Address.h"
+
+#include <httplib.h>
+
+#include <chrono>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace quetzalyoke::scenarios {
+
+/// \brief What a caller sends.
+struct HttpQuestion
+{
+    Address address;
+    std::string method;
+    std::string path;
+    httplib::Headers headers;
+    std::string body;
+    std::chrono::milliseconds timeout{10'000};
+};
+
+/// \brief What the caller has received so far.
+struct HttpAnswer
+{
+    bool finished = false;
+    bool whole = false; ///< The protocol marked the body's end.
+    int status = 0;
+    httplib::Headers headers;
+    std::string body;
+    std::string error; ///< Empty where whole.
+    std::chrono::milliseconds took{0};
+};
+
+/// A client that keeps its connection open from call to call.
+std::unique_ptr<httplib::Client> makeClient(const Address &address);
+
+/// \brief One request in the background.
+class HttpCall
+{
+public:
+    /// Sends \a question by \a client, or by a client of its own where that is null.
+    explicit HttpCall(HttpQuestion question, httplib::Client *client = nullptr);
+    ~HttpCall();
+    HttpCall(const HttpCall &) = delete;
+    HttpCall &operator=(const HttpCall &) = delete;
+
+    HttpAnswer answer() const;
+    HttpAnswer waitForEnd();
+    /// Hangs up.
+    void abandon() { m_abandoned = true; }
+
+private:
+    void run(httplib::Client &client);
+
+    HttpQuestion m_question;
+    std::atomic<bool> m_abandoned{false};
+    mutable std::mutex m_mutex; // of m_answer
+    HttpAnswer m_answer;
+    std::unique_ptr<httplib::Client> m_client;
+    std::thread m_thread;
+};
+
+} // namespace quetzalyoke::scenarios
+
+#endif
--- /dev/null
+++ b/test/scenarios/runner/LinkRelay.cpp
@@ -0,0 +1,185 @@
+#include "LinkRelay.h"
+
+#include "Core/Error.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <chrono>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace quetzalyoke::scenarios {
+
+namespace {
+
+constexpr int pollMillis = 20;
+constexpr std::chrono::milliseconds holdPoll{5};
+constexpr int backlog = 256;
+constexpr std::size_t bufferBytes = 65'536;
+
+sockaddr_in toSocketAddress(const Address &address)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(static_cast<std::uint16_t>(address.port));
+    inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
+    return result;
+}
+
+int connectTo(const Address &address)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in target = toSocketAddress(address);
+    if (connect(fd, reinterpret_cast<const sockaddr *>(&target), sizeof target) == 0)
+        return fd;
+    close(fd);
+    return -1;
+}
+
+void disableNagle(int fd)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+bool isReadable(int fd)
+{
+    pollfd waiter{fd, POLLIN, 0};
+    return poll(&waiter, 1, pollMillis) > 0;
+}
+
+bool sendAll(int fd, const char *data, std::size_t n)
+{
+    while (n > 0) {
+        const auto sent = send(fd, data, n, MSG_NOSIGNAL);
+        if (sent <= 0)
+            return false;
+        data += sent;
+        n -= static_cast<std::size_t>(sent);
+    }
+    return true;
+}
+
+} // namespace
+
+LinkRelay::LinkRelay()
+{
+    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in local = toSocketAddress({"127.0.0.1", 0});
+    socklen_t n = sizeof local;
+    const bool listening = bind(m_listener, reinterpret_cast<sockaddr *>(&local), n) == 0
+        && listen(m_listener, backlog) == 0
+        && getsockname(m_listener, reinterpret_cast<sockaddr *>(&local), &n) == 0;
+    if (!listening)
+        throw Error(ErrorKind::BadSettings, "a link can't listen; raise the limit of open files");
+    m_port = ntohs(local.sin_port);
+    m_thread = std::thread([this] { acceptConnections(); });
+}
+
+LinkRelay::~LinkRelay()
+{
+    m_stopping = true;
+    m_thread.join();
+    close(m_listener);
+}
+
+void LinkRelay::setTarget(const Address &target)
+{
+    const std::lock_guard lock(m_mutex);
+    m_target = target;
+}
+
+void LinkRelay::acceptConnections()
+{
+    while (!m_stopping) {
+        dropEnded();
+        // A silent link still completes the handshake: the kernel's backlog stands for it.
+        if (m_state == LinkState::Silent || !isReadable(m_listener)) {
+            std::this_thread::sleep_for(holdPoll);
+            continue;
+        }
+        const int near = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (near >= 0)
+            open(near);
+    }
+    for (Connection &it : m_connections)
+        join(it);
+}
+
+void LinkRelay::open(int near)
+{
+    Address target;
+    {
+        const std::lock_guard lock(m_mutex);
+        target = m_target;
+    }
+    const bool passes = m_state != LinkState::Closed && target.port != 0;
+    const int far = passes ? connectTo(target) : -1;
+    if (far < 0) {
+        close(near);
+        return;
+    }
+    disableNagle(near);
+    disableNagle(far);
+    Connection &connection = m_connections.emplace_back();
+    connection.near = near;
+    connection.far = far;
+    connection.forward = std::thread([this, &connection] { pump(connection, true); });
+    connection.backward = std::thread([this, &connection] { pump(connection, false); });
+}
+
+void LinkRelay::pump(Connection &connection, bool forward)
+{
+    const int from = forward ? connection.near : connection.far;
+    const int to = forward ? connection.far : connection.near;
+    std::array<char, bufferBytes> buf{};
+    while (!m_stopping && m_state != LinkState::Closed && connection.pumps == 2) {
+        if (isHeld(forward)) {
+            std::this_thread::sleep_for(holdPoll);
+            continue;
+        }
+        if (!isReadable(from))
+            continue;
+        const auto n = recv(from, buf.data(), buf.size(), 0);
+        while (isHeld(forward) && !m_stopping)
+            std::this_thread::sleep_for(holdPoll);
+        if (n <= 0 || m_state == LinkState::Closed)
+            break;
+        if (!sendAll(to, buf.data(), static_cast<std::size_t>(n)))
+            break;
+    }
+    --connection.pumps;
+    shutdown(connection.near, SHUT_RDWR);
+    shutdown(connection.far, SHUT_RDWR);
+}
+
+bool LinkRelay::isHeld(bool forward) const
+{
+    const LinkState state = m_state;
+    return state == LinkState::Silent || (state == LinkState::Deaf && !forward);
+}
+
+void LinkRelay::dropEnded()
+{
+    for (auto it = m_connections.begin(); it != m_connections.end();) {
+        if (it->pumps > 0) {
+            ++it;
+            continue;
+        }
+        join(*it);
+        it = m_connections.erase(it);
+    }
+}
+
+void LinkRelay::join(Connection &connection)
+{
+    connection.forward.join();
+    connection.backward.join();
+    close(connection.near);
+    close(connection.far);
+}
+
+} // namespace quetzalyoke::scenarios
