Move the plain service stand-in into its own class

Change: the stand-in can hang up in the middle of an answer (cut_bytes) and crash (X-Crash); the runner notes when each part of an answer arrived.

--- a/src/StandIns/Engine/Engine.cpp
+++ b/src/StandIns/Engine/Engine.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 #include <memory>
 #include <thread>
 
@@ -14,7 +13,6 @@
 using Json = nlohmann::json;
 
 constexpr int defaultAnswerTokens = 16;
-constexpr int exitCrashed = 70;
 
 void answer(httplib::Response &res, int status, const Json &body)
 {
@@ -80,8 +78,6 @@
     const std::string model = body["model"];
     if (!isHeld(model))
         return answer(res, 404, errorBody("model " + model + " is not loaded"));
-    if (body.value("crash_engine", false))
-        std::_Exit(exitCrashed);
     const int tokens = body.value("max_tokens", defaultAnswerTokens);
     Json headers = Json::object();
     for (const auto &[name, value] : req.headers)
@@ -93,7 +89,6 @@
             {"request", req.get_header_value("X-Request-Id")},
             {"model", model},
             {"target", req.target},
-            {"body", req.body},
             {"headers",
              headers}}.dump());
     }
--- /dev/null
+++ b/src/StandIns/Service/EchoService.cpp
@@ -0,0 +1,78 @@
+#include "StandIns/Service/EchoService.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <thread>
+
+namespace quetzalyoke::standins {
+
+namespace {
+
+constexpr int exitCrashed = 70;
+
+std::string describeCall(const httplib::Request &req)
+{
+    nlohmann::json entry{{"request", req.get_header_value("X-Request-Id")},
+                         {"method", req.method},
+                         {"target", req.target},
+                         {"body", req.body},
+                         {"headers", nlohmann::json::object()}};
+    for (const auto &[name, value] : req.headers)
+        entry["headers"][name] = value;
+    return entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// Announces the whole length and hangs up after \a limit bytes.
+void answerInPart(httplib::Response &res, const std::string &text, std::size_t limit)
+{
+    res.set_content_provider(text.size(), "application/json",
+                             [text, limit](size_t offset, size_t, httplib::DataSink &sink) {
+                                 if (offset >= limit)
+                                     return false;
+                                 const auto n = std::min(limit, text.size()) - offset;
+                                 return sink.write(text.data() + offset, n);
+                             });
+}
+
+} // namespace
+
+void EchoService::addRoutes(httplib::Server &server)
+{
+    server.Get("/record", [this](const auto &, auto &res) { showRecord(res); });
+    const auto echo = [this](const auto &req, auto &res) { run(req, res); };
+    server.Get(".*", echo);
+    server.Post(".*", echo);
+    server.Put(".*", echo);
+    server.Patch(".*", echo);
+    server.Delete(".*", echo);
+}
+
+void EchoService::run(const httplib::Request &req, httplib::Response &res)
+{
+    const std::string text = describeCall(req);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_record += text + "\n";
+    }
+    if (req.get_header_value("X-Crash") == "yes")
+        std::_Exit(exitCrashed);
+    if (req.has_param("sleep_ms")) {
+        const int millis = std::stoi(req.get_param_value("sleep_ms"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(millis));
+    }
+    res.status = req.method == "POST" ? 201 : 200;
+    res.set_header("X-Service", "echo");
+    if (req.has_param("cut_bytes"))
+        return answerInPart(res, text, std::stoul(req.get_param_value("cut_bytes")));
+    res.set_content(text, "application/json");
+}
+
+void EchoService::showRecord(httplib::Response &res)
+{
+    const std::lock_guard lock(m_mutex);
+    res.set_content(m_record, "application/x-ndjson");
+}
+
+} // namespace quetzalyoke::standins
--- a/test/scenarios/runner/HttpCall.cpp
+++ b/test/scenarios/runner/HttpCall.cpp
@@ -62,6 +62,7 @@
     req.content_receiver = [this](const char *data, size_t n, uint64_t, uint64_t) {
         const std::lock_guard lock(m_mutex);
         m_answer.body.append(data, n);
+        m_answer.arrivals.push_back({Clock::now(), m_answer.body.size()});
         return !m_abandoned;
     };
     const auto started = Clock::now();
--- a/test/scenarios/runner/HttpCall.h
+++ b/test/scenarios/runner/HttpCall.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace quetzalyoke::scenarios {
 
@@ -23,6 +24,13 @@
     std::chrono::milliseconds timeout{10'000};
 };
 
+/// \brief How much of the body had arrived at a moment.
+struct Arrival
+{
+    std::chrono::steady_clock::time_point time;
+    std::size_t bodyBytes = 0;
+};
+
 /// \brief What the caller has received so far.
 struct HttpAnswer
 {
@@ -31,6 +39,7 @@
     int status = 0;
     httplib::Headers headers;
     std::string body;
+    std::vector<Arrival> arrivals;
     std::string error; ///< Empty where whole.
     std::chrono::milliseconds took{0};
 };
--- a/test/scenarios/runner/ScenarioHost.cpp
+++ b/test/scenarios/runner/ScenarioHost.cpp
@@ -61,15 +61,24 @@
     return text;
 }
 
+// As now_ms() counts.
+double toMillis(Clock::time_point time)
+{
+    return std::chrono::duration<double, std::milli>(time.time_since_epoch()).count();
+}
+
 Json answerToJson(const HttpAnswer &answer)
 {
+    Json arrivals = Json::array();
+    for (const Arrival &it : answer.arrivals)
+        arrivals.push_back({{"at_ms", toMillis(it.time)}, {"bytes", it.bodyBytes}});
     Json headers = Json::object();
     for (const auto &[name, value] : answer.headers)
         headers[lowerCase(name)] = value;
-    return {{"finished", answer.finished},   {"whole", answer.whole},
-            {"status", answer.status},       {"headers", headers},
-            {"body", answer.body},           {"error", answer.error},
-            {"took_ms", answer.took.count()}};
+    return {{"finished", answer.finished}, {"whole", answer.whole},
+            {"status", answer.status},     {"headers", headers},
+            {"body", answer.body},         {"error", answer.error},
+            {"arrivals", arrivals},        {"took_ms", answer.took.count()}};
 }
 
 } // namespace
@@ -106,10 +115,7 @@
     add("send", &ScenarioHost::sendCall);
     add("answer", &ScenarioHost::callAnswer);
     add("abandon", &ScenarioHost::abandonCall);
-    script.addVerb("now_ms", [](const Json &) -> Json {
-        const auto now = Clock::now().time_since_epoch();
-        return std::chrono::duration<double, std::milli>(now).count();
-    });
+    script.addVerb("now_ms", [](const Json &) -> Json { return toMillis(Clock::now()); });
     script.addVerb("poll_pause", [](const Json &) -> Json {
         std::this_thread::sleep_for(readyPoll);
         return nullptr;
