Check a whole service list and report every mistake at once

Cause: a list whose adapters, dependencies or servers named nothing was accepted and put in force; of two sections of the same name the last won silently; the INI library reports only the first malformed line and cuts text after a NUL. Ruled out: checking inside ServiceList::parse, which would mix the form of one section with the meaning of the whole; recursion over dependencies, which a chain of many thousands would overflow. Change: ServiceListCheck finds unknown names, cycles (named), shared names, services without server, wrong open routes, models that fit no engine (shortfall in MB), an empty list; a notice says when no engine has room for a new version beside the old one. ServiceList::parse is split into one function a section.

--- a/src/Apps/Ctl/main.cpp
+++ b/src/Apps/Ctl/main.cpp
@@ -1,7 +1,7 @@
 #include "Adapters/Address.h"
 #include "Adapters/Process.h"
 #include "Core/Error.h"
-#include "Core/ServiceList.h"
+#include "Core/ServiceListCheck.h"
 
 #include <CLI/CLI.hpp>
 #include <httplib.h>
@@ -56,12 +56,13 @@
 
 int check(const std::string &path)
 {
-    Problems problems;
-    ServiceList::parse(Process::readFile(path) + "\n", path, problems);
-    std::cout << describe(problems);
-    if (problems.empty())
+    const CheckedServiceList checked = ServiceListCheck::read(Process::readFile(path), path);
+    std::cout << describe(checked.problems);
+    for (const Problem &it : checked.notices)
+        std::cout << "note: " << it.text() << '\n';
+    if (checked.problems.empty())
         std::cout << path << ": the service list is valid\n";
-    return problems.empty() ? 0 : exitRefused;
+    return checked.problems.empty() ? 0 : exitRefused;
 }
 
 int apply(OperatorClient &client, const std::string &path, std::int64_t seen)
--- a/src/Apps/Gateway/OperatorApi.cpp
+++ b/src/Apps/Gateway/OperatorApi.cpp
@@ -3,6 +3,7 @@
 #include "Adapters/Crypto.h"
 #include "Apps/Gateway/Authenticator.h"
 #include "Core/Error.h"
+#include "Core/ServiceListCheck.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -88,10 +89,10 @@
 {
     m_gate.requireMayAccept();
     const Version seen(std::stoll("0" + req.get_param_value("seen")));
-    Problems problems;
-    const ServiceList list = ServiceList::parse(req.body, "service-list", problems);
-    if (!problems.empty())
-        throw Error(ErrorKind::BadSettings, describe(problems));
+    const std::string file = req.has_param("file") ? req.get_param_value("file") : "service list";
+    const CheckedServiceList checked = ServiceListCheck::read(req.body, file);
+    if (!checked.problems.empty())
+        throw Error(ErrorKind::BadSettings, describe(checked.problems));
     const ConfigurationPointer pointer{"configuration-" + sha256Hex(req.body), "operator"};
     m_platform.put(pointer.object, req.body);
     const auto version
--- a/src/Core/EntryReader.cpp
+++ b/src/Core/EntryReader.cpp
@@ -55,10 +55,11 @@
     std::int64_t n = 0;
     const char *end = value.data() + value.size();
     const auto [last, ec] = std::from_chars(value.data(), end, n);
-    if (ec != std::errc() || last != end || n < least || n > most) {
-        complain(name, name + " = " + value + " is out of range",
-                 "give a whole number from " + std::to_string(least) + " to "
-                     + std::to_string(most));
+    const bool isNumber = ec != std::errc::invalid_argument && last == end;
+    if (!isNumber || ec != std::errc() || n < least || n > most) {
+        complain(
+            name, name + " = " + value + (isNumber ? " is out of range" : " is no whole number"),
+            "give a whole number from " + std::to_string(least) + " to " + std::to_string(most));
         return least;
     }
     return n;
--- a/src/Core/IniDocument.cpp
+++ b/src/Core/IniDocument.cpp
@@ -2,6 +2,7 @@
 
 #include <ini.h>
 
+#include <algorithm>
 #include <cstring>
 #include <sstream>
 
@@ -19,9 +20,9 @@
     Problems *problems = nullptr;
 };
 
-// inih cuts lines that are longer than its buffer, so long lines are refused here by number
-// and given to inih as empty ones. Headings are read here too: inih names a section to its
-// handler only with the first entry, which would lose empty sections.
+// inih cuts lines that are longer than its buffer and reports only the first bad line, so such
+// lines are refused here by number and given to inih as empty ones. Headings are read here too:
+// inih names a section to its handler only with the first entry, which would lose empty sections.
 std::string trimmed(const std::string &text)
 {
     const auto first = text.find_first_not_of(" \t\r");
@@ -31,6 +32,11 @@
     return text.substr(first, last - first + 1);
 }
 
+void complain(ParseState &state, const std::string &what, const std::string &remedy)
+{
+    state.problems->push_back({state.file, state.line, what, remedy});
+}
+
 void addSection(ParseState &state, const std::string &heading)
 {
     IniSection section;
@@ -42,6 +48,60 @@
     state.sections->push_back(section);
 }
 
+bool isComment(const std::string &line)
+{
+    return line.empty() || line.front() == ';' || line.front() == '#';
+}
+
+bool hasControlCharacter(const std::string &line)
+{
+    return std::any_of(line.begin(), line.end(), [](char c) {
+        const auto code = static_cast<unsigned char>(c);
+        return (code < ' ' && c != '\t') || code == 127;
+    });
+}
+
+// Reads a heading; nothing is left of it for inih.
+void takeHeading(ParseState &state, const std::string &line)
+{
+    const auto end = line.find(']');
+    if (end == std::string::npos) {
+        complain(state, "heading has no ]", "write it as [kind name]");
+        return;
+    }
+    if (!isComment(trimmed(line.substr(end + 1))))
+        complain(state, "text after the heading", "put it on a line of its own");
+    addSection(state, trimmed(line.substr(1, end - 1)));
+}
+
+// Reports what inih would cut, skip or report only once; true where it may have the line.
+bool isEntry(ParseState &state, const std::string &line)
+{
+    if (static_cast<int>(line.size()) > IniDocument::maximumLineLength) {
+        complain(state,
+                 "line is longer than " + std::to_string(IniDocument::maximumLineLength)
+                     + " characters",
+                 "split the value over several lines of the same name");
+        return false;
+    }
+    if (hasControlCharacter(line)) {
+        complain(state, "line has a control character", "remove it");
+        return false;
+    }
+    if (isComment(line))
+        return false;
+    if (line.front() == '[') {
+        takeHeading(state, line);
+        return false;
+    }
+    if (line.find_first_of("=:") == std::string::npos) {
+        complain(state, "line is neither [section] nor name = value",
+                 "write it as name = value, or start it with ; for a comment");
+        return false;
+    }
+    return true;
+}
+
 char *readLine(char *buf, int size, void *context)
 {
     auto &state = *static_cast<ParseState *>(context);
@@ -50,16 +110,8 @@
         return nullptr;
     ++state.line;
     line = trimmed(line);
-    if (static_cast<int>(line.size()) > IniDocument::maximumLineLength) {
-        state.problems->push_back({state.file, state.line,
-                                   "line is longer than "
-                                       + std::to_string(IniDocument::maximumLineLength)
-                                       + " characters",
-                                   "split the value over several lines of the same name"});
+    if (!isEntry(state, line))
         line.clear();
-    }
-    if (!line.empty() && line.front() == '[' && line.find(']') != std::string::npos)
-        addSection(state, trimmed(line.substr(1, line.find(']') - 1)));
     line += '\n';
     std::strncpy(buf, line.c_str(), static_cast<std::size_t>(size) - 1);
     buf[size - 1] = '\0';
--- a/src/Core/Problem.cpp
+++ b/src/Core/Problem.cpp
@@ -4,7 +4,8 @@
 
 std::string Problem::text() const
 {
-    return file + ":" + std::to_string(line) + ": " + what + "; " + remedy;
+    const std::string place = line > 0 ? file + ":" + std::to_string(line) : file;
+    return place + ": " + what + "; " + remedy;
 }
 
 std::string describe(const Problems &problems)
--- a/src/Core/ServiceList.h
+++ b/src/Core/ServiceList.h
@@ -17,6 +17,7 @@
     Megabytes memory;
     std::vector<std::string> dependencies; ///< Models or services this one needs.
     int line = 0;
+    int dependenciesLine = 0;
 };
 
 struct AdapterEntry
@@ -26,6 +27,7 @@
     std::string version;
     Megabytes memory;
     int line = 0;
+    int baseLine = 0;
 };
 
 /// \brief A call of a plain service: method and path, `*` at the end matches any rest.
@@ -43,6 +45,7 @@
     std::vector<CallPattern> nonIdempotent; ///< Calls that may not be repeated.
     std::vector<std::string> dependencies;
     int line = 0;
+    int dependenciesLine = 0;
 };
 
 struct AccountEntry
@@ -71,14 +74,16 @@
     bool checksFencing = false; ///< Refuses an order with an old fencing number.
     ServiceName service; ///< For plain services: which one it runs.
     int line = 0;
+    int serviceLine = 0;
 };
 
 /// \brief The operators' text: what is served, for whom, and by which backend servers.
-/// \sa IniDocument
+/// \sa IniDocument, ServiceListCheck
 class ServiceList
 {
 public:
-    /// Reads \a text; every mistake is added to \a problems.
+    /// Reads \a text; every mistake within one section, and every name given twice, is added to
+    /// \a problems. Names that point to other sections are ServiceListCheck's.
     static ServiceList parse(const std::string &text, const std::string &file, Problems &problems);
 
     std::map<ModelName, ModelEntry> models;
--- /dev/null
+++ b/src/Core/internal/ServiceListReader.cpp
@@ -0,0 +1,223 @@
+#include "Core/internal/ServiceListReader.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace quetzalyoke::internal {
+
+namespace {
+
+constexpr std::int64_t maximumMegabytes = 100'000'000;
+constexpr std::int64_t maximumTokens = 1'000'000'000'000;
+constexpr std::size_t maximumNameLength = 100;
+constexpr const char *anyMethod = "*";
+constexpr std::array methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+
+// ASCII alone: the verdict must not depend on the process's locale.
+bool isLetterOrDigit(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+}
+
+bool isNameCharacter(char c)
+{
+    return isLetterOrDigit(c) || c == '.' || c == '_' || c == '-';
+}
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= maximumNameLength && isLetterOrDigit(text.front())
+        && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
+bool isMethod(const std::string &text)
+{
+    return text == anyMethod || std::find(methods.begin(), methods.end(), text) != methods.end();
+}
+
+} // namespace
+
+ServiceListReader::ServiceListReader(std::string file, Problems &problems)
+    : m_file(std::move(file)), m_problems(problems)
+{ }
+
+ServiceList ServiceListReader::read(const IniDocument &document)
+{
+    for (const IniSection &it : document.sections())
+        readSection(it);
+    return std::move(m_list);
+}
+
+void ServiceListReader::readSection(const IniSection &section)
+{
+    EntryReader reader(m_file, section, m_problems);
+    if (section.kind == "model")
+        readModel(section, reader);
+    else if (section.kind == "adapter")
+        readAdapter(section, reader);
+    else if (section.kind == "service")
+        readService(section, reader);
+    else if (section.kind == "account")
+        readAccount(section, reader);
+    else if (section.kind == "server")
+        return readServer(section, reader);
+    else if (section.kind == "open")
+        readOpenRoute(section);
+    else
+        return complain(section.line, "unknown section [" + section.kind + "]",
+                        "use model, adapter, service, account, server or open");
+    reader.finish();
+}
+
+void ServiceListReader::readModel(const IniSection &section, EntryReader &reader)
+{
+    ModelEntry entry;
+    entry.name = ModelName(section.name);
+    entry.version = readName(reader, "version");
+    entry.memory = Megabytes(reader.number("memory_mb", 1, maximumMegabytes));
+    entry.dependencies = readNames(reader, "depends_on");
+    entry.line = section.line;
+    entry.dependenciesLine = reader.lineOf("depends_on");
+    add(m_list.models, entry, section);
+}
+
+void ServiceListReader::readAdapter(const IniSection &section, EntryReader &reader)
+{
+    AdapterEntry entry;
+    entry.name = AdapterName(section.name);
+    entry.base = ModelName(reader.text("base"));
+    entry.version = readName(reader, "version");
+    entry.memory = Megabytes(reader.number("memory_mb", 1, maximumMegabytes));
+    entry.line = section.line;
+    entry.baseLine = reader.lineOf("base");
+    add(m_list.adapters, entry, section);
+}
+
+void ServiceListReader::readService(const IniSection &section, EntryReader &reader)
+{
+    ServiceEntry entry;
+    entry.name = ServiceName(section.name);
+    for (const std::string &it : reader.list("non_idempotent"))
+        entry.nonIdempotent.push_back(readCall(it, reader.lineOf("non_idempotent")));
+    entry.dependencies = readNames(reader, "depends_on");
+    entry.line = section.line;
+    entry.dependenciesLine = reader.lineOf("depends_on");
+    add(m_list.services, entry, section);
+}
+
+void ServiceListReader::readAccount(const IniSection &section, EntryReader &reader)
+{
+    AccountEntry entry;
+    entry.name = AccountId(section.name);
+    entry.rate = TokensPerSecond(reader.number("rate_tokens_per_s", 1, maximumTokens));
+    entry.burst = Tokens(reader.number("burst_tokens", 1, maximumTokens));
+    entry.line = section.line;
+    add(m_list.accounts, entry, section);
+}
+
+void ServiceListReader::readServer(const IniSection &section, EntryReader &reader)
+{
+    ServerEntry entry;
+    entry.name = ServerName(section.name);
+    entry.line = section.line;
+    const std::size_t before = m_problems.size();
+    const std::string kind = reader.choice("kind", {"engine", "service"});
+    // Without a kind nothing can be said of the other settings.
+    if (m_problems.size() > before)
+        return;
+    entry.kind = kind == "engine" ? ServerKind::Engine : ServerKind::Service;
+    entry.zone = ZoneName(readName(reader, "zone"));
+    if (entry.kind == ServerKind::Engine) {
+        entry.memory = Megabytes(reader.number("memory_mb", 1, maximumMegabytes));
+        entry.checksFencing = reader.choice("fencing", {"checked", "ignored"}) == "checked";
+    } else {
+        entry.service = ServiceName(reader.text("service"));
+        entry.serviceLine = reader.lineOf("service");
+    }
+    reader.finish();
+    add(m_list.servers, entry, section);
+}
+
+void ServiceListReader::readOpenRoute(const IniSection &section)
+{
+    OpenRoute route;
+    route.call = readCall(section.name, section.line);
+    route.line = section.line;
+    m_list.openRoutes.push_back(route);
+}
+
+std::string ServiceListReader::readName(EntryReader &reader, const std::string &name)
+{
+    const std::string text = reader.text(name);
+    if (!text.empty())
+        checkName(text, reader.lineOf(name));
+    return text;
+}
+
+std::vector<std::string> ServiceListReader::readNames(EntryReader &reader, const std::string &name)
+{
+    std::vector<std::string> names = reader.list(name);
+    for (const std::string &it : names)
+        checkName(it, reader.lineOf(name));
+    return names;
+}
+
+CallPattern ServiceListReader::readCall(const std::string &text, int line)
+{
+    CallPattern call{anyMethod, text};
+    const auto space = text.find_first_of(" \t");
+    if (space != std::string::npos) {
+        call.method = text.substr(0, space);
+        call.path = text.substr(text.find_first_not_of(" \t", space));
+    }
+    if (!isMethod(call.method)) {
+        complain(line, "\"" + call.method + "\" is no HTTP method",
+                 "use GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS or *");
+    }
+    if (!call.path.starts_with("/")) {
+        complain(line, "the path \"" + call.path + "\" does not start with /",
+                 "write the call as METHOD /path");
+    }
+    if (call.path.find_first_of(" \t?#") != std::string::npos) {
+        complain(line, "the path \"" + call.path + "\" has a space, ? or #",
+                 "give the path alone, without a query");
+    }
+    const auto star = call.path.find('*');
+    if (star != std::string::npos && star + 1 != call.path.size()) {
+        complain(line, "the path \"" + call.path + "\" has a * before its end",
+                 "use * only as the last character");
+    }
+    return call;
+}
+
+template<typename Entries, typename Entry>
+void ServiceListReader::add(Entries &entries, const Entry &entry, const IniSection &section)
+{
+    if (!checkName(section.name, section.line))
+        return;
+    const auto [it, added] = entries.emplace(entry.name, entry);
+    if (added)
+        return;
+    complain(section.line,
+             "[" + section.kind + " " + section.name + "] is already on line "
+                 + std::to_string(it->second.line),
+             "rename or remove one of them");
+}
+
+bool ServiceListReader::checkName(const std::string &text, int line)
+{
+    if (isName(text))
+        return true;
+    complain(line, text.empty() ? "the name is missing" : "\"" + text + "\" is no valid name",
+             "use letters, digits, dot, underscore and hyphen, first a letter or digit, at most "
+                 + std::to_string(maximumNameLength));
+    return false;
+}
+
+void ServiceListReader::complain(int line, const std::string &what, const std::string &remedy)
+{
+    m_problems.push_back({m_file, line, what, remedy});
+}
+
+} // namespace quetzalyoke::internal
--- /dev/null
+++ b/src/Core/internal/ServiceListReader.h
@@ -0,0 +1,45 @@
+#ifndef QUETZALYOKE_CORE_INTERNAL_SERVICELISTREADER_H
+#define QUETZALYOKE_CORE_INTERNAL_SERVICELISTREADER_H
+
+#include "Core/EntryReader.h"
+#include "Core/ServiceList.h"
+
+#include <string>
+
+namespace quetzalyoke::internal {
+
+/// \brief Reads the sections of a service list one by one and collects their mistakes.
+class ServiceListReader
+{
+public:
+    ServiceListReader(std::string file, Problems &problems);
+
+    ServiceList read(const IniDocument &document);
+
+private:
+    void readSection(const IniSection &section);
+    void readModel(const IniSection &section, EntryReader &reader);
+    void readAdapter(const IniSection &section, EntryReader &reader);
+    void readService(const IniSection &section, EntryReader &reader);
+    void readAccount(const IniSection &section, EntryReader &reader);
+    void readServer(const IniSection &section, EntryReader &reader);
+    void readOpenRoute(const IniSection &section);
+
+    /// Value of \a name, which must be a name itself.
+    std::string readName(EntryReader &reader, const std::string &name);
+    std::vector<std::string> readNames(EntryReader &reader, const std::string &name);
+    CallPattern readCall(const std::string &text, int line);
+    /// Adds \a entry unless its name is wrong or already there.
+    template<typename Entries, typename Entry>
+    void add(Entries &entries, const Entry &entry, const IniSection &section);
+    bool checkName(const std::string &text, int line);
+    void complain(int line, const std::string &what, const std::string &remedy);
+
+    std::string m_file;
+    Problems &m_problems;
+    ServiceList m_list;
+};
+
+} // namespace quetzalyoke::internal
+
+#endif
