Make the operators' tool whole and settle writes whose answer was lost

Cause: apply took the version at the moment of the call as "seen", so of two racing operators the later one overwrote the other unseen; a commit whose answer was lost was reported as failed or left open; one gateway without an answer ended the tool. Ruled out: telling one's own write by its text (two operators may write the same text); re-reading without writing again (a write still on its way would take effect after the re-read). Shown red in a scratch copy without the check for one's own row: SettledCommitTest findsOutWhatALostAnswerSaid, doesNotClaimToKnowWhatAnotherWriterHides and isTruthfulUnderRandomFaults. Green: ctest 19 of 19; scripts/quickstart runs to its end.

--- a/src/Adapters/Process.cpp
+++ b/src/Adapters/Process.cpp
@@ -79,6 +79,11 @@
     }
 }
 
+std::string Process::version()
+{
+    return productVersion;
+}
+
 bool Process::stopRequested()
 {
     return stopSignals > 0;
--- a/src/Adapters/Process.h
+++ b/src/Adapters/Process.h
@@ -24,6 +24,8 @@
     static int run(int argc, char **argv, const std::string &name, const SettingsReader &reader,
                    const Body &body);
 
+    /// Version of the product, as --version prints it.
+    static std::string version();
     /// Whether SIGTERM or SIGINT has arrived.
     static bool stopRequested();
     /// Whether a second signal asked to stop without waiting.
--- /dev/null
+++ b/src/Apps/Ctl/OperatorClient.h
@@ -0,0 +1,49 @@
+#ifndef QUETZALYOKE_APPS_CTL_OPERATORCLIENT_H
+#define QUETZALYOKE_APPS_CTL_OPERATORCLIENT_H
+
+#include "Adapters/Address.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief Calls the operators' API of the gateways.
+///
+/// A call goes to the first gateway that takes it. The next one is tried where nothing can have
+/// happened: for reads after any failure, for changes only if nothing was sent or the gateway says
+/// so. Calls throw Error; OutcomeUnknown where a change was sent and its answer was lost.
+class OperatorClient
+{
+public:
+    using Json = nlohmann::json;
+
+    OperatorClient(const std::vector<std::string> &gateways, std::string secret);
+
+    const std::vector<Address> &gateways() const { return m_gateways; }
+    Json get(const std::string &path, const httplib::Params &params = {});
+    /// Reads from \a gateway alone.
+    Json getFrom(const Address &gateway, const std::string &path,
+                 const httplib::Params &params = {});
+    Json put(const std::string &path, const httplib::Params &params, const std::string &body);
+    Json post(const std::string &path, const httplib::Params &params);
+    Json remove(const std::string &path);
+
+private:
+    using Send = std::function<httplib::Result(httplib::Client &)>;
+    enum class CallKind { Read, Change };
+
+    Json callAny(CallKind kind, const Send &send);
+    Json call(const Address &gateway, CallKind kind, const Send &send);
+
+    std::vector<Address> m_gateways;
+    std::string m_secret;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Ctl/ServiceListCommands.cpp
@@ -0,0 +1,92 @@
+#include "Apps/Ctl/ServiceListCommands.h"
+
+#include "Adapters/Process.h"
+#include "Core/ServiceListCheck.h"
+#include "Core/ServiceListDiff.h"
+#include "Core/VersionLine.h"
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr const char *configurationPath = "/operator/configuration";
+
+std::string readText(const std::string &path)
+{
+    return Process::readFile(path) + "\n";
+}
+
+// Throws Error (BadSettings) where neither the command line nor the text names a version.
+Version versionSeen(const std::string &text, const std::optional<Version> &given)
+{
+    if (given)
+        return *given;
+    const auto version = VersionLine::read(text);
+    if (version)
+        return *version;
+    throw Error(ErrorKind::BadSettings,
+                "the file does not say which version it started from; begin with the output of "
+                "quetzalyokectl show, whose first line is \"; version N\", or give --seen N, or "
+                "--first where no list is in force yet");
+}
+
+} // namespace
+
+ExitCode checkServiceList(const std::string &path, std::ostream &out)
+{
+    const CheckedServiceList checked = ServiceListCheck::read(readText(path), path);
+    out << describe(checked.problems);
+    for (const Problem &it : checked.notices)
+        out << "note: " << it.text() << '\n';
+    if (!checked.problems.empty())
+        return ExitCode::Refused;
+    out << path << ": the service list is valid\n";
+    return ExitCode::Done;
+}
+
+ServiceListCommands::ServiceListCommands(OperatorClient &client, std::ostream &out)
+    : m_client(client), m_out(out)
+{ }
+
+ExitCode ServiceListCommands::show()
+{
+    const auto answer = m_client.get(configurationPath);
+    m_out << VersionLine::add(answer.at("text"), Version(answer.at("version")));
+    return ExitCode::Done;
+}
+
+ExitCode ServiceListCommands::diff(const std::string &path)
+{
+    const CheckedServiceList wanted = ServiceListCheck::read(readText(path), path);
+    if (!wanted.problems.empty()) {
+        m_out << describe(wanted.problems);
+        return ExitCode::Refused;
+    }
+    const auto answer = m_client.get(configurationPath);
+    Problems ignored; // The text in force was checked when it was applied.
+    const ServiceList current = ServiceList::parse(answer.at("text"), "in force", ignored);
+    const auto changes = diffServiceLists(current, wanted.list);
+    m_out << "in force: version " << answer.at("version") << '\n';
+    m_out << (changes.empty() ? "no entry differs\n" : describe(changes));
+    return changes.empty() ? ExitCode::Done : ExitCode::Differs;
+}
+
+ExitCode ServiceListCommands::apply(const std::string &path, const std::optional<Version> &seen)
+{
+    const std::string text = readText(path);
+    const Version version = versionSeen(text, seen);
+    try {
+        const auto answer = m_client.put(
+            configurationPath, {{"seen", std::to_string(version.count())}, {"file", path}}, text);
+        m_out << "version " << answer.at("version") << " is in force\n";
+    } catch (const Error &e) {
+        if (e.kind() != ErrorKind::OutcomeUnknown)
+            throw;
+        throw Error(e.kind(),
+                    std::string(e.what()) + "; run quetzalyokectl diff " + path
+                        + " to see, then apply the same file again: it is put in force once");
+    }
+    return ExitCode::Done;
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Ctl/main.cpp
+++ b/src/Apps/Ctl/main.cpp
@@ -1,11 +1,9 @@
-#include "Adapters/Address.h"
 #include "Adapters/Process.h"
-#include "Core/Error.h"
-#include "Core/ServiceListCheck.h"
+#include "Apps/Ctl/KeyCommands.h"
+#include "Apps/Ctl/ServiceListCommands.h"
+#include "Apps/Ctl/StatusCommand.h"
 
 #include <CLI/CLI.hpp>
-#include <httplib.h>
-#include <nlohmann/json.hpp>
 
 #include <iostream>
 
@@ -13,138 +11,163 @@
 
 namespace {
 
-using Json = nlohmann::json;
+constexpr const char *footer
+    = "Exit codes: 0 done, 1 refused or the list has mistakes, 2 wrong command line, file or\n"
+      "credential, 3 no gateway answered (nothing happened), 4 outcome unknown, 5 somebody else\n"
+      "changed it first (look again), 6 diff found changes.";
 
-constexpr int exitRefused = 1;
-constexpr int exitBadInput = 2;
+// What the command line asks for.
+struct Options
+{
+    std::vector<std::string> gateways;
+    std::string secretFile;
+    std::string file;
+    std::int64_t seen = 0;
+    bool first = false;
+    std::string account;
+    std::string keyId;
+};
+
+using Command = std::function<ExitCode(OperatorClient &)>;
 
-// Calls one gateway's operators' API.
-class OperatorClient
+// The command line, its subcommands and what each of them runs.
+class CommandLine
 {
 public:
-    OperatorClient(const std::string &gateway, const std::string &secretFile)
-        : m_address(Address::parse(gateway)), m_client(m_address.host, m_address.port)
+    CommandLine() : m_app("Operates quetzalyoke through any of its gateways")
     {
-        m_client.set_bearer_token_auth(Process::readFile(secretFile));
+        m_app.set_version_flag("--version", "quetzalyokectl " + Process::version());
+        m_app.footer(footer);
+        m_app.require_subcommand(1);
+        m_app.fallthrough();
+        m_app
+            .add_option("--gateway", m_options.gateways,
+                        "IP:PORT of a gateway, or several with commas: the next one is asked "
+                        "where one gives no answer")
+            ->delimiter(',')
+            ->envname("QUETZALYOKE_GATEWAY");
+        m_app
+            .add_option("--operator-secret-file", m_options.secretFile,
+                        "file with the operators' credential")
+            ->envname("QUETZALYOKE_OPERATOR_SECRET_FILE");
+        addServiceListCommands();
+        addKeyCommands();
+        add(m_app, "status", "print what each named gateway knows, as JSON",
+            [](OperatorClient &client) { return printStatus(client, std::cout); });
     }
 
-    Json get(const std::string &path) { return unwrap(m_client.Get(path)); }
-    Json put(const std::string &path, const std::string &body)
+    int run(int argc, char **argv)
     {
-        return unwrap(m_client.Put(path, body, "text/plain"));
+        try {
+            m_app.parse(argc, argv);
+        } catch (const CLI::ParseError &e) {
+            return static_cast<int>(m_app.exit(e) == 0 ? ExitCode::Done : ExitCode::BadUsage);
+        }
+        try {
+            return static_cast<int>(runCommand());
+        } catch (const Error &e) {
+            std::cerr << e.what() << '\n';
+            return static_cast<int>(exitCodeFor(e.kind()));
+        } catch (const nlohmann::json::exception &e) {
+            std::cerr << "the gateway's answer is not understood (" << e.what()
+                      << "); use a quetzalyokectl of its version\n";
+            return static_cast<int>(ExitCode::Refused);
+        }
     }
-    Json post(const std::string &path) { return unwrap(m_client.Post(path)); }
-    Json remove(const std::string &path) { return unwrap(m_client.Delete(path)); }
 
 private:
-    Json unwrap(const httplib::Result &result)
+    ExitCode runCommand()
     {
-        if (!result) {
-            throw Error(ErrorKind::PeerUnavailable,
-                        m_address.text() + " gave no answer; check --gateway");
+        if (*m_check)
+            return checkServiceList(m_options.file, std::cout);
+        OperatorClient client(m_options.gateways, readSecret());
+        return m_chosen(client);
+    }
+
+    std::string readSecret() const
+    {
+        if (m_options.secretFile.empty()) {
+            throw Error(ErrorKind::BadSettings,
+                        "no credential; give --operator-secret-file or set "
+                        "QUETZALYOKE_OPERATOR_SECRET_FILE");
         }
-        const Json body = Json::parse(result->body, nullptr, false);
-        if (result->status == 200)
-            return body;
-        throw Error(ErrorKind::Conflict,
-                    body.is_object() ? body.value("error", result->body) : result->body);
+        return Process::readFile(m_options.secretFile);
     }
 
-    Address m_address;
-    httplib::Client m_client;
-};
+    CLI::App *add(CLI::App &parent, const std::string &name, const std::string &brief,
+                  const Command &command)
+    {
+        CLI::App *added = parent.add_subcommand(name, brief);
+        added->fallthrough();
+        added->callback([this, command] { m_chosen = command; });
+        return added;
+    }
 
-int check(const std::string &path)
-{
-    const CheckedServiceList checked = ServiceListCheck::read(Process::readFile(path), path);
-    std::cout << describe(checked.problems);
-    for (const Problem &it : checked.notices)
-        std::cout << "note: " << it.text() << '\n';
-    if (checked.problems.empty())
-        std::cout << path << ": the service list is valid\n";
-    return checked.problems.empty() ? 0 : exitRefused;
-}
+    void addServiceListCommands()
+    {
+        m_check = m_app.add_subcommand("check", "report every mistake in a service list");
+        m_check->add_option("FILE", m_options.file)->required();
+        add(m_app, "show", "print the service list in force, with its version on the first line",
+            [](OperatorClient &client) { return ServiceListCommands(client, std::cout).show(); });
+        add(m_app, "diff", "print what apply would change, by entry",
+            [this](OperatorClient &client) {
+                return ServiceListCommands(client, std::cout).diff(m_options.file);
+            })
+            ->add_option("FILE", m_options.file)
+            ->required();
+        CLI::App *apply
+            = add(m_app, "apply", "put a service list in force", [this](OperatorClient &client) {
+                  return ServiceListCommands(client, std::cout).apply(m_options.file, seen());
+              });
+        apply->add_option("FILE", m_options.file)->required();
+        m_seen = apply
+                     ->add_option("--seen", m_options.seen,
+                                  "version that the change starts from; without it, the one on "
+                                  "the file's first line")
+                     ->check(CLI::NonNegativeNumber);
+        apply->add_flag("--first", m_options.first, "no service list is in force yet")
+            ->excludes(m_seen);
+    }
 
-int apply(OperatorClient &client, const std::string &path, std::int64_t seen)
-{
-    const std::string text = Process::readFile(path) + "\n";
-    if (seen < 0)
-        seen = client.get("/operator/configuration").at("version");
-    const Json answer = client.put("/operator/configuration?seen=" + std::to_string(seen), text);
-    std::cout << "version " << answer.at("version") << " is accepted\n";
-    return 0;
-}
+    void addKeyCommands()
+    {
+        CLI::App *keys = m_app.add_subcommand("key", "grant, withdraw and list keys");
+        keys->require_subcommand(1);
+        keys->fallthrough();
+        add(*keys, "grant", "grant a key to a client account; prints its id and the key",
+            [this](OperatorClient &client) {
+                return KeyCommands(client, std::cout).grant(m_options.account);
+            })
+            ->add_option("ACCOUNT", m_options.account)
+            ->required();
+        add(*keys, "withdraw", "withdraw a key; returns once it works nowhere",
+            [this](OperatorClient &client) {
+                return KeyCommands(client, std::cout).withdraw(m_options.keyId);
+            })
+            ->add_option("ID", m_options.keyId)
+            ->required();
+        add(*keys, "list", "list keys: id, account, withdrawn or not",
+            [](OperatorClient &client) { return KeyCommands(client, std::cout).list(); });
+    }
 
-int listKeys(OperatorClient &client)
-{
-    const Json answer = client.get("/operator/keys");
-    for (const Json &it : answer.at("keys")) {
-        std::cout << it.at("id").get<std::string>() << ' ' << it.at("account").get<std::string>()
-                  << (it.at("withdrawn") ? " withdrawn" : "") << '\n';
+    std::optional<Version> seen() const
+    {
+        if (m_options.first)
+            return Version(0);
+        return *m_seen ? std::optional(Version(m_options.seen)) : std::nullopt;
     }
-    return 0;
-}
+
+    CLI::App m_app;
+    Options m_options;
+    CLI::App *m_check = nullptr;
+    CLI::Option *m_seen = nullptr;
+    Command m_chosen;
+};
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    CLI::App app("Operates quetzalyoke through any of its gateways");
-    app.set_version_flag("--version", "quetzalyokectl 0.1.0");
-    app.require_subcommand(1);
-    std::string gateway;
-    std::string secretFile;
-    app.add_option("--gateway", gateway, "IP:PORT of a gateway")->envname("QUETZALYOKE_GATEWAY");
-    app.add_option("--operator-secret-file", secretFile, "file with the operators' credential")
-        ->envname("QUETZALYOKE_OPERATOR_SECRET_FILE");
-
-    std::string file;
-    std::int64_t seen = -1;
-    std::string account;
-    std::string keyId;
-    auto *checkCommand = app.add_subcommand("check", "check a service list");
-    checkCommand->add_option("FILE", file)->required();
-    auto *applyCommand = app.add_subcommand("apply", "put a service list in force");
-    applyCommand->add_option("FILE", file)->required();
-    applyCommand->add_option("--seen", seen, "version that your change starts from");
-    auto *showCommand = app.add_subcommand("show", "print the service list in force");
-    auto *statusCommand = app.add_subcommand("status", "print what a gateway knows");
-    auto *keyCommand = app.add_subcommand("key", "grant, withdraw and list keys");
-    keyCommand->require_subcommand(1);
-    auto *grantCommand = keyCommand->add_subcommand("grant", "grant a key to a client account");
-    grantCommand->add_option("ACCOUNT", account)->required();
-    auto *withdrawCommand = keyCommand->add_subcommand("withdraw", "withdraw a key");
-    withdrawCommand->add_option("ID", keyId)->required();
-    auto *listCommand = keyCommand->add_subcommand("list", "list keys");
-    for (CLI::App *it : {applyCommand, showCommand, statusCommand, keyCommand, grantCommand,
-                         withdrawCommand, listCommand})
-        it->fallthrough();
-    CLI11_PARSE(app, argc, argv);
-
-    try {
-        if (*checkCommand)
-            return check(file);
-        OperatorClient client(gateway, secretFile);
-        if (*applyCommand)
-            return apply(client, file, seen);
-        if (*showCommand)
-            std::cout << client.get("/operator/configuration").at("text").get<std::string>();
-        if (*statusCommand)
-            std::cout << client.get("/operator/status").dump(2) << '\n';
-        if (*grantCommand) {
-            const Json key = client.post("/operator/keys?account=" + account);
-            std::cout << key.at("id").get<std::string>() << ' ' << key.at("key").get<std::string>()
-                      << '\n';
-        }
-        if (*withdrawCommand) {
-            client.remove("/operator/keys/" + keyId);
-            std::cout << keyId << " is withdrawn\n";
-        }
-        if (*listCommand)
-            return listKeys(client);
-        return 0;
-    } catch (const Error &e) {
-        std::cerr << e.what() << '\n';
-        return e.kind() == ErrorKind::BadSettings ? exitBadInput : exitRefused;
-    }
+    CommandLine commandLine;
+    return commandLine.run(argc, argv);
 }
--- a/src/Apps/Gateway/OperatorApi.cpp
+++ b/src/Apps/Gateway/OperatorApi.cpp
@@ -1,13 +1,12 @@
 #include "Apps/Gateway/OperatorApi.h"
 
 #include "Adapters/Crypto.h"
-#include "Apps/Gateway/Authenticator.h"
 #include "Core/Error.h"
-#include "Core/ServiceListCheck.h"
 
-#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace quetzalyoke {
 
 namespace {
@@ -29,6 +28,8 @@
         return 504;
     case ErrorKind::Conflict:
         return 409;
+    case ErrorKind::NotFound:
+        return 404;
     case ErrorKind::NotAuthenticated:
         return 401;
     case ErrorKind::BadSettings:
@@ -38,12 +39,24 @@
     }
 }
 
+// Throws Error (BadSettings) where \a name is missing or no version.
+Version versionParameter(const httplib::Request &req, const std::string &name)
+{
+    const std::string text = req.get_param_value(name);
+    std::int64_t n = 0;
+    const char *end = text.data() + text.size();
+    const auto [last, ec] = std::from_chars(text.data(), end, n);
+    if (ec != std::errc() || last != end || n < 0)
+        throw Error(ErrorKind::BadSettings, name + " must be the version that you saw, 0 for none");
+    return Version(n);
+}
+
 } // namespace
 
 OperatorApi::OperatorApi(const GatewaySettings &settings, HttpPlatform &platform,
                          SharedState &state, StateSync &sync, Fleet &fleet, ChangeGate &gate)
-    : m_settings(settings), m_platform(platform), m_state(state), m_sync(sync), m_fleet(fleet),
-      m_gate(gate)
+    : m_settings(settings), m_state(state), m_sync(sync), m_fleet(fleet),
+      m_changes(platform, state, sync, gate)
 { }
 
 void OperatorApi::addRoutes(httplib::Server &server)
@@ -72,6 +85,8 @@
             handler(req, res);
         } catch (const Error &e) {
             answer(res, statusFor(e.kind()), {{"error", e.what()}});
+        } catch (const std::exception &e) {
+            answer(res, 500, {{"error", std::string("internal error: ") + e.what()}});
         }
     };
 }
@@ -87,25 +102,10 @@
 
 void OperatorApi::applyConfiguration(const httplib::Request &req, httplib::Response &res)
 {
-    m_gate.requireMayAccept();
-    const Version seen(std::stoll("0" + req.get_param_value("seen")));
     const std::string file = req.has_param("file") ? req.get_param_value("file") : "service list";
-    const CheckedServiceList checked = ServiceListCheck::read(req.body, file);
-    if (!checked.problems.empty())
-        throw Error(ErrorKind::BadSettings, describe(checked.problems));
-    const ConfigurationPointer pointer{"configuration-" + sha256Hex(req.body), "operator"};
-    m_platform.put(pointer.object, req.body);
-    const auto version
-        = m_platform.commit({{StateCache::configurationKey, pointer.toJson(), seen}});
-    if (!version) {
-        throw Error(ErrorKind::Conflict,
-                    "the configuration changed since version " + std::to_string(seen.count())
-                        + "; look at it again (quetzalyokectl show) and repeat your change");
-    }
-    m_sync.refresh();
-    m_gate.waitUntilInForce(*version);
-    LOG(INFO) << "event=configuration_applied version=" << version->count();
-    answer(res, 200, {{"version", version->count()}});
+    const Version version
+        = m_changes.applyConfiguration(req.body, versionParameter(req, "seen"), file);
+    answer(res, 200, {{"version", version.count()}});
 }
 
 void OperatorApi::listKeys(const httplib::Request &, httplib::Response &res)
@@ -121,37 +121,14 @@
 
 void OperatorApi::grantKey(const httplib::Request &req, httplib::Response &res)
 {
-    m_gate.requireMayAccept();
-    const AccountId account(req.get_param_value("account"));
-    const auto configuration = m_state.configuration();
-    if (!configuration || !configuration->list.accounts.contains(account)) {
-        throw Error(ErrorKind::BadSettings,
-                    "no account named \"" + account.text()
-                        + "\" is listed; apply a service list with it");
-    }
-    const GrantedKey key = makeKey(account);
-    m_platform.commit({{StateCache::keyRowName(key.record.id), key.record.toJson(), Version(0)}});
-    m_sync.refresh();
+    const GrantedKey key = m_changes.grantKey(AccountId(req.get_param_value("account")));
     answer(res, 200, {{"id", key.record.id.text()}, {"key", key.text}});
 }
 
 void OperatorApi::withdrawKey(const httplib::Request &req, httplib::Response &res)
 {
-    m_gate.requireMayAccept();
     const KeyId id(req.matches[1]);
-    const auto row = m_platform.read(StateCache::keyRowName(id));
-    if (!row)
-        return answer(res, 404,
-                      {{"error", "no key " + id.text() + "; see quetzalyokectl key list"}});
-    KeyRecord record = KeyRecord::fromJson(row->value);
-    record.withdrawn = true;
-    const auto version = m_platform.commit({{row->key, record.toJson(), row->version}});
-    if (!version) {
-        throw Error(ErrorKind::Conflict,
-                    "key " + id.text() + " was changed at the same time; withdraw it again");
-    }
-    m_sync.refresh();
-    m_gate.waitUntilInForce(*version);
+    m_changes.withdrawKey(id);
     answer(res, 200, {{"id", id.text()}, {"withdrawn", true}});
 }
 
--- a/src/Apps/Gateway/OperatorApi.h
+++ b/src/Apps/Gateway/OperatorApi.h
@@ -2,8 +2,8 @@
 #define QUETZALYOKE_APPS_GATEWAY_OPERATORAPI_H
 
 #include "Adapters/HttpPlatform.h"
-#include "Apps/Gateway/ChangeGate.h"
 #include "Apps/Gateway/Fleet.h"
+#include "Apps/Gateway/OperatorChanges.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
 
@@ -36,11 +36,10 @@
     void status(const httplib::Request &req, httplib::Response &res);
 
     const GatewaySettings &m_settings;
-    HttpPlatform &m_platform;
     SharedState &m_state;
     StateSync &m_sync;
     Fleet &m_fleet;
-    ChangeGate &m_gate;
+    OperatorChanges m_changes;
 };
 
 } // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/OperatorChanges.cpp
@@ -0,0 +1,121 @@
+#include "Apps/Gateway/OperatorChanges.h"
+
+#include "Adapters/Crypto.h"
+#include "Core/Error.h"
+#include "Core/ServiceListCheck.h"
+#include "Core/VersionLine.h"
+
+#include <glog/logging.h>
+
+#include <thread>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds pauseBetweenTries{200};
+constexpr int withdrawTryLimit = 5;
+constexpr int writeIdBytes = 8;
+constexpr const char *operatorAuthor = "operator";
+
+void requireValid(const std::string &text, const std::string &file)
+{
+    const CheckedServiceList checked = ServiceListCheck::read(text, file);
+    if (!checked.problems.empty())
+        throw Error(ErrorKind::BadSettings, describe(checked.problems));
+}
+
+} // namespace
+
+OperatorChanges::OperatorChanges(HttpPlatform &platform, SharedState &state, StateSync &sync,
+                                 ChangeGate &gate)
+    : m_platform(platform), m_state(state), m_sync(sync), m_gate(gate),
+      m_commit(platform, [] { std::this_thread::sleep_for(pauseBetweenTries); })
+{ }
+
+Version OperatorChanges::applyConfiguration(const std::string &text, Version seen,
+                                            const std::string &file)
+{
+    requireValid(text, file);
+    m_gate.requireMayAccept();
+    const std::string body = VersionLine::remove(text);
+    const ConfigurationPointer pointer{"configuration-" + sha256Hex(body), operatorAuthor,
+                                       randomHex(writeIdBytes)};
+    // The object is named by its content, so a lost answer or a repeat does no harm; the row that
+    // points to it is written only once the object is there.
+    m_platform.put(pointer.object, body);
+    const auto version = m_commit.commit({StateCache::configurationKey, pointer.toJson(), seen});
+    if (!version)
+        return resolveConflict(body, seen);
+    m_sync.refresh();
+    m_gate.waitUntilInForce(*version);
+    LOG(INFO) << "event=configuration_applied version=" << version->count();
+    return *version;
+}
+
+// An operator who repeats an apply whose answer was lost finds the same text in force.
+Version OperatorChanges::resolveConflict(const std::string &text, Version seen)
+{
+    m_sync.refresh();
+    const auto current = m_state.configuration();
+    if (current && current->text == text) {
+        m_gate.waitUntilInForce(current->version);
+        return current->version;
+    }
+    const Version now = current ? current->version : Version();
+    throw Error(ErrorKind::Conflict,
+                "the service list changed: you saw version " + std::to_string(seen.count())
+                    + ", in force is version " + std::to_string(now.count())
+                    + "; nothing was applied; look again (quetzalyokectl show) and repeat your "
+                      "change on it");
+}
+
+GrantedKey OperatorChanges::grantKey(const AccountId &account)
+{
+    m_gate.requireMayAccept();
+    m_sync.refresh();
+    const auto configuration = m_state.configuration();
+    if (!configuration || !configuration->list.accounts.contains(account)) {
+        throw Error(ErrorKind::BadSettings,
+                    "no account named \"" + account.text()
+                        + "\" is listed; apply a service list with it");
+    }
+    const GrantedKey key = makeKey(account);
+    const auto version
+        = m_commit.commit({StateCache::keyRowName(key.record.id), key.record.toJson(), Version(0)});
+    if (!version)
+        throw Error(ErrorKind::Conflict, "the key's id is taken; no key was granted, try again");
+    m_sync.refresh();
+    LOG(INFO) << "event=key_granted id=" << key.record.id.text() << " account=" << account.text();
+    return key;
+}
+
+void OperatorChanges::withdrawKey(const KeyId &id)
+{
+    m_gate.requireMayAccept();
+    for (int i = 0; i < withdrawTryLimit; ++i) {
+        const auto version = tryWithdraw(id);
+        if (!version)
+            continue;
+        m_sync.refresh();
+        m_gate.waitUntilInForce(*version);
+        LOG(INFO) << "event=key_withdrawn id=" << id.text();
+        return;
+    }
+    throw Error(ErrorKind::Conflict,
+                "key " + id.text() + " is being changed all the time; withdraw it again");
+}
+
+std::optional<Version> OperatorChanges::tryWithdraw(const KeyId &id)
+{
+    const auto row = m_platform.read(StateCache::keyRowName(id));
+    if (!row)
+        throw Error(ErrorKind::NotFound, "no key " + id.text() + "; see quetzalyokectl key list");
+    KeyRecord record = KeyRecord::fromJson(row->value);
+    if (record.withdrawn)
+        return row->version;
+    record.withdrawn = true;
+    return m_commit.commit({row->key, record.toJson(), row->version});
+}
+
+} // namespace quetzalyoke
--- a/src/Core/Error.h
+++ b/src/Core/Error.h
@@ -11,6 +11,7 @@
     PlatformUnavailable, ///< The platform's service did not take the call; nothing happened.
     OutcomeUnknown, ///< The call may have taken effect.
     Conflict, ///< A condition of a write did not hold.
+    NotFound, ///< What the call names does not exist.
     NotAuthenticated, ///< Wrong or missing credential.
     PeerUnavailable, ///< Another process of the system can't be reached.
     BadAnswer, ///< An answer broke its protocol.
--- a/src/Core/StateCache.cpp
+++ b/src/Core/StateCache.cpp
@@ -40,13 +40,13 @@
 
 std::string ConfigurationPointer::toJson() const
 {
-    return Json{{"object", object}, {"author", author}}.dump();
+    return Json{{"object", object}, {"author", author}, {"write_id", writeId}}.dump();
 }
 
 ConfigurationPointer ConfigurationPointer::fromJson(const std::string &json)
 {
     const Json body = parseRow(json);
-    return {body.at("object"), body.value("author", "")};
+    return {body.at("object"), body.value("author", ""), body.value("write_id", "")};
 }
 
 std::string StateCache::keyRowName(const KeyId &id)
--- a/src/Core/StateCache.h
+++ b/src/Core/StateCache.h
@@ -28,6 +28,7 @@
 {
     std::string object; ///< Name in the object store.
     std::string author;
+    std::string writeId; ///< Of the write itself, by which its writer knows it again.
 
     std::string toJson() const;
     /// Throws Error (BadAnswer).
