Add the decisions of membership, freshness and shares

Cause: every gateway kept its own bucket and judged the freshness of keys by its own reads alone, so accounts were not bounded over the fleet and an outage of the table stopped all keyed traffic.

Change: GatewaySync (who the gateways are, how recent the knowledge is, when a change is in force), ShareRow, ShareBucket, AccountShares and SharePlanner (how an account is divided). All are pure; no process uses them yet. SharesScheduleTest drives several of each on a virtual clock with freezes, kills, restarts, cut links, outages, lost and late answers and racing operators.

Now a gateway that has not joined needs an answer of every member, and members that have heard from it wait for the freshness to pass.

--- /dev/null
+++ b/src/Core/ShareBucket.cpp
@@ -0,0 +1,113 @@
+#include "Core/ShareBucket.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::int64_t nanoTokensPerToken = 1'000'000'000;
+constexpr std::int64_t weightsPerMilliRate = 1000; // wholeShare / 1000 milli-tokens
+constexpr std::int64_t mostTokens = 4'000'000'000; // what nano-tokens can count
+constexpr std::int64_t mostRate = 1'000'000'000;
+
+} // namespace
+
+ShareBucket::ShareBucket(Instant now) : m_filledAt(now) { }
+
+void ShareBucket::resize(TokensPerSecond rate, Tokens burst, ShareWeight weight, Instant now)
+{
+    refill(now);
+    m_weight = weight;
+    m_milliRate = std::min(rate.count(), mostRate) * weight.count() / weightsPerMilliRate;
+    const std::int64_t tokens = std::min(burst.count(), mostTokens);
+    m_nanoBurst = tokens * (nanoTokensPerToken / ShareRow::wholeShare.count()) * weight.count();
+    m_nanoLevel = std::clamp<std::int64_t>(m_nanoLevel, 0, std::max<std::int64_t>(0, room()));
+}
+
+void ShareBucket::fill(Instant now)
+{
+    refill(now);
+    m_nanoLevel = std::max<std::int64_t>(0, room());
+}
+
+bool ShareBucket::take(Tokens n, Instant now)
+{
+    refill(now);
+    if (n.count() > m_nanoLevel / nanoTokensPerToken)
+        return false;
+    m_nanoLevel -= n.count() * nanoTokensPerToken;
+    return true;
+}
+
+Tokens ShareBucket::lend(Tokens n, Duration loanLife, Instant now)
+{
+    const Tokens granted = std::min(n, level(now));
+    if (granted <= Tokens(0))
+        return Tokens(0);
+    const std::int64_t nano = granted.count() * nanoTokensPerToken;
+    m_nanoLevel -= nano;
+    m_nanoLent += nano;
+    m_loans.push_back({nano, now + loanLife});
+    return granted;
+}
+
+ShareWeight ShareBucket::unlent(Instant now)
+{
+    refill(now);
+    if (m_nanoLent == 0)
+        return m_weight;
+    const std::int64_t burstOfOne = m_nanoBurst / std::max<std::int64_t>(1, m_weight.count());
+    if (burstOfOne == 0)
+        return ShareWeight();
+    return ShareWeight(std::max<std::int64_t>(0, room() / burstOfOne));
+}
+
+Tokens ShareBucket::level(Instant now)
+{
+    refill(now);
+    return Tokens(m_nanoLevel / nanoTokensPerToken);
+}
+
+Duration ShareBucket::waitFor(Tokens n, Instant now)
+{
+    refill(now);
+    if (n.count() > m_nanoBurst / nanoTokensPerToken || m_milliRate == 0)
+        return Duration::max();
+    const std::int64_t missing = n.count() * nanoTokensPerToken - m_nanoLevel;
+    if (missing <= 0)
+        return Duration::zero();
+    // One nano-token for each microsecond and each milli-token a second of rate.
+    return Duration((missing + m_milliRate - 1) / m_milliRate);
+}
+
+// Room that an ended loan leaves fills from the end of the loan on, not from before.
+void ShareBucket::refill(Instant now)
+{
+    while (!m_loans.empty() && m_loans.front().expiresAt <= now) {
+        advance(m_loans.front().expiresAt);
+        m_nanoLent -= m_loans.front().nanoTokens;
+        m_loans.pop_front();
+    }
+    advance(now);
+}
+
+void ShareBucket::advance(Instant to)
+{
+    if (to <= m_filledAt)
+        return;
+    const std::int64_t elapsed = (to - m_filledAt).count();
+    m_filledAt = to;
+    const std::int64_t free = room() - m_nanoLevel;
+    if (m_milliRate == 0 || free <= 0)
+        return;
+    const bool fills = elapsed >= free / m_milliRate + 1;
+    m_nanoLevel += fills ? free : elapsed * m_milliRate;
+}
+
+std::int64_t ShareBucket::room() const
+{
+    return m_nanoBurst - m_nanoLent;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Core/SharePlanner.h
@@ -0,0 +1,71 @@
+#ifndef QUETZALYOKE_CORE_SHAREPLANNER_H
+#define QUETZALYOKE_CORE_SHAREPLANNER_H
+
+#include "Core/AccountShares.h"
+#include "Core/GatewaySync.h"
+
+#include <map>
+#include <random>
+#include <vector>
+
+namespace quetzalyoke {
+
+enum class SharePolicy {
+    Static, ///< The same part for every gateway.
+    Demand, ///< Parts follow the demand.
+};
+
+/// \brief A share row to be written.
+struct ShareWrite
+{
+    AccountId account;
+    ShareRow row;
+    Version expected; ///< Of the row that this one replaces; 0: none.
+    std::optional<ShareWeight> shrinkTo; ///< Own part, to be given up before the write.
+
+    ConditionalWrite toWrite() const;
+};
+
+/// \brief Decides how one gateway changes the division of accounts over gateways.
+///
+/// Creates missing rows, gives parts to gateways that need them more, and takes over what gone
+/// gateways held.
+class SharePlanner
+{
+public:
+    explicit SharePlanner(SharePolicy policy) : m_policy(policy) { }
+
+    void notePeer(const PeerStatus &peer, Instant now);
+    /// The writes that are due, at most mostWrites.
+    std::vector<ShareWrite> plan(const GatewaySync &sync, AccountShares &shares,
+                                 const std::map<AccountId, AccountEntry> &accounts, Instant now,
+                                 std::mt19937_64 &random) const;
+    /// Other gateways by how much of \a account they last had, most first.
+    std::vector<InstanceId> lenders(const AccountId &account, Instant now) const;
+
+    static constexpr std::size_t mostWrites = 8;
+
+private:
+    struct Peer
+    {
+        PeerStatus status;
+        Instant heardAt;
+    };
+    struct Context;
+
+    std::optional<ShareWrite> planAccount(const Context &context, const AccountEntry &entry) const;
+    static ShareWrite create(const Context &context, const AccountId &account);
+    bool takeOver(const Context &context, const GatewaySync::KnownShare &known,
+                  ShareRow &row) const;
+    std::optional<ShareWrite> give(const Context &context, const AccountEntry &entry,
+                                   const GatewaySync::KnownShare &known) const;
+    ShareWeight fairPart(const AccountEntry &entry, const AccountDemand &own,
+                         const AccountDemand &other, std::size_t members) const;
+
+    const SharePolicy m_policy;
+    std::map<InstanceId, Peer> m_peers;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Core/ShareRow.cpp
@@ -0,0 +1,71 @@
+#include "Core/ShareRow.h"
+
+#include "Core/Error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalyoke {
+
+using Json = nlohmann::json;
+
+std::string ShareRow::rowName(const AccountId &account)
+{
+    return prefix + account.text();
+}
+
+AccountId ShareRow::accountOf(const std::string &rowName)
+{
+    const std::string start = prefix;
+    return rowName.starts_with(start) ? AccountId(rowName.substr(start.size())) : AccountId();
+}
+
+ShareWeight ShareRow::weightOf(const InstanceId &instance, Incarnation incarnation) const
+{
+    const auto it = parts.find(instance);
+    if (it == parts.end() || it->second.incarnation != incarnation)
+        return ShareWeight();
+    return it->second.weight;
+}
+
+ShareWeight ShareRow::total() const
+{
+    ShareWeight sum;
+    for (const auto &[instance, part] : parts)
+        sum += part.weight;
+    for (const auto &[instance, weight] : revoked)
+        sum += weight;
+    return sum;
+}
+
+std::string ShareRow::toJson() const
+{
+    Json body{{"initial", initial}, {"parts", Json::object()}, {"revoked", Json::object()}};
+    for (const auto &[instance, part] : parts) {
+        body["parts"][instance.text()]
+            = {{"weight", part.weight.count()}, {"incarnation", part.incarnation.count()}};
+    }
+    for (const auto &[instance, weight] : revoked)
+        body["revoked"][instance.text()] = weight.count();
+    return body.dump();
+}
+
+ShareRow ShareRow::fromJson(const std::string &json)
+{
+    try {
+        const Json body = Json::parse(json);
+        ShareRow row;
+        row.initial = body.at("initial");
+        for (const auto &[name, part] : body.at("parts").items()) {
+            row.parts[InstanceId(name)]
+                = {ShareWeight(part.at("weight")), Incarnation(part.at("incarnation"))};
+        }
+        for (const auto &[name, weight] : body.at("revoked").items())
+            row.revoked[InstanceId(name)] = ShareWeight(weight);
+        return row;
+    } catch (const Json::exception &e) {
+        throw Error(ErrorKind::BadAnswer,
+                    std::string("a share row is malformed (") + e.what() + "); restore the table");
+    }
+}
+
+} // namespace quetzalyoke
