--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -33,7 +33,7 @@
     std::chrono::milliseconds defaultDeadline{};
     std::chrono::milliseconds stopGrace{}; ///< Served on after a stop was asked for.
     std::chrono::milliseconds drainLimit{};
-    std::string routingPolicy; ///< See routingPolicy().
+    std::string routingPolicy = "affinity"; ///< See routingPolicy().
 
     static GatewaySettings read(const IniDocument &document, Problems &problems);
 };
--- a/test/SharesScheduleTest.cpp
+++ b/test/SharesScheduleTest.cpp
@@ -411,7 +411,7 @@
         const auto it = m_table.rows.find(StateCache::configurationKey);
         const Version expected = it == m_table.rows.end() ? Version() : it->second.version;
         m_table.commit({StateCache::configurationKey,
-                        ConfigurationPointer{"text", "operator"}.toJson(), expected});
+                        ConfigurationPointer{"text", "operator", {}}.toJson(), expected});
     }
 
     // Operators race: each changes a key or the configuration through any gateway.
@@ -432,7 +432,7 @@
         const bool isKey = key < keyCount;
         const std::string name = isKey ? keyName(key) : StateCache::configurationKey;
         const std::string value
-            = isKey ? keyValue(key, true) : ConfigurationPointer{"text", "operator"}.toJson();
+            = isKey ? keyValue(key, true) : ConfigurationPointer{"text", "operator", {}}.toJson();
         const auto row = m_table.rows.find(name);
         const ConditionalWrite write{name, value, row->second.version};
         const Version joined = *sync.joinedAt();
