Keep each engine's memory in a ledger and order it by fenced epochs

Cause: the agent sent orders with its start time as the fencing number, dropped what it did not want without waiting for requests, and forgot orders whose answer was lost, so a late load could meet a full engine, and two agents of one server could order it at once.

Change: MemoryLedger counts every load that may still take effect; EngineKeeper (no I/O) decides one order at a time from the plan, the engine's report and the ledger: nothing is loaded unless the worst case fits, nothing is unloaded under a request, nothing is offered that an order on its way may take. EngineRunner reads and orders the engine in two threads. Epochs are minted in the table by a gateway at an agent's first report (row fence/<server>, compare-and-set, a lost answer settled by reading); order numbers rise within an epoch. An agent on an engine that ignores numbers orders only while a gateway has confirmed its epoch from the table within order_authority_ms, and after a restart first waits predecessor_wait_ms, which the settings check to be at least authority and order timeout. An agent that learns of a higher epoch stops ordering and takes no new work. AttemptTable refuses a model that is not offered (not run).

Ruled out: refusing to serve until a predecessor is outwaited (a restart would cost reachability for the wait, or for as long as the table is out); settling a load by its answer alone.

Not covered: a process paused between its last check and the send on an engine that ignores numbers, for longer than the order timeout; the engine must be one that checks numbers for that.

--- a/src/Apps/Agent/AgentDoor.cpp
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -29,6 +29,18 @@
     return progress;
 }
 
+const char *refusalMessage(wire::ErrorCode::type refusal)
+{
+    switch (refusal) {
+    case wire::ErrorCode::Draining:
+        return "the backend server is leaving";
+    case wire::ErrorCode::ModelNotReady:
+        return "the model or adapter is not ready on this backend server";
+    default:
+        return "the backend server's queue is full";
+    }
+}
+
 class DoorFactory : public wire::AgentIfFactory
 {
 public:
@@ -74,10 +86,8 @@
     m_guard.require();
     const auto admission = m_table.submit(submission, Process::now());
     if (!admission.attempt) {
-        const bool draining = admission.refusal == wire::ErrorCode::Draining;
         progress = refusal(submission.attemptId, admission.refusal, wire::RunState::NotRun,
-                           draining ? "the backend server is leaving"
-                                    : "the backend server's queue is full");
+                           refusalMessage(admission.refusal));
         return;
     }
     progress = admission.attempt->fetch(0, boundedWait(waitMillis));
--- a/src/Apps/Agent/AgentSettings.cpp
+++ b/src/Apps/Agent/AgentSettings.cpp
@@ -8,6 +8,13 @@
 
 constexpr std::int64_t mebibyte = 1'048'576;
 
+// A predecessor orders for as long as its authority lasts, and its last order takes effect
+// within the order timeout.
+std::int64_t defaultWait(const AgentSettings &settings)
+{
+    return (settings.orderTimeout + settings.orderAuthority).count();
+}
+
 } // namespace
 
 AgentSettings AgentSettings::read(const IniDocument &document, Problems &problems)
@@ -40,6 +47,16 @@
         settings.bufferBytes = static_cast<std::size_t>(
             reader.number("buffer_bytes", 1024, 64 * mebibyte, mebibyte));
         settings.reportInterval = reader.milliseconds("report_interval_ms", 10, 60'000, 500);
+        settings.engineInterval = reader.milliseconds("engine_interval_ms", 10, 60'000, 200);
+        settings.orderTimeout = reader.milliseconds("order_timeout_ms", 100, 3'600'000, 30'000);
+        settings.orderAuthority = reader.milliseconds("order_authority_ms", 100, 600'000, 10'000);
+        settings.predecessorWait
+            = reader.milliseconds("predecessor_wait_ms", 0, 7'200'000, defaultWait(settings));
+        if (settings.predecessorWait < settings.orderTimeout + settings.orderAuthority) {
+            problems.push_back({document.file(), it.line,
+                                "predecessor_wait_ms is too short for a predecessor's last order",
+                                "make it at least order_timeout_ms + order_authority_ms"});
+        }
         settings.backendTimeout = reader.milliseconds("backend_timeout_ms", 100, 3'600'000, 60'000);
         settings.keepFinished = reader.milliseconds("keep_finished_ms", 1000, 3'600'000, 60'000);
         settings.drainLimit = reader.milliseconds("drain_limit_ms", 0, 3'600'000, 120'000);
--- a/src/Apps/Agent/AgentSettings.h
+++ b/src/Apps/Agent/AgentSettings.h
@@ -31,6 +31,10 @@
     int connections = 0;
     std::size_t bufferBytes = 0; ///< Of one answer that its gateway has not fetched yet.
     std::chrono::milliseconds reportInterval{};
+    std::chrono::milliseconds engineInterval{}; ///< Between two readings of the engine.
+    std::chrono::milliseconds orderTimeout{}; ///< An order has taken effect by then or never will.
+    std::chrono::milliseconds orderAuthority{}; ///< Right to order since the table was read for it.
+    std::chrono::milliseconds predecessorWait{}; ///< Before the first order after a restart.
     std::chrono::milliseconds backendTimeout{};
     std::chrono::milliseconds keepFinished{}; ///< How long a finished answer can be fetched.
     std::chrono::milliseconds drainLimit{};
--- a/src/Apps/Agent/AttemptTable.cpp
+++ b/src/Apps/Agent/AttemptTable.cpp
@@ -2,6 +2,8 @@
 
 #include "Adapters/Process.h"
 
+#include <algorithm>
+
 namespace quetzalyoke {
 
 AttemptTable::AttemptTable(const Limits &limits, std::unique_ptr<RequestQueue> queue)
@@ -16,6 +18,8 @@
         return {it->second, wire::ErrorCode::None};
     if (m_draining)
         return {nullptr, wire::ErrorCode::Draining};
+    if (!isOfferedLocked(submission))
+        return {nullptr, wire::ErrorCode::ModelNotReady};
     if (m_queue->size() >= m_limits.queueLength)
         return {nullptr, wire::ErrorCode::QueueFull};
     auto attempt = std::make_shared<Attempt>(submission, now, m_limits.bufferBytes);
@@ -51,6 +55,31 @@
     --m_running;
 }
 
+void AttemptTable::offer(std::set<std::string> names)
+{
+    const std::lock_guard lock(m_mutex);
+    m_offered = std::move(names);
+}
+
+bool AttemptTable::isOfferedLocked(const wire::Submission &submission) const
+{
+    if (!m_offered || !submission.model)
+        return true;
+    return m_offered->contains(submission.target)
+        && (submission.adapter.empty() || m_offered->contains(submission.adapter));
+}
+
+std::size_t AttemptTable::inFlight(const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(
+        std::count_if(m_attempts.begin(), m_attempts.end(), [&name](const auto &entry) {
+            const wire::Submission &submission = entry.second->submission();
+            return (submission.target == name || submission.adapter == name)
+                && !entry.second->isFinished();
+        }));
+}
+
 void AttemptTable::drain()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 
 namespace quetzalyoke {
@@ -43,6 +45,11 @@
     /// Says that an attempt taken by takeNext() no longer runs.
     void release();
 
+    /// From now on takes model requests only for these models and adapters.
+    void offer(std::set<std::string> names);
+    /// Attempts for a model or adapter that are accepted and not finished.
+    std::size_t inFlight(const std::string &name) const;
+
     /// Refuses new attempts from now on.
     void drain();
     bool isDraining() const;
@@ -53,11 +60,14 @@
     std::size_t running() const;
 
 private:
+    bool isOfferedLocked(const wire::Submission &submission) const;
+
     const Limits m_limits;
     mutable std::mutex m_mutex; // of the members below
     std::condition_variable m_available;
     std::unordered_map<std::string, std::shared_ptr<Attempt>> m_attempts;
     std::unique_ptr<RequestQueue> m_queue;
+    std::optional<std::set<std::string>> m_offered; // nothing: everything
     std::size_t m_running = 0;
     bool m_draining = false;
 };
--- a/src/Apps/Agent/EngineOrders.cpp
+++ b/src/Apps/Agent/EngineOrders.cpp
@@ -20,13 +20,26 @@
     return client;
 }
 
+std::string bodyOf(const EngineOrder &order)
+{
+    Json body{{"order", order.kind == EngineOrder::Kind::Load ? "load" : "unload"},
+              {"name", order.holding.name},
+              {"fencing", order.fencing.count()}};
+    if (order.kind == EngineOrder::Kind::Load) {
+        body["version"] = order.holding.version;
+        body["memory_mb"] = order.holding.memory.count();
+        body["adapter"] = order.holding.adapter;
+    }
+    return body.dump();
+}
+
 } // namespace
 
 EngineOrders::EngineOrders(const Address &engine, std::chrono::milliseconds timeout)
     : m_engine(engine), m_timeout(timeout)
 { }
 
-std::vector<Holding> EngineOrders::holdings()
+EngineReport EngineOrders::report()
 {
     httplib::Client client = makeClient(m_engine, m_timeout);
     const auto result = client.Get("/load");
@@ -36,34 +49,20 @@
                     "the engine at " + m_engine.text()
                         + " gives no load report; check that it runs");
     }
-    std::vector<Holding> holdings;
+    EngineReport report;
+    report.memory = Megabytes(json.value("memory_mb", std::int64_t(0)));
+    report.fencing = FencingNumber(json.value("fencing", std::int64_t(0)));
     for (const Json &it : json.at("holdings")) {
-        holdings.push_back({it.at("name"), it.at("version"), Megabytes(it.at("memory_mb")),
-                            it.at("adapter"), it.at("ready")});
+        report.holdings.push_back({it.at("name"), it.at("version"), Megabytes(it.at("memory_mb")),
+                                   it.at("adapter"), it.at("ready")});
     }
-    return holdings;
-}
-
-void EngineOrders::load(const Holding &holding, std::int64_t fencing)
-{
-    order(Json{{"order", "load"},
-               {"name", holding.name},
-               {"version", holding.version},
-               {"memory_mb", holding.memory.count()},
-               {"adapter", holding.adapter},
-               {"fencing", fencing}}
-              .dump());
-}
-
-void EngineOrders::unload(const std::string &name, std::int64_t fencing)
-{
-    order(Json{{"order", "unload"}, {"name", name}, {"fencing", fencing}}.dump());
+    return report;
 }
 
-void EngineOrders::order(const std::string &body)
+void EngineOrders::send(const EngineOrder &order)
 {
     httplib::Client client = makeClient(m_engine, m_timeout);
-    const auto result = client.Post("/orders", body, "application/json");
+    const auto result = client.Post("/orders", bodyOf(order), "application/json");
     if (!result) {
         throw Error(ErrorKind::OutcomeUnknown,
                     "the engine at " + m_engine.text() + " did not answer an order");
--- a/src/Apps/Agent/Reporter.cpp
+++ b/src/Apps/Agent/Reporter.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::chrono::milliseconds connectTimeout{500};
 constexpr std::chrono::milliseconds callTimeout{2000};
-constexpr std::chrono::milliseconds orderTimeout{30'000};
 
 // Rises with each start of the process on a machine whose clock is roughly right.
 std::int64_t newIncarnation()
@@ -22,19 +21,31 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
 }
 
-const wire::ModelState *findState(const std::vector<wire::ModelState> &states,
-                                  const std::string &name)
+std::vector<Holding> holdingsFrom(const std::vector<wire::ModelState> &states)
 {
-    const auto it = std::find_if(states.begin(), states.end(),
-                                 [&name](const auto &state) { return state.name == name; });
-    return it == states.end() ? nullptr : &*it;
+    std::vector<Holding> holdings;
+    for (const wire::ModelState &it : states)
+        holdings.push_back({it.name, it.version, Megabytes(it.memoryMb), it.adapter, false});
+    return holdings;
+}
+
+wire::ModelState stateFrom(const Holding &holding)
+{
+    wire::ModelState state;
+    state.name = holding.name;
+    state.version = holding.version;
+    state.ready = holding.ready;
+    state.adapter = holding.adapter;
+    state.memoryMb = holding.memory.count();
+    return state;
 }
 
 } // namespace
 
-Reporter::Reporter(const AgentSettings &settings, std::string doorAddress, AttemptTable &table)
-    : m_settings(settings), m_doorAddress(std::move(doorAddress)), m_table(table),
-      m_orders(settings.backend, orderTimeout), m_incarnation(newIncarnation())
+Reporter::Reporter(const AgentSettings &settings, std::string doorAddress, AttemptTable &table,
+                   EngineRunner *engine)
+    : m_settings(settings), m_doorAddress(std::move(doorAddress)), m_table(table), m_engine(engine),
+      m_incarnation(newIncarnation())
 {
     for (const std::string &it : settings.gateways) {
         m_gateways.push_back(std::make_unique<GatewayPool>(Address::parse(it), settings.fleetSecret,
@@ -58,8 +69,6 @@
 void Reporter::work()
 {
     while (!m_stopping) {
-        if (m_settings.engine)
-            carryOutPlan();
         reportNow();
         m_table.expire(Process::now());
         std::this_thread::sleep_for(m_settings.reportInterval);
@@ -73,8 +82,9 @@
     for (const auto &it : m_gateways) {
         try {
             wire::ReportReply reply;
+            const Instant calledAt = Process::now();
             it->call([&](wire::GatewayClient &client) { client.report(reply, report); });
-            takeReply(reply);
+            takeReply(reply, calledAt);
             known = true;
         } catch (const std::exception &) {
             Metrics::count("reports_failed_total", {{"gateway", it->address().text()}});
@@ -95,7 +105,12 @@
     report.address = m_doorAddress;
     report.backendKind = m_settings.engine ? "engine" : "service";
     report.serverName = m_settings.server.text();
-    report.models = m_held;
+    if (m_engine) {
+        for (const Holding &it : m_engine->held())
+            report.models.push_back(stateFrom(it));
+        report.memoryPledgedMb = m_engine->worstCase().count();
+    }
+    report.fencingEpoch = m_fencingEpoch;
     report.queued = static_cast<std::int64_t>(m_table.queued());
     report.running = static_cast<std::int64_t>(m_table.running());
     report.draining = m_table.isDraining();
@@ -105,50 +120,48 @@
     return report;
 }
 
-void Reporter::takeReply(const wire::ReportReply &reply)
+void Reporter::takeReply(const wire::ReportReply &reply, Instant calledAt)
 {
-    const std::lock_guard lock(m_mutex);
-    if (reply.planVersion <= m_planVersion)
+    if (!m_engine)
         return;
-    m_planVersion = reply.planVersion;
-    m_wanted = reply.wanted;
-    LOG(INFO) << "event=plan_taken version=" << m_planVersion << " models=" << m_wanted.size();
+    takeFencing(reply, calledAt);
+    takePlan(reply);
 }
 
-void Reporter::carryOutPlan()
+void Reporter::takePlan(const wire::ReportReply &reply)
 {
-    std::vector<wire::ModelState> wanted;
-    std::int64_t fencing = 0;
     {
         const std::lock_guard lock(m_mutex);
-        wanted = m_wanted;
-        fencing = m_incarnation;
+        if (reply.planVersion <= m_planVersion)
+            return;
+        m_planVersion = reply.planVersion;
+        LOG(INFO) << "event=plan_taken version=" << m_planVersion
+                  << " models=" << reply.wanted.size();
     }
-    try {
-        for (const Holding &it : m_orders.holdings()) {
-            if (!findState(wanted, it.name))
-                m_orders.unload(it.name, fencing);
-        }
-        for (const wire::ModelState &it : wanted) {
-            Holding holding{it.name, it.version, Megabytes(it.memoryMb), it.adapter, false};
-            m_orders.load(holding, fencing);
+    m_engine->setPlan(holdingsFrom(reply.wanted));
+}
+
+// The gateway's knowledge was true when it read the table, so the right to order counts from then.
+void Reporter::takeFencing(const wire::ReportReply &reply, Instant calledAt)
+{
+    if (reply.fencingEpoch == 0)
+        return;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_fencingEpoch == 0) {
+            m_fencingEpoch = reply.fencingEpoch;
+            LOG(INFO) << "event=fencing_granted epoch=" << m_fencingEpoch;
         }
-        std::vector<wire::ModelState> held;
-        for (const Holding &it : m_orders.holdings()) {
-            wire::ModelState state;
-            state.name = it.name;
-            state.version = it.version;
-            state.ready = it.ready;
-            state.adapter = it.adapter;
-            state.memoryMb = it.memory.count();
-            held.push_back(state);
+        if (reply.fencingEpoch < m_fencingEpoch)
+            return;
+        if (reply.fencingEpoch > m_fencingEpoch) {
+            m_engine->supersede();
+            return;
         }
-        const std::lock_guard lock(m_mutex);
-        m_held = held;
-    } catch (const std::exception &e) {
-        Metrics::count("orders_failed_total");
-        LOG_EVERY_N(WARNING, 100) << "event=order_failed reason=\"" << e.what() << '"';
     }
+    const Instant validUntil
+        = calledAt - std::chrono::milliseconds(reply.fencingAgeMillis) + m_settings.orderAuthority;
+    m_engine->grant({reply.fencingEpoch, reply.fencingChecked, validUntil});
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Agent/Reporter.h
+++ b/src/Apps/Agent/Reporter.h
@@ -4,7 +4,7 @@
 #include "Adapters/ThriftPool.h"
 #include "Apps/Agent/AgentSettings.h"
 #include "Apps/Agent/AttemptTable.h"
-#include "Apps/Agent/EngineOrders.h"
+#include "Apps/Agent/EngineRunner.h"
 #include "Wire/generated/Gateway.h"
 
 #include <atomic>
@@ -15,11 +15,13 @@
 
 namespace quetzalyoke {
 
-/// \brief Announces the backend server to the gateways and carries out their plan.
+/// \brief Announces the backend server to the gateways and passes on what they answer.
 class Reporter
 {
 public:
-    Reporter(const AgentSettings &settings, std::string doorAddress, AttemptTable &table);
+    /// \a engine is nothing beside a plain service.
+    Reporter(const AgentSettings &settings, std::string doorAddress, AttemptTable &table,
+             EngineRunner *engine);
     ~Reporter();
 
     /// Sends one report now, for example to say that this server leaves.
@@ -33,20 +35,20 @@
 
     void work();
     wire::AgentReport makeReport();
-    void takeReply(const wire::ReportReply &reply);
-    void carryOutPlan();
+    void takeReply(const wire::ReportReply &reply, Instant calledAt);
+    void takePlan(const wire::ReportReply &reply);
+    void takeFencing(const wire::ReportReply &reply, Instant calledAt);
 
     const AgentSettings &m_settings;
     const std::string m_doorAddress;
     AttemptTable &m_table;
-    EngineOrders m_orders;
+    EngineRunner *const m_engine;
     const std::int64_t m_incarnation;
     std::vector<std::unique_ptr<GatewayPool>> m_gateways;
     std::mutex m_mutex; // of the members below
     std::int64_t m_sequence = 0;
     std::int64_t m_planVersion = 0;
-    std::vector<wire::ModelState> m_wanted;
-    std::vector<wire::ModelState> m_held;
+    std::int64_t m_fencingEpoch = 0; // 0: not granted yet
     std::atomic<bool> m_known{false};
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -5,6 +5,7 @@
 #include "Apps/Agent/AgentDoor.h"
 #include "Apps/Agent/AgentSettings.h"
 #include "Apps/Agent/Dispatcher.h"
+#include "Apps/Agent/EngineRunner.h"
 #include "Apps/Agent/Reporter.h"
 
 #include <glog/logging.h>
@@ -33,7 +34,10 @@
     ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
                       settings.connections);
     const Address doorAddress{settings.listen.host, door.port()};
-    Reporter reporter(settings, doorAddress.text(), table);
+    std::optional<EngineRunner> engine;
+    if (settings.engine)
+        engine.emplace(settings, table);
+    Reporter reporter(settings, doorAddress.text(), table, engine ? &*engine : nullptr);
 
     HttpServerLimits limits;
     limits.connections = healthConnections;
@@ -53,6 +57,8 @@
     reporter.reportNow();
     waitUntilIdle(table, settings.drainLimit);
     reporter.stop();
+    if (engine)
+        engine->stop();
     dispatcher.stop();
     door.stop();
     http.stop();
--- /dev/null
+++ b/src/Apps/Gateway/FencingBook.cpp
@@ -0,0 +1,73 @@
+#include "Apps/Gateway/FencingBook.h"
+
+#include "Adapters/Process.h"
+#include "Core/Error.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+// Another agent of the same server, or a lost answer, costs one try each.
+constexpr int mintTries = 4;
+
+} // namespace
+
+FencingBook::FencingBook(TableStore &table) : m_table(table) { }
+
+// A write whose answer was lost is settled by the next try's read: the row then names the agent.
+FencingBook::Known FencingBook::mint(const ServerName &server, const InstanceId &agent,
+                                     Incarnation incarnation)
+{
+    const std::string key = FencingRow::keyOf(server);
+    for (int i = 0; i < mintTries; ++i) {
+        const Instant readAt = Process::now();
+        const auto row = m_table.read(key);
+        const FencingRow known = row ? FencingRow::fromJson(row->value) : FencingRow();
+        if (row && known.isHeldBy(agent, incarnation)) {
+            note(key, known.epoch);
+            return {known.epoch, readAt};
+        }
+        const FencingRow next{known.epoch + 1, agent, incarnation};
+        const Version expected = row ? row->version : Version(0);
+        try {
+            m_table.commit({{key, next.toJson(), expected}});
+        } catch (const Error &e) {
+            if (e.kind() != ErrorKind::OutcomeUnknown)
+                throw;
+        }
+    }
+    throw Error(ErrorKind::Conflict,
+                "several agents ask for server " + server.text()
+                    + " at once; run one agent beside each backend server");
+}
+
+std::optional<FencingBook::Known> FencingBook::newest(const ServerName &server) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_epochs.find(FencingRow::keyOf(server));
+    if (it == m_epochs.end() || !m_readAt)
+        return std::nullopt;
+    return Known{it->second, *m_readAt};
+}
+
+void FencingBook::refresh()
+{
+    const Instant readAt = Process::now();
+    for (const TableRow &it : m_table.scan(FencingRow::prefix, m_readVersion)) {
+        m_readVersion = std::max(m_readVersion, it.version);
+        note(it.key, FencingRow::fromJson(it.value).epoch);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_readAt = readAt;
+}
+
+void FencingBook::note(const std::string &key, std::int64_t epoch)
+{
+    const std::lock_guard lock(m_mutex);
+    std::int64_t &known = m_epochs[key];
+    known = std::max(known, epoch);
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/FencingBook.h
@@ -0,0 +1,48 @@
+#ifndef QUETZALYOKE_APPS_GATEWAY_FENCINGBOOK_H
+#define QUETZALYOKE_APPS_GATEWAY_FENCINGBOOK_H
+
+#include "Core/FencingRow.h"
+#include "Ports/TableStore.h"
+
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace quetzalyoke {
+
+/// \brief Which agent may order each engine: mints epochs in the table and knows the newest.
+///
+/// Thread-safe; no lock is held during a call of the table.
+class FencingBook
+{
+public:
+    explicit FencingBook(TableStore &table);
+
+    /// An epoch of \a server, and when the table was read for it.
+    struct Known
+    {
+        std::int64_t epoch = 0;
+        Instant readAt;
+    };
+
+    /// Gives an agent the next epoch of its server, or again the one that it has.
+    /// Throws Error as the table does; asking again is harmless.
+    Known mint(const ServerName &server, const InstanceId &agent, Incarnation incarnation);
+    /// Newest epoch of \a server; nothing before the first refresh or where it has none.
+    std::optional<Known> newest(const ServerName &server) const;
+    /// Reads what has changed in the table. Throws Error. One thread at a time.
+    void refresh();
+
+private:
+    void note(const std::string &key, std::int64_t epoch);
+
+    TableStore &m_table;
+    Version m_readVersion; // of the refreshing thread
+    mutable std::mutex m_mutex; // of the members below
+    std::unordered_map<std::string, std::int64_t> m_epochs;
+    std::optional<Instant> m_readAt;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -25,34 +25,16 @@
     return status;
 }
 
-std::vector<wire::ModelState> wantedFor(const Configuration &configuration,
-                                        const ServerName &server)
-{
-    std::vector<wire::ModelState> wanted;
-    const auto it = configuration.plan.holdings.find(server);
-    if (it == configuration.plan.holdings.end())
-        return wanted;
-    for (const PlannedHolding &holding : it->second) {
-        wire::ModelState state;
-        state.name = holding.name;
-        state.version = holding.version;
-        state.memoryMb = holding.memory.count();
-        state.adapter = holding.adapter;
-        wanted.push_back(state);
-    }
-    return wanted;
-}
-
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
-    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-        : m_settings(settings), m_state(state), m_fleet(fleet)
+    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet, Planner &planner)
+        : m_settings(settings), m_state(state), m_fleet(fleet), m_planner(planner)
     { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet);
+        return new GatewayDoor(m_settings, m_state, m_fleet, m_planner);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
@@ -60,12 +42,14 @@
     const GatewaySettings &m_settings;
     SharedState &m_state;
     Fleet &m_fleet;
+    Planner &m_planner;
 };
 
 } // namespace
 
-GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-    : m_state(state), m_fleet(fleet), m_guard(settings.fleetSecret)
+GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                         Planner &planner)
+    : m_state(state), m_fleet(fleet), m_planner(planner), m_guard(settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -93,9 +77,7 @@
         if (server != configuration->list.servers.end() && !status.engine)
             status.ready.insert(server->second.service.text());
         reply.configurationVersion = configuration->version.count();
-        reply.planVersion = configuration->version.count();
-        if (report.planVersion < reply.planVersion)
-            reply.wanted = wantedFor(*configuration, status.server);
+        m_planner.answer(reply, report, *configuration);
     }
     m_fleet.update(status);
 }
@@ -125,10 +107,11 @@
 }
 
 std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                       Planner &planner)
 {
     return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet));
+        std::make_shared<DoorFactory>(settings, state, fleet, planner));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/GatewayDoor.h
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/FleetGuard.h"
 #include "Apps/Gateway/Fleet.h"
+#include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Wire/generated/Gateway.h"
 
@@ -15,7 +16,8 @@
 class GatewayDoor : public wire::GatewayIf
 {
 public:
-    GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet);
+    GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                Planner &planner);
 
     void challenge(std::string &nonce) override;
     bool authenticate(const std::string &proof) override;
@@ -29,12 +31,14 @@
 private:
     SharedState &m_state;
     Fleet &m_fleet;
+    Planner &m_planner;
     FleetGuard m_guard;
 };
 
 /// Makes a handler for each connection.
 std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet);
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                       Planner &planner);
 
 } // namespace quetzalyoke
 
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -37,6 +37,7 @@
         settings.bodyBytes = static_cast<std::size_t>(
             reader.number("body_bytes", 1024, 256 * mebibyte, 8 * mebibyte));
         settings.pollInterval = reader.milliseconds("poll_interval_ms", 10, 60'000, 500);
+        settings.planInterval = reader.milliseconds("plan_interval_ms", 10, 60'000, 1000);
         settings.platformTimeout = reader.milliseconds("platform_timeout_ms", 10, 60'000, 1000);
         settings.freshness = reader.milliseconds("freshness_ms", 100, 60'000, 3000);
         settings.agentSilence = reader.milliseconds("agent_silence_ms", 100, 600'000, 3000);
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -27,6 +27,7 @@
     int doorConnections = 0; ///< Of agents and gateways at once.
     std::size_t bodyBytes = 0;
     std::chrono::milliseconds pollInterval{}; ///< Of the table.
+    std::chrono::milliseconds planInterval{}; ///< Between two looks at the plan in the table.
     std::chrono::milliseconds platformTimeout{};
     std::chrono::milliseconds freshness{}; ///< Keyed traffic needs state no older than this.
     std::chrono::milliseconds agentSilence{}; ///< Then an agent gets no new work.
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -9,6 +9,7 @@
 #include "Apps/Gateway/GatewayDoor.h"
 #include "Apps/Gateway/GatewaySettings.h"
 #include "Apps/Gateway/OperatorApi.h"
+#include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/Relay.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
@@ -35,11 +36,12 @@
     Fleet fleet(settings);
     Relay relay(settings, fleet);
     StateSync sync(settings, platform, state);
+    Planner planner(settings, platform);
     CallerApi callers(settings, state, relay);
     OpenChangeGate gate;
     OperatorApi operators(settings, platform, state, sync, fleet, gate);
 
-    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet),
+    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet, planner),
                       settings.doorConnections);
     HttpServerLimits limits;
     limits.connections = settings.connections;
@@ -64,6 +66,7 @@
     waitUntilIdle(callers, settings.drainLimit);
     http.stop();
     door.stop();
+    planner.stop();
     sync.stop();
     LOG(INFO) << "event=stopped";
     return 0;
--- /dev/null
+++ b/src/Core/FencingRow.cpp
@@ -0,0 +1,30 @@
+#include "Core/FencingRow.h"
+
+#include "Core/Error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalyoke {
+
+using Json = nlohmann::json;
+
+std::string FencingRow::keyOf(const ServerName &server)
+{
+    return prefix + server.text();
+}
+
+std::string FencingRow::toJson() const
+{
+    return Json{{"epoch", epoch}, {"holder", holder.text()}, {"incarnation", incarnation.count()}}
+        .dump();
+}
+
+FencingRow FencingRow::fromJson(const std::string &json)
+{
+    const Json body = Json::parse(json, nullptr, false);
+    if (!body.is_object())
+        throw Error(ErrorKind::BadAnswer, "a fencing row holds no JSON object; restore the table");
+    return {body.at("epoch"), InstanceId(body.at("holder")), Incarnation(body.at("incarnation"))};
+}
+
+} // namespace quetzalyoke
--- a/src/Wire/quetzalyoke.thrift
+++ b/src/Wire/quetzalyoke.thrift
@@ -103,6 +103,7 @@
     16: i64 planVersion,
     17: list<string> suspects,   // fingerprints seen in flight at a crash
     18: HybridTime clock,
+    30: i64 fencingEpoch,        // of this agent's right to order its engine; 0: asks for one
 }
 
 struct ReportReply {
@@ -112,6 +113,9 @@
     4: list<ModelState> wanted,  // models and adapters this server should hold, when plan is newer
     5: list<string> quarantined, // fingerprints that must not run any more
     6: HybridTime clock,
+    30: i64 fencingEpoch,        // newest of the server that the gateway knows; 0: none
+    31: i64 fencingAgeMillis,    // since the table was read for it
+    32: bool fencingChecked,     // the engine refuses old fencing numbers
 }
 
 // What one gateway tells another; all versions only rise.
