--- a/src/Apps/Agent/AgentDoor.cpp
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -29,18 +29,29 @@
     return progress;
 }
 
-const char *refusalMessage(wire::ErrorCode::type refusal)
+const char *reasonOf(wire::ErrorCode::type error)
 {
-    switch (refusal) {
+    switch (error) {
     case wire::ErrorCode::Draining:
         return "the backend server is leaving";
+    case wire::ErrorCode::AgentRestarted:
+        return "the backend server's agent was restarted";
+    case wire::ErrorCode::UnknownAttempt:
+        return "the attempt is over";
     case wire::ErrorCode::ModelNotReady:
         return "the model or adapter is not ready on this backend server";
     default:
-        return "the backend server's queue is full";
+        return "the backend server's queue is full; ask again";
     }
 }
 
+// An attempt that this agent has spent may have run; every other refusal comes before that.
+wire::RunState::type stateOf(wire::ErrorCode::type error)
+{
+    return error == wire::ErrorCode::UnknownAttempt ? wire::RunState::Unknown
+                                                    : wire::RunState::NotRun;
+}
+
 class DoorFactory : public wire::AgentIfFactory
 {
 public:
@@ -86,8 +97,8 @@
     m_guard.require();
     const auto admission = m_table.submit(submission, Process::now());
     if (!admission.attempt) {
-        progress = refusal(submission.attemptId, admission.refusal, wire::RunState::NotRun,
-                           refusalMessage(admission.refusal));
+        progress = refusal(submission.attemptId, admission.refusal, stateOf(admission.refusal),
+                           reasonOf(admission.refusal));
         return;
     }
     progress = admission.attempt->fetch(0, boundedWait(waitMillis));
@@ -108,12 +119,10 @@
     progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
 }
 
-void AgentDoor::cancel(const std::string &attemptId)
+wire::RunState::type AgentDoor::cancel(const std::string &attemptId)
 {
     m_guard.require();
-    const auto attempt = m_table.find(attemptId);
-    if (attempt)
-        attempt->cancel();
+    return m_table.cancel(attemptId, Process::now());
 }
 
 std::shared_ptr<apache::thrift::TProcessorFactory> makeAgentDoorFactory(AttemptTable &table,
--- a/src/Apps/Agent/Reporter.cpp
+++ b/src/Apps/Agent/Reporter.cpp
@@ -14,13 +14,6 @@
 constexpr std::chrono::milliseconds connectTimeout{500};
 constexpr std::chrono::milliseconds callTimeout{2000};
 
-// Rises with each start of the process on a machine whose clock is roughly right.
-std::int64_t newIncarnation()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-}
-
 std::vector<Holding> holdingsFrom(const std::vector<wire::ModelState> &states)
 {
     std::vector<Holding> holdings;
@@ -45,7 +38,7 @@
 Reporter::Reporter(const AgentSettings &settings, std::string doorAddress, AttemptTable &table,
                    EngineRunner *engine)
     : m_settings(settings), m_doorAddress(std::move(doorAddress)), m_table(table), m_engine(engine),
-      m_incarnation(newIncarnation())
+      m_incarnation(Process::incarnation().count())
 {
     for (const std::string &it : settings.gateways) {
         m_gateways.push_back(std::make_unique<GatewayPool>(Address::parse(it), settings.fleetSecret,
@@ -117,6 +110,7 @@
     report.memoryTotalMb = m_settings.memory.count();
     report.capacity = m_settings.concurrency;
     report.planVersion = m_planVersion;
+    report.suspicions = m_table.suspicions();
     return report;
 }
 
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -17,11 +17,12 @@
 constexpr int healthConnections = 8;
 constexpr std::chrono::milliseconds drainPoll{20};
 
-// Waits until no attempt is queued or running, the limit has passed, or a second signal came.
+// Waits until every attempt has run and its answer was fetched, the limit has passed, or a
+// second signal came.
 void waitUntilIdle(const AttemptTable &table, std::chrono::milliseconds limit)
 {
     const Instant end = Process::now() + limit;
-    while (table.queued() + table.running() > 0 && Process::now() < end && !Process::stopForced())
+    while (!table.isIdle() && Process::now() < end && !Process::stopForced())
         std::this_thread::sleep_for(drainPoll);
 }
 
@@ -30,14 +31,16 @@
     const AttemptTable::Limits tableLimits{static_cast<std::size_t>(settings.queueLength),
                                            settings.bufferBytes, settings.keepFinished};
     AttemptTable table(tableLimits, requestQueueFactory(settings.queuePolicy)());
-    Dispatcher dispatcher(settings, table);
     ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
                       settings.connections);
     const Address doorAddress{settings.listen.host, door.port()};
     std::optional<EngineRunner> engine;
     if (settings.engine)
         engine.emplace(settings, table);
-    Reporter reporter(settings, doorAddress.text(), table, engine ? &*engine : nullptr);
+    const std::string advertised
+        = settings.advertise.empty() ? doorAddress.text() : settings.advertise;
+    Reporter reporter(settings, advertised, table, engine ? &*engine : nullptr);
+    Dispatcher dispatcher(settings, table, [&reporter] { reporter.reportNow(); });
 
     HttpServerLimits limits;
     limits.connections = healthConnections;
@@ -56,10 +59,10 @@
     table.drain();
     reporter.reportNow();
     waitUntilIdle(table, settings.drainLimit);
+    dispatcher.stop();
     reporter.stop();
     if (engine)
         engine->stop();
-    dispatcher.stop();
     door.stop();
     http.stop();
     LOG(INFO) << "event=stopped";
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -28,13 +28,15 @@
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
-    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet, Planner &planner)
-        : m_settings(settings), m_state(state), m_fleet(fleet), m_planner(planner)
+    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                CrashWatch &crashes, Planner &planner)
+        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes),
+          m_planner(planner)
     { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet, m_planner);
+        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes, m_planner);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
@@ -42,14 +44,16 @@
     const GatewaySettings &m_settings;
     SharedState &m_state;
     Fleet &m_fleet;
+    CrashWatch &m_crashes;
     Planner &m_planner;
 };
 
 } // namespace
 
 GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                         Planner &planner)
-    : m_state(state), m_fleet(fleet), m_planner(planner), m_guard(settings.fleetSecret)
+                         CrashWatch &crashes, Planner &planner)
+    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_planner(planner),
+      m_guard(settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -80,11 +84,14 @@
         m_planner.answer(reply, report, *configuration);
     }
     m_fleet.update(status);
+    m_crashes.add(report.suspicions, report.instance);
 }
 
-void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &)
+void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
+    m_crashes.add(digest.suspicions);
+    answer.suspicions = m_crashes.suspicions();
     answer.stateVersion = m_state.version().count();
 }
 
@@ -108,10 +115,10 @@
 
 std::shared_ptr<apache::thrift::TProcessorFactory>
 makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       Planner &planner)
+                       CrashWatch &crashes, Planner &planner)
 {
     return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet, planner));
+        std::make_shared<DoorFactory>(settings, state, fleet, crashes, planner));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/GatewayDoor.h
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_APPS_GATEWAY_GATEWAYDOOR_H
 
 #include "Adapters/FleetGuard.h"
+#include "Apps/Gateway/CrashWatch.h"
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/SharedState.h"
@@ -17,7 +18,7 @@
 {
 public:
     GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                Planner &planner);
+                CrashWatch &crashes, Planner &planner);
 
     void challenge(std::string &nonce) override;
     bool authenticate(const std::string &proof) override;
@@ -31,6 +32,7 @@
 private:
     SharedState &m_state;
     Fleet &m_fleet;
+    CrashWatch &m_crashes;
     Planner &m_planner;
     FleetGuard m_guard;
 };
@@ -38,7 +40,7 @@
 /// Makes a handler for each connection.
 std::shared_ptr<apache::thrift::TProcessorFactory>
 makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       Planner &planner);
+                       CrashWatch &crashes, Planner &planner);
 
 } // namespace quetzalyoke
 
