--- a/src/Apps/Agent/AgentDoor.cpp
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -38,6 +38,8 @@
         return "the backend server's agent was restarted";
     case wire::ErrorCode::UnknownAttempt:
         return "the attempt is over";
+    case wire::ErrorCode::ModelNotReady:
+        return "the model or adapter is not ready on this backend server";
     default:
         return "the backend server's queue is full; ask again";
     }
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +58,11 @@
     /// Suspicions of recent crashes, for the gateways.
     std::vector<wire::Suspicion> suspicions() const;
 
+    /// From now on takes model requests only for these models and adapters.
+    void offer(std::set<std::string> names);
+    /// Attempts for a model or adapter that are accepted and not finished.
+    std::size_t inFlight(const std::string &name) const;
+
     /// Refuses new attempts from now on.
     void drain();
     bool isDraining() const;
@@ -69,6 +75,7 @@
     bool isIdle() const;
 
 private:
+    bool isOfferedLocked(const wire::Submission &submission) const;
     bool canTakeLocked(Instant now) const;
     bool aloneIsDueLocked(Instant now) const;
     std::shared_ptr<Attempt> popLocked(Instant now);
@@ -78,6 +85,7 @@
     std::condition_variable m_available;
     std::unordered_map<std::string, std::shared_ptr<Attempt>> m_attempts;
     std::unique_ptr<RequestQueue> m_queue;
+    std::optional<std::set<std::string>> m_offered; // nothing: everything
     std::deque<std::shared_ptr<Attempt>> m_alone; // waiting attempts that must run alone
     std::unordered_map<std::string, std::shared_ptr<Attempt>> m_running;
     bool m_aloneRuns = false;
