--- a/src/Apps/Agent/AgentDoor.cpp
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Agent/AgentDoor.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Process.h"
 
 #include <algorithm>
@@ -29,6 +30,27 @@
     return progress;
 }
 
+const char *reasonOf(wire::ErrorCode::type error)
+{
+    switch (error) {
+    case wire::ErrorCode::Draining:
+        return "the backend server is leaving";
+    case wire::ErrorCode::AgentRestarted:
+        return "the backend server's agent was restarted";
+    case wire::ErrorCode::UnknownAttempt:
+        return "the attempt is over";
+    default:
+        return "the backend server's queue is full; ask again";
+    }
+}
+
+// An attempt that this agent has spent may have run; every other refusal comes before that.
+wire::RunState::type stateOf(wire::ErrorCode::type error)
+{
+    return error == wire::ErrorCode::UnknownAttempt ? wire::RunState::Unknown
+                                                    : wire::RunState::NotRun;
+}
+
 class DoorFactory : public wire::AgentIfFactory
 {
 public:
@@ -63,24 +85,27 @@
     return m_guard.authenticate(proof);
 }
 
-void AgentDoor::events(std::vector<wire::TimelineEvent> &, const std::string &, std::int32_t)
+void AgentDoor::events(std::vector<wire::TimelineEvent> &events, const std::string &requestId,
+                       std::int32_t limit)
 {
     m_guard.require();
+    EventLog::events(events, requestId, limit);
 }
 
 void AgentDoor::submit(wire::Progress &progress, const wire::Submission &submission,
                        std::int64_t waitMillis)
 {
     m_guard.require();
+    EventLog::observe(submission.clock);
     const auto admission = m_table.submit(submission, Process::now());
     if (!admission.attempt) {
-        const bool draining = admission.refusal == wire::ErrorCode::Draining;
-        progress = refusal(submission.attemptId, admission.refusal, wire::RunState::NotRun,
-                           draining ? "the backend server is leaving"
-                                    : "the backend server's queue is full");
+        progress = refusal(submission.attemptId, admission.refusal, stateOf(admission.refusal),
+                           reasonOf(admission.refusal));
+        progress.clock = EventLog::stamp();
         return;
     }
     progress = admission.attempt->fetch(0, boundedWait(waitMillis));
+    progress.clock = EventLog::stamp();
     progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
 }
 
@@ -95,15 +120,14 @@
         return;
     }
     progress = attempt->fetch(offset, boundedWait(waitMillis));
+    progress.clock = EventLog::stamp();
     progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
 }
 
-void AgentDoor::cancel(const std::string &attemptId)
+wire::RunState::type AgentDoor::cancel(const std::string &attemptId)
 {
     m_guard.require();
-    const auto attempt = m_table.find(attemptId);
-    if (attempt)
-        attempt->cancel();
+    return m_table.cancel(attemptId, Process::now());
 }
 
 std::shared_ptr<apache::thrift::TProcessorFactory> makeAgentDoorFactory(AttemptTable &table,
--- a/src/Apps/Agent/Reporter.cpp
+++ b/src/Apps/Agent/Reporter.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Agent/Reporter.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 
@@ -15,13 +16,6 @@
 constexpr std::chrono::milliseconds callTimeout{2000};
 constexpr std::chrono::milliseconds orderTimeout{30'000};
 
-// Rises with each start of the process on a machine whose clock is roughly right.
-std::int64_t newIncarnation()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-}
-
 const wire::ModelState *findState(const std::vector<wire::ModelState> &states,
                                   const std::string &name)
 {
@@ -34,7 +28,7 @@
 
 Reporter::Reporter(const AgentSettings &settings, std::string doorAddress, AttemptTable &table)
     : m_settings(settings), m_doorAddress(std::move(doorAddress)), m_table(table),
-      m_orders(settings.backend, orderTimeout), m_incarnation(newIncarnation())
+      m_orders(settings.backend, orderTimeout), m_incarnation(Process::incarnation().count())
 {
     for (const std::string &it : settings.gateways) {
         m_gateways.push_back(std::make_unique<GatewayPool>(Address::parse(it), settings.fleetSecret,
@@ -74,14 +68,17 @@
         try {
             wire::ReportReply reply;
             it->call([&](wire::GatewayClient &client) { client.report(reply, report); });
+            EventLog::observe(reply.clock);
             takeReply(reply);
             known = true;
         } catch (const std::exception &) {
             Metrics::count("reports_failed_total", {{"gateway", it->address().text()}});
         }
     }
-    if (m_known.exchange(known) != known)
+    if (m_known.exchange(known) != known) {
+        EventLog::record(known ? EventKind::PeerReached : EventKind::PeerLost, {}, "gateways");
         LOG(INFO) << "event=" << (known ? "gateways_reached" : "gateways_lost");
+    }
 }
 
 wire::AgentReport Reporter::makeReport()
@@ -102,6 +99,8 @@
     report.memoryTotalMb = m_settings.memory.count();
     report.capacity = m_settings.concurrency;
     report.planVersion = m_planVersion;
+    report.clock = EventLog::stamp();
+    report.suspicions = m_table.suspicions();
     return report;
 }
 
@@ -112,6 +111,7 @@
         return;
     m_planVersion = reply.planVersion;
     m_wanted = reply.wanted;
+    EventLog::record(EventKind::PlanTaken, {}, "version=" + std::to_string(m_planVersion));
     LOG(INFO) << "event=plan_taken version=" << m_planVersion << " models=" << m_wanted.size();
 }
 
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -1,3 +1,4 @@
+#include "Adapters/EventLog.h"
 #include "Adapters/HttpServer.h"
 #include "Adapters/Process.h"
 #include "Adapters/ReadyFile.h"
@@ -16,24 +17,26 @@
 constexpr int healthConnections = 8;
 constexpr std::chrono::milliseconds drainPoll{20};
 
-// Waits until no attempt is queued or running, the limit has passed, or a second signal came.
+// Waits until every attempt has run and its answer was fetched, the limit has passed, or a
+// second signal came.
 void waitUntilIdle(const AttemptTable &table, std::chrono::milliseconds limit)
 {
     const Instant end = Process::now() + limit;
-    while (table.queued() + table.running() > 0 && Process::now() < end && !Process::stopForced())
+    while (!table.isIdle() && Process::now() < end && !Process::stopForced())
         std::this_thread::sleep_for(drainPoll);
 }
 
 int serve(const AgentSettings &settings)
 {
+    EventLog::start(settings.instance);
     const AttemptTable::Limits tableLimits{static_cast<std::size_t>(settings.queueLength),
                                            settings.bufferBytes, settings.keepFinished};
     AttemptTable table(tableLimits, requestQueueFactory(settings.queuePolicy)());
-    Dispatcher dispatcher(settings, table);
     ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
                       settings.connections);
     const Address doorAddress{settings.listen.host, door.port()};
     Reporter reporter(settings, doorAddress.text(), table);
+    Dispatcher dispatcher(settings, table, [&reporter] { reporter.reportNow(); });
 
     HttpServerLimits limits;
     limits.connections = healthConnections;
@@ -48,12 +51,13 @@
 
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
+    EventLog::record(EventKind::Draining);
     LOG(INFO) << "event=draining queued=" << table.queued() << " running=" << table.running();
     table.drain();
     reporter.reportNow();
     waitUntilIdle(table, settings.drainLimit);
-    reporter.stop();
     dispatcher.stop();
+    reporter.stop();
     door.stop();
     http.stop();
     LOG(INFO) << "event=stopped";
--- a/src/Apps/Gateway/OperatorChanges.cpp
+++ b/src/Apps/Gateway/OperatorChanges.cpp
@@ -1,6 +1,7 @@
 #include "Apps/Gateway/OperatorChanges.h"
 
 #include "Adapters/Crypto.h"
+#include "Adapters/EventLog.h"
 #include "Core/Error.h"
 #include "Core/ServiceListCheck.h"
 #include "Core/VersionLine.h"
@@ -86,6 +87,8 @@
     if (!version)
         throw Error(ErrorKind::Conflict, "the key's id is taken; no key was granted, try again");
     m_sync.refresh();
+    EventLog::record(EventKind::KeyGranted, {},
+                     "id=" + key.record.id.text() + " account=" + account.text());
     LOG(INFO) << "event=key_granted id=" << key.record.id.text() << " account=" << account.text();
     return key;
 }
@@ -99,6 +102,7 @@
             continue;
         m_sync.refresh();
         m_gate.waitUntilInForce(*version);
+        EventLog::record(EventKind::KeyWithdrawn, {}, "id=" + id.text());
         LOG(INFO) << "event=key_withdrawn id=" << id.text();
         return;
     }
