--- /dev/null
+++ b/src/Adapters/EventJson.h
@@ -0,0 +1,17 @@
+#ifndef QUETZALYOKE_ADAPTERS_EVENTJSON_H
+#define QUETZALYOKE_ADAPTERS_EVENTJSON_H
+
+#include "Core/Timeline.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalyoke {
+
+/// \a event as the operators' API and `quetzalyokectl timeline --json` give it.
+nlohmann::json toJson(const Event &event);
+/// Throws nlohmann::json::exception where a member is missing or of another type.
+Event eventFromJson(const nlohmann::json &json);
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Apps/Agent/AgentDoor.cpp
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Agent/AgentDoor.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Process.h"
 
 #include <algorithm>
@@ -86,22 +87,27 @@
     return m_guard.authenticate(proof);
 }
 
-void AgentDoor::events(std::vector<wire::TimelineEvent> &, const std::string &, std::int32_t)
+void AgentDoor::events(std::vector<wire::TimelineEvent> &events, const std::string &requestId,
+                       std::int32_t limit)
 {
     m_guard.require();
+    EventLog::events(events, requestId, limit);
 }
 
 void AgentDoor::submit(wire::Progress &progress, const wire::Submission &submission,
                        std::int64_t waitMillis)
 {
     m_guard.require();
+    EventLog::observe(submission.clock);
     const auto admission = m_table.submit(submission, Process::now());
     if (!admission.attempt) {
         progress = refusal(submission.attemptId, admission.refusal, stateOf(admission.refusal),
                            reasonOf(admission.refusal));
+        progress.clock = EventLog::stamp();
         return;
     }
     progress = admission.attempt->fetch(0, boundedWait(waitMillis));
+    progress.clock = EventLog::stamp();
     progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
 }
 
@@ -116,6 +122,7 @@
         return;
     }
     progress = attempt->fetch(offset, boundedWait(waitMillis));
+    progress.clock = EventLog::stamp();
     progress.load = static_cast<std::int64_t>(m_table.queued() + m_table.running());
 }
 
--- a/src/Apps/Agent/AttemptTable.cpp
+++ b/src/Apps/Agent/AttemptTable.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Agent/AttemptTable.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Process.h"
 
 #include <algorithm>
@@ -43,6 +44,8 @@
         return {nullptr, wire::ErrorCode::QueueFull};
     auto attempt = std::make_shared<Attempt>(submission, now, m_limits.bufferBytes);
     m_attempts.emplace(submission.attemptId, attempt);
+    EventLog::record(EventKind::AttemptQueued, RequestId(submission.requestId),
+                     "attempt=" + submission.attemptId + " target=" + submission.target);
     if (submission.runAlone) {
         m_alone.push_back(attempt);
     } else {
--- a/src/Apps/Agent/Reporter.cpp
+++ b/src/Apps/Agent/Reporter.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Agent/Reporter.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 
@@ -77,14 +78,17 @@
             wire::ReportReply reply;
             const Instant calledAt = Process::now();
             it->call([&](wire::GatewayClient &client) { client.report(reply, report); });
+            EventLog::observe(reply.clock);
             takeReply(reply, calledAt);
             known = true;
         } catch (const std::exception &) {
             Metrics::count("reports_failed_total", {{"gateway", it->address().text()}});
         }
     }
-    if (m_known.exchange(known) != known)
+    if (m_known.exchange(known) != known) {
+        EventLog::record(known ? EventKind::PeerReached : EventKind::PeerLost, {}, "gateways");
         LOG(INFO) << "event=" << (known ? "gateways_reached" : "gateways_lost");
+    }
 }
 
 wire::AgentReport Reporter::makeReport()
@@ -110,6 +114,7 @@
     report.memoryTotalMb = m_settings.memory.count();
     report.capacity = m_settings.concurrency;
     report.planVersion = m_planVersion;
+    report.clock = EventLog::stamp();
     report.suspicions = m_table.suspicions();
     return report;
 }
@@ -129,6 +134,7 @@
         if (reply.planVersion <= m_planVersion)
             return;
         m_planVersion = reply.planVersion;
+        EventLog::record(EventKind::PlanTaken, {}, "version=" + std::to_string(m_planVersion));
         LOG(INFO) << "event=plan_taken version=" << m_planVersion
                   << " models=" << reply.wanted.size();
     }
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -1,3 +1,4 @@
+#include "Adapters/EventLog.h"
 #include "Adapters/HttpServer.h"
 #include "Adapters/Process.h"
 #include "Adapters/ReadyFile.h"
@@ -28,6 +29,7 @@
 
 int serve(const AgentSettings &settings)
 {
+    EventLog::start(settings.instance);
     const AttemptTable::Limits tableLimits{static_cast<std::size_t>(settings.queueLength),
                                            settings.bufferBytes, settings.keepFinished};
     AttemptTable table(tableLimits, requestQueueFactory(settings.queuePolicy)());
@@ -55,6 +57,7 @@
 
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
+    EventLog::record(EventKind::Draining);
     LOG(INFO) << "event=draining queued=" << table.queued() << " running=" << table.running();
     table.drain();
     reporter.reportNow();
--- /dev/null
+++ b/src/Apps/Ctl/TimelineCommand.cpp
@@ -0,0 +1,100 @@
+#include "Apps/Ctl/TimelineCommand.h"
+
+#include "Adapters/EventJson.h"
+#include "Core/Timeline.h"
+
+#include <array>
+#include <ctime>
+#include <map>
+
+namespace quetzalyoke {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t microsPerSecond = 1'000'000;
+constexpr int indent = 2;
+
+// What the gateways collected together.
+struct Collected
+{
+    std::vector<Event> events;
+    std::map<std::string, std::string> missing; ///< Reason by address.
+    int answers = 0;
+};
+
+// ISO 8601 in UTC with microseconds; a logical part above 0 follows as +N.
+std::string timeText(const HybridTime &time)
+{
+    const std::time_t seconds = time.physicalMicros / microsPerSecond;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> whole{};
+    std::strftime(whole.data(), whole.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::string micros = std::to_string(time.physicalMicros % microsPerSecond);
+    micros.insert(0, 6 - std::min<std::size_t>(6, micros.size()), '0');
+    const std::string logical = time.logical > 0 ? "+" + std::to_string(time.logical) : "";
+    return std::string(whole.data()) + "." + micros + "Z" + logical;
+}
+
+void collectFrom(OperatorClient &client, const Address &gateway, const TimelineQuery &query,
+                 Collected &collected)
+{
+    const httplib::Params params{{"request", query.request},
+                                 {"limit", std::to_string(query.limit)}};
+    try {
+        const Json answer = client.getFrom(gateway, "/operator/timeline", params);
+        for (const Json &it : answer.at("events"))
+            collected.events.push_back(eventFromJson(it));
+        for (const Json &it : answer.at("missing"))
+            collected.missing[it.at("address")] = it.at("reason");
+        ++collected.answers;
+    } catch (const Error &e) {
+        if (e.kind() == ErrorKind::NotAuthenticated)
+            throw;
+        collected.missing[gateway.text()] = e.what();
+    }
+}
+
+void printText(const std::vector<Event> &events, std::ostream &out)
+{
+    for (const Event &it : events) {
+        out << timeText(it.time) << ' ' << it.instance.text() << ' ' << it.kind;
+        if (!it.request.isEmpty())
+            out << " request=" << it.request.text();
+        if (!it.detail.empty())
+            out << ' ' << it.detail;
+        out << '\n';
+    }
+}
+
+void printJson(const Collected &collected, std::ostream &out)
+{
+    Json events = Json::array();
+    for (const Event &it : collected.events)
+        events.push_back(toJson(it));
+    out << Json{{"events", events}, {"missing", collected.missing}}.dump(indent) << '\n';
+}
+
+} // namespace
+
+ExitCode printTimeline(OperatorClient &client, const TimelineQuery &query, std::ostream &out,
+                       std::ostream &errors)
+{
+    Collected collected;
+    for (const Address &it : client.gateways())
+        collectFrom(client, it, query, collected);
+    for (const auto &[address, reason] : collected.missing)
+        errors << "no events of " << address << ": " << reason << '\n';
+    if (collected.answers == 0)
+        return ExitCode::NoAnswer;
+    collected.events = mergeEvents(std::move(collected.events));
+    if (query.json)
+        printJson(collected, out);
+    else
+        printText(collected.events, out);
+    return ExitCode::Done;
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Ctl/main.cpp
+++ b/src/Apps/Ctl/main.cpp
@@ -2,6 +2,7 @@
 #include "Apps/Ctl/KeyCommands.h"
 #include "Apps/Ctl/ServiceListCommands.h"
 #include "Apps/Ctl/StatusCommand.h"
+#include "Apps/Ctl/TimelineCommand.h"
 
 #include <CLI/CLI.hpp>
 
@@ -26,6 +27,7 @@
     bool first = false;
     std::string account;
     std::string keyId;
+    TimelineQuery timeline;
 };
 
 using Command = std::function<ExitCode(OperatorClient &)>;
@@ -54,6 +56,7 @@
         addKeyCommands();
         add(m_app, "status", "print what each named gateway knows, as JSON",
             [](OperatorClient &client) { return printStatus(client, std::cout); });
+        addTimelineCommand();
     }
 
     int run(int argc, char **argv)
@@ -150,6 +153,21 @@
             [](OperatorClient &client) { return KeyCommands(client, std::cout).list(); });
     }
 
+    void addTimelineCommand()
+    {
+        TimelineQuery &query = m_options.timeline;
+        CLI::App *timeline
+            = add(m_app, "timeline", "print the events of all processes in causal order",
+                  [&query](OperatorClient &client) {
+                      return printTimeline(client, query, std::cout, std::cerr);
+                  });
+        timeline->add_option("--request", query.request, "only the events of this request id");
+        timeline->add_option("--limit", query.limit, "most events of each process")
+            ->check(CLI::Range(1, 10'000))
+            ->capture_default_str();
+        timeline->add_flag("--json", query.json, "print JSON instead of text");
+    }
+
     std::optional<Version> seen() const
     {
         if (m_options.first)
--- a/src/Apps/Gateway/AnswerWriter.h
+++ b/src/Apps/Gateway/AnswerWriter.h
@@ -33,6 +33,7 @@
     void findPiece();
 
     std::unique_ptr<AnswerStream> m_answer;
+    const RequestId m_request;
     const AccountId m_account;
     AccountLimits &m_limits;
     std::string m_data; // received, not handed over yet
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -1,5 +1,7 @@
 #include "Apps/Gateway/GatewayDoor.h"
 
+#include "Adapters/EventLog.h"
+
 namespace quetzalyoke {
 
 namespace {
@@ -66,14 +68,17 @@
     return m_guard.authenticate(proof);
 }
 
-void GatewayDoor::events(std::vector<wire::TimelineEvent> &, const std::string &, std::int32_t)
+void GatewayDoor::events(std::vector<wire::TimelineEvent> &events, const std::string &requestId,
+                         std::int32_t limit)
 {
     m_guard.require();
+    EventLog::events(events, requestId, limit);
 }
 
 void GatewayDoor::report(wire::ReportReply &reply, const wire::AgentReport &report)
 {
     m_guard.require();
+    EventLog::observe(report.clock);
     AgentStatus status = statusFrom(report);
     const auto configuration = m_state.configuration();
     if (configuration) {
@@ -84,12 +89,15 @@
         m_planner.answer(reply, report, *configuration);
     }
     m_fleet.update(status);
+    reply.clock = EventLog::stamp();
     m_crashes.add(report.suspicions, report.instance);
 }
 
 void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
+    EventLog::observe(digest.clock);
+    answer.clock = EventLog::stamp();
     m_crashes.add(digest.suspicions);
     answer.suspicions = m_crashes.suspicions();
     answer.stateVersion = m_state.version().count();
--- a/src/Apps/Gateway/OperatorApi.cpp
+++ b/src/Apps/Gateway/OperatorApi.cpp
@@ -1,10 +1,12 @@
 #include "Apps/Gateway/OperatorApi.h"
 
 #include "Adapters/Crypto.h"
+#include "Adapters/EventJson.h"
 #include "Core/Error.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace quetzalyoke {
@@ -13,6 +15,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::int64_t maximumEvents = 10'000; // of one process
+
 void answer(httplib::Response &res, int status, const Json &body)
 {
     res.status = status;
@@ -39,24 +43,26 @@
     }
 }
 
-// Throws Error (BadSettings) where \a name is missing or no version.
-Version versionParameter(const httplib::Request &req, const std::string &name)
+// Throws Error (BadSettings) where \a name is missing or not a whole number.
+std::int64_t numberParameter(const httplib::Request &req, const std::string &name,
+                             const std::string &remedy)
 {
     const std::string text = req.get_param_value(name);
     std::int64_t n = 0;
     const char *end = text.data() + text.size();
     const auto [last, ec] = std::from_chars(text.data(), end, n);
     if (ec != std::errc() || last != end || n < 0)
-        throw Error(ErrorKind::BadSettings, name + " must be the version that you saw, 0 for none");
-    return Version(n);
+        throw Error(ErrorKind::BadSettings, name + " is missing or no whole number; " + remedy);
+    return n;
 }
 
 } // namespace
 
 OperatorApi::OperatorApi(const GatewaySettings &settings, HttpPlatform &platform,
-                         SharedState &state, StateSync &sync, Fleet &fleet, ChangeGate &gate)
+                         SharedState &state, StateSync &sync, Fleet &fleet, ChangeGate &gate,
+                         const TimelineCollector &timeline)
     : m_settings(settings), m_state(state), m_sync(sync), m_fleet(fleet),
-      m_changes(platform, state, sync, gate)
+      m_changes(platform, state, sync, gate), m_timeline(timeline)
 { }
 
 void OperatorApi::addRoutes(httplib::Server &server)
@@ -71,6 +77,7 @@
     server.Post("/operator/keys", bind(&OperatorApi::grantKey));
     server.Delete("/operator/keys/([0-9a-f]+)", bind(&OperatorApi::withdrawKey));
     server.Get("/operator/status", bind(&OperatorApi::status));
+    server.Get("/operator/timeline", bind(&OperatorApi::timeline));
 }
 
 OperatorApi::Handler OperatorApi::guarded(Handler handler)
@@ -103,8 +110,9 @@
 void OperatorApi::applyConfiguration(const httplib::Request &req, httplib::Response &res)
 {
     const std::string file = req.has_param("file") ? req.get_param_value("file") : "service list";
-    const Version version
-        = m_changes.applyConfiguration(req.body, versionParameter(req, "seen"), file);
+    const Version seen(
+        numberParameter(req, "seen", "give the version that you saw, 0 where there is none"));
+    const Version version = m_changes.applyConfiguration(req.body, seen, file);
     answer(res, 200, {{"version", version.count()}});
 }
 
@@ -151,4 +159,19 @@
             {"agents", agents}});
 }
 
+void OperatorApi::timeline(const httplib::Request &req, httplib::Response &res)
+{
+    const std::int64_t limit = numberParameter(req, "limit", "give the most events of a process");
+    const auto collection
+        = m_timeline.collect(RequestId(req.get_param_value("request")),
+                             static_cast<std::size_t>(std::min(limit, maximumEvents)));
+    Json events = Json::array();
+    for (const Event &it : collection.events)
+        events.push_back(toJson(it));
+    Json missing = Json::array();
+    for (const auto &it : collection.missing)
+        missing.push_back({{"address", it.address}, {"reason", it.reason}});
+    answer(res, 200, {{"events", events}, {"missing", missing}});
+}
+
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/Relay.cpp
+++ b/src/Apps/Gateway/Relay.cpp
@@ -1,6 +1,7 @@
 #include "Apps/Gateway/Relay.h"
 
 #include "Adapters/Crypto.h"
+#include "Adapters/EventLog.h"
 #include "Adapters/HttpServer.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
@@ -67,6 +68,9 @@
 private:
     RequestFlow::Step choose()
     {
+        if (m_agent)
+            EventLog::record(EventKind::RequestRetried, m_call.id,
+                             "after=" + m_agent->instance.text());
         const auto verdict = m_relay.m_crashes.verdict(m_call.fingerprint);
         if (verdict == CrashLedger::Verdict::Refuse)
             return refuseCrashing();
@@ -106,6 +110,8 @@
         m_submission.agentIncarnation = m_agent->incarnation.count();
         m_submission.estimatedTokens
             = (m_call.estimate.prompt + m_call.estimate.answerLimit).count();
+        EventLog::record(EventKind::RequestSubmitted, m_call.id,
+                         "attempt=" + id.text() + " agent=" + m_agent->instance.text());
     }
 
     RequestFlow::Step submit()
@@ -115,6 +121,7 @@
             return m_flow.onDeadline(cancel());
         m_submission.deadlineMillis
             = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+        m_submission.clock = EventLog::stamp();
         bool sent = false;
         try {
             m_agent->pool->call([&](wire::AgentClient &it) {
@@ -132,6 +139,7 @@
 
     RequestFlow::Step judgeProgress()
     {
+        EventLog::observe(m_progress.clock);
         if (m_progress.headersKnown)
             return m_flow.onAnswerBegan();
         if (!m_progress.finished)
--- a/src/Apps/Gateway/StateSync.cpp
+++ b/src/Apps/Gateway/StateSync.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Gateway/StateSync.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Core/Error.h"
@@ -36,11 +37,15 @@
             succeeded = true;
         } catch (const std::exception &e) {
             Metrics::count("table_reads_failed_total");
-            if (reachable)
+            if (reachable) {
+                EventLog::record(EventKind::TableLost, {}, e.what());
                 LOG(WARNING) << "event=table_lost reason=\"" << e.what() << '"';
+            }
         }
-        if (succeeded && !reachable)
+        if (succeeded && !reachable) {
+            EventLog::record(EventKind::TableReached);
             LOG(INFO) << "event=table_reached";
+        }
         reachable = succeeded;
         std::this_thread::sleep_for(m_settings.pollInterval);
     }
@@ -79,6 +84,8 @@
     configuration->plan = FloorPlan::compute(configuration->list);
     m_state.setConfiguration(configuration);
     Metrics::gauge("configuration_version", static_cast<double>(version.count()));
+    EventLog::record(EventKind::ConfigurationInForce, {},
+                     "version=" + std::to_string(version.count()));
     LOG(INFO) << "event=configuration_in_force version=" << version.count();
 }
 
--- /dev/null
+++ b/src/Apps/Gateway/TimelineCollector.cpp
@@ -0,0 +1,118 @@
+#include "Apps/Gateway/TimelineCollector.h"
+
+#include "Adapters/EventLog.h"
+#include "Adapters/Process.h"
+#include "Wire/generated/FleetMember.h"
+
+#include <algorithm>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace quetzalyoke {
+
+namespace {
+
+using MemberPool = ThriftPool<wire::FleetMemberClient>;
+
+constexpr std::chrono::milliseconds connectTimeout{500};
+constexpr std::chrono::milliseconds callTimeout{1500};
+// After this no further process is asked; a call under way ends within its own limits.
+constexpr std::chrono::milliseconds askingLimit{4000};
+constexpr std::size_t workerLimit = 16;
+
+// Asks the processes at a list of addresses, several at once.
+class Round
+{
+public:
+    Round(std::vector<std::string> addresses, std::string secret, RequestId request,
+          std::size_t limit)
+        : m_addresses(std::move(addresses)), m_secret(std::move(secret)),
+          m_request(std::move(request)), m_limit(static_cast<std::int32_t>(limit)),
+          m_end(Process::now() + askingLimit)
+    { }
+
+    TimelineCollector::Collection run()
+    {
+        std::vector<std::thread> workers;
+        for (std::size_t i = 0; i < std::min(workerLimit, m_addresses.size()); ++i)
+            workers.emplace_back([this] { work(); });
+        for (std::thread &it : workers)
+            it.join();
+        return std::move(m_collection);
+    }
+
+private:
+    void work()
+    {
+        for (std::string address = next(); !address.empty(); address = next())
+            ask(address);
+    }
+
+    std::string next()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_next < m_addresses.size() ? m_addresses[m_next++] : std::string();
+    }
+
+    void ask(const std::string &address)
+    {
+        if (Process::now() >= m_end)
+            return addMissing(address, "not asked: the time for collecting was up");
+        try {
+            std::vector<wire::TimelineEvent> events;
+            MemberPool pool(Address::parse(address), m_secret, connectTimeout, callTimeout);
+            pool.call([&](wire::FleetMemberClient &client) {
+                client.events(events, m_request.text(), m_limit);
+            });
+            const std::lock_guard lock(m_mutex);
+            for (const wire::TimelineEvent &it : events)
+                m_collection.events.push_back(EventLog::fromWire(it));
+        } catch (const std::exception &e) {
+            addMissing(address, e.what());
+        }
+    }
+
+    void addMissing(const std::string &address, const std::string &reason)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_collection.missing.push_back({address, reason});
+    }
+
+    const std::vector<std::string> m_addresses;
+    const std::string m_secret;
+    const RequestId m_request;
+    const std::int32_t m_limit;
+    const Instant m_end;
+    std::mutex m_mutex; // of the members below
+    std::size_t m_next = 0;
+    TimelineCollector::Collection m_collection;
+};
+
+} // namespace
+
+TimelineCollector::TimelineCollector(const GatewaySettings &settings, const Fleet &fleet,
+                                     std::function<std::vector<std::string>()> peers)
+    : m_settings(settings), m_fleet(fleet), m_peers(std::move(peers))
+{ }
+
+TimelineCollector::Collection TimelineCollector::collect(const RequestId &request,
+                                                         std::size_t limit) const
+{
+    Collection collection = Round(addresses(), m_settings.fleetSecret, request, limit).run();
+    const std::vector<Event> own = EventLog::events(request, limit);
+    collection.events.insert(collection.events.end(), own.begin(), own.end());
+    collection.events = mergeEvents(std::move(collection.events));
+    return collection;
+}
+
+std::vector<std::string> TimelineCollector::addresses() const
+{
+    const std::vector<std::string> peers = m_peers();
+    std::set<std::string> all(peers.begin(), peers.end());
+    for (const auto &it : m_fleet.all())
+        all.insert(it.status.address);
+    return {all.begin(), all.end()};
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -1,3 +1,4 @@
+#include "Adapters/EventLog.h"
 #include "Adapters/HttpPlatform.h"
 #include "Adapters/HttpServer.h"
 #include "Adapters/Process.h"
@@ -13,6 +14,7 @@
 #include "Apps/Gateway/Relay.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
+#include "Apps/Gateway/TimelineCollector.h"
 
 #include <glog/logging.h>
 
@@ -49,6 +51,7 @@
 
 int serve(const GatewaySettings &settings)
 {
+    EventLog::start(settings.instance);
     HttpPlatform platform(settings.platform, settings.platformTimeout);
     SharedState state(settings.freshness);
     Fleet fleet(settings);
@@ -60,7 +63,8 @@
     Planner planner(settings, platform);
     CallerApi callers(settings, state, relay, limits, idempotency);
     OpenChangeGate gate;
-    OperatorApi operators(settings, platform, state, sync, fleet, gate);
+    TimelineCollector timeline(settings, fleet, [&settings] { return settings.peers; });
+    OperatorApi operators(settings, platform, state, sync, fleet, gate, timeline);
 
     ThriftServer door(settings.listen,
                       makeGatewayDoorFactory(settings, state, fleet, crashes, planner),
@@ -85,6 +89,7 @@
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
     // Not ready at once, but requests are served until callers' balancer has noticed.
+    EventLog::record(EventKind::Draining);
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
     waitForGrace(settings.stopGrace);
     callers.stopAccepting();
