Run membership, freshness and shares in the gateway

Cause: gateways did not know each other; each judged its keys by its own reads of the table, and nothing kept accounts within their rate over the fleet.

Change: SharedState holds GatewaySync; StateSync sleeps interruptibly and falls back to other gateways for the text of a service list; MemberSync writes heartbeats, calls the other gateways, divides accounts and is the ChangeGate of the operators' API; PeerExchange makes and answers the calls; AccountLimiter implements AccountLimits (CallerApi does not call it yet). The conversions between wire and core types have a file of their own. Settings: member_interval_ms, outage_tolerance_ms, share_policy.

A gateway that is stopping accepts no change, serves its requests to the end, then marks its row. Ruled out: deleting the row, which an incremental read would not show.

--- /dev/null
+++ b/src/Adapters/WireConversion.h
@@ -0,0 +1,24 @@
+#ifndef QUETZALYOKE_ADAPTERS_WIRECONVERSION_H
+#define QUETZALYOKE_ADAPTERS_WIRECONVERSION_H
+
+#include "Core/AgentDirectory.h"
+#include "Core/PeerStatus.h"
+#include "Core/StateCache.h"
+#include "Wire/generated/quetzalyoke_types.h"
+
+#include <vector>
+
+namespace quetzalyoke {
+
+/// Ages are rounded up to whole milliseconds, so that nothing counts as fresher than it is.
+wire::PeerDigest toWire(const PeerStatus &status);
+PeerStatus fromWire(const wire::PeerDigest &digest);
+
+std::vector<wire::StateRow> toWire(const std::vector<StateRow> &rows);
+std::vector<StateRow> fromWire(const std::vector<wire::StateRow> &rows);
+
+AgentStatus fromWire(const wire::AgentReport &report);
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -1,30 +1,11 @@
 #include "Apps/Gateway/GatewayDoor.h"
 
+#include "Adapters/WireConversion.h"
+
 namespace quetzalyoke {
 
 namespace {
 
-AgentStatus statusFrom(const wire::AgentReport &report)
-{
-    AgentStatus status;
-    status.instance = InstanceId(report.instance);
-    status.incarnation = Incarnation(report.incarnation);
-    status.sequence = report.sequence;
-    status.zone = ZoneName(report.zone);
-    status.address = report.address;
-    status.server = ServerName(report.serverName);
-    status.engine = report.backendKind == "engine";
-    status.queued = report.queued;
-    status.running = report.running;
-    status.capacity = report.capacity;
-    status.draining = report.draining;
-    for (const wire::ModelState &it : report.models) {
-        if (it.ready)
-            status.ready.insert(it.name);
-    }
-    return status;
-}
-
 std::vector<wire::ModelState> wantedFor(const Configuration &configuration,
                                         const ServerName &server)
 {
@@ -46,13 +27,14 @@
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
-    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-        : m_settings(settings), m_state(state), m_fleet(fleet)
+    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                PeerExchange &peers)
+        : m_settings(settings), m_state(state), m_fleet(fleet), m_peers(peers)
     { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet);
+        return new GatewayDoor(m_settings, m_state, m_fleet, m_peers);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
@@ -60,12 +42,14 @@
     const GatewaySettings &m_settings;
     SharedState &m_state;
     Fleet &m_fleet;
+    PeerExchange &m_peers;
 };
 
 } // namespace
 
-GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-    : m_state(state), m_fleet(fleet), m_guard(settings.fleetSecret)
+GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                         PeerExchange &peers)
+    : m_state(state), m_fleet(fleet), m_peers(peers), m_guard(settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -86,7 +70,7 @@
 void GatewayDoor::report(wire::ReportReply &reply, const wire::AgentReport &report)
 {
     m_guard.require();
-    AgentStatus status = statusFrom(report);
+    AgentStatus status = fromWire(report);
     const auto configuration = m_state.configuration();
     if (configuration) {
         const auto server = configuration->list.servers.find(status.server);
@@ -100,35 +84,38 @@
     m_fleet.update(status);
 }
 
-void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &)
+void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
-    answer.stateVersion = m_state.version().count();
+    answer = toWire(m_peers.answer(fromWire(digest)));
 }
 
 void GatewayDoor::stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion)
 {
     m_guard.require();
-    for (const StateRow &it : m_state.rowsAfter(Version(sinceVersion))) {
-        wire::StateRow row;
-        row.key = it.key;
-        row.value = it.value;
-        row.version = it.version.count();
-        rows.push_back(row);
-    }
+    rows = toWire(m_state.rowsAfter(Version(sinceVersion)));
+}
+
+void GatewayDoor::configurationText(std::string &text, std::int64_t version)
+{
+    m_guard.require();
+    const auto configuration = m_state.configuration();
+    if (configuration && configuration->version == Version(version))
+        text = configuration->text;
 }
 
-std::int64_t GatewayDoor::spendShare(const std::string &, std::int64_t)
+std::int64_t GatewayDoor::spendShare(const std::string &account, std::int64_t tokens)
 {
     m_guard.require();
-    return 0;
+    return m_peers.lend(AccountId(account), Tokens(tokens)).count();
 }
 
 std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                       PeerExchange &peers)
 {
     return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet));
+        std::make_shared<DoorFactory>(settings, state, fleet, peers));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/GatewayDoor.h
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/FleetGuard.h"
 #include "Apps/Gateway/Fleet.h"
+#include "Apps/Gateway/PeerExchange.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Wire/generated/Gateway.h"
 
@@ -15,7 +16,8 @@
 class GatewayDoor : public wire::GatewayIf
 {
 public:
-    GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet);
+    GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                PeerExchange &peers);
 
     void challenge(std::string &nonce) override;
     bool authenticate(const std::string &proof) override;
@@ -24,17 +26,20 @@
     void report(wire::ReportReply &reply, const wire::AgentReport &report) override;
     void exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest) override;
     void stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion) override;
+    void configurationText(std::string &text, std::int64_t version) override;
     std::int64_t spendShare(const std::string &account, std::int64_t tokens) override;
 
 private:
     SharedState &m_state;
     Fleet &m_fleet;
+    PeerExchange &m_peers;
     FleetGuard m_guard;
 };
 
 /// Makes a handler for each connection.
 std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet);
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                       PeerExchange &peers);
 
 } // namespace quetzalyoke
 
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -7,9 +7,18 @@
 namespace {
 
 constexpr std::int64_t mebibyte = 1'048'576;
+constexpr int freshnessPerMargin = 6;
+constexpr int heartbeatsPerSilence = 3;
 
 } // namespace
 
+SyncLimits GatewaySettings::syncLimits() const
+{
+    const Duration margin = freshness / freshnessPerMargin;
+    return {freshness, outageTolerance, margin,
+            heartbeatsPerSilence * memberInterval + freshness + margin};
+}
+
 GatewaySettings GatewaySettings::read(const IniDocument &document, Problems &problems)
 {
     GatewaySettings settings;
@@ -39,6 +48,12 @@
         settings.pollInterval = reader.milliseconds("poll_interval_ms", 10, 60'000, 500);
         settings.platformTimeout = reader.milliseconds("platform_timeout_ms", 10, 60'000, 1000);
         settings.freshness = reader.milliseconds("freshness_ms", 100, 60'000, 3000);
+        settings.memberInterval = reader.milliseconds("member_interval_ms", 100, 600'000, 2000);
+        settings.outageTolerance
+            = reader.milliseconds("outage_tolerance_ms", 1000, 86'400'000, 900'000);
+        const std::string policy
+            = reader.choice("share_policy", {"demand", "static"}, std::string("demand"));
+        settings.sharePolicy = policy == "static" ? SharePolicy::Static : SharePolicy::Demand;
         settings.agentSilence = reader.milliseconds("agent_silence_ms", 100, 600'000, 3000);
         settings.defaultDeadline
             = reader.milliseconds("default_deadline_ms", 100, 3'600'000, 60'000);
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -2,7 +2,9 @@
 #define QUETZALYOKE_APPS_GATEWAY_GATEWAYSETTINGS_H
 
 #include "Adapters/Address.h"
+#include "Core/GatewaySync.h"
 #include "Core/IniDocument.h"
+#include "Core/SharePlanner.h"
 #include "Core/StrongTypes.h"
 
 #include <chrono>
@@ -18,7 +20,8 @@
     ZoneName zone;
     Address httpListen; ///< For callers, operators and health.
     Address listen; ///< Thrift, for agents and other gateways.
-    std::vector<std::string> peers; ///< Thrift addresses of the other gateways.
+    std::vector<std::string>
+        peers; ///< Thrift addresses to find other gateways by without the table.
     std::string platform; ///< host:port
     std::string fleetSecret;
     std::string operatorSecret;
@@ -29,10 +32,15 @@
     std::chrono::milliseconds pollInterval{}; ///< Of the table.
     std::chrono::milliseconds platformTimeout{};
     std::chrono::milliseconds freshness{}; ///< Keyed traffic needs state no older than this.
+    std::chrono::milliseconds memberInterval{}; ///< Between heartbeats in the table.
+    std::chrono::milliseconds outageTolerance{}; ///< Of serving while the table is out.
+    SharePolicy sharePolicy = SharePolicy::Demand;
     std::chrono::milliseconds agentSilence{}; ///< Then an agent gets no new work.
     std::chrono::milliseconds defaultDeadline{};
     std::chrono::milliseconds drainLimit{};
 
+    /// The durations that the promises about shared state rest on.
+    SyncLimits syncLimits() const;
     static GatewaySettings read(const IniDocument &document, Problems &problems);
 };
 
--- /dev/null
+++ b/src/Apps/Gateway/MemberSync.cpp
@@ -0,0 +1,232 @@
+#include "Apps/Gateway/MemberSync.h"
+
+#include "Adapters/Metrics.h"
+#include "Adapters/Process.h"
+#include "Core/Error.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds exchangeInterval{500};
+constexpr std::chrono::milliseconds divideInterval{1000};
+constexpr std::chrono::milliseconds borrowInterval{20};
+constexpr std::chrono::milliseconds shortageWait{200};
+constexpr std::chrono::milliseconds askAgain{50};
+constexpr std::size_t usualPeers = 3; // called each time while the table can be read
+
+} // namespace
+
+MemberSync::MemberSync(const GatewaySettings &settings, TableStore &table, SharedState &state,
+                       StateSync &sync, AccountLimiter &limiter, PeerExchange &peers)
+    : m_settings(settings), m_table(table), m_state(state), m_sync(sync), m_limiter(limiter),
+      m_peers(peers), m_random(std::random_device()())
+{ }
+
+MemberSync::~MemberSync()
+{
+    leave();
+}
+
+void MemberSync::start(const std::string &door, const std::string &http)
+{
+    m_state.update(Process::now(), [&](GatewaySync &sync) { sync.setAddresses(door, http); });
+    repeat(m_settings.memberInterval, [this] {
+        beat();
+        removeOne();
+    });
+    repeat(exchangeInterval, [this] { callOthers(); });
+    repeat(borrowInterval, [this] { borrow(); });
+    repeat(divideInterval, [this] { divide(); });
+}
+
+void MemberSync::repeat(std::chrono::milliseconds interval, std::function<void()> work)
+{
+    m_threads.emplace_back([this, interval, work = std::move(work)] {
+        do {
+            try {
+                work();
+            } catch (const Error &e) {
+                Metrics::count("member_work_failed_total");
+            }
+        } while (!wait(interval));
+    });
+}
+
+bool MemberSync::wait(std::chrono::milliseconds time)
+{
+    std::unique_lock lock(m_mutex);
+    return m_stopped.wait_for(lock, time, [this] { return m_stopping; });
+}
+
+// The first heartbeat comes after the first read, so that it says truly what was seen.
+void MemberSync::beat()
+{
+    const bool read
+        = m_state.read([](const auto &sync) { return sync.readsTable(Process::now()); });
+    if (!read)
+        m_sync.refresh();
+    const Instant startedAt = Process::now();
+    const auto heartbeat
+        = m_state.read([](const auto &sync) { return sync.heartbeatWrite(false); });
+    if (!m_table.commit({heartbeat}))
+        return m_sync.refresh(); // somebody else wrote the row; the next heartbeat replaces that
+    m_state.update(startedAt,
+                   [startedAt](GatewaySync &sync) { sync.onHeartbeatWritten(startedAt); });
+    const bool joined = m_state.read([](const auto &sync) { return sync.joinedAt().has_value(); });
+    if (!joined)
+        m_sync.refresh();
+}
+
+void MemberSync::removeOne()
+{
+    const auto removal
+        = m_state.read([](const auto &sync) { return sync.removalWrite(Process::now()); });
+    if (!removal || !m_table.commit({*removal}))
+        return;
+    LOG(WARNING) << "event=gateway_removed row=" << removal->key;
+}
+
+// While the table can be read, a few calls suffice to spread the demand. While it can't, only
+// the answers of all others show that nothing has changed.
+void MemberSync::callOthers()
+{
+    std::vector<std::string> addresses = m_peers.addresses();
+    const Instant now = Process::now();
+    const bool enough
+        = m_state.read([now](const auto &sync) { return sync.readsTable(now) && sync.joinedAt(); });
+    if (enough && addresses.size() > usualPeers) {
+        std::shuffle(addresses.begin(), addresses.end(), m_random);
+        addresses.resize(usualPeers);
+    }
+    for (const std::string &it : addresses)
+        m_peers.exchange(it);
+    m_state.update(Process::now(), [](GatewaySync &) {});
+}
+
+void MemberSync::borrow()
+{
+    if (!m_limiter.waitForShortage(shortageWait))
+        return;
+    for (const auto &it : m_limiter.neededLoans(Process::now()))
+        m_peers.borrow(it);
+}
+
+void MemberSync::divide()
+{
+    const auto configuration = m_state.configuration();
+    if (!configuration || m_peers.isLeaving())
+        return;
+    const Instant now = Process::now();
+    const auto writes = m_state.read([&](const GatewaySync &sync) {
+        return m_limiter.planWrites(sync, configuration->list, now);
+    });
+    for (const ShareWrite &it : writes)
+        write(it);
+    if (!writes.empty())
+        m_sync.refresh();
+}
+
+void MemberSync::write(const ShareWrite &write)
+{
+    try {
+        if (!m_table.commit({write.toWrite()}))
+            m_limiter.cancel(write, Process::now());
+        else
+            Metrics::count("share_rows_written_total");
+    } catch (const Error &e) {
+        // Where the answer was lost the own part stays small until the row shows what happened.
+        if (e.kind() == ErrorKind::PlatformUnavailable)
+            m_limiter.cancel(write, Process::now());
+    }
+}
+
+bool MemberSync::mayAccept() const
+{
+    const Instant now = Process::now();
+    return m_state.read([now](const auto &sync) { return sync.mayAccept(now); });
+}
+
+void MemberSync::requireMayAccept()
+{
+    if (m_peers.isLeaving()) {
+        throw Error(ErrorKind::PlatformUnavailable,
+                    "this gateway is stopping; repeat the change at another one");
+    }
+    m_sync.refresh();
+    const Instant end = Process::now() + m_settings.freshness;
+    while (!mayAccept()) {
+        if (Process::now() > end || wait(askAgain)) {
+            throw Error(ErrorKind::PlatformUnavailable,
+                        "another gateway may not know this one yet, or has stopped without "
+                        "leaving; repeat the change at a gateway that has run for longer");
+        }
+        m_peers.exchangeAll();
+    }
+}
+
+void MemberSync::waitUntilInForce(Version version)
+{
+    std::optional<GatewaySync::AcceptedChange> change;
+    const Instant end = Process::now() + m_settings.freshness;
+    while (!change) {
+        const Instant now = Process::now();
+        change = m_state.read([&](const auto &sync) { return sync.confirm(version, now); });
+        if (change)
+            break;
+        if (now > end || wait(askAgain)) {
+            throw Error(ErrorKind::OutcomeUnknown,
+                        "the change is written, but a gateway may not know of it yet; repeat it "
+                        "to be sure");
+        }
+        m_sync.refresh();
+        m_peers.exchangeAll();
+    }
+    const auto inForce = [&] {
+        const Instant now = Process::now();
+        return m_state.read([&](const auto &sync) { return sync.isInForce(*change, now); });
+    };
+    while (!inForce()) {
+        m_peers.exchangeAll();
+        if (inForce())
+            return;
+        wait(askAgain);
+    }
+}
+
+void MemberSync::beginLeaving()
+{
+    m_peers.setLeaving();
+}
+
+void MemberSync::leave()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopping)
+            return;
+        m_stopping = true;
+    }
+    m_stopped.notify_all();
+    for (std::thread &it : m_threads)
+        it.join();
+    if (!m_threads.empty())
+        farewell();
+}
+
+void MemberSync::farewell()
+{
+    try {
+        const auto row = m_state.read([](const auto &sync) { return sync.heartbeatWrite(true); });
+        m_table.commit({row});
+    } catch (const Error &e) {
+        LOG(WARNING) << "event=leave_not_written reason=\"" << e.what() << '"';
+    }
+    m_peers.exchangeAll();
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Gateway/PeerExchange.h
@@ -0,0 +1,70 @@
+#ifndef QUETZALYOKE_APPS_GATEWAY_PEEREXCHANGE_H
+#define QUETZALYOKE_APPS_GATEWAY_PEEREXCHANGE_H
+
+#include "Adapters/ThriftPool.h"
+#include "Apps/Gateway/AccountLimiter.h"
+#include "Apps/Gateway/GatewaySettings.h"
+#include "Apps/Gateway/SharedState.h"
+#include "Wire/generated/Gateway.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief Calls of this gateway to the others, and its answers to theirs.
+class PeerExchange
+{
+public:
+    PeerExchange(const GatewaySettings &settings, SharedState &state, AccountLimiter &limiter);
+
+    /// What this gateway tells others about itself.
+    PeerStatus status() const;
+    /// From now on others are told that this gateway serves no more.
+    void setLeaving() { m_leaving = true; }
+    bool isLeaving() const { return m_leaving; }
+    /// Names what to do when another gateway knows newer state than this one.
+    void setNewerStateHook(std::function<void()> hook) { m_onNewerState = std::move(hook); }
+
+    /// Exchanges what both know with the gateway at \a address; false where it doesn't answer.
+    bool exchange(const std::string &address);
+    void exchangeAll();
+    /// Borrows what requests wait for.
+    void borrow(const AccountLimiter::NeededLoan &loan);
+    /// Text of the service list at \a version from a gateway that has it.
+    std::optional<std::string> configurationText(Version version);
+
+    /// Another gateway's call of exchange().
+    PeerStatus answer(const PeerStatus &caller);
+    /// Another gateway's call for tokens.
+    Tokens lend(const AccountId &account, Tokens n);
+
+    /// Door addresses of the other gateways, with the settings' peers while none is known.
+    std::vector<std::string> addresses() const;
+
+private:
+    using Pool = ThriftPool<wire::GatewayClient>;
+
+    std::shared_ptr<Pool> poolFor(const std::string &address);
+    /// Runs \a call at \a address; false where that failed.
+    bool attempt(const std::string &address,
+                 const std::function<void(wire::GatewayClient &)> &call);
+    std::string addressOf(const InstanceId &instance) const;
+
+    const GatewaySettings &m_settings;
+    SharedState &m_state;
+    AccountLimiter &m_limiter;
+    std::atomic<bool> m_leaving{false};
+    std::function<void()> m_onNewerState;
+    std::mutex m_mutex; // of the pools; no other lock is taken while it is held
+    std::map<std::string, std::shared_ptr<Pool>> m_pools;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Apps/Gateway/SharedState.h
+++ b/src/Apps/Gateway/SharedState.h
@@ -2,9 +2,10 @@
 #define QUETZALYOKE_APPS_GATEWAY_SHAREDSTATE_H
 
 #include "Core/FloorPlan.h"
+#include "Core/GatewaySync.h"
 #include "Core/ServiceList.h"
-#include "Core/StateCache.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -20,16 +21,52 @@
     FloorPlan plan;
 };
 
-/// \brief Keys and configuration as this gateway knows them, shared by its threads.
+/// \brief Keys, configuration and the other gateways as this one knows them, for its threads.
+///
+/// Its lock is taken before AccountLimiter's.
 class SharedState
 {
 public:
-    explicit SharedState(Duration freshness);
+    /// What has changed, told under the lock.
+    struct Change
+    {
+        const GatewaySync &sync;
+        const Configuration *configuration; ///< Null before the first one is known.
+        std::optional<Instant> servingUntil;
+        Instant now;
+    };
+    using Listener = std::function<void(const Change &)>;
+
+    SharedState(const MemberRow &self, const SyncLimits &limits);
+
+    /// Names who is told of changes. Call it before the first update().
+    void setListener(Listener listener) { m_listener = std::move(listener); }
+
+    /// Runs \a f with the decisions of this gateway, then tells the listener.
+    template<typename F>
+    auto update(Instant now, F &&f)
+    {
+        const std::lock_guard lock(m_mutex);
+        noteFreshness(now);
+        if constexpr (std::is_void_v<decltype(f(m_sync))>) {
+            f(m_sync);
+            publish(now);
+        } else {
+            auto result = f(m_sync);
+            publish(now);
+            return result;
+        }
+    }
+    /// Runs \a f with the decisions of this gateway.
+    template<typename F>
+    auto read(F &&f) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return f(m_sync);
+    }
 
-    /// Takes rows that were current at \a readAt.
-    void apply(const std::vector<StateRow> &rows, std::optional<Instant> readAt);
     /// Puts \a configuration in force unless a newer one is.
-    void setConfiguration(std::shared_ptr<const Configuration> configuration);
+    void setConfiguration(std::shared_ptr<const Configuration> configuration, Instant now);
 
     /// The configuration in force; nothing before the first one is known.
     std::shared_ptr<const Configuration> configuration() const;
@@ -39,16 +76,22 @@
     std::vector<StateRow> rowsAfter(Version version) const;
     /// Pointer to the newest configuration, which may not be loaded yet.
     ConfigurationPointer newestConfiguration(Version &version) const;
+    /// What this gateway tells others, without its demands.
+    PeerStatus status(Instant now) const;
 
     /// Whether the state is recent enough to serve keyed traffic.
     bool isFresh(Instant now) const;
 
 private:
-    const Duration m_freshness;
+    bool isLoaded() const;
+    void noteFreshness(Instant now);
+    void publish(Instant now);
+
     mutable std::mutex m_mutex; // of the members below
-    StateCache m_cache;
-    std::optional<Instant> m_readAt;
+    GatewaySync m_sync;
     std::shared_ptr<const Configuration> m_configuration;
+    std::optional<Instant> m_servingUntil;
+    Listener m_listener;
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/StateSync.cpp
+++ b/src/Apps/Gateway/StateSync.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Gateway/StateSync.h"
 
+#include "Adapters/Crypto.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Core/Error.h"
@@ -8,8 +9,9 @@
 
 namespace quetzalyoke {
 
-StateSync::StateSync(const GatewaySettings &settings, HttpPlatform &platform, SharedState &state)
-    : m_settings(settings), m_platform(platform), m_state(state)
+StateSync::StateSync(const GatewaySettings &settings, HttpPlatform &platform, SharedState &state,
+                     TextSource fromPeers)
+    : m_settings(settings), m_platform(platform), m_state(state), m_fromPeers(std::move(fromPeers))
 {
     m_thread = std::thread([this] { work(); });
 }
@@ -21,44 +23,86 @@
 
 void StateSync::stop()
 {
-    m_stopping = true;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
     if (m_thread.joinable())
         m_thread.join();
 }
 
+void StateSync::wake()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_wanted = true;
+    }
+    m_changed.notify_all();
+}
+
 void StateSync::work()
 {
     bool reachable = true;
-    while (!m_stopping) {
-        bool succeeded = false;
-        try {
-            refresh();
-            succeeded = true;
-        } catch (const std::exception &e) {
-            Metrics::count("table_reads_failed_total");
-            if (reachable)
-                LOG(WARNING) << "event=table_lost reason=\"" << e.what() << '"';
-        }
-        if (succeeded && !reachable)
-            LOG(INFO) << "event=table_reached";
+    while (true) {
+        const bool succeeded = readTable();
+        if (succeeded != reachable)
+            LOG(WARNING) << (succeeded ? "event=table_reached" : "event=table_lost");
         reachable = succeeded;
-        std::this_thread::sleep_for(m_settings.pollInterval);
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, m_settings.pollInterval,
+                           [this] { return m_wanted || m_stopping; });
+        m_wanted = false;
+        if (m_stopping)
+            return;
     }
 }
 
+// Without the table, other gateways may still have told of a newer configuration.
+bool StateSync::readTable()
+{
+    try {
+        refresh();
+        return true;
+    } catch (const std::exception &) {
+        Metrics::count("table_reads_failed_total");
+    }
+    try {
+        const std::lock_guard lock(m_refreshMutex);
+        loadConfiguration();
+    } catch (const std::exception &) {
+        Metrics::count("configuration_loads_failed_total");
+    }
+    return false;
+}
+
 void StateSync::refresh()
 {
     const std::lock_guard lock(m_refreshMutex);
-    const Instant readAt = Process::now();
+    const Instant startedAt = Process::now();
     std::vector<StateRow> rows;
-    for (const TableRow &it : m_platform.scan(StateCache::prefix, m_readVersion)) {
+    for (const TableRow &it : m_platform.scan(StateCache::prefix, m_state.version()))
         rows.push_back({it.key, it.value, it.version});
-        m_readVersion = std::max(m_readVersion, it.version);
-    }
-    m_state.apply(rows, readAt);
+    const Instant now = Process::now();
+    m_state.update(now, [&](GatewaySync &sync) { sync.onTableRead(rows, startedAt, now); });
     loadConfiguration();
 }
 
+std::optional<std::string> StateSync::textOf(const ConfigurationPointer &pointer, Version version)
+{
+    try {
+        const auto text = m_platform.get(pointer.object);
+        if (text)
+            return text;
+    } catch (const Error &) {
+        Metrics::count("object_reads_failed_total");
+    }
+    const auto text = m_fromPeers ? m_fromPeers(version) : std::nullopt;
+    if (text && pointer.object.ends_with(sha256Hex(*text)))
+        return text;
+    return std::nullopt;
+}
+
 void StateSync::loadConfiguration()
 {
     Version version;
@@ -66,10 +110,11 @@
     const auto current = m_state.configuration();
     if (version == Version() || (current && current->version >= version))
         return;
-    const auto text = m_platform.get(pointer.object);
+    const auto text = textOf(pointer, version);
     if (!text) {
-        throw Error(ErrorKind::BadAnswer,
-                    "the object store has no " + pointer.object + "; apply the service list again");
+        throw Error(ErrorKind::PlatformUnavailable,
+                    "neither the object store nor another gateway gave " + pointer.object
+                        + "; check the platform, or apply the service list again");
     }
     auto configuration = std::make_shared<Configuration>();
     configuration->version = version;
@@ -77,7 +122,7 @@
     Problems problems;
     configuration->list = ServiceList::parse(*text, pointer.object, problems);
     configuration->plan = FloorPlan::compute(configuration->list);
-    m_state.setConfiguration(configuration);
+    m_state.setConfiguration(configuration, Process::now());
     Metrics::gauge("configuration_version", static_cast<double>(version.count()));
     LOG(INFO) << "event=configuration_in_force version=" << version.count();
 }
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -3,12 +3,14 @@
 #include "Adapters/Process.h"
 #include "Adapters/ReadyFile.h"
 #include "Adapters/ThriftServer.h"
+#include "Apps/Gateway/AccountLimiter.h"
 #include "Apps/Gateway/CallerApi.h"
-#include "Apps/Gateway/ChangeGate.h"
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/GatewayDoor.h"
 #include "Apps/Gateway/GatewaySettings.h"
+#include "Apps/Gateway/MemberSync.h"
 #include "Apps/Gateway/OperatorApi.h"
+#include "Apps/Gateway/PeerExchange.h"
 #include "Apps/Gateway/Relay.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
@@ -28,18 +30,36 @@
         std::this_thread::sleep_for(drainPoll);
 }
 
+// The wall clock only has to rise from one start of the instance to the next.
+MemberRow selfRow(const GatewaySettings &settings)
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    MemberRow row;
+    row.instance = settings.instance;
+    row.zone = settings.zone;
+    row.incarnation
+        = Incarnation(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+    return row;
+}
+
 int serve(const GatewaySettings &settings)
 {
     HttpPlatform platform(settings.platform, settings.platformTimeout);
-    SharedState state(settings.freshness);
+    const MemberRow self = selfRow(settings);
+    SharedState state(self, settings.syncLimits());
+    AccountLimiter limiter(self.instance, self.incarnation, settings.sharePolicy);
+    state.setListener([&limiter](const auto &change) { limiter.onChange(change); });
+    PeerExchange peers(settings, state, limiter);
     Fleet fleet(settings);
     Relay relay(settings, fleet);
-    StateSync sync(settings, platform, state);
+    StateSync sync(settings, platform, state,
+                   [&peers](Version version) { return peers.configurationText(version); });
+    peers.setNewerStateHook([&sync] { sync.wake(); });
+    MemberSync member(settings, platform, state, sync, limiter, peers);
     CallerApi callers(settings, state, relay);
-    OpenChangeGate gate;
-    OperatorApi operators(settings, platform, state, sync, fleet, gate);
+    OperatorApi operators(settings, platform, state, sync, fleet, member);
 
-    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet),
+    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet, peers),
                       settings.doorConnections);
     HttpServerLimits limits;
     limits.connections = settings.connections;
@@ -53,6 +73,7 @@
     http.listen(settings.httpListen);
     const Address httpAddress{settings.httpListen.host, http.port()};
     const Address doorAddress{settings.listen.host, door.port()};
+    member.start(doorAddress.text(), httpAddress.text());
     writeReadyFile(settings.readyFile,
                    {{"http", httpAddress.text()}, {"door", doorAddress.text()}});
     LOG(INFO) << "event=started instance=" << settings.instance.text()
@@ -60,9 +81,11 @@
 
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
+    member.beginLeaving();
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
     waitUntilIdle(callers, settings.drainLimit);
     http.stop();
+    member.leave();
     door.stop();
     sync.stop();
     LOG(INFO) << "event=stopped";
--- a/src/Core/GatewaySync.cpp
+++ b/src/Core/GatewaySync.cpp
@@ -114,15 +114,8 @@
         && it->second.row.incarnation == caller.incarnation;
     if (!member)
         m_strangerAt = now;
-}
-
-void GatewaySync::onPeerLeft(const PeerStatus &peer, const std::vector<StateRow> &rows, Instant now)
-{
-    apply(rows, now);
-    const auto it = m_members.find(peer.instance);
-    if (m_cache.version() < peer.stateVersion || it == m_members.end())
-        return;
-    if (it->second.row.incarnation == peer.incarnation)
+    // What it had accepted is known here, and it accepts no more.
+    else if (caller.leaving && caller.stateVersion <= m_cache.version())
         it->second.left = true;
 }
 
@@ -209,10 +202,9 @@
 
 // The read after the commit shows every gateway that had joined before the commit, and that this
 // gateway was still a member then: so whoever serves on older state knows this gateway.
-std::optional<GatewaySync::AcceptedChange> GatewaySync::confirm(Version version, Version joined,
-                                                                Instant now) const
+std::optional<GatewaySync::AcceptedChange> GatewaySync::confirm(Version version, Instant now) const
 {
-    if (m_cache.version() < version || m_joinedAt != joined || !mayAccept(now))
+    if (m_cache.version() < version || !m_joinedAt || *m_joinedAt >= version || !mayAccept(now))
         return std::nullopt;
     return AcceptedChange{version, now};
 }
--- a/src/Core/GatewaySync.h
+++ b/src/Core/GatewaySync.h
@@ -57,10 +57,8 @@
     /// Takes the answer to a call begun at \a startedAt, after the rows that it needed.
     void onPeerAnswer(const PeerStatus &answer, const std::vector<StateRow> &rows,
                       Instant startedAt, Instant now);
-    /// Another gateway has called this one.
+    /// Another gateway has called this one, maybe to say that it serves no more.
     void onPeerCall(const PeerStatus &caller, Instant now);
-    /// Another gateway says that it serves no more; \a rows as for onPeerAnswer().
-    void onPeerLeft(const PeerStatus &peer, const std::vector<StateRow> &rows, Instant now);
 
     /// The other gateways that have not left.
     std::vector<MemberRow> others() const;
@@ -86,9 +84,9 @@
         Version version;
         Instant knownSince;
     };
-    /// Takes a change committed while joinedAt() was \a joined, after a later read of the table;
-    /// nothing where another gateway may serve without this one's knowledge.
-    std::optional<AcceptedChange> confirm(Version version, Version joined, Instant now) const;
+    /// Takes a change that this gateway has committed, after a later read of the table; nothing
+    /// where another gateway may serve without this one's knowledge.
+    std::optional<AcceptedChange> confirm(Version version, Instant now) const;
     /// Whether every gateway acts on \a change or serves no keyed traffic on older state.
     bool isInForce(const AcceptedChange &change, Instant now) const;
 
--- a/src/Wire/quetzalyoke.thrift
+++ b/src/Wire/quetzalyoke.thrift
@@ -114,18 +114,28 @@
     6: HybridTime clock,
 }
 
+// What a gateway needs and has of a client account's tokens.
+struct AccountDemand {
+    1: string account,
+    2: i64 weight,               // millionths of the account's rate and burst
+    3: i64 demand,               // tokens a second
+    4: i64 level,                // tokens
+}
+
 // What one gateway tells another; all versions only rise.
 struct PeerDigest {
     1: string instance,
     2: i64 incarnation,
     3: i64 stateVersion,         // of keys and configuration as read from the table
     4: bool tableReachable,
-    5: i64 tableReadAgeMillis,   // since the start of the last successful read
-    6: i64 membershipEpoch,
+    5: i64 tableReadAgeMillis,   // since the start of the last successful read; -1: none yet
+    6: i64 memberAgeMillis,      // since the start of the last heartbeat written; -1: no member
     7: list<AgentReport> agents,
     8: list<string> quarantined,
     9: bool leaving,
     10: HybridTime clock,
+    11: i64 inForceVersion,      // the sender acts on all state up to here
+    12: list<AccountDemand> demands,
 }
 
 struct StateRow {
@@ -161,6 +171,9 @@
     ReportReply report(1: AgentReport report),
     PeerDigest exchange(1: PeerDigest digest),
     list<StateRow> stateRows(1: i64 sinceVersion),
-    // Takes tokens from this gateway's share of an account; returns how many were granted.
+    // The service list that the pointer row of this version names; empty where it isn't known.
+    string configurationText(1: i64 version),
+    // Takes tokens from this gateway's share of an account; returns how many were granted,
+    // to be handed out within a second from the start of the call.
     i64 spendShare(1: string account, 2: i64 tokens),
 }
--- a/test/SharesScheduleTest.cpp
+++ b/test/SharesScheduleTest.cpp
@@ -435,12 +435,11 @@
             = isKey ? keyValue(key, true) : ConfigurationPointer{"text", "operator"}.toJson();
         const auto row = m_table.rows.find(name);
         const ConditionalWrite write{name, value, row->second.version};
-        const Version joined = *sync.joinedAt();
-        commit(number, write, [this, number, joined, isKey, key](Result result, Version version) {
+        commit(number, write, [this, number, isKey, key](Result result, Version version) {
             if (result != Result::Done)
                 return;
-            readTable(number, [this, number, joined, isKey, key, version] {
-                const auto change = gateway(number)->sync.confirm(version, joined, m_now);
+            readTable(number, [this, number, isKey, key, version] {
+                const auto change = gateway(number)->sync.confirm(version, m_now);
                 if (change)
                     awaitInForce(number, *change, isKey ? key : -1);
             });
