--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -4,12 +4,14 @@
 #include "Adapters/Process.h"
 #include "Adapters/ReadyFile.h"
 #include "Adapters/ThriftServer.h"
+#include "Apps/Gateway/AccountLimiter.h"
 #include "Apps/Gateway/CallerApi.h"
-#include "Apps/Gateway/ChangeGate.h"
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/GatewayDoor.h"
 #include "Apps/Gateway/GatewaySettings.h"
+#include "Apps/Gateway/MemberSync.h"
 #include "Apps/Gateway/OperatorApi.h"
+#include "Apps/Gateway/PeerExchange.h"
 #include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/Relay.h"
 #include "Apps/Gateway/SharedState.h"
@@ -24,17 +26,6 @@
 
 constexpr std::chrono::milliseconds drainPoll{20};
 
-// Lets every account have everything.
-class NoAccountLimits : public AccountLimits
-{
-public:
-    std::optional<Refusal> admit(const AccountId &, const TokenEstimate &, Instant) override
-    {
-        return std::nullopt;
-    }
-    Duration charge(const AccountId &, Tokens, Instant) override { return Duration::zero(); }
-};
-
 void waitUntilIdle(const CallerApi &callers, std::chrono::milliseconds limit)
 {
     const Instant end = Process::now() + limit;
@@ -49,26 +40,39 @@
         std::this_thread::sleep_for(drainPoll);
 }
 
+MemberRow selfRow(const GatewaySettings &settings)
+{
+    MemberRow row;
+    row.instance = settings.instance;
+    row.zone = settings.zone;
+    row.incarnation = Process::incarnation();
+    return row;
+}
+
 int serve(const GatewaySettings &settings)
 {
     EventLog::start(settings.instance);
     HttpPlatform platform(settings.platform, settings.platformTimeout);
-    SharedState state(settings.freshness);
-    Fleet fleet(settings);
+    const MemberRow self = selfRow(settings);
+    SharedState state(self, settings.syncLimits());
+    AccountLimiter limiter(self.instance, self.incarnation, settings.sharePolicy);
+    state.setListener([&limiter](const auto &change) { limiter.onChange(change); });
     CrashWatch crashes;
+    PeerExchange peers(settings, state, limiter, crashes);
+    Fleet fleet(settings);
     Relay relay(settings, fleet, crashes);
     IdempotencyStore idempotency(platform, fleet);
-    NoAccountLimits limits;
-    StateSync sync(settings, platform, state);
+    StateSync sync(settings, platform, state,
+                   [&peers](Version version) { return peers.configurationText(version); });
+    peers.setNewerStateHook([&sync] { sync.wake(); });
+    MemberSync member(settings, platform, state, sync, limiter, peers);
     Planner planner(settings, platform);
-    CallerApi callers(settings, state, relay, limits, idempotency);
-    OpenChangeGate gate;
-    TimelineCollector timeline(settings, fleet, [&settings] { return settings.peers; });
-    OperatorApi operators(settings, platform, state, sync, fleet, gate, timeline);
+    CallerApi callers(settings, state, relay, limiter, idempotency);
+    TimelineCollector timeline(settings, fleet, [&peers] { return peers.addresses(); });
+    OperatorApi operators(settings, platform, state, sync, fleet, member, timeline);
 
-    ThriftServer door(settings.listen,
-                      makeGatewayDoorFactory(settings, state, fleet, crashes, planner),
-                      settings.doorConnections);
+    const DoorParts parts{settings, state, fleet, crashes, planner, peers};
+    ThriftServer door(settings.listen, makeGatewayDoorFactory(parts), settings.doorConnections);
     HttpServerLimits httpLimits;
     httpLimits.connections = settings.connections;
     httpLimits.bodyBytes = settings.bodyBytes;
@@ -81,6 +85,7 @@
     http.listen(settings.httpListen);
     const Address httpAddress{settings.httpListen.host, http.port()};
     const Address doorAddress{settings.listen.host, door.port()};
+    member.start(doorAddress.text(), httpAddress.text());
     writeReadyFile(settings.readyFile,
                    {{"http", httpAddress.text()}, {"door", doorAddress.text()}});
     LOG(INFO) << "event=started instance=" << settings.instance.text()
@@ -90,11 +95,13 @@
         continue;
     // Not ready at once, but requests are served until callers' balancer has noticed.
     EventLog::record(EventKind::Draining);
+    member.beginLeaving();
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
     waitForGrace(settings.stopGrace);
     callers.stopAccepting();
     waitUntilIdle(callers, settings.drainLimit);
     http.stop();
+    member.leave();
     door.stop();
     planner.stop();
     sync.stop();
