--- a/src/Apps/Load/Experiment.cpp
+++ b/src/Apps/Load/Experiment.cpp
@@ -37,6 +37,12 @@
     addNumbered(experiment.targets, "adapter-", reader.number("adapters", 0, 100'000, 0));
 }
 
+// What scripts/experiment starts the fleet by.
+bool isForDriver(const std::string &kind)
+{
+    return kind == "fleet" || kind == "engine" || kind == "platform" || kind == "variant";
+}
+
 AccountDemand readAccount(const std::string &name, EntryReader &reader)
 {
     AccountDemand demand;
@@ -84,11 +90,11 @@
             experiment.rises.push_back(readChange(it.name, reader));
         } else if (it.kind == "event") {
             experiment.events.push_back({seconds(reader, "at_s"), reader.text("do")});
-        } else if (it.kind == "fleet") {
-            continue; // for the driver
+        } else if (isForDriver(it.kind)) {
+            continue;
         } else {
             problems.push_back({document.file(), it.line, "unknown section [" + it.kind + "]",
-                                "use experiment, fleet, account, burst, rise or event"});
+                                "use experiment, account, burst, rise or event"});
             continue;
         }
         reader.finish();
