--- a/src/Apps/Agent/AgentSettings.h
+++ b/src/Apps/Agent/AgentSettings.h
@@ -18,6 +18,7 @@
     ServerName server; ///< Name of the backend server in the service list.
     ZoneName zone;
     Address listen; ///< Of the Thrift door.
+    std::string advertise; ///< Where gateways reach the door; empty: the address bound.
     Address httpListen; ///< Of /metrics, /healthz and /readyz.
     Address backend;
     bool engine = true;
@@ -31,6 +32,10 @@
     int connections = 0;
     std::size_t bufferBytes = 0; ///< Of one answer that its gateway has not fetched yet.
     std::chrono::milliseconds reportInterval{};
+    std::chrono::milliseconds engineInterval{}; ///< Between two readings of the engine.
+    std::chrono::milliseconds orderTimeout{}; ///< An order has taken effect by then or never will.
+    std::chrono::milliseconds orderAuthority{}; ///< Right to order since the table was read for it.
+    std::chrono::milliseconds predecessorWait{}; ///< Before the first order after a restart.
     std::chrono::milliseconds backendTimeout{};
     std::chrono::milliseconds keepFinished{}; ///< How long a finished answer can be fetched.
     std::chrono::milliseconds drainLimit{};
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -1,5 +1,7 @@
 #include "Apps/Gateway/GatewayDoor.h"
 
+#include "Adapters/EventLog.h"
+
 namespace quetzalyoke {
 
 namespace {
@@ -25,34 +27,18 @@
     return status;
 }
 
-std::vector<wire::ModelState> wantedFor(const Configuration &configuration,
-                                        const ServerName &server)
-{
-    std::vector<wire::ModelState> wanted;
-    const auto it = configuration.plan.holdings.find(server);
-    if (it == configuration.plan.holdings.end())
-        return wanted;
-    for (const PlannedHolding &holding : it->second) {
-        wire::ModelState state;
-        state.name = holding.name;
-        state.version = holding.version;
-        state.memoryMb = holding.memory.count();
-        state.adapter = holding.adapter;
-        wanted.push_back(state);
-    }
-    return wanted;
-}
-
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
-    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-        : m_settings(settings), m_state(state), m_fleet(fleet)
+    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                CrashWatch &crashes, Planner &planner)
+        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes),
+          m_planner(planner)
     { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet);
+        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes, m_planner);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
@@ -60,12 +46,16 @@
     const GatewaySettings &m_settings;
     SharedState &m_state;
     Fleet &m_fleet;
+    CrashWatch &m_crashes;
+    Planner &m_planner;
 };
 
 } // namespace
 
-GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
-    : m_state(state), m_fleet(fleet), m_guard(settings.fleetSecret)
+GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                         CrashWatch &crashes, Planner &planner)
+    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_planner(planner),
+      m_guard(settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -78,14 +68,17 @@
     return m_guard.authenticate(proof);
 }
 
-void GatewayDoor::events(std::vector<wire::TimelineEvent> &, const std::string &, std::int32_t)
+void GatewayDoor::events(std::vector<wire::TimelineEvent> &events, const std::string &requestId,
+                         std::int32_t limit)
 {
     m_guard.require();
+    EventLog::events(events, requestId, limit);
 }
 
 void GatewayDoor::report(wire::ReportReply &reply, const wire::AgentReport &report)
 {
     m_guard.require();
+    EventLog::observe(report.clock);
     AgentStatus status = statusFrom(report);
     const auto configuration = m_state.configuration();
     if (configuration) {
@@ -93,16 +86,20 @@
         if (server != configuration->list.servers.end() && !status.engine)
             status.ready.insert(server->second.service.text());
         reply.configurationVersion = configuration->version.count();
-        reply.planVersion = configuration->version.count();
-        if (report.planVersion < reply.planVersion)
-            reply.wanted = wantedFor(*configuration, status.server);
+        m_planner.answer(reply, report, *configuration);
     }
     m_fleet.update(status);
+    reply.clock = EventLog::stamp();
+    m_crashes.add(report.suspicions, report.instance);
 }
 
-void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &)
+void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
+    EventLog::observe(digest.clock);
+    answer.clock = EventLog::stamp();
+    m_crashes.add(digest.suspicions);
+    answer.suspicions = m_crashes.suspicions();
     answer.stateVersion = m_state.version().count();
 }
 
@@ -125,10 +122,11 @@
 }
 
 std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet)
+makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
+                       CrashWatch &crashes, Planner &planner)
 {
     return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet));
+        std::make_shared<DoorFactory>(settings, state, fleet, crashes, planner));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -1,3 +1,4 @@
+#include "Adapters/EventLog.h"
 #include "Adapters/HttpPlatform.h"
 #include "Adapters/HttpServer.h"
 #include "Adapters/Process.h"
@@ -9,9 +10,11 @@
 #include "Apps/Gateway/GatewayDoor.h"
 #include "Apps/Gateway/GatewaySettings.h"
 #include "Apps/Gateway/OperatorApi.h"
+#include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/Relay.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
+#include "Apps/Gateway/TimelineCollector.h"
 
 #include <glog/logging.h>
 
@@ -21,6 +24,17 @@
 
 constexpr std::chrono::milliseconds drainPoll{20};
 
+// Lets every account have everything.
+class NoAccountLimits : public AccountLimits
+{
+public:
+    std::optional<Refusal> admit(const AccountId &, const TokenEstimate &, Instant) override
+    {
+        return std::nullopt;
+    }
+    Duration charge(const AccountId &, Tokens, Instant) override { return Duration::zero(); }
+};
+
 void waitUntilIdle(const CallerApi &callers, std::chrono::milliseconds limit)
 {
     const Instant end = Process::now() + limit;
@@ -28,23 +42,37 @@
         std::this_thread::sleep_for(drainPoll);
 }
 
+void waitForGrace(std::chrono::milliseconds grace)
+{
+    const Instant end = Process::now() + grace;
+    while (Process::now() < end && !Process::stopForced())
+        std::this_thread::sleep_for(drainPoll);
+}
+
 int serve(const GatewaySettings &settings)
 {
+    EventLog::start(settings.instance);
     HttpPlatform platform(settings.platform, settings.platformTimeout);
     SharedState state(settings.freshness);
     Fleet fleet(settings);
-    Relay relay(settings, fleet);
+    CrashWatch crashes;
+    Relay relay(settings, fleet, crashes);
+    IdempotencyStore idempotency(platform, fleet);
+    NoAccountLimits limits;
     StateSync sync(settings, platform, state);
-    CallerApi callers(settings, state, relay);
+    Planner planner(settings, platform);
+    CallerApi callers(settings, state, relay, limits, idempotency);
     OpenChangeGate gate;
-    OperatorApi operators(settings, platform, state, sync, fleet, gate);
+    TimelineCollector timeline(settings, fleet, [&settings] { return settings.peers; });
+    OperatorApi operators(settings, platform, state, sync, fleet, gate, timeline);
 
-    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet),
+    ThriftServer door(settings.listen,
+                      makeGatewayDoorFactory(settings, state, fleet, crashes, planner),
                       settings.doorConnections);
-    HttpServerLimits limits;
-    limits.connections = settings.connections;
-    limits.bodyBytes = settings.bodyBytes;
-    HttpServer http(limits);
+    HttpServerLimits httpLimits;
+    httpLimits.connections = settings.connections;
+    httpLimits.bodyBytes = settings.bodyBytes;
+    HttpServer http(httpLimits);
     callers.addRoutes(http.routes());
     operators.addRoutes(http.routes());
     http.addHealthRoutes([&] {
@@ -60,11 +88,17 @@
 
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
+    // Not ready at once, but requests are served until callers' balancer has noticed.
+    EventLog::record(EventKind::Draining);
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
+    waitForGrace(settings.stopGrace);
+    callers.stopAccepting();
     waitUntilIdle(callers, settings.drainLimit);
     http.stop();
     door.stop();
+    planner.stop();
     sync.stop();
+    idempotency.stop();
     LOG(INFO) << "event=stopped";
     return 0;
 }
