--- /dev/null
+++ b/test/scenarios/memory_orders_checked.lua
@@ -0,0 +1,5 @@
+-- Point 1 with engines that check fencing numbers: memory is never overcommitted while the list
+-- changes, orders are lost, late, duplicated and reordered, and the agent is killed in mid-load.
+require("memory")
+
+changeUnderFaults{fencing = "checked", checksFencing = true}
