--- a/src/Adapters/Process.h
+++ b/src/Adapters/Process.h
@@ -24,6 +24,8 @@
     static int run(int argc, char **argv, const std::string &name, const SettingsReader &reader,
                    const Body &body);
 
+    /// Version of the product, as --version prints it.
+    static std::string version();
     /// Whether SIGTERM or SIGINT has arrived.
     static bool stopRequested();
     /// Whether a second signal asked to stop without waiting.
@@ -32,6 +34,8 @@
     static bool waitForStop(std::chrono::milliseconds timeout);
 
     static Instant now();
+    /// Of this process: the wall-clock time of its start, in microseconds.
+    static Incarnation incarnation();
     /// Whole text of \a path without trailing white space. Throws Error (BadSettings).
     static std::string readFile(const std::string &path);
 };
