--- a/test/scenarios/at_most_once_kills.lua
+++ b/test/scenarios/at_most_once_kills.lua
@@ -2,12 +2,15 @@
 -- booking; the caller repeats it with its Idempotency-Key through the other gateway.
 require("fleet")
 
-local ROUNDS = 6
+local ROUNDS = 5
+local DEADLINE_MS = 3000
+-- A dead gateway's claim ends 10 s after its request's deadline.
+local SETTLED_LIMIT_MS = DEADLINE_MS + 10000 + 5000
 local fleet = startFleet{gateways = 2, services = 2}
 local victims = {"agent-counter-1", "agent-counter-2", "gateway-1"}
 
 local function repeatUntilSettled(mark, request)
-    eventually(15000, "a final answer to " .. mark, function()
+    eventually(SETTLED_LIMIT_MS, "a final answer to " .. mark, function()
         local answer = call("gateway-2", request)
         expect(runsOf(mark) <= 1, mark .. " to run at most once")
         if isCompleted(answer) then return true end
@@ -16,8 +19,8 @@
             expectEqual(runsOf(mark), 0, "runs of " .. mark .. " refused as not run")
             return false, describe(answer)
         end
-        -- "Unknown" is final: nobody may run it again.
-        return answer.status ~= 409 or nil, describe(answer)
+        -- A refusal without a time to come back is final: nobody runs the booking again.
+        return not answer.headers["retry-after"], describe(answer)
     end)
 end
 
@@ -26,6 +29,7 @@
     local victim = victims[math.random(#victims)]
     local phase = ({"before", "during", "after"})[math.random(3)]
     local request = booking(mark, {key = fleet.key, idempotencyKey = mark,
+                                   deadlineMs = DEADLINE_MS,
                                    path = "/services/counter/bookings?sleep_ms=300"})
     print("round " .. round .. ": " .. victim .. " killed " .. phase .. " the run")
     local first = send("gateway-1", request)
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -175,6 +175,9 @@
         concurrency = 16,
         connections = 64,
         report_interval_ms = 100,
+        engine_interval_ms = 50,
+        order_timeout_ms = 3000,
+        order_authority_ms = 1000,
     }, settings or {}))
 end
 
@@ -575,7 +578,7 @@
             if not isCompleted(answer) then return false, describe(answer) end
         end
         if #fleet.services > 0 then
-            local answer = call(gateway, {path = "/services/counter/hours", key = fleet.key})
+            local answer = call(gateway, {path = "/services/counter/ready", key = fleet.key})
             if not isCompleted(answer) then return false, describe(answer) end
         end
         return true
--- a/test/scenarios/memory_two_agents.lua
+++ b/test/scenarios/memory_two_agents.lua
@@ -3,7 +3,9 @@
 require("fleet")
 
 local MEMORY_MB = 10000
-local FIRST, SECOND = {alpha = 6000, beta = 3000}, {gamma = 9000}
+-- Many loads, so that the frozen agent still has orders to give when it is thawed.
+local FIRST = {a = 1500, b = 1500, c = 1500, d = 1500, e = 1500, f = 1500}
+local SECOND = {gamma = 9000}
 
 local function replaceWhileFrozen(fencing)
     local engine = "engine-" .. fencing
@@ -23,15 +25,14 @@
     freeze(agent)
     startAgent(engine, {memory_mb = MEMORY_MB}, replacement)
     apply("gateway-1", serviceList(merged(list, {models = SECOND})))
-    local replacedAt = now()
     eventually(20000, "the replacement to load", function()
-        if now() > replacedAt + 1000 then thaw(agent) end
         for _, it in ipairs(load().holdings) do
             if it.name == "gamma" and it.ready then return true end
         end
         return false
     end)
-    throughout(2000, "memory within its bound", load)
+    thaw(agent)
+    throughout(3000, "memory within its bound", load)
     kill(agent)
     kill(replacement)
 end
--- a/test/scenarios/not_run_is_true.lua
+++ b/test/scenarios/not_run_is_true.lua
@@ -58,6 +58,21 @@
 check("cut-link", answer)
 expect(runState(answer) ~= "not-run", "no \"not-run\" of a call that runs: " .. describe(answer))
 
+-- The same when the call has run for longer than the gateway's first wait for its answer.
+eventually(5000, "the agent to be chosen again", function()
+    return isCompleted(call(gateway, {path = "/services/counter/idle", key = fleet.key}))
+end)
+cutCall = send(gateway, booking("cut-later", {
+    key = fleet.key, path = "/services/counter/bookings?sleep_ms=1200"}))
+eventually(2000, "the call to run", function() return runsOf("cut-later") == 1 end)
+local ranAt = now()
+eventually(2000, "the first wait to pass", function() return now() > ranAt + 500 end)
+cut("gateways", "agent-counter-1")
+answer = cutCall.finish()
+heal("gateways", "agent-counter-1")
+check("cut-later", answer)
+expect(runState(answer) ~= "not-run", "no \"not-run\" of a call that runs: " .. describe(answer))
+
 -- The agent is killed while the call runs; another waits in its queue.
 eventually(5000, "the agent to be chosen again", function()
     return isCompleted(call(gateway, {path = "/services/counter/idle", key = fleet.key}))
