Limit rates in the platform stand-in and add its weight store

Cause: engines load from a rate-limited store and the table takes only so many calls a second; the stand-in had neither. Change: settings writes_per_s and reads_per_s (503 beyond), GET /weights/NAME?kind=model|adapter with turns, full-speed limits and a time scale; a fault plan may end by itself (for_ms).

--- a/src/StandIns/Platform/Faults.cpp
+++ b/src/StandIns/Platform/Faults.cpp
@@ -2,15 +2,18 @@
 
 namespace quetzalyoke::standins {
 
-void Faults::set(const FaultPlan &plan)
+void Faults::set(const FaultPlan &plan, Instant now)
 {
     const std::lock_guard lock(m_mutex);
+    m_setAt = now;
     m_plan = plan;
 }
 
-FaultPlan Faults::current() const
+FaultPlan Faults::current(Instant now) const
 {
     const std::lock_guard lock(m_mutex);
+    if (m_plan.lasts.count() > 0 && now >= m_setAt + m_plan.lasts)
+        return {};
     return m_plan;
 }
 
--- a/src/StandIns/Platform/PlatformApi.cpp
+++ b/src/StandIns/Platform/PlatformApi.cpp
@@ -1,5 +1,7 @@
 #include "StandIns/Platform/PlatformApi.h"
 
+#include "Adapters/Process.h"
+
 #include <nlohmann/json.hpp>
 
 #include <thread>
@@ -44,17 +46,33 @@
 
 } // namespace
 
+PlatformApi::PlatformApi(const PlatformSettings &settings) : m_weights(settings)
+{
+    const auto limit = [](std::int64_t perSecond) -> std::optional<TokenBucket> {
+        if (perSecond == 0)
+            return std::nullopt;
+        return TokenBucket(TokensPerSecond(perSecond), Tokens(perSecond), Process::now());
+    };
+    m_reads = limit(settings.readsPerSecond);
+    m_writes = limit(settings.writesPerSecond);
+}
+
 void PlatformApi::addRoutes(httplib::Server &server)
 {
     const auto bind = [this](void (PlatformApi::*method)(const httplib::Request &,
                                                          httplib::Response &)) -> Handler {
         return [this, method](const auto &req, auto &res) { (this->*method)(req, res); };
     };
-    server.Get("/table/row", withFaults(bind(&PlatformApi::readRow)));
-    server.Get("/table/scan", withFaults(bind(&PlatformApi::scanRows)));
-    server.Post("/table/commit", withFaults(bind(&PlatformApi::commitRows)));
-    server.Get("/objects/(.+)", withFaults(bind(&PlatformApi::getObject)));
-    server.Put("/objects/(.+)", withFaults(bind(&PlatformApi::putObject)));
+    const auto reading
+        = [&](Handler handler) { return withFaults(withLimit(m_reads, std::move(handler))); };
+    const auto writing
+        = [&](Handler handler) { return withFaults(withLimit(m_writes, std::move(handler))); };
+    server.Get("/table/row", reading(bind(&PlatformApi::readRow)));
+    server.Get("/table/scan", reading(bind(&PlatformApi::scanRows)));
+    server.Post("/table/commit", writing(bind(&PlatformApi::commitRows)));
+    server.Get("/objects/(.+)", reading(bind(&PlatformApi::getObject)));
+    server.Put("/objects/(.+)", writing(bind(&PlatformApi::putObject)));
+    server.Get("/weights/(.+)", withFaults(bind(&PlatformApi::loadWeights)));
     server.Get("/instances", withFaults(bind(&PlatformApi::listInstances)));
     server.Put("/instances", bind(&PlatformApi::setInstances));
     server.Post("/faults", bind(&PlatformApi::setFaults));
@@ -63,7 +81,7 @@
 PlatformApi::Handler PlatformApi::withFaults(Handler handler)
 {
     return [this, handler = std::move(handler)](const auto &req, auto &res) {
-        const FaultPlan plan = m_faults.current();
+        const FaultPlan plan = m_faults.current(Process::now());
         if (plan.delay.count() > 0)
             std::this_thread::sleep_for(plan.delay);
         if (plan.outage) {
@@ -74,6 +92,36 @@
     };
 }
 
+PlatformApi::Handler PlatformApi::withLimit(std::optional<TokenBucket> &limit, Handler handler)
+{
+    return [this, &limit, handler = std::move(handler)](const auto &req, auto &res) {
+        bool admitted = true;
+        {
+            const std::lock_guard lock(m_mutex);
+            admitted = !limit || limit->take(Tokens(1), Process::now());
+        }
+        if (admitted)
+            handler(req, res);
+        else
+            answer(res, 503, {{"error", "too many calls a second"}});
+    };
+}
+
+void PlatformApi::loadWeights(const httplib::Request &req, httplib::Response &res)
+{
+    const auto kind = req.get_param_value("kind") == "adapter" ? WeightStore::Kind::Adapter
+                                                               : WeightStore::Kind::Model;
+    Duration time{};
+    {
+        const std::lock_guard lock(m_mutex);
+        time = m_weights.begin(kind, Process::now());
+    }
+    std::this_thread::sleep_for(time);
+    const std::lock_guard lock(m_mutex);
+    m_weights.end(kind);
+    answer(res, 200, {{"name", req.matches[1].str()}});
+}
+
 void PlatformApi::readRow(const httplib::Request &req, httplib::Response &res)
 {
     const auto row = m_table.read(req.get_param_value("key"));
@@ -123,7 +171,8 @@
 
 void PlatformApi::listInstances(const httplib::Request &, httplib::Response &res)
 {
-    const auto shownAt = std::chrono::steady_clock::now() - m_faults.current().listLag;
+    const auto shownAt
+        = std::chrono::steady_clock::now() - m_faults.current(Process::now()).listLag;
     const std::lock_guard lock(m_mutex);
     std::string body = R"({"instances":[]})";
     for (const ListState &it : m_lists) {
@@ -148,7 +197,8 @@
     plan.lostAnswers = body.value("lost_answers", 0);
     plan.delay = std::chrono::milliseconds(body.value("delay_ms", 0));
     plan.listLag = std::chrono::milliseconds(body.value("list_lag_ms", 0));
-    m_faults.set(plan);
+    plan.lasts = std::chrono::milliseconds(body.value("for_ms", 0));
+    m_faults.set(plan, Process::now());
     res.status = 204;
 }
 
--- a/src/StandIns/Platform/PlatformApi.h
+++ b/src/StandIns/Platform/PlatformApi.h
@@ -1,22 +1,28 @@
 #ifndef QUETZALYOKE_STANDINS_PLATFORM_PLATFORMAPI_H
 #define QUETZALYOKE_STANDINS_PLATFORM_PLATFORMAPI_H
 
+#include "Core/TokenBucket.h"
 #include "StandIns/Platform/Faults.h"
+#include "StandIns/Platform/PlatformSettings.h"
 #include "StandIns/Platform/Table.h"
+#include "StandIns/Platform/WeightStore.h"
 
 #include <httplib.h>
 
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace quetzalyoke::standins {
 
-/// \brief HTTP face of the platform stand-in: table, objects, instance list and faults.
+/// \brief HTTP face of the platform stand-in: table, objects, weights, instance list, faults.
 class PlatformApi
 {
 public:
+    explicit PlatformApi(const PlatformSettings &settings);
+
     void addRoutes(httplib::Server &server);
 
 private:
@@ -24,6 +30,9 @@
 
     /// Wraps \a handler in the delay and the outage of the fault plan.
     Handler withFaults(Handler handler);
+    /// Refuses calls beyond \a limit, where there is one.
+    Handler withLimit(std::optional<TokenBucket> &limit, Handler handler);
+    void loadWeights(const httplib::Request &req, httplib::Response &res);
     void readRow(const httplib::Request &req, httplib::Response &res);
     void scanRows(const httplib::Request &req, httplib::Response &res);
     void commitRows(const httplib::Request &req, httplib::Response &res);
@@ -44,6 +53,9 @@
     std::mutex m_mutex; // of the members below
     std::map<std::string, std::string> m_objects;
     std::deque<ListState> m_lists;
+    std::optional<TokenBucket> m_reads; // absent: unlimited
+    std::optional<TokenBucket> m_writes;
+    WeightStore m_weights;
 };
 
 } // namespace quetzalyoke::standins
--- /dev/null
+++ b/src/StandIns/Platform/PlatformSettings.h
@@ -0,0 +1,28 @@
+#ifndef QUETZALYOKE_STANDINS_PLATFORM_PLATFORMSETTINGS_H
+#define QUETZALYOKE_STANDINS_PLATFORM_PLATFORMSETTINGS_H
+
+#include "Core/EntryReader.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace quetzalyoke::standins {
+
+/// \brief Limits of the platform stand-in.
+struct PlatformSettings
+{
+    std::int64_t writesPerSecond = 0; ///< Beyond it calls get status 503; 0: unlimited.
+    std::int64_t readsPerSecond = 0;
+    std::int64_t modelLoadsPerSecond = 0; ///< Later ones wait for their turn; 0: unlimited.
+    std::int64_t modelLoadsAtFullSpeed = 0; ///< With more at once each takes longer.
+    std::int64_t adapterLoadsAtFullSpeed = 0;
+    std::chrono::milliseconds modelLoadTime{0};
+    std::chrono::milliseconds adapterLoadTime{0};
+    std::int64_t timeScale = 1; ///< Seconds of the weight store in one second.
+
+    static PlatformSettings read(EntryReader &reader);
+};
+
+} // namespace quetzalyoke::standins
+
+#endif
--- a/src/StandIns/Platform/main.cpp
+++ b/src/StandIns/Platform/main.cpp
@@ -6,18 +6,20 @@
 int main(int argc, char **argv)
 {
     standins::StandInSettings settings;
-    const auto readSettings = [&settings](const IniDocument &document, Problems &problems) {
+    standins::PlatformSettings platformSettings;
+    const auto readSettings = [&](const IniDocument &document, Problems &problems) {
         for (const IniSection &it : document.sections()) {
             EntryReader reader(document.file(), it, problems);
             settings = standins::StandInSettings::read(reader);
+            platformSettings = standins::PlatformSettings::read(reader);
             reader.finish();
         }
     };
-    return Process::run(argc, argv, "quetzalyoke-standin-platform", readSettings, [&settings] {
+    return Process::run(argc, argv, "quetzalyoke-standin-platform", readSettings, [&] {
         HttpServerLimits limits;
         limits.connections = settings.connections;
         HttpServer server(limits);
-        standins::PlatformApi api;
+        standins::PlatformApi api(platformSettings);
         api.addRoutes(server.routes());
         return standins::serveUntilStopped(server, settings);
     });
