--- a/src/Apps/Gateway/Call.h
+++ b/src/Apps/Gateway/Call.h
@@ -27,6 +27,7 @@
     Fingerprint fingerprint;
     Instant deadline;
     TokenEstimate estimate;
+    std::uint64_t prefix = 0; ///< Of the prompt; see prefixOf().
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/Fleet.h
+++ b/src/Apps/Gateway/Fleet.h
@@ -36,6 +36,8 @@
     std::shared_ptr<AgentPool> poolFor(const std::string &address);
     void suspect(const InstanceId &instance);
     void adjustOwnLoad(const InstanceId &instance, std::int64_t change);
+    /// Takes the load that an answer of the agent carried.
+    void observeLoad(const InstanceId &instance, std::int64_t load);
     std::vector<AgentDirectory::Candidate> all() const;
 
 private:
--- a/src/Apps/Gateway/Relay.cpp
+++ b/src/Apps/Gateway/Relay.cpp
@@ -36,6 +36,7 @@
         m_routing.target = call.target;
         m_routing.adapter = call.adapter;
         m_routing.zone = relay.m_settings.zone;
+        m_routing.prefix = call.prefix;
     }
 
     Result run()
@@ -213,7 +214,7 @@
 
 std::optional<ChosenAgent> Relay::choose(const Call &call)
 {
-    return m_fleet.choose({call.target, call.adapter, m_settings.zone, {}});
+    return m_fleet.choose({call.target, call.adapter, m_settings.zone, {}, call.prefix});
 }
 
 Relay::Result Relay::open(const Call &call, const std::optional<AttemptId> &firstId,
--- a/src/Apps/Gateway/RequestReader.cpp
+++ b/src/Apps/Gateway/RequestReader.cpp
@@ -3,6 +3,7 @@
 #include "Adapters/Crypto.h"
 #include "Adapters/Process.h"
 #include "Core/KeyText.h"
+#include "Core/Router.h"
 #include "Core/TokenCounter.h"
 
 #include <nlohmann/json.hpp>
@@ -99,6 +100,19 @@
     return Tokens(defaultAnswerTokens);
 }
 
+// The first text that the engine sees; requests that share it share cached work.
+std::string promptStart(const Json &body)
+{
+    const Json prompt = body.value("prompt", Json());
+    if (prompt.is_string())
+        return prompt;
+    const Json messages = body.value("messages", Json());
+    if (!messages.is_array() || messages.empty() || !messages[0].is_object())
+        return {};
+    const Json content = messages[0].value("content", Json());
+    return content.is_string() ? content.get<std::string>() : std::string();
+}
+
 } // namespace
 
 RequestReader::RequestReader(const GatewaySettings &settings) : m_settings(settings) { }
@@ -170,6 +184,7 @@
                        {}};
     }
     call->path = req.path;
+    call->prefix = prefixOf(name, promptStart(body));
     call->estimate = {estimatePromptTokens(req.body.size()), *limit, body.value("stream", false)};
     call->fingerprint = Fingerprint(sha256Hex(account.text() + '\n' + req.path + '\n' + req.body));
     return result;
