--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -6,6 +6,7 @@
 #include "Apps/Agent/AgentDoor.h"
 #include "Apps/Agent/AgentSettings.h"
 #include "Apps/Agent/Dispatcher.h"
+#include "Apps/Agent/EngineRunner.h"
 #include "Apps/Agent/Reporter.h"
 
 #include <glog/logging.h>
@@ -35,9 +36,12 @@
     ThriftServer door(settings.listen, makeAgentDoorFactory(table, settings.fleetSecret),
                       settings.connections);
     const Address doorAddress{settings.listen.host, door.port()};
+    std::optional<EngineRunner> engine;
+    if (settings.engine)
+        engine.emplace(settings, table);
     const std::string advertised
         = settings.advertise.empty() ? doorAddress.text() : settings.advertise;
-    Reporter reporter(settings, advertised, table);
+    Reporter reporter(settings, advertised, table, engine ? &*engine : nullptr);
     Dispatcher dispatcher(settings, table, [&reporter] { reporter.reportNow(); });
 
     HttpServerLimits limits;
@@ -60,6 +64,8 @@
     waitUntilIdle(table, settings.drainLimit);
     dispatcher.stop();
     reporter.stop();
+    if (engine)
+        engine->stop();
     door.stop();
     http.stop();
     LOG(INFO) << "event=stopped";
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -27,35 +27,18 @@
     return status;
 }
 
-std::vector<wire::ModelState> wantedFor(const Configuration &configuration,
-                                        const ServerName &server)
-{
-    std::vector<wire::ModelState> wanted;
-    const auto it = configuration.plan.holdings.find(server);
-    if (it == configuration.plan.holdings.end())
-        return wanted;
-    for (const PlannedHolding &holding : it->second) {
-        wire::ModelState state;
-        state.name = holding.name;
-        state.version = holding.version;
-        state.memoryMb = holding.memory.count();
-        state.adapter = holding.adapter;
-        wanted.push_back(state);
-    }
-    return wanted;
-}
-
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
     DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                CrashWatch &crashes)
-        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes)
+                CrashWatch &crashes, Planner &planner)
+        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes),
+          m_planner(planner)
     { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes);
+        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes, m_planner);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
@@ -64,13 +47,15 @@
     SharedState &m_state;
     Fleet &m_fleet;
     CrashWatch &m_crashes;
+    Planner &m_planner;
 };
 
 } // namespace
 
 GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                         CrashWatch &crashes)
-    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_guard(settings.fleetSecret)
+                         CrashWatch &crashes, Planner &planner)
+    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_planner(planner),
+      m_guard(settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -101,9 +86,7 @@
         if (server != configuration->list.servers.end() && !status.engine)
             status.ready.insert(server->second.service.text());
         reply.configurationVersion = configuration->version.count();
-        reply.planVersion = configuration->version.count();
-        if (report.planVersion < reply.planVersion)
-            reply.wanted = wantedFor(*configuration, status.server);
+        m_planner.answer(reply, report, *configuration);
     }
     m_fleet.update(status);
     reply.clock = EventLog::stamp();
@@ -140,10 +123,10 @@
 
 std::shared_ptr<apache::thrift::TProcessorFactory>
 makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       CrashWatch &crashes)
+                       CrashWatch &crashes, Planner &planner)
 {
     return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet, crashes));
+        std::make_shared<DoorFactory>(settings, state, fleet, crashes, planner));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/GatewayDoor.h
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -4,6 +4,7 @@
 #include "Adapters/FleetGuard.h"
 #include "Apps/Gateway/CrashWatch.h"
 #include "Apps/Gateway/Fleet.h"
+#include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Wire/generated/Gateway.h"
 
@@ -17,7 +18,7 @@
 {
 public:
     GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                CrashWatch &crashes);
+                CrashWatch &crashes, Planner &planner);
 
     void challenge(std::string &nonce) override;
     bool authenticate(const std::string &proof) override;
@@ -32,13 +33,14 @@
     SharedState &m_state;
     Fleet &m_fleet;
     CrashWatch &m_crashes;
+    Planner &m_planner;
     FleetGuard m_guard;
 };
 
 /// Makes a handler for each connection.
 std::shared_ptr<apache::thrift::TProcessorFactory>
 makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       CrashWatch &crashes);
+                       CrashWatch &crashes, Planner &planner);
 
 } // namespace quetzalyoke
 
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -10,6 +10,7 @@
 #include "Apps/Gateway/GatewayDoor.h"
 #include "Apps/Gateway/GatewaySettings.h"
 #include "Apps/Gateway/OperatorApi.h"
+#include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/Relay.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
@@ -59,12 +60,14 @@
     IdempotencyStore idempotency(platform, fleet);
     NoAccountLimits limits;
     StateSync sync(settings, platform, state);
+    Planner planner(settings, platform);
     CallerApi callers(settings, state, relay, limits, idempotency);
     OpenChangeGate gate;
     TimelineCollector timeline(settings, fleet, [&settings] { return settings.peers; });
     OperatorApi operators(settings, platform, state, sync, fleet, gate, timeline);
 
-    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet, crashes),
+    ThriftServer door(settings.listen,
+                      makeGatewayDoorFactory(settings, state, fleet, crashes, planner),
                       settings.doorConnections);
     HttpServerLimits httpLimits;
     httpLimits.connections = settings.connections;
@@ -93,6 +96,7 @@
     waitUntilIdle(callers, settings.drainLimit);
     http.stop();
     door.stop();
+    planner.stop();
     sync.stop();
     idempotency.stop();
     LOG(INFO) << "event=stopped";
--- a/src/Wire/quetzalyoke.thrift
+++ b/src/Wire/quetzalyoke.thrift
@@ -113,6 +113,7 @@
     16: i64 planVersion,
     17: list<Suspicion> suspicions,
     18: HybridTime clock,
+    30: i64 fencingEpoch,        // of this agent's right to order its engine; 0: asks for one
 }
 
 struct ReportReply {
@@ -121,6 +122,9 @@
     3: i64 planVersion,
     4: list<ModelState> wanted,  // models and adapters this server should hold, when plan is newer
     6: HybridTime clock,
+    30: i64 fencingEpoch,        // newest of the server that the gateway knows; 0: none
+    31: i64 fencingAgeMillis,    // since the table was read for it
+    32: bool fencingChecked,     // the engine refuses old fencing numbers
 }
 
 // What one gateway tells another; all versions only rise.
