--- a/src/Adapters/Process.cpp
+++ b/src/Adapters/Process.cpp
@@ -55,7 +55,11 @@
     app.add_option("--settings", path, "INI file with the settings")->required();
     app.add_flag("--check-settings", checkOnly, "check the settings file and exit");
     app.set_version_flag("--version", name + " " + productVersion);
-    CLI11_PARSE(app, argc, argv);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &e) {
+        return app.exit(e) == 0 ? 0 : exitBadSettings;
+    }
 
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(name.c_str());
--- a/src/Adapters/SettingsValues.cpp
+++ b/src/Adapters/SettingsValues.cpp
@@ -2,6 +2,7 @@
 
 #include "Adapters/Process.h"
 #include "Core/Error.h"
+#include "Core/Name.h"
 
 #include <sys/stat.h>
 
@@ -24,6 +25,38 @@
 
 } // namespace
 
+void readOnlySection(const IniDocument &document, const std::string &kind, Problems &problems,
+                     const std::function<void(EntryReader &)> &read)
+{
+    const std::string heading = "[" + kind + "]";
+    bool found = false;
+    for (const IniSection &it : document.sections()) {
+        if (it.kind != kind || found) {
+            problems.push_back({document.file(), it.line,
+                                found && it.kind == kind ? heading + " is there twice"
+                                                         : "unknown section [" + it.kind + "]",
+                                "put all settings below one line " + heading});
+            continue;
+        }
+        found = true;
+        EntryReader reader(document.file(), it, problems);
+        read(reader);
+        reader.finish();
+    }
+    if (!found) {
+        problems.push_back({document.file(), 0, "no " + heading + " section",
+                            "start the file with a line " + heading});
+    }
+}
+
+std::string readName(EntryReader &reader, const std::string &name)
+{
+    const std::string text = reader.text(name);
+    if (!text.empty() && !isName(text))
+        reader.complain(name, "\"" + text + "\" is no valid name", nameRemedy());
+    return text;
+}
+
 Address readAddress(EntryReader &reader, const std::string &name,
                     const std::optional<std::string> &fallback)
 {
--- a/src/Adapters/SettingsValues.h
+++ b/src/Adapters/SettingsValues.h
@@ -4,12 +4,19 @@
 #include "Adapters/Address.h"
 #include "Core/EntryReader.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace quetzalyoke {
 
+/// Reads the one section [\a kind] that a program's settings have; another one, a second one and
+/// none are problems.
+void readOnlySection(const IniDocument &document, const std::string &kind, Problems &problems,
+                     const std::function<void(EntryReader &)> &read);
+/// A name under \a name: letters, digits, dot, underscore and hyphen.
+std::string readName(EntryReader &reader, const std::string &name);
 /// IP:PORT under \a name; a wrong one is a problem.
 Address readAddress(EntryReader &reader, const std::string &name,
                     const std::optional<std::string> &fallback = {});
--- a/src/Apps/Agent/AgentSettings.cpp
+++ b/src/Apps/Agent/AgentSettings.cpp
@@ -15,23 +15,33 @@
     return (settings.orderTimeout + settings.orderAuthority).count();
 }
 
+// Mistakes that only show in two settings together.
+void checkTogether(const AgentSettings &settings, EntryReader &reader)
+{
+    if (settings.predecessorWait < settings.orderTimeout + settings.orderAuthority) {
+        reader.complain("predecessor_wait_ms",
+                        "predecessor_wait_ms is too short for a predecessor's last order",
+                        "make it at least order_timeout_ms + order_authority_ms");
+    }
+    if (settings.engine && settings.memory == Megabytes(0)) {
+        reader.complain("memory_mb", "an engine needs memory_mb",
+                        "give its accelerator memory in MB, as in the service list");
+    }
+    if (settings.listen.port != 0 && settings.listen.text() == settings.httpListen.text()) {
+        reader.complain("http_listen", "http_listen and listen are the same address",
+                        "give each a port of its own");
+    }
+}
+
 } // namespace
 
 AgentSettings AgentSettings::read(const IniDocument &document, Problems &problems)
 {
     AgentSettings settings;
-    bool found = false;
-    for (const IniSection &it : document.sections()) {
-        if (it.kind != "agent") {
-            problems.push_back({document.file(), it.line, "unknown section [" + it.kind + "]",
-                                "put all settings below [agent]"});
-            continue;
-        }
-        found = true;
-        EntryReader reader(document.file(), it, problems);
-        settings.instance = InstanceId(reader.text("instance"));
-        settings.server = ServerName(reader.text("server"));
-        settings.zone = ZoneName(reader.text("zone"));
+    readOnlySection(document, "agent", problems, [&settings](EntryReader &reader) {
+        settings.instance = InstanceId(readName(reader, "instance"));
+        settings.server = ServerName(readName(reader, "server"));
+        settings.zone = ZoneName(readName(reader, "zone"));
         settings.listen = readAddress(reader, "listen");
         settings.advertise = reader.text("advertise", "");
         settings.httpListen = readAddress(reader, "http_listen");
@@ -53,20 +63,11 @@
         settings.orderAuthority = reader.milliseconds("order_authority_ms", 100, 600'000, 10'000);
         settings.predecessorWait
             = reader.milliseconds("predecessor_wait_ms", 0, 7'200'000, defaultWait(settings));
-        if (settings.predecessorWait < settings.orderTimeout + settings.orderAuthority) {
-            problems.push_back({document.file(), it.line,
-                                "predecessor_wait_ms is too short for a predecessor's last order",
-                                "make it at least order_timeout_ms + order_authority_ms"});
-        }
         settings.backendTimeout = reader.milliseconds("backend_timeout_ms", 100, 3'600'000, 60'000);
         settings.keepFinished = reader.milliseconds("keep_finished_ms", 1000, 3'600'000, 60'000);
         settings.drainLimit = reader.milliseconds("drain_limit_ms", 0, 3'600'000, 120'000);
-        reader.finish();
-    }
-    if (!found) {
-        problems.push_back(
-            {document.file(), 0, "no [agent] section", "start the file with a line [agent]"});
-    }
+        checkTogether(settings, reader);
+    });
     return settings;
 }
 
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -8,22 +8,28 @@
 
 constexpr std::int64_t mebibyte = 1'048'576;
 
+// Mistakes that only show in two settings together.
+void checkTogether(const GatewaySettings &settings, EntryReader &reader)
+{
+    if (settings.freshness <= settings.pollInterval) {
+        reader.complain("freshness_ms", "freshness_ms is not above poll_interval_ms",
+                        "make it several times poll_interval_ms, or keyed traffic is refused "
+                        "between two reads of the table");
+    }
+    if (settings.listen.port != 0 && settings.listen.text() == settings.httpListen.text()) {
+        reader.complain("http_listen", "http_listen and listen are the same address",
+                        "give each a port of its own");
+    }
+}
+
 } // namespace
 
 GatewaySettings GatewaySettings::read(const IniDocument &document, Problems &problems)
 {
     GatewaySettings settings;
-    bool found = false;
-    for (const IniSection &it : document.sections()) {
-        if (it.kind != "gateway") {
-            problems.push_back({document.file(), it.line, "unknown section [" + it.kind + "]",
-                                "put all settings below [gateway]"});
-            continue;
-        }
-        found = true;
-        EntryReader reader(document.file(), it, problems);
-        settings.instance = InstanceId(reader.text("instance"));
-        settings.zone = ZoneName(reader.text("zone"));
+    readOnlySection(document, "gateway", problems, [&settings](EntryReader &reader) {
+        settings.instance = InstanceId(readName(reader, "instance"));
+        settings.zone = ZoneName(readName(reader, "zone"));
         settings.httpListen = readAddress(reader, "http_listen");
         settings.listen = readAddress(reader, "listen");
         settings.peers = readAddresses(reader, "peers");
@@ -48,12 +54,8 @@
         settings.routingPolicy = reader.choice(
             "routing_policy", {"random", "round_robin", "least_loaded", "power_of_two", "affinity"},
             settings.routingPolicy);
-        reader.finish();
-    }
-    if (!found) {
-        problems.push_back(
-            {document.file(), 0, "no [gateway] section", "start the file with a line [gateway]"});
-    }
+        checkTogether(settings, reader);
+    });
     return settings;
 }
 
--- a/src/Core/internal/ServiceListReader.cpp
+++ b/src/Core/internal/ServiceListReader.cpp
@@ -1,8 +1,9 @@
 #include "Core/internal/ServiceListReader.h"
 
+#include "Core/Name.h"
+
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace quetzalyoke::internal {
 
@@ -10,27 +11,9 @@
 
 constexpr std::int64_t maximumMegabytes = 100'000'000;
 constexpr std::int64_t maximumTokens = 1'000'000'000'000;
-constexpr std::size_t maximumNameLength = 100;
 constexpr const char *anyMethod = "*";
 constexpr std::array methods{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
-// ASCII alone: the verdict must not depend on the process's locale.
-bool isLetterOrDigit(char c)
-{
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
-}
-
-bool isNameCharacter(char c)
-{
-    return isLetterOrDigit(c) || c == '.' || c == '_' || c == '-';
-}
-
-bool isName(const std::string &text)
-{
-    return !text.empty() && text.size() <= maximumNameLength && isLetterOrDigit(text.front())
-        && std::all_of(text.begin(), text.end(), isNameCharacter);
-}
-
 bool isMethod(const std::string &text)
 {
     return text == anyMethod || std::find(methods.begin(), methods.end(), text) != methods.end();
@@ -210,8 +193,7 @@
     if (isName(text))
         return true;
     complain(line, text.empty() ? "the name is missing" : "\"" + text + "\" is no valid name",
-             "use letters, digits, dot, underscore and hyphen, first a letter or digit, at most "
-                 + std::to_string(maximumNameLength));
+             nameRemedy());
     return false;
 }
 
