--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -28,13 +28,13 @@
 {
 public:
     DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                PeerExchange &peers)
-        : m_settings(settings), m_state(state), m_fleet(fleet), m_peers(peers)
+                CrashWatch &crashes, PeerExchange &peers)
+        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes), m_peers(peers)
     { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet, m_peers);
+        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes, m_peers);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
@@ -42,14 +42,16 @@
     const GatewaySettings &m_settings;
     SharedState &m_state;
     Fleet &m_fleet;
+    CrashWatch &m_crashes;
     PeerExchange &m_peers;
 };
 
 } // namespace
 
 GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                         PeerExchange &peers)
-    : m_state(state), m_fleet(fleet), m_peers(peers), m_guard(settings.fleetSecret)
+                         CrashWatch &crashes, PeerExchange &peers)
+    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_peers(peers),
+      m_guard(settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -82,12 +84,15 @@
             reply.wanted = wantedFor(*configuration, status.server);
     }
     m_fleet.update(status);
+    m_crashes.add(report.suspicions, report.instance);
 }
 
 void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
     answer = toWire(m_peers.answer(fromWire(digest)));
+    m_crashes.add(digest.suspicions);
+    answer.suspicions = m_crashes.suspicions();
 }
 
 void GatewayDoor::stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion)
@@ -112,10 +117,10 @@
 
 std::shared_ptr<apache::thrift::TProcessorFactory>
 makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       PeerExchange &peers)
+                       CrashWatch &crashes, PeerExchange &peers)
 {
     return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet, peers));
+        std::make_shared<DoorFactory>(settings, state, fleet, crashes, peers));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -37,7 +37,9 @@
     SharePolicy sharePolicy = SharePolicy::Demand;
     std::chrono::milliseconds agentSilence{}; ///< Then an agent gets no new work.
     std::chrono::milliseconds defaultDeadline{};
+    std::chrono::milliseconds stopGrace{}; ///< Served on after a stop was asked for.
     std::chrono::milliseconds drainLimit{};
+    std::string routingPolicy; ///< See routingPolicy().
 
     /// The durations that the promises about shared state rest on.
     SyncLimits syncLimits() const;
--- a/src/Apps/Gateway/PeerExchange.cpp
+++ b/src/Apps/Gateway/PeerExchange.cpp
@@ -22,8 +22,8 @@
 } // namespace
 
 PeerExchange::PeerExchange(const GatewaySettings &settings, SharedState &state,
-                           AccountLimiter &limiter)
-    : m_settings(settings), m_state(state), m_limiter(limiter)
+                           AccountLimiter &limiter, CrashWatch &crashes)
+    : m_settings(settings), m_state(state), m_limiter(limiter), m_crashes(crashes)
 { }
 
 PeerStatus PeerExchange::status() const
@@ -65,8 +65,11 @@
 {
     return attempt(address, [this](wire::GatewayClient &client) {
         const Instant startedAt = Process::now();
+        wire::PeerDigest own = toWire(status());
+        own.suspicions = m_crashes.suspicions();
         wire::PeerDigest digest;
-        client.exchange(digest, toWire(status()));
+        client.exchange(digest, own);
+        m_crashes.add(digest.suspicions);
         const PeerStatus answer = fromWire(digest);
         std::vector<wire::StateRow> rows;
         const Version known = m_state.version();
--- a/src/Apps/Gateway/PeerExchange.h
+++ b/src/Apps/Gateway/PeerExchange.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/ThriftPool.h"
 #include "Apps/Gateway/AccountLimiter.h"
+#include "Apps/Gateway/CrashWatch.h"
 #include "Apps/Gateway/GatewaySettings.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Wire/generated/Gateway.h"
@@ -21,7 +22,8 @@
 class PeerExchange
 {
 public:
-    PeerExchange(const GatewaySettings &settings, SharedState &state, AccountLimiter &limiter);
+    PeerExchange(const GatewaySettings &settings, SharedState &state, AccountLimiter &limiter,
+                 CrashWatch &crashes);
 
     /// What this gateway tells others about itself.
     PeerStatus status() const;
@@ -59,6 +61,7 @@
     const GatewaySettings &m_settings;
     SharedState &m_state;
     AccountLimiter &m_limiter;
+    CrashWatch &m_crashes;
     std::atomic<bool> m_leaving{false};
     std::function<void()> m_onNewerState;
     std::mutex m_mutex; // of the pools; no other lock is taken while it is held
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -42,6 +42,13 @@
     return row;
 }
 
+void waitForGrace(std::chrono::milliseconds grace)
+{
+    const Instant end = Process::now() + grace;
+    while (Process::now() < end && !Process::stopForced())
+        std::this_thread::sleep_for(drainPoll);
+}
+
 int serve(const GatewaySettings &settings)
 {
     HttpPlatform platform(settings.platform, settings.platformTimeout);
@@ -49,22 +56,25 @@
     SharedState state(self, settings.syncLimits());
     AccountLimiter limiter(self.instance, self.incarnation, settings.sharePolicy);
     state.setListener([&limiter](const auto &change) { limiter.onChange(change); });
-    PeerExchange peers(settings, state, limiter);
     Fleet fleet(settings);
-    Relay relay(settings, fleet);
+    CrashWatch crashes;
+    PeerExchange peers(settings, state, limiter, crashes);
+    Relay relay(settings, fleet, crashes);
+    IdempotencyStore idempotency(platform, fleet);
     StateSync sync(settings, platform, state,
                    [&peers](Version version) { return peers.configurationText(version); });
     peers.setNewerStateHook([&sync] { sync.wake(); });
     MemberSync member(settings, platform, state, sync, limiter, peers);
-    CallerApi callers(settings, state, relay);
+    CallerApi callers(settings, state, relay, limiter, idempotency);
     OperatorApi operators(settings, platform, state, sync, fleet, member);
 
-    ThriftServer door(settings.listen, makeGatewayDoorFactory(settings, state, fleet, peers),
+    ThriftServer door(settings.listen,
+                      makeGatewayDoorFactory(settings, state, fleet, crashes, peers),
                       settings.doorConnections);
-    HttpServerLimits limits;
-    limits.connections = settings.connections;
-    limits.bodyBytes = settings.bodyBytes;
-    HttpServer http(limits);
+    HttpServerLimits httpLimits;
+    httpLimits.connections = settings.connections;
+    httpLimits.bodyBytes = settings.bodyBytes;
+    HttpServer http(httpLimits);
     callers.addRoutes(http.routes());
     operators.addRoutes(http.routes());
     http.addHealthRoutes([&] {
@@ -82,12 +92,16 @@
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
     member.beginLeaving();
+    // Not ready at once, but requests are served until callers' balancer has noticed.
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
+    waitForGrace(settings.stopGrace);
+    callers.stopAccepting();
     waitUntilIdle(callers, settings.drainLimit);
     http.stop();
     member.leave();
     door.stop();
     sync.stop();
+    idempotency.stop();
     LOG(INFO) << "event=stopped";
     return 0;
 }
--- a/src/Core/GatewaySync.cpp
+++ b/src/Core/GatewaySync.cpp
@@ -113,7 +113,7 @@
     const bool member = it != m_members.end() && !it->second.row.leaving
         && it->second.row.incarnation == caller.incarnation;
     if (!member)
-        m_strangerAt = now;
+        m_strangers[caller.instance] = {caller.incarnation, now};
     // What it had accepted is known here, and it accepts no more.
     else if (caller.leaving && caller.stateVersion <= m_cache.version())
         it->second.left = true;
@@ -214,7 +214,7 @@
     const Duration longest = m_limits.freshness + m_limits.margin;
     if (now - change.knownSince > longest)
         return true;
-    if (m_strangerAt && now - *m_strangerAt <= longest)
+    if (mayStrangerServe(now))
         return false;
     for (const auto &[instance, member] : m_members) {
         // One that was taken for dead may not know that yet.
@@ -225,6 +225,14 @@
     return true;
 }
 
+bool GatewaySync::mayStrangerServe(Instant now) const
+{
+    const Duration longest = m_limits.freshness + m_limits.margin;
+    return std::any_of(m_strangers.begin(), m_strangers.end(), [now, longest](const auto &it) {
+        return now - it.second.calledAt <= longest;
+    });
+}
+
 // In the order of their versions, so that a row that can't be read leaves no gap below version().
 void GatewaySync::apply(std::vector<StateRow> rows, Instant now)
 {
@@ -253,6 +261,9 @@
             m_joinedAt = row.version;
         return;
     }
+    const auto stranger = m_strangers.find(read.instance);
+    if (stranger != m_strangers.end() && stranger->second.incarnation == read.incarnation)
+        m_strangers.erase(stranger);
     Member &member = m_members[read.instance];
     if (member.row.incarnation != read.incarnation) {
         member.answeredAt = std::nullopt;
