--- a/src/Apps/Gateway/AnswerStream.cpp
+++ b/src/Apps/Gateway/AnswerStream.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Gateway/AnswerStream.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 
@@ -102,6 +103,7 @@
             it.fetch(m_progress, attemptId, m_offset, fetchWaitMillis);
         });
         m_failing = false;
+        EventLog::observe(m_progress.clock);
         return true;
     } catch (const std::exception &) {
         m_agent.pool->clear();
--- a/src/Apps/Gateway/AnswerWriter.cpp
+++ b/src/Apps/Gateway/AnswerWriter.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Gateway/AnswerWriter.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/HttpServer.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
@@ -28,7 +29,7 @@
 
 PacedStream::PacedStream(std::unique_ptr<AnswerStream> answer, const Call &call,
                          AccountLimits &limits)
-    : m_answer(std::move(answer)), m_account(call.account), m_limits(limits),
+    : m_answer(std::move(answer)), m_request(call.id), m_account(call.account), m_limits(limits),
       m_prompt(call.estimate.prompt)
 { }
 
@@ -40,6 +41,7 @@
         return handOver(sink);
     if (m_complete) {
         Metrics::count("completed_total");
+        EventLog::record(EventKind::RequestCompleted, m_request);
         sink.done();
         return true;
     }
@@ -52,6 +54,7 @@
     const auto status = m_answer->read(m_data, tokens);
     if (status == AnswerStream::Result::Broken) {
         Metrics::count("broken_total", {{"code", m_answer->refusal().code}});
+        EventLog::record(EventKind::RequestBroken, m_request, m_answer->refusal().code);
         return false;
     }
     m_complete = status == AnswerStream::Result::End;
@@ -106,6 +109,11 @@
 {
     using Json = nlohmann::json;
     Metrics::count("refusals_total", {{"code", refusal.code}});
+    // Refusals before a request has an id are only counted, or a flood would fill the time line.
+    if (res.has_header("X-Request-Id")) {
+        EventLog::record(EventKind::RequestRefused, RequestId(res.get_header_value("X-Request-Id")),
+                         "code=" + refusal.code + " run_state=" + runStateText(refusal.runState));
+    }
     res.status = refusal.status;
     res.set_header("Quetzalyoke-Run-State", runStateText(refusal.runState));
     if (refusal.retryAfter.count() > 0) {
--- a/src/Apps/Gateway/CallerApi.cpp
+++ b/src/Apps/Gateway/CallerApi.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Gateway/CallerApi.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Apps/Gateway/AnswerWriter.h"
@@ -154,6 +155,8 @@
         if (refusal)
             return writeRefusal(*refusal, res);
     }
+    EventLog::record(EventKind::RequestAdmitted, call.id,
+                     "account=" + call.account.text() + " target=" + call.target);
     if (!call.idempotent && !call.idempotencyKey.empty())
         return runOnce(call, res);
     relay(call, res, mark);
@@ -229,6 +232,7 @@
         return std::nullopt;
     }
     Metrics::count("completed_total");
+    EventLog::record(EventKind::RequestCompleted, call.id);
     return whole;
 }
 
--- a/src/Apps/Gateway/GatewayDoor.h
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -5,6 +5,7 @@
 #include "Apps/Gateway/CrashWatch.h"
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/PeerExchange.h"
+#include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Wire/generated/Gateway.h"
 
@@ -18,7 +19,7 @@
 {
 public:
     GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                CrashWatch &crashes, PeerExchange &peers);
+                CrashWatch &crashes, Planner &planner, PeerExchange &peers);
 
     void challenge(std::string &nonce) override;
     bool authenticate(const std::string &proof) override;
@@ -34,6 +35,7 @@
     SharedState &m_state;
     Fleet &m_fleet;
     CrashWatch &m_crashes;
+    Planner &m_planner;
     PeerExchange &m_peers;
     FleetGuard m_guard;
 };
@@ -41,7 +43,7 @@
 /// Makes a handler for each connection.
 std::shared_ptr<apache::thrift::TProcessorFactory>
 makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       CrashWatch &crashes, PeerExchange &peers);
+                       CrashWatch &crashes, Planner &planner, PeerExchange &peers);
 
 } // namespace quetzalyoke
 
--- a/src/Apps/Gateway/PeerExchange.cpp
+++ b/src/Apps/Gateway/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Gateway/PeerExchange.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Adapters/WireConversion.h"
@@ -67,8 +68,10 @@
         const Instant startedAt = Process::now();
         wire::PeerDigest own = toWire(status());
         own.suspicions = m_crashes.suspicions();
+        own.clock = EventLog::stamp();
         wire::PeerDigest digest;
         client.exchange(digest, own);
+        EventLog::observe(digest.clock);
         m_crashes.add(digest.suspicions);
         const PeerStatus answer = fromWire(digest);
         std::vector<wire::StateRow> rows;
--- a/src/Apps/Gateway/StateSync.cpp
+++ b/src/Apps/Gateway/StateSync.cpp
@@ -1,6 +1,7 @@
 #include "Apps/Gateway/StateSync.h"
 
 #include "Adapters/Crypto.h"
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Core/Error.h"
@@ -46,8 +47,10 @@
     bool reachable = true;
     while (true) {
         const bool succeeded = readTable();
-        if (succeeded != reachable)
+        if (succeeded != reachable) {
+            EventLog::record(succeeded ? EventKind::TableReached : EventKind::TableLost);
             LOG(WARNING) << (succeeded ? "event=table_reached" : "event=table_lost");
+        }
         reachable = succeeded;
         std::unique_lock lock(m_mutex);
         m_changed.wait_for(lock, m_settings.pollInterval,
@@ -124,6 +127,8 @@
     configuration->plan = FloorPlan::compute(configuration->list);
     m_state.setConfiguration(configuration, Process::now());
     Metrics::gauge("configuration_version", static_cast<double>(version.count()));
+    EventLog::record(EventKind::ConfigurationInForce, {},
+                     "version=" + std::to_string(version.count()));
     LOG(INFO) << "event=configuration_in_force version=" << version.count();
 }
 
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -1,3 +1,4 @@
+#include "Adapters/EventLog.h"
 #include "Adapters/HttpPlatform.h"
 #include "Adapters/HttpServer.h"
 #include "Adapters/Process.h"
@@ -11,9 +12,11 @@
 #include "Apps/Gateway/MemberSync.h"
 #include "Apps/Gateway/OperatorApi.h"
 #include "Apps/Gateway/PeerExchange.h"
+#include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/Relay.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
+#include "Apps/Gateway/TimelineCollector.h"
 
 #include <glog/logging.h>
 
@@ -51,6 +54,7 @@
 
 int serve(const GatewaySettings &settings)
 {
+    EventLog::start(settings.instance);
     HttpPlatform platform(settings.platform, settings.platformTimeout);
     const MemberRow self = selfRow(settings);
     SharedState state(self, settings.syncLimits());
@@ -64,12 +68,14 @@
     StateSync sync(settings, platform, state,
                    [&peers](Version version) { return peers.configurationText(version); });
     peers.setNewerStateHook([&sync] { sync.wake(); });
+    Planner planner(settings, platform);
     MemberSync member(settings, platform, state, sync, limiter, peers);
     CallerApi callers(settings, state, relay, limiter, idempotency);
-    OperatorApi operators(settings, platform, state, sync, fleet, member);
+    TimelineCollector timeline(settings, fleet, [&peers] { return peers.addresses(); });
+    OperatorApi operators(settings, platform, state, sync, fleet, member, timeline);
 
     ThriftServer door(settings.listen,
-                      makeGatewayDoorFactory(settings, state, fleet, crashes, peers),
+                      makeGatewayDoorFactory(settings, state, fleet, crashes, planner, peers),
                       settings.doorConnections);
     HttpServerLimits httpLimits;
     httpLimits.connections = settings.connections;
@@ -93,6 +99,7 @@
         continue;
     member.beginLeaving();
     // Not ready at once, but requests are served until callers' balancer has noticed.
+    EventLog::record(EventKind::Draining);
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
     waitForGrace(settings.stopGrace);
     callers.stopAccepting();
@@ -100,6 +107,7 @@
     http.stop();
     member.leave();
     door.stop();
+    planner.stop();
     sync.stop();
     idempotency.stop();
     LOG(INFO) << "event=stopped";
