Count an attempt as own load from its choice on, and take load from answers

A gateway counted an attempt at a server only once its answer had begun, so that a burst within one report interval all saw the same idle server; and the load that every answer carries was ignored. An attempt now counts from the choice of its server until it ends (a mark in ChosenAgent in place of the calls in AnswerStream), and Progress.load replaces the lagging report.

--- a/src/Apps/Gateway/AnswerStream.cpp
+++ b/src/Apps/Gateway/AnswerStream.cpp
@@ -70,13 +70,10 @@
 AnswerStream::AnswerStream(Fleet &fleet, ChosenAgent agent, const wire::Progress &first)
     : m_fleet(fleet), m_agent(std::move(agent)), m_progress(first), m_status(first.status),
       m_headers(first.headers)
-{
-    m_fleet.adjustOwnLoad(m_agent.instance, 1);
-}
+{ }
 
 AnswerStream::~AnswerStream()
 {
-    m_fleet.adjustOwnLoad(m_agent.instance, -1);
     if (m_ended)
         return;
     try {
@@ -104,6 +101,8 @@
         });
         m_failing = false;
         EventLog::observe(m_progress.clock);
+        if (m_progress.error == wire::ErrorCode::None)
+            m_fleet.observeLoad(m_agent.instance, m_progress.load);
         return true;
     } catch (const std::exception &) {
         m_agent.pool->clear();
--- a/src/Apps/Gateway/Fleet.cpp
+++ b/src/Apps/Gateway/Fleet.cpp
@@ -30,7 +30,8 @@
     if (!chosen)
         return std::nullopt;
     return ChosenAgent{chosen->status.instance, chosen->status.incarnation,
-                       poolForLocked(chosen->status.address)};
+                       poolForLocked(chosen->status.address),
+                       countAttemptLocked(chosen->status.instance)};
 }
 
 std::shared_ptr<AgentPool> Fleet::poolFor(const std::string &address)
@@ -45,12 +46,6 @@
     m_directory.suspect(instance);
 }
 
-void Fleet::adjustOwnLoad(const InstanceId &instance, std::int64_t change)
-{
-    const std::lock_guard lock(m_mutex);
-    m_directory.adjustOwnLoad(instance, change);
-}
-
 void Fleet::observeLoad(const InstanceId &instance, std::int64_t load)
 {
     const std::lock_guard lock(m_mutex);
@@ -73,4 +68,14 @@
     return pool;
 }
 
+// The attempt is on its way from the choice on, long before the agent reports it.
+std::shared_ptr<void> Fleet::countAttemptLocked(const InstanceId &instance)
+{
+    m_directory.adjustOwnLoad(instance, 1);
+    return {nullptr, [this, instance](void *) {
+                const std::lock_guard lock(m_mutex);
+                m_directory.adjustOwnLoad(instance, -1);
+            }};
+}
+
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/Fleet.h
+++ b/src/Apps/Gateway/Fleet.h
@@ -22,6 +22,7 @@
     InstanceId instance;
     Incarnation incarnation;
     std::shared_ptr<AgentPool> pool;
+    std::shared_ptr<void> inFlight; ///< While it lives, the attempt counts as own load.
 };
 
 /// \brief The agents that this gateway knows, with connections to them.
@@ -31,17 +32,18 @@
     explicit Fleet(const GatewaySettings &settings);
 
     void update(const AgentStatus &status);
+    /// Chooses an agent and counts an attempt at it; the fleet must outlive the result.
     std::optional<ChosenAgent> choose(const RoutingRequest &request);
     /// Connections to the agent at \a address.
     std::shared_ptr<AgentPool> poolFor(const std::string &address);
     void suspect(const InstanceId &instance);
-    void adjustOwnLoad(const InstanceId &instance, std::int64_t change);
     /// Takes the load that an answer of the agent carried.
     void observeLoad(const InstanceId &instance, std::int64_t load);
     std::vector<AgentDirectory::Candidate> all() const;
 
 private:
     std::shared_ptr<AgentPool> poolForLocked(const std::string &address);
+    std::shared_ptr<void> countAttemptLocked(const InstanceId &instance);
 
     const GatewaySettings &m_settings;
     RoutingPolicy m_policy;
--- a/src/Apps/Gateway/Relay.cpp
+++ b/src/Apps/Gateway/Relay.cpp
@@ -140,6 +140,8 @@
     RequestFlow::Step judgeProgress()
     {
         EventLog::observe(m_progress.clock);
+        if (m_progress.error == wire::ErrorCode::None)
+            m_relay.m_fleet.observeLoad(m_agent->instance, m_progress.load);
         if (m_progress.headersKnown)
             return m_flow.onAnswerBegan();
         if (!m_progress.finished)
