--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -1,61 +1,31 @@
 #include "Apps/Gateway/GatewayDoor.h"
 
 #include "Adapters/EventLog.h"
+#include "Adapters/WireConversion.h"
 
 namespace quetzalyoke {
 
 namespace {
 
-AgentStatus statusFrom(const wire::AgentReport &report)
-{
-    AgentStatus status;
-    status.instance = InstanceId(report.instance);
-    status.incarnation = Incarnation(report.incarnation);
-    status.sequence = report.sequence;
-    status.zone = ZoneName(report.zone);
-    status.address = report.address;
-    status.server = ServerName(report.serverName);
-    status.engine = report.backendKind == "engine";
-    status.queued = report.queued;
-    status.running = report.running;
-    status.capacity = report.capacity;
-    status.draining = report.draining;
-    for (const wire::ModelState &it : report.models) {
-        if (it.ready)
-            status.ready.insert(it.name);
-    }
-    return status;
-}
-
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
-    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                CrashWatch &crashes, Planner &planner)
-        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes),
-          m_planner(planner)
-    { }
+    explicit DoorFactory(const DoorParts &parts) : m_parts(parts) { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes, m_planner);
+        return new GatewayDoor(m_parts);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
 private:
-    const GatewaySettings &m_settings;
-    SharedState &m_state;
-    Fleet &m_fleet;
-    CrashWatch &m_crashes;
-    Planner &m_planner;
+    const DoorParts m_parts;
 };
 
 } // namespace
 
-GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                         CrashWatch &crashes, Planner &planner)
-    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_planner(planner),
-      m_guard(settings.fleetSecret)
+GatewayDoor::GatewayDoor(const DoorParts &parts)
+    : m_parts(parts), m_guard(parts.settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -79,54 +49,53 @@
 {
     m_guard.require();
     EventLog::observe(report.clock);
-    AgentStatus status = statusFrom(report);
-    const auto configuration = m_state.configuration();
+    AgentStatus status = fromWire(report);
+    const auto configuration = m_parts.state.configuration();
     if (configuration) {
         const auto server = configuration->list.servers.find(status.server);
         if (server != configuration->list.servers.end() && !status.engine)
             status.ready.insert(server->second.service.text());
         reply.configurationVersion = configuration->version.count();
-        m_planner.answer(reply, report, *configuration);
+        m_parts.planner.answer(reply, report, *configuration);
     }
-    m_fleet.update(status);
+    m_parts.fleet.update(status);
     reply.clock = EventLog::stamp();
-    m_crashes.add(report.suspicions, report.instance);
+    m_parts.crashes.add(report.suspicions, report.instance);
 }
 
 void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
     EventLog::observe(digest.clock);
+    m_parts.crashes.add(digest.suspicions);
+    answer = toWire(m_parts.peers.answer(fromWire(digest)));
+    answer.suspicions = m_parts.crashes.suspicions();
     answer.clock = EventLog::stamp();
-    m_crashes.add(digest.suspicions);
-    answer.suspicions = m_crashes.suspicions();
-    answer.stateVersion = m_state.version().count();
 }
 
 void GatewayDoor::stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion)
 {
     m_guard.require();
-    for (const StateRow &it : m_state.rowsAfter(Version(sinceVersion))) {
-        wire::StateRow row;
-        row.key = it.key;
-        row.value = it.value;
-        row.version = it.version.count();
-        rows.push_back(row);
-    }
+    rows = toWire(m_parts.state.rowsAfter(Version(sinceVersion)));
+}
+
+void GatewayDoor::configurationText(std::string &text, std::int64_t version)
+{
+    m_guard.require();
+    const auto configuration = m_parts.state.configuration();
+    if (configuration && configuration->version == Version(version))
+        text = configuration->text;
 }
 
-std::int64_t GatewayDoor::spendShare(const std::string &, std::int64_t)
+std::int64_t GatewayDoor::spendShare(const std::string &account, std::int64_t tokens)
 {
     m_guard.require();
-    return 0;
+    return m_parts.peers.lend(AccountId(account), Tokens(tokens)).count();
 }
 
-std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       CrashWatch &crashes, Planner &planner)
+std::shared_ptr<apache::thrift::TProcessorFactory> makeGatewayDoorFactory(const DoorParts &parts)
 {
-    return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet, crashes, planner));
+    return std::make_shared<wire::GatewayProcessorFactory>(std::make_shared<DoorFactory>(parts));
 }
 
 } // namespace quetzalyoke
--- a/src/StandIns/Engine/Engine.cpp
+++ b/src/StandIns/Engine/Engine.cpp
@@ -45,6 +45,7 @@
             {"attempt", req.get_header_value("X-Attempt-Id")},
             {"model", model},
             {"target", req.target},
+            {"body", req.body},
             {"headers", headers}};
 }
 
--- /dev/null
+++ b/test/scenarios/memory_two_agents.lua
@@ -0,0 +1,42 @@
+-- Point 1: an agent is frozen in mid-load, a replacement takes its slot, and the frozen one is
+-- thawed. Its late orders overcommit no memory, whether the engine checks fencing numbers or not.
+require("fleet")
+
+local MEMORY_MB = 10000
+local FIRST, SECOND = {alpha = 6000, beta = 3000}, {gamma = 9000}
+
+local function replaceWhileFrozen(fencing)
+    local engine = "engine-" .. fencing
+    local agent, replacement = "agent-" .. engine, "agent-" .. engine .. "-new"
+    local list = {engines = {engine}, models = FIRST, memory = MEMORY_MB, fencing = fencing}
+    startEngine(engine, {memory_mb = MEMORY_MB, load_ms = 300,
+                         checks_fencing = fencing == "checked"})
+    startAgent(engine, {memory_mb = MEMORY_MB})
+    apply("gateway-1", serviceList(list))
+
+    local function load()
+        local it = engineLoad(engine)
+        expect(not it.overcommitted, "no overcommitted memory at " .. engine)
+        return it
+    end
+    eventually(10000, "the first load to begin", function() return load().used_mb > 0 end)
+    freeze(agent)
+    startAgent(engine, {memory_mb = MEMORY_MB}, replacement)
+    apply("gateway-1", serviceList(merged(list, {models = SECOND})))
+    local replacedAt = now()
+    eventually(20000, "the replacement to load", function()
+        if now() > replacedAt + 1000 then thaw(agent) end
+        for _, it in ipairs(load().holdings) do
+            if it.name == "gamma" and it.ready then return true end
+        end
+        return false
+    end)
+    throughout(2000, "memory within its bound", load)
+    kill(agent)
+    kill(replacement)
+end
+
+startPlatform()
+startGateway("gateway-1", {})
+replaceWhileFrozen("checked")
+replaceWhileFrozen("ignored")
