--- a/src/Apps/Gateway/PeerExchange.cpp
+++ b/src/Apps/Gateway/PeerExchange.cpp
@@ -54,14 +54,25 @@
     const auto pool = poolFor(address);
     try {
         pool->call(call);
+        noteAnswer(address, true);
         return true;
     } catch (const std::exception &) {
         Metrics::count("peer_calls_failed_total");
         pool->clear();
+        noteAnswer(address, false);
         return false;
     }
 }
 
+void PeerExchange::noteAnswer(const std::string &address, bool answered)
+{
+    const std::lock_guard lock(m_mutex);
+    if (answered && m_silent.erase(address) > 0)
+        EventLog::record(EventKind::PeerReached, {}, "door=" + address);
+    if (!answered && m_silent.insert(address).second)
+        EventLog::record(EventKind::PeerLost, {}, "door=" + address);
+}
+
 bool PeerExchange::exchange(const std::string &address)
 {
     return attempt(address, [this](wire::GatewayClient &client) {
--- a/src/Core/GatewaySync.h
+++ b/src/Core/GatewaySync.h
@@ -112,7 +112,14 @@
         bool left = false; // as it said itself
     };
 
+    struct Stranger
+    {
+        Incarnation incarnation;
+        Instant calledAt;
+    };
+
     void apply(std::vector<StateRow> rows, Instant now);
+    bool mayStrangerServe(Instant now) const;
     void applyMember(const StateRow &row, Instant now);
     void applyShare(const StateRow &row, Instant now);
     std::optional<Instant> everybodyAnsweredAt(Instant now) const;
@@ -130,7 +137,7 @@
     std::optional<Instant> m_readingSince; // since when this gateway has read without a long gap
     std::optional<Instant> m_memberAt; // start of the last heartbeat that vouches for m_members
     std::optional<Instant> m_ownHeartbeatAt;
-    std::optional<Instant> m_strangerAt; // when a gateway that is no member last called
+    std::map<InstanceId, Stranger> m_strangers; // gateways that called before they had joined
 };
 
 } // namespace quetzalyoke
