Give no work to servers that the instance list calls leaving

Cause: gateways never read the platform's list, so a server that only the list called leaving went on getting work (leaving_server red at: 27 of 60 calls after 5 s). Ruled out: the agent alone; it can't know what only the platform has decided. Left: at 470 gateways and 11,000 entries each gateway's own reading of the whole list is too much; few gateways have to read it and pass it on with their digests.

--- a/src/Apps/Gateway/Fleet.cpp
+++ b/src/Apps/Gateway/Fleet.cpp
@@ -46,6 +46,12 @@
     m_directory.suspect(instance);
 }
 
+void Fleet::setLeaving(std::set<InstanceId> leaving)
+{
+    const std::lock_guard lock(m_mutex);
+    m_directory.setLeaving(std::move(leaving));
+}
+
 void Fleet::observeLoad(const InstanceId &instance, std::int64_t load)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/Apps/Gateway/Fleet.h
+++ b/src/Apps/Gateway/Fleet.h
@@ -37,6 +37,8 @@
     /// Connections to the agent at \a address.
     std::shared_ptr<AgentPool> poolFor(const std::string &address);
     void suspect(const InstanceId &instance);
+    /// \sa AgentDirectory::setLeaving
+    void setLeaving(std::set<InstanceId> leaving);
     /// Takes the load that an answer of the agent carried.
     void observeLoad(const InstanceId &instance, std::int64_t load);
     std::vector<AgentDirectory::Candidate> all() const;
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -53,6 +53,8 @@
             reader.number("body_bytes", 1024, 256 * mebibyte, 8 * mebibyte));
         settings.pollInterval = reader.milliseconds("poll_interval_ms", 10, 60'000, 500);
         settings.planInterval = reader.milliseconds("plan_interval_ms", 10, 60'000, 1000);
+        settings.instanceListInterval
+            = reader.milliseconds("instance_list_interval_ms", 10, 60'000, 1500);
         settings.platformTimeout = reader.milliseconds("platform_timeout_ms", 10, 60'000, 1000);
         settings.freshness = reader.milliseconds("freshness_ms", 100, 60'000, 3000);
         settings.memberInterval = reader.milliseconds("member_interval_ms", 100, 600'000, 2000);
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -31,6 +31,7 @@
     std::size_t bodyBytes = 0;
     std::chrono::milliseconds pollInterval{}; ///< Of the table.
     std::chrono::milliseconds planInterval{}; ///< Between two looks at the plan in the table.
+    std::chrono::milliseconds instanceListInterval{}; ///< Between reads of the instance list.
     std::chrono::milliseconds platformTimeout{};
     std::chrono::milliseconds freshness{}; ///< Keyed traffic needs state no older than this.
     std::chrono::milliseconds memberInterval{}; ///< Between heartbeats in the table.
--- /dev/null
+++ b/src/Apps/Gateway/InstanceWatch.cpp
@@ -0,0 +1,57 @@
+#include "Apps/Gateway/InstanceWatch.h"
+
+#include "Adapters/Metrics.h"
+
+namespace quetzalyoke {
+
+InstanceWatch::InstanceWatch(HttpPlatform &platform, std::chrono::milliseconds interval,
+                             Listener listener)
+    : m_platform(platform), m_interval(interval), m_listener(std::move(listener))
+{
+    m_thread = std::thread([this] { work(); });
+}
+
+InstanceWatch::~InstanceWatch()
+{
+    stop();
+}
+
+void InstanceWatch::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void InstanceWatch::work()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        lock.unlock();
+        readList();
+        lock.lock();
+        m_changed.wait_for(lock, m_interval, [this] { return m_stopping; });
+    }
+}
+
+// The list lags: a server that stops by itself says so in its agent's reports, which come first.
+void InstanceWatch::readList()
+{
+    std::set<InstanceId> leaving;
+    try {
+        for (const ListedInstance &it : m_platform.instances()) {
+            if (it.leaving)
+                leaving.insert(it.instance);
+        }
+    } catch (const std::exception &) {
+        Metrics::count("instance_list_reads_failed_total");
+        return;
+    }
+    m_listener(std::move(leaving));
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -9,6 +9,7 @@
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/GatewayDoor.h"
 #include "Apps/Gateway/GatewaySettings.h"
+#include "Apps/Gateway/InstanceWatch.h"
 #include "Apps/Gateway/MemberSync.h"
 #include "Apps/Gateway/OperatorApi.h"
 #include "Apps/Gateway/PeerExchange.h"
@@ -60,6 +61,8 @@
     CrashWatch crashes;
     PeerExchange peers(settings, state, limiter, crashes);
     Fleet fleet(settings);
+    InstanceWatch instances(platform, settings.instanceListInterval,
+                            [&fleet](auto leaving) { fleet.setLeaving(std::move(leaving)); });
     Relay relay(settings, fleet, crashes);
     IdempotencyStore idempotency(platform, fleet);
     StateSync sync(settings, platform, state,
@@ -104,6 +107,7 @@
     member.leave();
     door.stop();
     planner.stop();
+    instances.stop();
     sync.stop();
     idempotency.stop();
     LOG(INFO) << "event=stopped";
--- a/src/Core/AgentDirectory.cpp
+++ b/src/Core/AgentDirectory.cpp
@@ -100,7 +100,8 @@
 bool AgentDirectory::mayTakeWork(const Candidate &candidate, Instant now) const
 {
     const auto &entry = static_cast<const Entry &>(candidate);
-    return !entry.suspected && !entry.status.draining && entry.heardAt + m_silenceLimit >= now;
+    const bool leaving = entry.status.draining || m_leaving.contains(entry.status.instance);
+    return !entry.suspected && !leaving && entry.heardAt + m_silenceLimit >= now;
 }
 
 std::vector<AgentDirectory::Candidate> AgentDirectory::all() const
--- a/src/Core/AgentDirectory.h
+++ b/src/Core/AgentDirectory.h
@@ -43,6 +43,8 @@
     bool update(const AgentStatus &status, Instant now);
     /// Drops an agent until its next report, for example after a connection to it failed.
     void suspect(const InstanceId &instance);
+    /// The instances that the platform lists as leaving, until the next call.
+    void setLeaving(std::set<InstanceId> leaving) { m_leaving = std::move(leaving); }
     /// Changes the number of attempts that this gateway itself has at an agent.
     void adjustOwnLoad(const InstanceId &instance, std::int64_t change);
     /// Takes an agent's queued and running attempts as an answer of it said them.
@@ -74,7 +76,7 @@
 
     /// Agents with \a target ready; not all of them need be fit for new work.
     const Group &serving(const std::string &target) const;
-    /// Whether \a candidate, from serving(), is heard of, not suspected and not draining.
+    /// Whether \a candidate, from serving(), is heard of, not suspected and not leaving.
     bool mayTakeWork(const Candidate &candidate, Instant now) const;
 
     std::vector<Candidate> all() const;
@@ -90,6 +92,7 @@
     void removeFromGroups(const Entry &entry);
 
     Duration m_silenceLimit;
+    std::set<InstanceId> m_leaving;
     std::unordered_map<InstanceId, std::unique_ptr<Entry>> m_agents;
     std::unordered_map<std::string, Group> m_groups; // by model, adapter or service
 };
--- /dev/null
+++ b/test/AgentDirectoryTest.cpp
@@ -0,0 +1,23 @@
+#include "Core/AgentDirectory.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace std::chrono_literals;
+
+TEST(AgentDirectoryTest, givesNoWorkToInstancesListedAsLeaving)
+{
+    AgentDirectory directory(Duration(3s));
+    const Instant now{1h};
+    AgentStatus status;
+    status.instance = InstanceId("agent-1");
+    status.incarnation = Incarnation(1);
+    status.ready = {"small"};
+    directory.setLeaving({InstanceId("agent-1")});
+    directory.update(status, now);
+    const auto &candidates = directory.serving("small").all;
+    ASSERT_EQ(candidates.size(), 1U);
+    EXPECT_FALSE(directory.mayTakeWork(*candidates.front(), now));
+    directory.setLeaving({});
+    EXPECT_TRUE(directory.mayTakeWork(*candidates.front(), now));
+}
