Notice backend servers that are down, and report to each gateway apart

Change: BackendHealth looks at the server after a failed request and until it is up again; meanwhile the agent refuses as not run and says so in its reports. Each gateway is reported to on a thread of its own; a crash is reported before its request ends, for at most 200 ms. Agents learn the doors of all gateways from the replies.

--- a/src/Adapters/WireConversion.cpp
+++ b/src/Adapters/WireConversion.cpp
@@ -94,7 +94,7 @@
     status.queued = report.queued;
     status.running = report.running;
     status.capacity = report.capacity;
-    status.draining = report.draining;
+    status.draining = report.draining || report.backendDown;
     for (const wire::ModelState &it : report.models) {
         if (it.ready)
             status.ready.insert(it.name);
--- a/src/Apps/Agent/AgentDoor.cpp
+++ b/src/Apps/Agent/AgentDoor.cpp
@@ -35,6 +35,8 @@
     switch (error) {
     case wire::ErrorCode::Draining:
         return "the backend server is leaving";
+    case wire::ErrorCode::BackendDown:
+        return "the backend server is down";
     case wire::ErrorCode::AgentRestarted:
         return "the backend server's agent was restarted";
     case wire::ErrorCode::UnknownAttempt:
--- a/src/Apps/Agent/AttemptTable.cpp
+++ b/src/Apps/Agent/AttemptTable.cpp
@@ -38,6 +38,8 @@
         return {nullptr, wire::ErrorCode::AgentRestarted};
     if (m_draining)
         return {nullptr, wire::ErrorCode::Draining};
+    if (m_backendDown)
+        return {nullptr, wire::ErrorCode::BackendDown};
     if (!isOfferedLocked(submission))
         return {nullptr, wire::ErrorCode::ModelNotReady};
     if (m_queue->size() + m_alone.size() >= m_limits.queueLength)
@@ -176,6 +178,18 @@
         }));
 }
 
+void AttemptTable::setBackendDown(bool down)
+{
+    const std::lock_guard lock(m_mutex);
+    m_backendDown = down;
+}
+
+bool AttemptTable::isBackendDown() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_backendDown;
+}
+
 void AttemptTable::drain()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -63,6 +63,9 @@
     /// Attempts for a model or adapter that are accepted and not finished.
     std::size_t inFlight(const std::string &name) const;
 
+    /// Refuses new attempts while the backend server is down.
+    void setBackendDown(bool down);
+    bool isBackendDown() const;
     /// Refuses new attempts from now on.
     void drain();
     bool isDraining() const;
@@ -95,6 +98,7 @@
     std::int64_t m_crashes = 0;
     Instant m_lastCrashAt;
     bool m_draining = false;
+    bool m_backendDown = false;
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Agent/BackendClient.cpp
+++ b/src/Apps/Agent/BackendClient.cpp
@@ -14,9 +14,6 @@
 constexpr std::chrono::milliseconds retryAfterTurnedAway{200};
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-// A crashed process refuses connections at once; a few tries cover the moment of its end.
-constexpr int crashProbes = 5;
-constexpr std::chrono::milliseconds crashProbeInterval{20};
 
 bool isHopByHop(const std::string &name)
 {
@@ -80,8 +77,8 @@
 } // namespace
 
 BackendClient::BackendClient(const Address &backend, std::chrono::milliseconds timeout,
-                             CrashHook onCrash)
-    : m_backend(backend), m_timeout(timeout), m_onCrash(std::move(onCrash))
+                             BackendHealth &health, CrashHook onCrash)
+    : m_backend(backend), m_timeout(timeout), m_health(health), m_onCrash(std::move(onCrash))
 {
     connect();
 }
@@ -104,6 +101,7 @@
     // can't be repeated would end as "unknown" for nothing, so it gets a connection of its own.
     if (!attempt.submission().idempotent)
         connect();
+    m_downAtStart = m_health.isDown();
     attempt.setCancelHook([this] { m_client->stop(); });
     send(attempt, requestFor(attempt.submission()));
     attempt.setCancelHook(nullptr);
@@ -133,7 +131,8 @@
     };
     const auto result = m_client->send(req);
     if (!result)
-        return fail(attempt, httplib::to_string(result.error()));
+        return fail(attempt, httplib::to_string(result.error()),
+                    result.error() == httplib::Error::Connection);
     if (turnedAway) {
         return attempt.turnAway(Process::now(), "the model is not ready on this backend server",
                                 retryAfterTurnedAway);
@@ -143,30 +142,22 @@
     attempt.finish(Process::now());
 }
 
-void BackendClient::fail(Attempt &attempt, const std::string &reason)
+void BackendClient::fail(Attempt &attempt, const std::string &reason, bool neverSent)
 {
     connect();
-    if (attempt.isCancelled()) {
+    if (attempt.isCancelled())
         return attempt.fail(Process::now(), wire::ErrorCode::Cancelled, "the caller went away", {});
+    const bool down = m_health.checkAfterFailure();
+    if (neverSent) {
+        return attempt.turnAway(Process::now(), "the backend server takes no connections",
+                                retryAfterTurnedAway);
     }
-    if (backendIsDown())
+    // An attempt that began while the server was down already has not crashed it.
+    if (down && !m_downAtStart)
         return attempt.failInCrash(Process::now(), m_onCrash(), retryAfterFailure);
     attempt.fail(Process::now(), wire::ErrorCode::BackendFailed,
                  "the backend server gave no whole answer (" + reason + "); ask again",
                  retryAfterFailure);
 }
 
-bool BackendClient::backendIsDown() const
-{
-    httplib::Client probe(m_backend.host, m_backend.port);
-    probe.set_connection_timeout(crashProbeInterval);
-    for (int i = 0; i < crashProbes; ++i) {
-        const auto result = probe.Get("/");
-        if (!result && result.error() == httplib::Error::Connection)
-            return true;
-        std::this_thread::sleep_for(crashProbeInterval);
-    }
-    return false;
-}
-
 } // namespace quetzalyoke
--- a/src/Apps/Agent/BackendClient.h
+++ b/src/Apps/Agent/BackendClient.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/Address.h"
 #include "Apps/Agent/Attempt.h"
+#include "Apps/Agent/BackendHealth.h"
 
 #include <chrono>
 #include <functional>
@@ -23,7 +24,8 @@
     /// Notes a crash of the backend server and returns its id.
     using CrashHook = std::function<std::string()>;
 
-    BackendClient(const Address &backend, std::chrono::milliseconds timeout, CrashHook onCrash);
+    BackendClient(const Address &backend, std::chrono::milliseconds timeout, BackendHealth &health,
+                  CrashHook onCrash);
     ~BackendClient();
 
     /// Runs \a attempt to its end and fills in the answer.
@@ -32,12 +34,13 @@
 private:
     void connect();
     void send(Attempt &attempt, const httplib::Request &req);
-    void fail(Attempt &attempt, const std::string &reason);
-    bool backendIsDown() const;
+    void fail(Attempt &attempt, const std::string &reason, bool neverSent);
 
     const Address m_backend;
     const std::chrono::milliseconds m_timeout;
+    BackendHealth &m_health;
     const CrashHook m_onCrash;
+    bool m_downAtStart = false; // of the current attempt
     std::unique_ptr<httplib::Client> m_client;
 };
 
--- a/src/Apps/Agent/Dispatcher.cpp
+++ b/src/Apps/Agent/Dispatcher.cpp
@@ -11,12 +11,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds idleWait{200};
+constexpr std::chrono::milliseconds retryWhenDown{200};
 
 } // namespace
 
-Dispatcher::Dispatcher(const AgentSettings &settings, AttemptTable &table,
+Dispatcher::Dispatcher(const AgentSettings &settings, AttemptTable &table, BackendHealth &health,
                        std::function<void()> onCrash)
-    : m_settings(settings), m_table(table), m_onCrash(std::move(onCrash))
+    : m_settings(settings), m_table(table), m_health(health), m_onCrash(std::move(onCrash))
 {
     for (int i = 0; i < settings.concurrency; ++i)
         m_workers.emplace_back([this] { work(); });
@@ -38,11 +39,13 @@
 
 void Dispatcher::work()
 {
-    bool crashed = false;
-    BackendClient client(m_settings.backend, m_settings.backendTimeout, [this, &crashed] {
-        crashed = true;
-        return m_table.noteCrash(Process::now());
-    });
+    const auto noteCrash = [this] {
+        const std::string incident = m_table.noteCrash(Process::now());
+        LOG(WARNING) << "event=backend_crashed incident=" << incident;
+        m_onCrash();
+        return incident;
+    };
+    BackendClient client(m_settings.backend, m_settings.backendTimeout, m_health, noteCrash);
     while (!m_stopping) {
         const auto attempt = m_table.takeNext(idleWait);
         if (!attempt)
@@ -50,11 +53,6 @@
         run(client, *attempt);
         m_table.release(attempt, Process::now());
         Metrics::count("attempts_total");
-        if (crashed) {
-            LOG(WARNING) << "event=backend_crashed request=" << attempt->submission().requestId;
-            m_onCrash();
-        }
-        crashed = false;
     }
 }
 
@@ -66,6 +64,10 @@
                      "the deadline passed while the request waited", {});
         return;
     }
+    if (m_health.isDown()) {
+        attempt.turnAway(now, "the backend server is down", retryWhenDown);
+        return;
+    }
     if (!attempt.start()) {
         attempt.fail(now, wire::ErrorCode::Cancelled, "the caller went away", {});
         return;
--- a/src/Apps/Agent/Dispatcher.h
+++ b/src/Apps/Agent/Dispatcher.h
@@ -12,13 +12,15 @@
 namespace quetzalyoke {
 
 class BackendClient;
+class BackendHealth;
 
 /// \brief The workers that run waiting attempts, one connection to the backend server each.
 class Dispatcher
 {
 public:
     /// \a onCrash runs after a crash of the backend server was noted, on a worker's thread.
-    Dispatcher(const AgentSettings &settings, AttemptTable &table, std::function<void()> onCrash);
+    Dispatcher(const AgentSettings &settings, AttemptTable &table, BackendHealth &health,
+               std::function<void()> onCrash);
     ~Dispatcher();
 
     void stop();
@@ -29,6 +31,7 @@
 
     const AgentSettings &m_settings;
     AttemptTable &m_table;
+    BackendHealth &m_health;
     const std::function<void()> m_onCrash;
     std::atomic<bool> m_stopping{false};
     std::vector<std::thread> m_workers;
--- a/src/Apps/Agent/Reporter.cpp
+++ b/src/Apps/Agent/Reporter.cpp
@@ -1,19 +1,18 @@
 #include "Apps/Agent/Reporter.h"
 
 #include "Adapters/EventLog.h"
-#include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 
 namespace quetzalyoke {
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTimeout{500};
-constexpr std::chrono::milliseconds callTimeout{2000};
+constexpr std::size_t mostGateways = 8;
 
 std::vector<Holding> holdingsFrom(const std::vector<wire::ModelState> &states)
 {
@@ -41,10 +40,7 @@
     : m_settings(settings), m_doorAddress(std::move(doorAddress)), m_table(table), m_engine(engine),
       m_incarnation(Process::incarnation().count())
 {
-    for (const std::string &it : settings.gateways) {
-        m_gateways.push_back(std::make_unique<GatewayPool>(Address::parse(it), settings.fleetSecret,
-                                                           connectTimeout, callTimeout));
-    }
+    followGateways({});
     m_thread = std::thread([this] { work(); });
 }
 
@@ -55,42 +51,98 @@
 
 void Reporter::stop()
 {
-    m_stopping = true;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+        m_wake.notify_all();
+    }
     if (m_thread.joinable())
         m_thread.join();
+    // Links that still take a reply need the lock, so it is not held while they end.
+    std::map<std::string, std::shared_ptr<GatewayLink>> ended;
+    {
+        const std::lock_guard lock(m_linksMutex);
+        ended.swap(m_links);
+    }
+    for (const auto &[address, link] : ended)
+        link->beginStop();
 }
 
+// Links end here and not on their own threads, which can't wait for themselves.
 void Reporter::work()
 {
+    std::unique_lock lock(m_mutex);
     while (!m_stopping) {
-        reportNow();
+        lock.unlock();
+        std::vector<std::string> announced;
+        {
+            const std::lock_guard linksLock(m_linksMutex);
+            announced = m_announced;
+        }
+        followGateways(announced);
         m_table.expire(Process::now());
-        std::this_thread::sleep_for(m_settings.reportInterval);
+        lock.lock();
+        m_wake.wait_for(lock, m_settings.reportInterval, [this] { return m_stopping; });
     }
 }
 
-void Reporter::reportNow()
+// The settings' gateways are always tried, since the announced ones may all have been replaced.
+void Reporter::followGateways(const std::vector<std::string> &addresses)
 {
-    const wire::AgentReport report = makeReport();
-    bool known = false;
-    for (const auto &it : m_gateways) {
-        try {
-            wire::ReportReply reply;
-            const Instant calledAt = Process::now();
-            it->call([&](wire::GatewayClient &client) { client.report(reply, report); });
-            EventLog::observe(reply.clock);
-            takeReply(reply, calledAt);
-            known = true;
-        } catch (const std::exception &) {
-            Metrics::count("reports_failed_total", {{"gateway", it->address().text()}});
+    std::set<std::string> wanted(m_settings.gateways.begin(), m_settings.gateways.end());
+    for (const std::string &it : addresses) {
+        if (wanted.size() < mostGateways)
+            wanted.insert(it);
+    }
+    std::vector<std::shared_ptr<GatewayLink>> ended;
+    const std::lock_guard lock(m_linksMutex);
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        if (wanted.contains(it->first)) {
+            ++it;
+            continue;
         }
+        it->second->beginStop();
+        ended.push_back(it->second);
+        it = m_links.erase(it);
     }
-    if (m_known.exchange(known) != known) {
-        EventLog::record(known ? EventKind::PeerReached : EventKind::PeerLost, {}, "gateways");
-        LOG(INFO) << "event=" << (known ? "gateways_reached" : "gateways_lost");
+    for (const std::string &it : wanted) {
+        if (m_links.contains(it))
+            continue;
+        const GatewayLink::Hooks hooks{[this] { return makeReport(); },
+                                       [this](const wire::ReportReply &reply, Instant calledAt) {
+                                           takeReply(reply, calledAt);
+                                       }};
+        m_links[it] = std::make_shared<GatewayLink>(it, m_settings.fleetSecret,
+                                                    m_settings.reportInterval, hooks);
     }
 }
 
+std::vector<std::shared_ptr<GatewayLink>> Reporter::links() const
+{
+    const std::lock_guard lock(m_linksMutex);
+    std::vector<std::shared_ptr<GatewayLink>> found;
+    for (const auto &[address, link] : m_links)
+        found.push_back(link);
+    return found;
+}
+
+bool Reporter::isKnown() const
+{
+    const auto all = links();
+    return std::any_of(all.begin(), all.end(), [](const auto &it) { return it->isReached(); });
+}
+
+void Reporter::reportNow(std::chrono::milliseconds limit)
+{
+    const Instant end = Process::now() + limit;
+    const auto all = links();
+    std::vector<std::int64_t> numbers;
+    for (const auto &it : all)
+        numbers.push_back(it->requestReport());
+    for (std::size_t i = 0; i < all.size(); ++i)
+        all[i]->waitFor(numbers[i], end);
+}
+
 wire::AgentReport Reporter::makeReport()
 {
     const std::lock_guard lock(m_mutex);
@@ -116,11 +168,16 @@
     report.planVersion = m_planVersion;
     report.clock = EventLog::stamp();
     report.suspicions = m_table.suspicions();
+    report.backendDown = m_table.isBackendDown();
     return report;
 }
 
 void Reporter::takeReply(const wire::ReportReply &reply, Instant calledAt)
 {
+    if (!reply.gateways.empty()) {
+        const std::lock_guard lock(m_linksMutex);
+        m_announced = reply.gateways;
+    }
     if (!m_engine)
         return;
     takeFencing(reply, calledAt);
@@ -129,15 +186,13 @@
 
 void Reporter::takePlan(const wire::ReportReply &reply)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        if (reply.planVersion <= m_planVersion)
-            return;
-        m_planVersion = reply.planVersion;
-        EventLog::record(EventKind::PlanTaken, {}, "version=" + std::to_string(m_planVersion));
-        LOG(INFO) << "event=plan_taken version=" << m_planVersion
-                  << " models=" << reply.wanted.size();
-    }
+    // Several gateways answer at once: the lock is held until the newest plan is in force.
+    const std::lock_guard lock(m_mutex);
+    if (reply.planVersion <= m_planVersion)
+        return;
+    m_planVersion = reply.planVersion;
+    EventLog::record(EventKind::PlanTaken, {}, "version=" + std::to_string(m_planVersion));
+    LOG(INFO) << "event=plan_taken version=" << m_planVersion << " models=" << reply.wanted.size();
     m_engine->setPlan(holdingsFrom(reply.wanted));
 }
 
--- a/src/Apps/Agent/main.cpp
+++ b/src/Apps/Agent/main.cpp
@@ -5,6 +5,7 @@
 #include "Adapters/ThriftServer.h"
 #include "Apps/Agent/AgentDoor.h"
 #include "Apps/Agent/AgentSettings.h"
+#include "Apps/Agent/BackendHealth.h"
 #include "Apps/Agent/Dispatcher.h"
 #include "Apps/Agent/EngineRunner.h"
 #include "Apps/Agent/Reporter.h"
@@ -17,6 +18,8 @@
 
 constexpr int healthConnections = 8;
 constexpr std::chrono::milliseconds drainPoll{20};
+// Gateways learn of a crash or of leaving before anything else goes on, but no longer than this.
+constexpr std::chrono::milliseconds urgentReportLimit{200};
 
 // Waits until every attempt has run and its answer was fetched, the limit has passed, or a
 // second signal came.
@@ -42,12 +45,19 @@
     const std::string advertised
         = settings.advertise.empty() ? doorAddress.text() : settings.advertise;
     Reporter reporter(settings, advertised, table, engine ? &*engine : nullptr);
-    Dispatcher dispatcher(settings, table, [&reporter] { reporter.reportNow(); });
+    BackendHealth health(settings.backend, [&](bool down) {
+        table.setBackendDown(down);
+        LOG(WARNING) << "event=" << (down ? "backend_down" : "backend_up");
+        reporter.reportNow(urgentReportLimit);
+    });
+    Dispatcher dispatcher(settings, table, health,
+                          [&reporter] { reporter.reportNow(urgentReportLimit); });
 
     HttpServerLimits limits;
     limits.connections = healthConnections;
     HttpServer http(limits);
-    http.addHealthRoutes([&] { return reporter.isKnown() && !table.isDraining(); });
+    http.addHealthRoutes(
+        [&] { return reporter.isKnown() && !table.isDraining() && !table.isBackendDown(); });
     http.listen(settings.httpListen);
     const Address httpAddress{settings.httpListen.host, http.port()};
     writeReadyFile(settings.readyFile,
@@ -60,9 +70,10 @@
     EventLog::record(EventKind::Draining);
     LOG(INFO) << "event=draining queued=" << table.queued() << " running=" << table.running();
     table.drain();
-    reporter.reportNow();
+    reporter.reportNow(urgentReportLimit);
     waitUntilIdle(table, settings.drainLimit);
     dispatcher.stop();
+    health.stop();
     reporter.stop();
     if (engine)
         engine->stop();
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -49,6 +49,7 @@
 {
     m_guard.require();
     EventLog::observe(report.clock);
+    reply.gateways = m_parts.peers.knownDoors();
     AgentStatus status = fromWire(report);
     const auto configuration = m_parts.state.configuration();
     if (configuration) {
--- a/src/Apps/Gateway/PeerExchange.cpp
+++ b/src/Apps/Gateway/PeerExchange.cpp
@@ -111,6 +111,14 @@
     return found.empty() ? m_settings.peers : found;
 }
 
+std::vector<std::string> PeerExchange::knownDoors() const
+{
+    std::vector<std::string> doors = addresses();
+    if (!m_leaving)
+        doors.push_back(m_ownDoor);
+    return doors;
+}
+
 std::string PeerExchange::addressOf(const InstanceId &instance) const
 {
     for (const MemberRow &it : m_state.read([](const auto &sync) { return sync.others(); })) {
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -85,6 +85,7 @@
     http.listen(settings.httpListen);
     const Address httpAddress{settings.httpListen.host, http.port()};
     const Address doorAddress{settings.listen.host, door.port()};
+    peers.setOwnDoor(doorAddress.text());
     member.start(doorAddress.text(), httpAddress.text());
     writeReadyFile(settings.readyFile,
                    {{"http", httpAddress.text()}, {"door", doorAddress.text()}});
--- a/src/Wire/quetzalyoke.thrift
+++ b/src/Wire/quetzalyoke.thrift
@@ -28,6 +28,7 @@
     ModelNotReady = 9,
     RequestCrashesServers = 10,
     AgentRestarted = 11,
+    BackendDown = 12,
 }
 
 struct Header {
@@ -114,6 +115,7 @@
     17: list<Suspicion> suspicions,
     18: HybridTime clock,
     30: i64 fencingEpoch,        // of this agent's right to order its engine; 0: asks for one
+    40: bool backendDown,        // takes no connections
 }
 
 struct ReportReply {
@@ -125,6 +127,7 @@
     30: i64 fencingEpoch,        // newest of the server that the gateway knows; 0: none
     31: i64 fencingAgeMillis,    // since the table was read for it
     32: bool fencingChecked,     // the engine refuses old fencing numbers
+    40: list<string> gateways,   // doors of all gateways that this one knows
 }
 
 // What a gateway needs and has of a client account's tokens.
