--- a/src/Core/ServiceListCheck.cpp
+++ b/src/Core/ServiceListCheck.cpp
@@ -151,9 +151,9 @@
         for (const std::string &it : node.dependencies) {
             if (m_nodes.contains(it))
                 continue;
-            complain(node.line,
-                     name + " depends on " + it + ", which is no listed model or service",
-                     "add it, or correct depends_on");
+            std::string what = name + " depends on ";
+            what += it + ", which is no listed model or service";
+            complain(node.line, what, "add it, or correct depends_on");
         }
     }
 }
