--- a/src/Apps/Gateway/OperatorChanges.cpp
+++ b/src/Apps/Gateway/OperatorChanges.cpp
@@ -87,6 +87,7 @@
     if (!version)
         throw Error(ErrorKind::Conflict, "the key's id is taken; no key was granted, try again");
     m_sync.refresh();
+    m_gate.waitUntilInForce(*version);
     EventLog::record(EventKind::KeyGranted, {},
                      "id=" + key.record.id.text() + " account=" + account.text());
     LOG(INFO) << "event=key_granted id=" << key.record.id.text() << " account=" << account.text();
