--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -10,33 +10,22 @@
 class DoorFactory : public wire::GatewayIfFactory
 {
 public:
-    DoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                CrashWatch &crashes, Planner &planner, PeerExchange &peers)
-        : m_settings(settings), m_state(state), m_fleet(fleet), m_crashes(crashes),
-          m_planner(planner), m_peers(peers)
-    { }
+    explicit DoorFactory(const DoorParts &parts) : m_parts(parts) { }
 
     wire::GatewayIf *getHandler(const apache::thrift::TConnectionInfo &) override
     {
-        return new GatewayDoor(m_settings, m_state, m_fleet, m_crashes, m_planner, m_peers);
+        return new GatewayDoor(m_parts);
     }
     void releaseHandler(wire::FleetMemberIf *handler) override { delete handler; }
 
 private:
-    const GatewaySettings &m_settings;
-    SharedState &m_state;
-    Fleet &m_fleet;
-    CrashWatch &m_crashes;
-    Planner &m_planner;
-    PeerExchange &m_peers;
+    const DoorParts m_parts;
 };
 
 } // namespace
 
-GatewayDoor::GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                         CrashWatch &crashes, Planner &planner, PeerExchange &peers)
-    : m_state(state), m_fleet(fleet), m_crashes(crashes), m_planner(planner), m_peers(peers),
-      m_guard(settings.fleetSecret)
+GatewayDoor::GatewayDoor(const DoorParts &parts)
+    : m_parts(parts), m_guard(parts.settings.fleetSecret)
 { }
 
 void GatewayDoor::challenge(std::string &nonce)
@@ -61,39 +50,39 @@
     m_guard.require();
     EventLog::observe(report.clock);
     AgentStatus status = fromWire(report);
-    const auto configuration = m_state.configuration();
+    const auto configuration = m_parts.state.configuration();
     if (configuration) {
         const auto server = configuration->list.servers.find(status.server);
         if (server != configuration->list.servers.end() && !status.engine)
             status.ready.insert(server->second.service.text());
         reply.configurationVersion = configuration->version.count();
-        m_planner.answer(reply, report, *configuration);
+        m_parts.planner.answer(reply, report, *configuration);
     }
-    m_fleet.update(status);
+    m_parts.fleet.update(status);
     reply.clock = EventLog::stamp();
-    m_crashes.add(report.suspicions, report.instance);
+    m_parts.crashes.add(report.suspicions, report.instance);
 }
 
 void GatewayDoor::exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest)
 {
     m_guard.require();
     EventLog::observe(digest.clock);
-    answer = toWire(m_peers.answer(fromWire(digest)));
+    m_parts.crashes.add(digest.suspicions);
+    answer = toWire(m_parts.peers.answer(fromWire(digest)));
+    answer.suspicions = m_parts.crashes.suspicions();
     answer.clock = EventLog::stamp();
-    m_crashes.add(digest.suspicions);
-    answer.suspicions = m_crashes.suspicions();
 }
 
 void GatewayDoor::stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion)
 {
     m_guard.require();
-    rows = toWire(m_state.rowsAfter(Version(sinceVersion)));
+    rows = toWire(m_parts.state.rowsAfter(Version(sinceVersion)));
 }
 
 void GatewayDoor::configurationText(std::string &text, std::int64_t version)
 {
     m_guard.require();
-    const auto configuration = m_state.configuration();
+    const auto configuration = m_parts.state.configuration();
     if (configuration && configuration->version == Version(version))
         text = configuration->text;
 }
@@ -101,15 +90,12 @@
 std::int64_t GatewayDoor::spendShare(const std::string &account, std::int64_t tokens)
 {
     m_guard.require();
-    return m_peers.lend(AccountId(account), Tokens(tokens)).count();
+    return m_parts.peers.lend(AccountId(account), Tokens(tokens)).count();
 }
 
-std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       CrashWatch &crashes, Planner &planner, PeerExchange &peers)
+std::shared_ptr<apache::thrift::TProcessorFactory> makeGatewayDoorFactory(const DoorParts &parts)
 {
-    return std::make_shared<wire::GatewayProcessorFactory>(
-        std::make_shared<DoorFactory>(settings, state, fleet, crashes, planner, peers));
+    return std::make_shared<wire::GatewayProcessorFactory>(std::make_shared<DoorFactory>(parts));
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/GatewayDoor.h
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -14,12 +14,22 @@
 
 namespace quetzalyoke {
 
+/// \brief The parts of a gateway that its door gives access to.
+struct DoorParts
+{
+    const GatewaySettings &settings;
+    SharedState &state;
+    Fleet &fleet;
+    CrashWatch &crashes;
+    Planner &planner;
+    PeerExchange &peers;
+};
+
 /// \brief Thrift handler of one connection from an agent or another gateway.
 class GatewayDoor : public wire::GatewayIf
 {
 public:
-    GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                CrashWatch &crashes, Planner &planner, PeerExchange &peers);
+    explicit GatewayDoor(const DoorParts &parts);
 
     void challenge(std::string &nonce) override;
     bool authenticate(const std::string &proof) override;
@@ -32,18 +42,12 @@
     std::int64_t spendShare(const std::string &account, std::int64_t tokens) override;
 
 private:
-    SharedState &m_state;
-    Fleet &m_fleet;
-    CrashWatch &m_crashes;
-    Planner &m_planner;
-    PeerExchange &m_peers;
+    const DoorParts m_parts;
     FleetGuard m_guard;
 };
 
 /// Makes a handler for each connection.
-std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       CrashWatch &crashes, Planner &planner, PeerExchange &peers);
+std::shared_ptr<apache::thrift::TProcessorFactory> makeGatewayDoorFactory(const DoorParts &parts);
 
 } // namespace quetzalyoke
 
--- a/src/Apps/Gateway/PeerExchange.cpp
+++ b/src/Apps/Gateway/PeerExchange.cpp
@@ -66,11 +66,11 @@
 {
     return attempt(address, [this](wire::GatewayClient &client) {
         const Instant startedAt = Process::now();
-        wire::PeerDigest own = toWire(status());
-        own.suspicions = m_crashes.suspicions();
-        own.clock = EventLog::stamp();
+        wire::PeerDigest question = toWire(status());
+        question.suspicions = m_crashes.suspicions();
+        question.clock = EventLog::stamp();
         wire::PeerDigest digest;
-        client.exchange(digest, own);
+        client.exchange(digest, question);
         EventLog::observe(digest.clock);
         m_crashes.add(digest.suspicions);
         const PeerStatus answer = fromWire(digest);
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -33,25 +33,22 @@
         std::this_thread::sleep_for(drainPoll);
 }
 
-// The wall clock only has to rise from one start of the instance to the next.
+void waitForGrace(std::chrono::milliseconds grace)
+{
+    const Instant end = Process::now() + grace;
+    while (Process::now() < end && !Process::stopForced())
+        std::this_thread::sleep_for(drainPoll);
+}
+
 MemberRow selfRow(const GatewaySettings &settings)
 {
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
     MemberRow row;
     row.instance = settings.instance;
     row.zone = settings.zone;
-    row.incarnation
-        = Incarnation(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+    row.incarnation = Process::incarnation();
     return row;
 }
 
-void waitForGrace(std::chrono::milliseconds grace)
-{
-    const Instant end = Process::now() + grace;
-    while (Process::now() < end && !Process::stopForced())
-        std::this_thread::sleep_for(drainPoll);
-}
-
 int serve(const GatewaySettings &settings)
 {
     EventLog::start(settings.instance);
@@ -60,23 +57,22 @@
     SharedState state(self, settings.syncLimits());
     AccountLimiter limiter(self.instance, self.incarnation, settings.sharePolicy);
     state.setListener([&limiter](const auto &change) { limiter.onChange(change); });
-    Fleet fleet(settings);
     CrashWatch crashes;
     PeerExchange peers(settings, state, limiter, crashes);
+    Fleet fleet(settings);
     Relay relay(settings, fleet, crashes);
     IdempotencyStore idempotency(platform, fleet);
     StateSync sync(settings, platform, state,
                    [&peers](Version version) { return peers.configurationText(version); });
     peers.setNewerStateHook([&sync] { sync.wake(); });
-    Planner planner(settings, platform);
     MemberSync member(settings, platform, state, sync, limiter, peers);
+    Planner planner(settings, platform);
     CallerApi callers(settings, state, relay, limiter, idempotency);
     TimelineCollector timeline(settings, fleet, [&peers] { return peers.addresses(); });
     OperatorApi operators(settings, platform, state, sync, fleet, member, timeline);
 
-    ThriftServer door(settings.listen,
-                      makeGatewayDoorFactory(settings, state, fleet, crashes, planner, peers),
-                      settings.doorConnections);
+    const DoorParts parts{settings, state, fleet, crashes, planner, peers};
+    ThriftServer door(settings.listen, makeGatewayDoorFactory(parts), settings.doorConnections);
     HttpServerLimits httpLimits;
     httpLimits.connections = settings.connections;
     httpLimits.bodyBytes = settings.bodyBytes;
@@ -97,9 +93,9 @@
 
     while (!Process::waitForStop(std::chrono::seconds(1)))
         continue;
-    member.beginLeaving();
     // Not ready at once, but requests are served until callers' balancer has noticed.
     EventLog::record(EventKind::Draining);
+    member.beginLeaving();
     LOG(INFO) << "event=draining in_flight=" << callers.inFlight();
     waitForGrace(settings.stopGrace);
     callers.stopAccepting();
--- a/test/scenarios/lib/fleet.lua
+++ b/test/scenarios/lib/fleet.lua
@@ -72,7 +72,7 @@
     return table.concat(lines, "\n") .. "\n"
 end
 
-local function merged(...)
+function merged(...)
     local result = {}
     for _, values in ipairs({...}) do
         for name, value in pairs(values) do result[name] = value end
@@ -154,9 +154,9 @@
     }, settings or {}))
 end
 
--- Starts the agent of backend server `server` as process "agent-<server>".
-function startAgent(server, settings)
-    local name = "agent-" .. server
+-- Starts the agent of backend server `server` as process `name`, "agent-<server>" by default.
+function startAgent(server, settings, name)
+    name = name or "agent-" .. server
     local isEngine = processes[server].program == "quetzalyoke-standin-engine"
     local addresses = {}
     for _, it in ipairs(gateways) do addresses[#addresses + 1] = link(name, it, "door") end
@@ -178,6 +178,11 @@
     }, settings or {}))
 end
 
+-- An address that a process bound: "http", "door".
+function addressOf(name, kind)
+    return processes[name].addresses[kind]
+end
+
 function kill(name)
     host.signal{name = name, signal = "KILL"}
     eventually(2000, name .. " has ended", function()
@@ -319,6 +324,15 @@
     return operate(gateway, "PUT", "/operator/configuration?seen=" .. seen, text)
 end
 
+-- The same in the background.
+function sendApply(gateway, text, seen)
+    local id = host.send{address = addressOf(gateway, "http"), method = "PUT", body = text,
+                         path = "/operator/configuration?seen=" .. seen,
+                         timeout_ms = OPERATOR_TIMEOUT_MS,
+                         headers = {Authorization = "Bearer " .. OPERATOR_SECRET}}
+    return {finish = function() return host.answer{call = id, wait = true} end}
+end
+
 -- Puts a service list in force; answers its version.
 function apply(gateway, text)
     local seen = configuration(gateway)
@@ -378,11 +392,13 @@
     }
 end
 
+DEFAULT_PROMPT = "hello"
+
 -- A model request.
 function completion(model, args)
     args = args or {}
     local body = merged({model = model, max_tokens = args.tokens or 4, stream = args.stream or false,
-                         messages = {{role = "user", content = args.prompt or "hello"}}},
+                         messages = {{role = "user", content = args.prompt or DEFAULT_PROMPT}}},
                         args.body or {})
     return merged(args, {method = "POST", path = "/v1/chat/completions",
                          body = host.json_text(body)})
@@ -402,6 +418,82 @@
     return answer.whole and answer.status >= 200 and answer.status < 300
 end
 
+local WORD = "(%x%x%x%x%x%x%x%x)%-(%d+) " -- hash of model and prompt, number of the token
+
+-- The hash in every token that the engine stand-in generates for this model and prompt.
+function answerHash(model, prompt)
+    local hash = 2166136261
+    for i = 1, #model + 1 + #prompt do
+        hash = ((hash ~ (model .. "\n" .. prompt):byte(i)) * 16777619) & 0xffffffff
+    end
+    return string.format("%08x", hash)
+end
+
+-- Number of generated tokens in an answer. Fails where one is missing, doubled, out of order or
+-- made for another request than this model and prompt.
+function tokensOf(answer, model, prompt)
+    local wanted, n = answerHash(model, prompt or DEFAULT_PROMPT), 0
+    for hash, i in answer.body:gmatch(WORD) do
+        expectEqual(hash, wanted, "origin of token " .. i)
+        expectEqual(tonumber(i), n, "number of the next token")
+        n = n + 1
+    end
+    return n
+end
+
+-- When the generated tokens of an answer arrived: {{at_ms=, tokens=}, ...}.
+function tokenArrivals(answer)
+    local result, seen = {}, 0
+    for _, it in ipairs(answer.arrivals) do
+        local _, tokens = answer.body:sub(1, it.bytes):gsub(WORD, "")
+        if tokens > seen then
+            result[#result + 1] = {at_ms = it.at_ms, tokens = tokens - seen}
+            seen = tokens
+        end
+    end
+    return result
+end
+
+-- Keeps `n` requests in flight for `windowMs` at each of the named gateways.
+-- `make(i)` gives the i-th request, `tick(ms)` is called between them with the time passed.
+-- Answers all answers.
+function drive(gatewayNames, n, windowMs, make, tick)
+    local started, answers, running, i = now(), {}, {}, 0
+    local function launchMissing()
+        for _, gateway in ipairs(gatewayNames) do
+            running[gateway] = running[gateway] or {}
+            for slot = 1, n do
+                local it = running[gateway][slot]
+                if not it or it.peek().finished then
+                    if it then answers[#answers + 1] = it.finish() end
+                    i = i + 1
+                    running[gateway][slot] = send(gateway, make(i))
+                end
+            end
+        end
+    end
+    while now() < started + windowMs do
+        launchMissing()
+        if tick then tick(now() - started) end
+        host.poll_pause()
+    end
+    for _, slots in pairs(running) do
+        for _, it in pairs(slots) do answers[#answers + 1] = it.finish() end
+    end
+    return answers
+end
+
+-- A table of steps {{afterMs, action}, ...}; the answered function runs those that are due.
+function steps(list)
+    local done = 0
+    return function(passedMs)
+        while list[done + 1] and passedMs >= list[done + 1][1] do
+            done = done + 1
+            list[done][2]()
+        end
+    end
+end
+
 -- A word for messages about an answer.
 function describe(answer)
     return string.format("status %d, run state %s, error '%s', body %s", answer.status,
