--- a/src/Apps/Gateway/PeerExchange.cpp
+++ b/src/Apps/Gateway/PeerExchange.cpp
@@ -111,10 +111,17 @@
     return found.empty() ? m_settings.peers : found;
 }
 
+void PeerExchange::setOwnDoor(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ownDoor = address;
+}
+
 std::vector<std::string> PeerExchange::knownDoors() const
 {
     std::vector<std::string> doors = addresses();
-    if (!m_leaving)
+    const std::lock_guard lock(m_mutex);
+    if (!m_leaving && !m_ownDoor.empty())
         doors.push_back(m_ownDoor);
     return doors;
 }
--- a/src/Apps/Gateway/PeerExchange.h
+++ b/src/Apps/Gateway/PeerExchange.h
@@ -47,8 +47,8 @@
     /// Another gateway's call for tokens.
     Tokens lend(const AccountId &account, Tokens n);
 
-    /// Names this gateway's own door, host:port, before the first call of knownDoors().
-    void setOwnDoor(const std::string &address) { m_ownDoor = address; }
+    /// Names this gateway's own door, host:port, once it listens.
+    void setOwnDoor(const std::string &address);
     /// Doors of all gateways that this one knows, itself among them.
     std::vector<std::string> knownDoors() const;
     /// Door addresses of the other gateways, with the settings' peers while none is known.
@@ -69,10 +69,10 @@
     AccountLimiter &m_limiter;
     CrashWatch &m_crashes;
     std::atomic<bool> m_leaving{false};
-    std::string m_ownDoor;
     std::function<void()> m_onNewerState;
-    std::mutex m_mutex; // of the members below; no other lock but the time line's is taken while it
-                        // is held
+    // Of the members below; no other lock but the time line's is taken while it is held.
+    mutable std::mutex m_mutex;
+    std::string m_ownDoor; // empty until it listens
     std::map<std::string, std::shared_ptr<Pool>> m_pools;
     std::set<std::string> m_silent; // addresses whose last call failed
 };
