--- a/src/Apps/Agent/EngineRunner.cpp
+++ b/src/Apps/Agent/EngineRunner.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Agent/EngineRunner.h"
 
+#include "Adapters/EventLog.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Core/Error.h"
@@ -135,6 +136,9 @@
 
 void EngineRunner::send(const EngineOrder &order)
 {
+    const bool load = order.kind == EngineOrder::Kind::Load;
+    EventLog::record(load ? EventKind::LoadOrdered : EventKind::UnloadOrdered, {},
+                     "name=" + order.holding.name);
     bool answered = false;
     try {
         m_orders.send(order);
@@ -144,6 +148,7 @@
         // A refusal is an answer: the order will not take effect any more.
         answered = e.kind() == ErrorKind::Conflict;
         Metrics::count("engine_orders_failed_total", {{"order", nameOf(order.kind)}});
+        EventLog::record(EventKind::OrderFailed, {}, "name=" + order.holding.name);
         LOG_EVERY_N(WARNING, 100) << "event=order_failed reason=\"" << e.what() << '"';
     }
     const std::lock_guard lock(m_mutex);
--- a/src/Apps/Gateway/PeerExchange.h
+++ b/src/Apps/Gateway/PeerExchange.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace quetzalyoke {
@@ -54,6 +55,7 @@
 
     std::shared_ptr<Pool> poolFor(const std::string &address);
     /// Runs \a call at \a address; false where that failed.
+    void noteAnswer(const std::string &address, bool answered);
     bool attempt(const std::string &address,
                  const std::function<void(wire::GatewayClient &)> &call);
     std::string addressOf(const InstanceId &instance) const;
@@ -64,8 +66,10 @@
     CrashWatch &m_crashes;
     std::atomic<bool> m_leaving{false};
     std::function<void()> m_onNewerState;
-    std::mutex m_mutex; // of the pools; no other lock is taken while it is held
+    std::mutex m_mutex; // of the members below; no other lock but the time line's is taken while it
+                        // is held
     std::map<std::string, std::shared_ptr<Pool>> m_pools;
+    std::set<std::string> m_silent; // addresses whose last call failed
 };
 
 } // namespace quetzalyoke
--- a/src/Core/AccountShares.cpp
+++ b/src/Core/AccountShares.cpp
@@ -9,8 +9,9 @@
 constexpr Duration longestWait = std::chrono::milliseconds(100); // before a charge is tried again
 constexpr Duration shortestWait = std::chrono::milliseconds(1);
 constexpr Duration borrowAbove = std::chrono::milliseconds(20); // waits shorter than this don't
+constexpr double loansPerSecond = 4;
 constexpr Duration deniedLately = std::chrono::milliseconds(500);
-constexpr Duration longestDry = std::chrono::seconds(5); // then new requests are refused
+constexpr Duration longestDry = std::chrono::seconds(10); // then new requests are refused
 constexpr std::chrono::milliseconds shortestRetry{1000};
 constexpr std::chrono::milliseconds longestRetry{60'000};
 constexpr std::int64_t ampleFraction = 16; // of the part's burst
@@ -214,7 +215,9 @@
         if (account.bucket.waitFor(account.denied, now) <= borrowAbove)
             continue;
         const Tokens loan = now < account.borrowedUntil ? account.borrowed : Tokens();
-        const Tokens lacking = account.denied - loan - account.bucket.level(now);
+        // Enough for a while, so that a few calls a second carry the whole demand.
+        const Tokens soon(static_cast<std::int64_t>(account.demand / loansPerSecond));
+        const Tokens lacking = account.denied + soon - loan - account.bucket.level(now);
         if (lacking > Tokens())
             found.emplace_back(id, lacking);
     }
