Tell wrongful refusals by what the account was served

An account that sends five times its rate isn't entitled to one of its requests rather than to another, only to as much. The bucket is now charged with what was served, in order of time, and a refusal is wrongful where that bucket had room for it. Bookings count by the same rule.

--- a/src/Apps/Load/Report.cpp
+++ b/src/Apps/Load/Report.cpp
@@ -1,6 +1,7 @@
 #include "Apps/Load/Report.h"
 
 #include "Apps/Load/Percentiles.h"
+#include "Core/TokenBucket.h"
 
 #include <nlohmann/json.hpp>
 
@@ -64,18 +65,18 @@
         : m_experiment(experiment), m_record(record)
     { }
 
-    void add(const PlannedRequest &request, const Outcome &outcome)
+    void add(const PlannedRequest &request, const Outcome &outcome, bool within)
     {
         addFaults(request, outcome);
         if (outcome.kind == Outcome::Kind::Refused) {
             ++m_refusals[outcome.refusal];
-            if (request.withinRate)
+            if (within)
                 ++m_refusalsWithin[outcome.refusal];
         } else if (outcome.kind == Outcome::Kind::Broken) {
             ++m_breaks[outcome.refusal];
         }
         if (!request.isBooking())
-            addModelRequest(request, outcome);
+            addModelRequest(request, outcome, within);
     }
 
     Json toJson() const
@@ -131,7 +132,7 @@
             ++m_faults.lostBookings;
     }
 
-    void addModelRequest(const PlannedRequest &request, const Outcome &outcome)
+    void addModelRequest(const PlannedRequest &request, const Outcome &outcome, bool within)
     {
         AccountTally &account = m_accounts[request.account];
         ++account.sent;
@@ -139,7 +140,7 @@
             m_firstToken.add(outcome.firstToken);
             m_betweenTokens.add(outcome.betweenTokens());
         }
-        if (!request.withinRate)
+        if (!within)
             return;
         ++account.within;
         if (outcome.kind == Outcome::Kind::Refused)
@@ -163,12 +164,36 @@
 
 } // namespace
 
+// An account that sends more than its rate isn't entitled to one request rather than another, only
+// to as much. So the bucket is charged with what was served, not with what a bucket of its own
+// would have chosen; a refused request is not charged.
+std::vector<bool> findWithinRate(const Experiment &experiment,
+                                 const std::vector<PlannedRequest> &requests,
+                                 const std::vector<Outcome> &outcomes)
+{
+    std::map<AccountId, TokenBucket> buckets;
+    for (const AccountDemand &it : experiment.accounts)
+        buckets.emplace(it.name, TokenBucket(it.rate, it.burst, Instant()));
+    std::vector<bool> within(requests.size(), true);
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+        TokenBucket &bucket = buckets.at(requests[i].account);
+        const Instant at(requests[i].at);
+        const Tokens charge = requests[i].charge();
+        if (outcomes[i].kind == Outcome::Kind::Refused)
+            within[i] = bucket.level(at) >= charge;
+        else
+            within[i] = bucket.take(charge, at);
+    }
+    return within;
+}
+
 Json makeReport(const Experiment &experiment, const std::vector<PlannedRequest> &requests,
                 const std::vector<Outcome> &outcomes, const RunRecord &record)
 {
     Tally tally(experiment, record);
+    const std::vector<bool> within = findWithinRate(experiment, requests, outcomes);
     for (std::size_t i = 0; i < requests.size(); ++i)
-        tally.add(requests[i], outcomes[i]);
+        tally.add(requests[i], outcomes[i], within[i]);
     return tally.toJson();
 }
 
--- a/src/Apps/Load/Report.h
+++ b/src/Apps/Load/Report.h
@@ -13,6 +13,12 @@
 
 namespace quetzalyoke {
 
+/// Which of \a requests were within their account's rate and burst, by an exact bucket of what
+/// the account was served in full before.
+std::vector<bool> findWithinRate(const Experiment &experiment,
+                                 const std::vector<PlannedRequest> &requests,
+                                 const std::vector<Outcome> &outcomes);
+
 /// Measures of an experiment from what was planned, seen by callers and run by the stand-ins.
 nlohmann::json makeReport(const Experiment &experiment, const std::vector<PlannedRequest> &requests,
                           const std::vector<Outcome> &outcomes, const RunRecord &record);
--- a/src/Apps/Load/Schedule.cpp
+++ b/src/Apps/Load/Schedule.cpp
@@ -1,19 +1,18 @@
 #include "Apps/Load/Schedule.h"
 
-#include "Core/TokenBucket.h"
 #include "Core/TokenCounter.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <random>
 
 namespace quetzalyoke {
 
 namespace {
 
+constexpr Tokens serviceCallTokens{1};
 constexpr std::size_t bytesPerToken = 4;
 constexpr double microsPerSecond = 1e6;
 
@@ -153,20 +152,6 @@
     std::vector<double> m_weights;
 };
 
-// Charges each request in full at its intended start; what is beyond the bucket isn't charged.
-void markWithinRate(std::vector<PlannedRequest> &requests, const Experiment &experiment)
-{
-    std::map<AccountId, TokenBucket> buckets;
-    for (const AccountDemand &it : experiment.accounts)
-        buckets.emplace(it.name, TokenBucket(it.rate, it.burst, Instant()));
-    for (PlannedRequest &it : requests) {
-        if (it.isBooking())
-            continue;
-        const Tokens tokens = estimatePromptTokens(it.body().size()) + Tokens(it.answerTokens);
-        it.withinRate = buckets.at(it.account).take(tokens, Instant(it.at));
-    }
-}
-
 } // namespace
 
 std::string PlannedRequest::body() const
@@ -178,6 +163,12 @@
         .dump();
 }
 
+Tokens PlannedRequest::charge() const
+{
+    return isBooking() ? serviceCallTokens
+                       : estimatePromptTokens(body().size()) + Tokens(answerTokens);
+}
+
 std::vector<PlannedRequest> planRequests(const Experiment &experiment, std::uint64_t seed)
 {
     std::vector<PlannedRequest> requests;
@@ -185,7 +176,6 @@
         AccountSource(experiment, it, seed).add(requests);
     std::stable_sort(requests.begin(), requests.end(),
                      [](const auto &a, const auto &b) { return a.at < b.at; });
-    markWithinRate(requests, experiment);
     return requests;
 }
 
--- a/src/Apps/Load/Schedule.h
+++ b/src/Apps/Load/Schedule.h
@@ -17,11 +17,12 @@
     std::string target; ///< Model or adapter; empty: a booking.
     std::string prompt; ///< Or the booking's body.
     std::int64_t answerTokens = 0;
-    bool withinRate = true; ///< By an exact bucket of the account's rate and burst.
 
     bool isBooking() const { return target.empty(); }
     /// JSON body as it is sent.
     std::string body() const;
+    /// What the request takes from its account's rate and burst.
+    Tokens charge() const;
 };
 
 /// All requests of \a experiment in order of time; the same \a seed gives the same ones.
