--- a/test/scenarios/lib/memory.lua
+++ b/test/scenarios/lib/memory.lua
@@ -5,7 +5,7 @@
 local SETTLE_LIMIT_MS = 15000
 local LISTS = {
     {alpha = 4000, beta = 4000},
-    {gamma = 7000, delta = 2000},
+    {gamma = 6000, delta = 3000},
     {alpha = 4000, gamma = 6000},
     {beta = 9000},
 }
--- a/test/scenarios/not_run_is_true.lua
+++ b/test/scenarios/not_run_is_true.lua
@@ -73,6 +73,16 @@
 check("cut-later", answer)
 expect(runState(answer) ~= "not-run", "no \"not-run\" of a call that runs: " .. describe(answer))
 
+-- An idempotent call may be given to another server, but there is none.
+eventually(5000, "the agent to be chosen again", function()
+    return isCompleted(call(gateway, {path = "/services/counter/idle", key = fleet.key}))
+end)
+cutCall = send(gateway, {path = "/services/counter/cut-idempotent?sleep_ms=1200", key = fleet.key})
+eventually(2000, "the call to run", function() return runsOf("cut-idempotent") >= 1 end)
+cut("gateways", "agent-counter-1")
+check("cut-idempotent", cutCall.finish())
+heal("gateways", "agent-counter-1")
+
 -- The agent is killed while the call runs; another waits in its queue.
 eventually(5000, "the agent to be chosen again", function()
     return isCompleted(call(gateway, {path = "/services/counter/idle", key = fleet.key}))
