Drive lost answers and an outage of the table through the operators' tool

process.operators now loses two answers of the table at an apply, a grant and a withdrawal, each of which must still end with 0, and takes the table out, when each must end with 3 and change nothing.

--- a/test/process/operators.sh
+++ b/test/process/operators.sh
@@ -74,6 +74,28 @@
 expect_exit 0 "${ctl[@]}" key list
 expect_in "$out" "$id pony-club withdrawn"
 
+# A lost answer of the table is settled; while the table is out, nothing is changed and said so.
+faults() { curl -s --max-time 10 -o /dev/null -d "$1" "http://$PLATFORM/faults"; }
+expect_exit 0 "${ctl[@]}" show
+echo "$out" | sed 's/^burst_tokens = 9000/burst_tokens = 9500/' > "$dir/later.ini"
+faults '{"lost_answers":2}'
+expect_exit 0 "${ctl[@]}" apply "$dir/later.ini"
+faults '{"lost_answers":2}'
+expect_exit 0 "${ctl[@]}" key grant pony-club
+granted=${out%% *}
+faults '{"lost_answers":2}'
+expect_exit 0 "${ctl[@]}" key withdraw "$granted"
+expect_exit 0 "${ctl[@]}" show
+expect_in "$out" "burst_tokens = 9500"
+echo "$out" | sed 's/^burst_tokens = 9500/burst_tokens = 9600/' > "$dir/never.ini"
+faults '{"outage":true}'
+expect_exit 3 "${ctl[@]}" apply "$dir/never.ini"
+expect_exit 3 "${ctl[@]}" key grant pony-club
+expect_exit 3 "${ctl[@]}" key withdraw "$id"
+faults '{}'
+expect_exit 0 "${ctl[@]}" show
+expect_in "$out" "burst_tokens = 9500"
+
 # Several gateways: the next one is asked where one gives no answer.
 expect_exit 0 "$bin/quetzalyokectl" --gateway "127.0.0.1:1,$second" "${secret[@]}" key list
 expect_exit 3 "$bin/quetzalyokectl" --gateway 127.0.0.1:1 "${secret[@]}" key list
