--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -128,8 +128,9 @@
     const std::string text = without(gatewayText(), "operator_secret_file");
     for (const std::string &it :
          {open, secretFile("settings-short", "short"), testing::TempDir() + "settings-missing"}) {
-        const Problems problems
-            = problemsOf<GatewaySettings>(text + "operator_secret_file = " + it + "\n");
+        std::string whole = text;
+        whole += "operator_secret_file = " + it + "\n";
+        const Problems problems = problemsOf<GatewaySettings>(whole);
         ASSERT_EQ(problems.size(), 1U) << it;
         EXPECT_EQ(problems[0].text().find("0123456789"), std::string::npos);
     }
