--- a/test/SharesScheduleTest.cpp
+++ b/test/SharesScheduleTest.cpp
@@ -385,6 +385,11 @@
 
     void randomTraffic(int number)
     {
+        // Answers under way go on, fresh or not; now and then a flood, so the bound is reached.
+        const bool flood = chance(0.3);
+        const Tokens n(std::uniform_int_distribution(1, 12)(m_random));
+        while (charge(number, n) == Duration::zero() && flood)
+            continue;
         const Gateway &own = *gateway(number);
         if (!own.sync.isFresh(m_now)) {
             ++refusedStale;
@@ -399,11 +404,6 @@
         }
         if (own.configuration < m_configurationInForce)
             violations.push_back("an acknowledged configuration was not in force");
-        // Now and then a flood, so that the bound is reached.
-        const bool flood = chance(0.3);
-        const Tokens n(std::uniform_int_distribution(1, 12)(m_random));
-        while (charge(number, n) == Duration::zero() && flood)
-            continue;
     }
 
     void commitConfiguration()
