--- a/src/Apps/Load/Report.cpp
+++ b/src/Apps/Load/Report.cpp
@@ -1,7 +1,7 @@
 #include "Apps/Load/Report.h"
 
 #include "Apps/Load/Percentiles.h"
-#include "Core/TokenBucket.h"
+#include "Apps/Load/ServedBucket.h"
 
 #include <nlohmann/json.hpp>
 
@@ -171,18 +171,16 @@
                                  const std::vector<PlannedRequest> &requests,
                                  const std::vector<Outcome> &outcomes)
 {
-    std::map<AccountId, TokenBucket> buckets;
+    std::map<AccountId, ServedBucket> buckets;
     for (const AccountDemand &it : experiment.accounts)
-        buckets.emplace(it.name, TokenBucket(it.rate, it.burst, Instant()));
-    std::vector<bool> within(requests.size(), true);
+        buckets.emplace(it.name, ServedBucket(it.rate, it.burst));
+    std::vector<bool> within(requests.size());
     for (std::size_t i = 0; i < requests.size(); ++i) {
-        TokenBucket &bucket = buckets.at(requests[i].account);
-        const Instant at(requests[i].at);
-        const Tokens charge = requests[i].charge();
-        if (outcomes[i].kind == Outcome::Kind::Refused)
-            within[i] = bucket.level(at) >= charge;
-        else
-            within[i] = bucket.take(charge, at);
+        const PlannedRequest &request = requests[i];
+        ServedBucket &bucket = buckets.at(request.account);
+        within[i] = bucket.hasRoom(request.charge(), request.at);
+        if (outcomes[i].kind != Outcome::Kind::Refused)
+            bucket.charge(request.charge(), request.at);
     }
     return within;
 }
--- a/src/Apps/Load/Report.h
+++ b/src/Apps/Load/Report.h
@@ -14,7 +14,7 @@
 namespace quetzalyoke {
 
 /// Which of \a requests were within their account's rate and burst, by an exact bucket of what
-/// the account was served in full before.
+/// the account was served before, also where that was too much.
 std::vector<bool> findWithinRate(const Experiment &experiment,
                                  const std::vector<PlannedRequest> &requests,
                                  const std::vector<Outcome> &outcomes);
