Let calls that may not be repeated run to their end when their caller goes

Cause: a caller that went away cancelled also a non-idempotent call in mid-run, which then ended as unknown; and its answer was kept only if it could still be charged. Change: such a call runs on, its answer is kept first and charged afterwards, so a repeat gets it.

--- a/src/Apps/Gateway/CallerApi.cpp
+++ b/src/Apps/Gateway/CallerApi.cpp
@@ -179,12 +179,12 @@
         m_idempotency.refuse(claim, refusal->runState);
         return writeRefusal(*refusal, res);
     }
-    const auto answer = readWhole(*std::get<0>(result), call, res);
-    if (!answer)
+    const auto whole = readWhole(*std::get<0>(result), call, res);
+    if (!whole)
         return m_idempotency.refuse(claim, RunState::Unknown);
     // Kept before it is handed over, so that a repeat finds it whatever happens to this one.
-    m_idempotency.complete(claim, *answer);
-    writeStored(*answer, res);
+    m_idempotency.complete(claim, whole->answer);
+    handOver(call, *whole, res);
 }
 
 void CallerApi::relay(const Call &call, httplib::Response &res, const InFlightMark &mark)
@@ -198,7 +198,7 @@
     if (!isStreamed(type)) {
         const auto whole = readWhole(*answer, call, res);
         if (whole)
-            writeStored(*whole, res);
+            handOver(call, *whole, res);
         return;
     }
     res.status = head.status;
@@ -209,31 +209,34 @@
         type, [stream, mark](size_t, httplib::DataSink &sink) { return stream->writeNext(sink); });
 }
 
-std::optional<StoredAnswer> CallerApi::readWhole(AnswerStream &answer, const Call &call,
-                                                 httplib::Response &res)
+std::optional<CallerApi::WholeAnswer> CallerApi::readWhole(AnswerStream &answer, const Call &call,
+                                                           httplib::Response &res)
 {
-    StoredAnswer whole = headOf(answer);
-    Tokens tokens = call.model ? call.estimate.prompt : call.estimate.answerLimit;
+    WholeAnswer whole{headOf(answer),
+                      call.model ? call.estimate.prompt : call.estimate.answerLimit};
     auto status = AnswerStream::Result::Nothing;
     while (status == AnswerStream::Result::Nothing || status == AnswerStream::Result::Data)
-        status = answer.read(whole.body, tokens);
-    if (status == AnswerStream::Result::Broken) {
-        writeRefusal(answer.refusal(), res);
-        return std::nullopt;
-    }
-    if (!call.account.isEmpty() && !chargeWhole(m_limits, call.account, tokens)) {
-        writeRefusal({statusTooManyRequests,
-                      "answer_exceeds_burst",
-                      "the answer has more tokens than the account's burst; ask for fewer, or "
-                      "stream it",
-                      RunState::Partial,
-                      {}},
-                     res);
-        return std::nullopt;
+        status = answer.read(whole.answer.body, whole.tokens);
+    if (status == AnswerStream::Result::End)
+        return whole;
+    writeRefusal(answer.refusal(), res);
+    return std::nullopt;
+}
+
+void CallerApi::handOver(const Call &call, const WholeAnswer &whole, httplib::Response &res)
+{
+    if (!call.account.isEmpty() && !chargeWhole(m_limits, call.account, whole.tokens)) {
+        return writeRefusal({statusTooManyRequests,
+                             "answer_exceeds_burst",
+                             "the answer has more tokens than the account's burst; ask for fewer, "
+                             "or stream it",
+                             RunState::Partial,
+                             {}},
+                            res);
     }
     Metrics::count("completed_total");
     EventLog::record(EventKind::RequestCompleted, call.id);
-    return whole;
+    writeStored(whole.answer, res);
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Gateway/CallerApi.h
+++ b/src/Apps/Gateway/CallerApi.h
@@ -54,9 +54,17 @@
              const InFlightMark &mark);
     void runOnce(const Call &call, httplib::Response &res);
     void relay(const Call &call, httplib::Response &res, const InFlightMark &mark);
-    /// Waits for the whole answer; nothing where it was refused, which is written to \a res.
-    std::optional<StoredAnswer> readWhole(AnswerStream &answer, const Call &call,
-                                          httplib::Response &res);
+    /// \brief An answer as a whole, with the tokens to charge for it.
+    struct WholeAnswer
+    {
+        StoredAnswer answer;
+        Tokens tokens;
+    };
+    /// Waits for the whole answer; nothing where it broke off, which is written to \a res.
+    static std::optional<WholeAnswer> readWhole(AnswerStream &answer, const Call &call,
+                                                httplib::Response &res);
+    /// Charges \a whole and hands it over.
+    void handOver(const Call &call, const WholeAnswer &whole, httplib::Response &res);
 
     SharedState const &m_state;
     Authenticator m_authenticator;
--- a/src/Apps/Gateway/Relay.cpp
+++ b/src/Apps/Gateway/Relay.cpp
@@ -167,7 +167,8 @@
     {
         if (Process::now() >= m_call.deadline)
             return m_flow.onDeadline(cancel());
-        if (HttpServer::callerHasGone())
+        // A call that may not be repeated runs to its end, so that its outcome is known.
+        if (m_call.idempotent && HttpServer::callerHasGone())
             return m_flow.onCallerGone(cancel());
         try {
             m_agent->pool->call([&](wire::AgentClient &it) {
