--- a/test/SharesScheduleTest.cpp
+++ b/test/SharesScheduleTest.cpp
@@ -102,7 +102,7 @@
     {
         m_entries[account] = {account, rate, burst, 0};
         for (int i = 0; i < keyCount; ++i)
-            m_table.commit({keyName(i), keyValue(i, false), Version()});
+            table.commit({keyName(i), keyValue(i, false), Version()});
         commitConfiguration();
         m_gateways.resize(static_cast<std::size_t>(plan.gateways) + 1);
         m_frozenUntil.resize(m_gateways.size());
@@ -125,7 +125,7 @@
         }
     }
 
-    FakeTable m_table;
+    FakeTable table;
     std::vector<std::string> violations;
     std::int64_t delivered = 0;
     std::int64_t accepted = 0;
@@ -256,15 +256,15 @@
 
     void readTable(int number, std::function<void()> then)
     {
-        if (m_table.out || isCut(number, tableNumber))
+        if (table.out || isCut(number, tableNumber))
             return;
         const Instant startedAt = m_now;
         const Version known = gateway(number)->sync.state().version();
         const Identity reader = identity(number);
         after(latency(), [this, number, reader, known, startedAt, then = std::move(then)] {
-            if (m_table.out)
+            if (table.out)
                 return;
-            const auto rows = m_table.after(known);
+            const auto rows = table.after(known);
             on(reader, latency(), [this, number, rows, startedAt, then] {
                 gateway(number)->sync.onTableRead(rows, startedAt, m_now);
                 publish(number);
@@ -283,9 +283,9 @@
 
     // The answer may be lost, and the write may take effect long after its sender gave up.
     void commit(int number, const ConditionalWrite &write,
-                std::function<void(Result, Version)> then)
+                const std::function<void(Result, Version)> &then)
     {
-        if (m_table.out || isCut(number, tableNumber)) {
+        if (table.out || isCut(number, tableNumber)) {
             on(number, 1ms, [then] { then(Result::NotSent, {}); });
             return;
         }
@@ -293,8 +293,8 @@
         const Duration delay = lost && chance(0.5) ? pick(100ms, 1500ms) : latency();
         const Identity writer = identity(number);
         after(delay, [this, writer, write, lost, then] {
-            const bool out = m_table.out;
-            const auto version = out ? std::nullopt : m_table.commit(write);
+            const bool out = table.out;
+            const auto version = out ? std::nullopt : table.commit(write);
             if (lost)
                 return;
             const Result result = out ? Result::NotSent : version ? Result::Done : Result::Conflict;
@@ -408,10 +408,10 @@
 
     void commitConfiguration()
     {
-        const auto it = m_table.rows.find(StateCache::configurationKey);
-        const Version expected = it == m_table.rows.end() ? Version() : it->second.version;
-        m_table.commit({StateCache::configurationKey,
-                        ConfigurationPointer{"text", "operator", {}}.toJson(), expected});
+        const auto it = table.rows.find(StateCache::configurationKey);
+        const Version expected = it == table.rows.end() ? Version() : it->second.version;
+        table.commit({StateCache::configurationKey,
+                      ConfigurationPointer{"text", "operator", {}}.toJson(), expected});
     }
 
     // Operators race: each changes a key or the configuration through any gateway.
@@ -433,7 +433,7 @@
         const std::string name = isKey ? keyName(key) : StateCache::configurationKey;
         const std::string value
             = isKey ? keyValue(key, true) : ConfigurationPointer{"text", "operator", {}}.toJson();
-        const auto row = m_table.rows.find(name);
+        const auto row = table.rows.find(name);
         const ConditionalWrite write{name, value, row->second.version};
         commit(number, write, [this, number, isKey, key](Result result, Version version) {
             if (result != Result::Done)
@@ -480,8 +480,8 @@
             cut(number, other, pick(100ms, 4500ms));
             break;
         case 4:
-            m_table.out = true;
-            after(pick(100ms, 3500ms), [this] { m_table.out = false; });
+            table.out = true;
+            after(pick(100ms, 3500ms), [this] { table.out = false; });
             break;
         default:
             break;
@@ -578,8 +578,8 @@
 {
     std::int64_t owed = 0;
     std::int64_t largest = 0;
-    world.after(outageStart, [&world] { world.m_table.out = true; });
-    world.after(outageEnd, [&world] { world.m_table.out = false; });
+    world.after(outageStart, [&world] { world.table.out = true; });
+    world.after(outageEnd, [&world] { world.table.out = false; });
     std::function<void()> arrive = [&] {
         owed += tokensOfTenth;
         largest = std::max(largest, owed);
