--- a/test/LoadScheduleTest.cpp
+++ b/test/LoadScheduleTest.cpp
@@ -80,10 +80,10 @@
     experiment.accounts[0].rate = TokensPerSecond(100);
     experiment.accounts[0].burst = Tokens(100);
     std::vector<PlannedRequest> requests(4);
-    for (std::size_t i = 0; i < requests.size(); ++i) {
-        requests[i].account = AccountId("small");
-        requests[i].target = "model-1";
-        requests[i].answerTokens = 80;
+    for (PlannedRequest &it : requests) {
+        it.account = AccountId("small");
+        it.target = "model-1";
+        it.answerTokens = 80;
     }
     requests[2].at = std::chrono::seconds(1);
     requests[3].at = std::chrono::seconds(3);
