--- a/src/Apps/Agent/AttemptTable.cpp
+++ b/src/Apps/Agent/AttemptTable.cpp
@@ -173,6 +173,17 @@
         }));
 }
 
+std::map<std::string, std::int64_t> AttemptTable::loads() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, std::int64_t> loads;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (!attempt->isFinished())
+            ++loads[attempt->submission().target];
+    }
+    return loads;
+}
+
 void AttemptTable::drain()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -7,6 +7,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -62,6 +63,8 @@
     void offer(std::set<std::string> names);
     /// Attempts for a model or adapter that are accepted and not finished.
     std::size_t inFlight(const std::string &name) const;
+    /// The same for all models that have any.
+    std::map<std::string, std::int64_t> loads() const;
 
     /// Refuses new attempts from now on.
     void drain();
--- a/src/Apps/Agent/Reporter.cpp
+++ b/src/Apps/Agent/Reporter.cpp
@@ -99,8 +99,12 @@
     report.backendKind = m_settings.engine ? "engine" : "service";
     report.serverName = m_settings.server.text();
     if (m_engine) {
-        for (const Holding &it : m_engine->held())
+        const auto loads = m_table.loads();
+        for (const Holding &it : m_engine->held()) {
             report.models.push_back(stateFrom(it));
+            const auto load = loads.find(it.name);
+            report.models.back().load = load == loads.end() ? 0 : load->second;
+        }
         report.memoryPledgedMb = m_engine->worstCase().count();
     }
     report.fencingEpoch = m_fencingEpoch;
--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -83,6 +83,8 @@
         reply.configurationVersion = configuration->version.count();
         m_planner.answer(reply, report, *configuration);
     }
+    // An agent that says so itself is believed at once, the platform's list whenever it shows it.
+    status.draining = status.draining || m_planner.isLeaving(status.instance);
     m_fleet.update(status);
     m_crashes.add(report.suspicions, report.instance);
 }
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -37,7 +37,12 @@
         settings.bodyBytes = static_cast<std::size_t>(
             reader.number("body_bytes", 1024, 256 * mebibyte, 8 * mebibyte));
         settings.pollInterval = reader.milliseconds("poll_interval_ms", 10, 60'000, 500);
-        settings.planInterval = reader.milliseconds("plan_interval_ms", 10, 60'000, 1000);
+        settings.dynamicPlacement
+            = reader.choice("placement_policy", {"dynamic", "static"}, "dynamic") == "dynamic";
+        settings.planShards = static_cast<std::size_t>(reader.number("plan_shards", 1, 1024, 1));
+        settings.planLoads = static_cast<std::size_t>(reader.number("plan_loads", 0, 1024, 8));
+        settings.planLease = reader.milliseconds("plan_lease_ms", 100, 600'000, 5000);
+        settings.planInterval = reader.milliseconds("plan_interval_ms", 10, 60'000, 500);
         settings.platformTimeout = reader.milliseconds("platform_timeout_ms", 10, 60'000, 1000);
         settings.freshness = reader.milliseconds("freshness_ms", 100, 60'000, 3000);
         settings.agentSilence = reader.milliseconds("agent_silence_ms", 100, 600'000, 3000);
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -27,7 +27,11 @@
     int doorConnections = 0; ///< Of agents and gateways at once.
     std::size_t bodyBytes = 0;
     std::chrono::milliseconds pollInterval{}; ///< Of the table.
+    bool dynamicPlacement = true; ///< Or the static floor plan.
+    std::size_t planShards = 0; ///< Rows that the plan is kept in; the same at all gateways.
+    std::size_t planLoads = 0; ///< Extra copies on their way to ready at once.
     std::chrono::milliseconds planInterval{}; ///< Between two looks at the plan in the table.
+    std::chrono::milliseconds planLease{}; ///< An unchanged lease row this old may be taken over.
     std::chrono::milliseconds platformTimeout{};
     std::chrono::milliseconds freshness{}; ///< Keyed traffic needs state no older than this.
     std::chrono::milliseconds agentSilence{}; ///< Then an agent gets no new work.
--- a/src/Apps/Gateway/Planner.cpp
+++ b/src/Apps/Gateway/Planner.cpp
@@ -7,22 +7,46 @@
 
 namespace {
 
-std::vector<wire::ModelState> wantedFor(const Configuration &configuration,
-                                        const ServerName &server)
+std::vector<Holding> floorHoldings(const Configuration &configuration, const ServerName &server)
 {
-    std::vector<wire::ModelState> wanted;
+    std::vector<Holding> holdings;
     const auto it = configuration.plan.holdings.find(server);
     if (it == configuration.plan.holdings.end())
-        return wanted;
+        return holdings;
     for (const PlannedHolding &holding : it->second) {
+        holdings.push_back({holding.name, holding.version, holding.memory, holding.adapter, false});
+    }
+    return holdings;
+}
+
+std::vector<wire::ModelState> toWire(const std::vector<Holding> &holdings)
+{
+    std::vector<wire::ModelState> states;
+    for (const Holding &it : holdings) {
         wire::ModelState state;
-        state.name = holding.name;
-        state.version = holding.version;
-        state.memoryMb = holding.memory.count();
-        state.adapter = holding.adapter;
-        wanted.push_back(state);
+        state.name = it.name;
+        state.version = it.version;
+        state.memoryMb = it.memory.count();
+        state.adapter = it.adapter;
+        states.push_back(state);
     }
-    return wanted;
+    return states;
+}
+
+EngineStatus statusFrom(const wire::AgentReport &report)
+{
+    EngineStatus status;
+    status.instance = InstanceId(report.instance);
+    status.incarnation = Incarnation(report.incarnation);
+    status.sequence = report.sequence;
+    status.server = ServerName(report.serverName);
+    status.zone = ZoneName(report.zone);
+    status.memory = Megabytes(report.memoryTotalMb);
+    status.capacity = report.capacity;
+    status.draining = report.draining;
+    for (const wire::ModelState &it : report.models)
+        status.models.push_back({it.name, it.version, it.ready, it.load});
+    return status;
 }
 
 bool checksFencing(const ServiceList &list, const ServerName &server)
@@ -33,8 +57,11 @@
 
 } // namespace
 
-Planner::Planner(const GatewaySettings &settings, TableStore &table)
-    : m_settings(settings), m_fencing(table)
+Planner::Planner(const GatewaySettings &settings, TableStore &table, InstanceList &instances,
+                 const SharedState &state)
+    : m_settings(settings), m_instances(instances), m_state(state), m_fencing(table),
+      m_plans(table, settings.planShards), m_lease(table, settings.instance, settings.planLease),
+      m_view(settings.agentSilence, Process::now())
 {
     m_thread = std::thread([this] { work(); });
 }
@@ -60,24 +87,94 @@
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
         lock.unlock();
-        try {
-            m_fencing.refresh();
-        } catch (const std::exception &) {
-            Metrics::count("table_reads_failed_total");
-        }
+        refresh();
         lock.lock();
         m_stopped.wait_for(lock, m_settings.planInterval, [this] { return m_stopping; });
     }
 }
 
+// While the table is out the last plan stays in force and the right to order runs out.
+void Planner::refresh()
+{
+    try {
+        m_fencing.refresh();
+        if (m_settings.dynamicPlacement)
+            plan();
+        noteLeaving();
+    } catch (const std::exception &) {
+        Metrics::count("plan_refreshes_failed_total");
+    }
+}
+
+void Planner::plan()
+{
+    m_plans.refresh();
+    const auto configuration = m_state.configuration();
+    const Instant now = Process::now();
+    if (!configuration || !m_lease.hold(now))
+        return;
+    const auto current = m_plans.current();
+    PlacementPlan next;
+    {
+        const std::lock_guard lock(m_viewMutex);
+        if (!m_view.isComplete(configuration->list, now))
+            return;
+        PlacementInput input = m_view.input(configuration->list, current->plan, now);
+        input.loadsInFlight = m_settings.planLoads;
+        PlacementPlanner planner(input);
+        next = planner.next(current->plan);
+        Metrics::gauge("models_unplaced", static_cast<double>(planner.unplaced().size()));
+    }
+    m_plans.commit(next, configuration->version);
+}
+
+void Planner::noteLeaving()
+{
+    for (const ListedInstance &it : m_instances.instances()) {
+        if (!it.leaving)
+            continue;
+        const std::lock_guard lock(m_viewMutex);
+        m_view.noteLeaving(it.instance);
+    }
+}
+
+bool Planner::isLeaving(const InstanceId &agent) const
+{
+    const std::lock_guard lock(m_viewMutex);
+    return m_view.isLeaving(agent);
+}
+
 void Planner::answer(wire::ReportReply &reply, const wire::AgentReport &report,
                      const Configuration &configuration)
 {
-    reply.planVersion = configuration.version.count();
+    if (report.backendKind != "engine")
+        return;
+    {
+        const std::lock_guard lock(m_viewMutex);
+        m_view.update(statusFrom(report), Process::now());
+    }
+    answerPlan(reply, report, configuration);
+    answerFencing(reply, report, configuration);
+}
+
+// A plan is passed on only together with the service list that it was made for: then all
+// gateways give the same answer for the same version.
+void Planner::answerPlan(wire::ReportReply &reply, const wire::AgentReport &report,
+                         const Configuration &configuration)
+{
+    const ServerName server(report.serverName);
+    if (!m_settings.dynamicPlacement) {
+        reply.planVersion = configuration.version.count();
+        if (report.planVersion < reply.planVersion)
+            reply.wanted = toWire(floorHoldings(configuration, server));
+        return;
+    }
+    const auto current = m_plans.current();
+    if (current->configuration != configuration.version)
+        return;
+    reply.planVersion = current->version.count();
     if (report.planVersion < reply.planVersion)
-        reply.wanted = wantedFor(configuration, ServerName(report.serverName));
-    if (report.backendKind == "engine")
-        answerFencing(reply, report, configuration);
+        reply.wanted = toWire(current->plan.holdingsOf(server, configuration.list));
 }
 
 void Planner::answerFencing(wire::ReportReply &reply, const wire::AgentReport &report,
--- a/src/Apps/Gateway/Planner.h
+++ b/src/Apps/Gateway/Planner.h
@@ -3,7 +3,10 @@
 
 #include "Apps/Gateway/FencingBook.h"
 #include "Apps/Gateway/GatewaySettings.h"
+#include "Apps/Gateway/PlanBook.h"
+#include "Apps/Gateway/PlanningLease.h"
 #include "Apps/Gateway/SharedState.h"
+#include "Core/PlacementView.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <condition_variable>
@@ -12,25 +15,39 @@
 
 namespace quetzalyoke {
 
-/// \brief Tells agents what their servers should hold and whether they may order.
+/// \brief Plans which server holds what, and tells agents the plan and whether they may order.
 class Planner
 {
 public:
-    Planner(const GatewaySettings &settings, TableStore &table);
+    Planner(const GatewaySettings &settings, TableStore &table, InstanceList &instances,
+            const SharedState &state);
     ~Planner();
 
     /// Fills in the plan's and the fencing's part of the answer to a report.
     void answer(wire::ReportReply &reply, const wire::AgentReport &report,
                 const Configuration &configuration);
+    /// Whether the platform's list showed the agent as leaving.
+    bool isLeaving(const InstanceId &agent) const;
     void stop();
 
 private:
     void work();
+    void refresh();
+    void plan();
+    void noteLeaving();
+    void answerPlan(wire::ReportReply &reply, const wire::AgentReport &report,
+                    const Configuration &configuration);
     void answerFencing(wire::ReportReply &reply, const wire::AgentReport &report,
                        const Configuration &configuration);
 
     const GatewaySettings &m_settings;
+    InstanceList &m_instances;
+    const SharedState &m_state;
     FencingBook m_fencing;
+    PlanBook m_plans;
+    PlanningLease m_lease;
+    mutable std::mutex m_viewMutex; // of the next member
+    PlacementView m_view;
     std::mutex m_mutex; // of the members below
     std::condition_variable m_stopped;
     bool m_stopping = false;
--- /dev/null
+++ b/src/Apps/Gateway/PlanningLease.cpp
@@ -0,0 +1,43 @@
+#include "Apps/Gateway/PlanningLease.h"
+
+namespace quetzalyoke {
+
+namespace {
+
+constexpr const char *leaseKey = "planning-lease";
+constexpr int renewalsPerLength = 3;
+
+} // namespace
+
+PlanningLease::PlanningLease(TableStore &table, InstanceId self, Duration length)
+    : m_table(table), m_self(std::move(self)), m_length(length)
+{ }
+
+// No clocks are compared: a row that has not changed for the lease's length, as this gateway has
+// seen it, has lost its holder.
+bool PlanningLease::hold(Instant now)
+{
+    const auto row = m_table.read(leaseKey);
+    if (!row)
+        return write(Version(0), now);
+    if (row->version != m_seen) {
+        m_seen = row->version;
+        m_seenAt = now;
+    }
+    if (row->value == m_self.text()) {
+        const bool due = now - m_writtenAt > m_length / renewalsPerLength;
+        return !due || write(row->version, now);
+    }
+    return now - m_seenAt > m_length && write(row->version, now);
+}
+
+bool PlanningLease::write(Version expected, Instant now)
+{
+    const auto version = m_table.commit({{leaseKey, m_self.text(), expected}});
+    if (!version)
+        return false;
+    m_writtenAt = now;
+    return true;
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -57,7 +57,7 @@
     IdempotencyStore idempotency(platform, fleet);
     NoAccountLimits limits;
     StateSync sync(settings, platform, state);
-    Planner planner(settings, platform);
+    Planner planner(settings, platform, platform, state);
     CallerApi callers(settings, state, relay, limits, idempotency);
     OpenChangeGate gate;
     OperatorApi operators(settings, platform, state, sync, fleet, gate);
--- /dev/null
+++ b/src/Core/PlacementPlan.cpp
@@ -0,0 +1,79 @@
+#include "Core/PlacementPlan.h"
+
+#include "Core/Error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalyoke {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t fnvOffset = 14'695'981'039'346'656'037ULL;
+constexpr std::uint64_t fnvPrime = 1'099'511'628'211ULL;
+
+} // namespace
+
+std::vector<Holding> PlacementPlan::holdingsOf(const ServerName &server,
+                                               const ServiceList &list) const
+{
+    std::vector<Holding> holdings;
+    std::vector<Holding> adapters;
+    for (const auto &[name, copies] : models) {
+        const auto copy = copies.find(server);
+        const auto model = list.models.find(name);
+        if (copy == copies.end() || model == list.models.end())
+            continue;
+        holdings.push_back({name.text(), copy->second, model->second.memory, false, false});
+    }
+    for (const auto &[name, adapter] : list.adapters) {
+        const auto base = models.find(adapter.base);
+        if (base != models.end() && base->second.contains(server))
+            adapters.push_back({name.text(), adapter.version, adapter.memory, true, false});
+    }
+    holdings.insert(holdings.end(), adapters.begin(), adapters.end());
+    return holdings;
+}
+
+std::string PlanRow::keyOf(std::size_t shard)
+{
+    return prefix + std::to_string(shard);
+}
+
+// FNV-1a: std::hash may differ between builds.
+std::size_t PlanRow::shardOf(const ModelName &model, std::size_t shards)
+{
+    std::uint64_t hash = fnvOffset;
+    for (const char c : model.text())
+        hash = (hash ^ static_cast<unsigned char>(c)) * fnvPrime;
+    return hash % shards;
+}
+
+std::string PlanRow::toJson() const
+{
+    Json models = Json::object();
+    for (const auto &[name, copies] : plan.models) {
+        Json &json = models[name.text()] = Json::object();
+        for (const auto &[server, version] : copies)
+            json[server.text()] = version;
+    }
+    return Json{{"configuration", configuration.count()}, {"models", models}}.dump();
+}
+
+PlanRow PlanRow::fromJson(const std::string &json)
+{
+    const Json body = Json::parse(json, nullptr, false);
+    if (!body.is_object())
+        throw Error(ErrorKind::BadAnswer, "a plan row holds no JSON object; delete the row");
+    PlanRow row;
+    row.configuration = Version(body.at("configuration"));
+    for (const auto &[name, copies] : body.at("models").items()) {
+        PlacementPlan::Copies &known = row.plan.models[ModelName(name)];
+        for (const auto &[server, version] : copies.items())
+            known[ServerName(server)] = version.get<std::string>();
+    }
+    return row;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Core/PlacementPlan.h
@@ -0,0 +1,45 @@
+#ifndef QUETZALYOKE_CORE_PLACEMENTPLAN_H
+#define QUETZALYOKE_CORE_PLACEMENTPLAN_H
+
+#include "Core/EngineOrder.h"
+#include "Core/ServiceList.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief Which servers hold which model, each copy with its version; adapters go with their base.
+struct PlacementPlan
+{
+    /// Copies of one model: version by server.
+    using Copies = std::map<ServerName, std::string>;
+
+    std::map<ModelName, Copies> models;
+
+    bool operator==(const PlacementPlan &) const = default;
+
+    /// What \a server should hold, each base before its adapters.
+    std::vector<Holding> holdingsOf(const ServerName &server, const ServiceList &list) const;
+};
+
+/// \brief One row of the plan in the table: the models of one shard.
+struct PlanRow
+{
+    static constexpr const char *prefix = "plan/";
+    static std::string keyOf(std::size_t shard);
+    /// Shard of \a model; the same in every process.
+    static std::size_t shardOf(const ModelName &model, std::size_t shards);
+
+    Version configuration; ///< Of the service list that the plan was made for.
+    PlacementPlan plan;
+
+    std::string toJson() const;
+    /// Throws Error (BadAnswer).
+    static PlanRow fromJson(const std::string &json);
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Core/PlacementPlanner.h
@@ -0,0 +1,86 @@
+#ifndef QUETZALYOKE_CORE_PLACEMENTPLANNER_H
+#define QUETZALYOKE_CORE_PLACEMENTPLANNER_H
+
+#include "Core/PlacementPlan.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief A model server as the planner sees it.
+struct PlannedServer
+{
+    ZoneName zone;
+    Megabytes memory;
+    bool usable = false; ///< Heard of lately and not leaving.
+    std::map<std::string, std::string> ready; ///< Version of each model that can answer.
+};
+
+/// \brief What a plan is made from.
+struct PlacementInput
+{
+    const ServiceList *list = nullptr;
+    std::map<ServerName, PlannedServer> servers;
+    std::map<ModelName, std::size_t> wantedCopies; ///< Where more than one.
+    std::size_t loadsInFlight = 0; ///< Extra copies that may be on their way to ready at once.
+};
+
+/// \brief Moves a plan one step towards what is wanted; pure.
+///
+/// Keeps every copy where it is unless there is a reason. Every model has a copy on a usable
+/// server if one has room; a copy is given up only once another one of the model is ready, or
+/// where no room is left to do it in that order.
+class PlacementPlanner
+{
+public:
+    explicit PlacementPlanner(const PlacementInput &input);
+
+    /// The next plan after \a previous; the same one where there is nothing to do.
+    PlacementPlan next(const PlacementPlan &previous);
+    /// Models that have no copy on a usable server in the last plan made.
+    const std::vector<ModelName> &unplaced() const { return m_unplaced; }
+
+private:
+    using Copies = PlacementPlan::Copies;
+    using SpareFilter
+        = std::function<bool(const ModelName &, const std::pair<const ServerName, std::string> &)>;
+
+    void measureBundles();
+    void dropUnknown();
+    void dropOverfull();
+    void changeVersion(const ModelEntry &model);
+    Copies::iterator findOld(const ModelEntry &model, Copies &copies) const;
+    void placeFloor(const ModelEntry &model);
+    void adjustCopies(const ModelEntry &model);
+    bool makeRoom(const ModelEntry &model);
+    bool mayGetRoom(const ModelEntry &model) const;
+    std::map<ServerName, std::vector<ModelName>> spares(const SpareFilter &accepts) const;
+    Megabytes roomWithout(const std::vector<ModelName> &names, const ServerName &server) const;
+    bool isDispensable(const ModelName &model, const ServerName &server,
+                       const std::string &version) const;
+
+    bool holds(const ModelName &model, const ServerName &server) const;
+    bool isReady(const ModelName &model, const ServerName &server,
+                 const std::string &version) const;
+    std::size_t readyCopies(const ModelName &model) const;
+    std::size_t targetOf(const ModelName &model) const;
+    std::size_t copiesUnderWay() const;
+    /// The best server for one more copy; nothing where none has room.
+    const ServerName *findServer(const ModelEntry &model) const;
+    void add(const ModelEntry &model, const ServerName &server);
+    void remove(const ModelName &model, const ServerName &server);
+
+    const PlacementInput &m_input;
+    std::map<ModelName, Megabytes> m_bundles; // a model with its adapters
+    std::map<ServerName, Megabytes> m_room; // of usable servers
+    PlacementPlan m_plan;
+    std::vector<ModelName> m_unplaced;
+    std::size_t m_underWay = 0;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Core/PlacementView.h
@@ -0,0 +1,73 @@
+#ifndef QUETZALYOKE_CORE_PLACEMENTVIEW_H
+#define QUETZALYOKE_CORE_PLACEMENTVIEW_H
+
+#include "Core/PlacementPlanner.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief What the agent of an engine last said, as far as placement depends on it.
+struct EngineStatus
+{
+    struct Model
+    {
+        std::string name;
+        std::string version;
+        bool ready = false;
+        std::int64_t load = 0; ///< Queued and running attempts.
+    };
+
+    InstanceId instance;
+    Incarnation incarnation;
+    std::int64_t sequence = 0;
+    ServerName server;
+    ZoneName zone;
+    Megabytes memory; ///< Zero: not told.
+    std::int64_t capacity = 1; ///< Attempts that run at once.
+    bool draining = false;
+    std::vector<Model> models;
+};
+
+/// \brief The engines as one gateway hears of them, made into the planner's input. Pure.
+class PlacementView
+{
+public:
+    /// A server silent for longer than \a silence counts as lost.
+    PlacementView(Duration silence, Instant startedAt);
+
+    void update(const EngineStatus &status, Instant now);
+    /// Agents that the platform's instance list shows as leaving. One that was shown stays
+    /// leaving until another incarnation reports.
+    void noteLeaving(const InstanceId &instance);
+    bool isLeaving(const InstanceId &instance) const;
+
+    /// Whether enough is heard to plan: every listed engine, or enough for long enough. A gateway
+    /// that hears less than half of them is more likely cut off than they are lost.
+    bool isComplete(const ServiceList &list, Instant now) const;
+    PlacementInput input(const ServiceList &list, const PlacementPlan &plan, Instant now);
+
+private:
+    struct Entry
+    {
+        EngineStatus status;
+        Instant heardAt;
+        bool listedLeaving = false;
+    };
+
+    bool isUsable(const Entry &entry, Instant now) const;
+    std::size_t wantedCopies(const ModelName &model, const PlacementPlan::Copies &copies,
+                             Instant now);
+
+    Duration m_silence;
+    Instant m_startedAt;
+    std::map<ServerName, Entry> m_servers;
+    std::map<ModelName, Instant> m_busyAt; // when the copies were last all needed
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Wire/quetzalyoke.thrift
+++ b/src/Wire/quetzalyoke.thrift
@@ -92,6 +92,7 @@
     3: bool ready,
     4: bool adapter,
     5: i64 memoryMb,
+    6: i64 load,                 // queued and running attempts for it
 }
 
 struct AgentReport {
