--- a/src/Apps/Agent/Attempt.cpp
+++ b/src/Apps/Agent/Attempt.cpp
@@ -1,5 +1,7 @@
 #include "Apps/Agent/Attempt.h"
 
+#include "Adapters/EventLog.h"
+
 #include <utility>
 
 namespace quetzalyoke {
@@ -16,6 +18,7 @@
     if (m_cancelled || m_finished)
         return false;
     m_started = true;
+    recordEvent(EventKind::AttemptStarted);
     return true;
 }
 
@@ -34,6 +37,8 @@
         state = runStateLocked();
         if (m_finished)
             return state;
+        if (!m_cancelled)
+            recordEvent(EventKind::AttemptCancelled);
         m_cancelled = true;
         m_delivered = true; // nobody waits for it any more
         hook = std::exchange(m_cancelHook, nullptr);
@@ -74,6 +79,8 @@
 void Attempt::finish(Instant now)
 {
     const std::lock_guard lock(m_mutex);
+    if (!m_finished)
+        recordEvent(EventKind::AttemptFinished);
     endLocked(now);
 }
 
@@ -86,6 +93,7 @@
     m_error = error;
     m_errorMessage = message;
     m_retryAfter = retryAfter;
+    recordEvent(EventKind::AttemptFailed, " reason=\"" + message + "\"");
     endLocked(now);
 }
 
@@ -110,6 +118,12 @@
     fail(now, wire::ErrorCode::BackendCrashed, "the backend server crashed; ask again", retryAfter);
 }
 
+void Attempt::recordEvent(EventKind kind, const std::string &detail) const
+{
+    EventLog::record(kind, RequestId(m_submission.requestId),
+                     "attempt=" + m_submission.attemptId + detail);
+}
+
 void Attempt::endLocked(Instant now)
 {
     m_finished = true;
--- a/src/Apps/Agent/Attempt.h
+++ b/src/Apps/Agent/Attempt.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_APPS_AGENT_ATTEMPT_H
 
 #include "Core/StrongTypes.h"
+#include "Core/Timeline.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <chrono>
@@ -58,6 +59,7 @@
 private:
     wire::RunState::type runStateLocked() const;
     void endLocked(Instant now);
+    void recordEvent(EventKind kind, const std::string &detail = {}) const;
     void releaseLocked(std::int64_t offset);
     std::int64_t endOffsetLocked() const;
 
--- a/src/Apps/Gateway/GatewayDoor.h
+++ b/src/Apps/Gateway/GatewayDoor.h
@@ -4,6 +4,7 @@
 #include "Adapters/FleetGuard.h"
 #include "Apps/Gateway/CrashWatch.h"
 #include "Apps/Gateway/Fleet.h"
+#include "Apps/Gateway/PeerExchange.h"
 #include "Apps/Gateway/Planner.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Wire/generated/Gateway.h"
@@ -13,12 +14,22 @@
 
 namespace quetzalyoke {
 
+/// \brief The parts of a gateway that its door gives access to.
+struct DoorParts
+{
+    const GatewaySettings &settings;
+    SharedState &state;
+    Fleet &fleet;
+    CrashWatch &crashes;
+    Planner &planner;
+    PeerExchange &peers;
+};
+
 /// \brief Thrift handler of one connection from an agent or another gateway.
 class GatewayDoor : public wire::GatewayIf
 {
 public:
-    GatewayDoor(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                CrashWatch &crashes, Planner &planner);
+    explicit GatewayDoor(const DoorParts &parts);
 
     void challenge(std::string &nonce) override;
     bool authenticate(const std::string &proof) override;
@@ -27,20 +38,16 @@
     void report(wire::ReportReply &reply, const wire::AgentReport &report) override;
     void exchange(wire::PeerDigest &answer, const wire::PeerDigest &digest) override;
     void stateRows(std::vector<wire::StateRow> &rows, std::int64_t sinceVersion) override;
+    void configurationText(std::string &text, std::int64_t version) override;
     std::int64_t spendShare(const std::string &account, std::int64_t tokens) override;
 
 private:
-    SharedState &m_state;
-    Fleet &m_fleet;
-    CrashWatch &m_crashes;
-    Planner &m_planner;
+    const DoorParts m_parts;
     FleetGuard m_guard;
 };
 
 /// Makes a handler for each connection.
-std::shared_ptr<apache::thrift::TProcessorFactory>
-makeGatewayDoorFactory(const GatewaySettings &settings, SharedState &state, Fleet &fleet,
-                       CrashWatch &crashes, Planner &planner);
+std::shared_ptr<apache::thrift::TProcessorFactory> makeGatewayDoorFactory(const DoorParts &parts);
 
 } // namespace quetzalyoke
 
--- a/src/Apps/Gateway/GatewaySettings.cpp
+++ b/src/Apps/Gateway/GatewaySettings.cpp
@@ -7,23 +7,38 @@
 namespace {
 
 constexpr std::int64_t mebibyte = 1'048'576;
+constexpr int freshnessPerMargin = 6;
+constexpr int heartbeatsPerSilence = 3;
+
+// Mistakes that only show in two settings together.
+void checkTogether(const GatewaySettings &settings, EntryReader &reader)
+{
+    if (settings.freshness <= settings.pollInterval) {
+        reader.complain("freshness_ms", "freshness_ms is not above poll_interval_ms",
+                        "make it several times poll_interval_ms, or keyed traffic is refused "
+                        "between two reads of the table");
+    }
+    if (settings.listen.port != 0 && settings.listen.text() == settings.httpListen.text()) {
+        reader.complain("http_listen", "http_listen and listen are the same address",
+                        "give each a port of its own");
+    }
+}
 
 } // namespace
 
+SyncLimits GatewaySettings::syncLimits() const
+{
+    const Duration margin = freshness / freshnessPerMargin;
+    return {freshness, outageTolerance, margin,
+            heartbeatsPerSilence * memberInterval + freshness + margin};
+}
+
 GatewaySettings GatewaySettings::read(const IniDocument &document, Problems &problems)
 {
     GatewaySettings settings;
-    bool found = false;
-    for (const IniSection &it : document.sections()) {
-        if (it.kind != "gateway") {
-            problems.push_back({document.file(), it.line, "unknown section [" + it.kind + "]",
-                                "put all settings below [gateway]"});
-            continue;
-        }
-        found = true;
-        EntryReader reader(document.file(), it, problems);
-        settings.instance = InstanceId(reader.text("instance"));
-        settings.zone = ZoneName(reader.text("zone"));
+    readOnlySection(document, "gateway", problems, [&settings](EntryReader &reader) {
+        settings.instance = InstanceId(readName(reader, "instance"));
+        settings.zone = ZoneName(readName(reader, "zone"));
         settings.httpListen = readAddress(reader, "http_listen");
         settings.listen = readAddress(reader, "listen");
         settings.peers = readAddresses(reader, "peers");
@@ -45,6 +60,12 @@
         settings.planInterval = reader.milliseconds("plan_interval_ms", 10, 60'000, 500);
         settings.platformTimeout = reader.milliseconds("platform_timeout_ms", 10, 60'000, 1000);
         settings.freshness = reader.milliseconds("freshness_ms", 100, 60'000, 3000);
+        settings.memberInterval = reader.milliseconds("member_interval_ms", 100, 600'000, 2000);
+        settings.outageTolerance
+            = reader.milliseconds("outage_tolerance_ms", 1000, 86'400'000, 900'000);
+        const std::string policy
+            = reader.choice("share_policy", {"demand", "static"}, std::string("demand"));
+        settings.sharePolicy = policy == "static" ? SharePolicy::Static : SharePolicy::Demand;
         settings.agentSilence = reader.milliseconds("agent_silence_ms", 100, 600'000, 3000);
         settings.defaultDeadline
             = reader.milliseconds("default_deadline_ms", 100, 3'600'000, 60'000);
@@ -52,13 +73,9 @@
         settings.drainLimit = reader.milliseconds("drain_limit_ms", 0, 3'600'000, 120'000);
         settings.routingPolicy = reader.choice(
             "routing_policy", {"random", "round_robin", "least_loaded", "power_of_two", "affinity"},
-            "affinity");
-        reader.finish();
-    }
-    if (!found) {
-        problems.push_back(
-            {document.file(), 0, "no [gateway] section", "start the file with a line [gateway]"});
-    }
+            settings.routingPolicy);
+        checkTogether(settings, reader);
+    });
     return settings;
 }
 
--- a/src/Apps/Gateway/OperatorApi.h
+++ b/src/Apps/Gateway/OperatorApi.h
@@ -6,6 +6,7 @@
 #include "Apps/Gateway/OperatorChanges.h"
 #include "Apps/Gateway/SharedState.h"
 #include "Apps/Gateway/StateSync.h"
+#include "Apps/Gateway/TimelineCollector.h"
 
 #include <httplib.h>
 
@@ -19,7 +20,7 @@
 {
 public:
     OperatorApi(const GatewaySettings &settings, HttpPlatform &platform, SharedState &state,
-                StateSync &sync, Fleet &fleet, ChangeGate &gate);
+                StateSync &sync, Fleet &fleet, ChangeGate &gate, const TimelineCollector &timeline);
 
     void addRoutes(httplib::Server &server);
 
@@ -34,12 +35,14 @@
     void grantKey(const httplib::Request &req, httplib::Response &res);
     void withdrawKey(const httplib::Request &req, httplib::Response &res);
     void status(const httplib::Request &req, httplib::Response &res);
+    void timeline(const httplib::Request &req, httplib::Response &res);
 
     const GatewaySettings &m_settings;
     SharedState &m_state;
     StateSync &m_sync;
     Fleet &m_fleet;
     OperatorChanges m_changes;
+    const TimelineCollector &m_timeline;
 };
 
 } // namespace quetzalyoke
--- a/src/Core/PlacementPlanner.cpp
+++ b/src/Core/PlacementPlanner.cpp
@@ -35,9 +35,12 @@
     m_plan = previous;
     m_unplaced.clear();
     m_room.clear();
+    m_byRoom.clear();
     for (const auto &[name, server] : m_input.servers) {
-        if (server.usable)
-            m_room[name] = server.memory;
+        if (!server.usable)
+            continue;
+        m_room[name] = server.memory;
+        m_byRoom[server.zone].insert({server.memory, name});
     }
     dropUnknown();
     dropOverfull();
@@ -68,7 +71,7 @@
     for (auto &[model, copies] : m_plan.models) {
         std::erase_if(copies, [this](const auto &copy) { return !m_room.contains(copy.first); });
         for (const auto &[server, version] : copies)
-            m_room[server] -= m_bundles.at(model);
+            changeRoom(server, Megabytes() - m_bundles.at(model));
     }
 }
 
@@ -127,7 +130,7 @@
         return;
     const std::size_t target = targetOf(model.name);
     if (copies.size() > target)
-        remove(model.name, ServerName(old->first));
+        remove(model.name, old->first);
     else
         old->second = model.version;
 }
@@ -164,7 +167,7 @@
             = std::min_element(copies.begin(), copies.end(), [this](const auto &a, const auto &b) {
                   return m_room.at(a.first) < m_room.at(b.first);
               });
-        remove(model.name, ServerName(fullest->first));
+        remove(model.name, fullest->first);
     }
 }
 
@@ -270,41 +273,56 @@
     return n;
 }
 
-// A zone without a copy of the model first, then the server with the most room.
+// A zone with the fewest copies of the model first, then the server with the most room. Servers
+// are kept in the order of their room by zone, so that a search looks at few of them.
 const ServerName *PlacementPlanner::findServer(const ModelEntry &model) const
 {
-    const auto known = m_plan.models.find(model.name);
     const Megabytes needed = m_bundles.at(model.name);
     std::map<ZoneName, std::size_t> copiesInZone;
+    const auto known = m_plan.models.find(model.name);
     if (known != m_plan.models.end()) {
         for (const auto &[server, version] : known->second)
             ++copiesInZone[m_input.servers.at(server).zone];
     }
     const ServerName *best = nullptr;
     std::pair<std::size_t, Megabytes> bestRank;
-    for (const auto &[server, room] : m_room) {
-        if (room < needed || holds(model.name, server))
+    for (const auto &[zone, rooms] : m_byRoom) {
+        const auto free = std::find_if(rooms.rbegin(), rooms.rend(), [&](const auto &entry) {
+            return entry.first < needed || !holds(model.name, entry.second);
+        });
+        if (free == rooms.rend() || free->first < needed)
             continue;
-        const auto zone = copiesInZone.find(m_input.servers.at(server).zone);
+        const auto copies = copiesInZone.find(zone);
         // Fewer copies in the zone, then more room, is the lower rank.
-        const std::pair rank(zone == copiesInZone.end() ? 0 : zone->second, Megabytes() - room);
+        const std::pair rank(copies == copiesInZone.end() ? 0 : copies->second,
+                             Megabytes() - free->first);
         if (!best || rank < bestRank) {
-            best = &server;
+            best = &free->second;
             bestRank = rank;
         }
     }
     return best;
 }
 
-void PlacementPlanner::add(const ModelEntry &model, const ServerName &server)
+void PlacementPlanner::changeRoom(const ServerName &server, Megabytes change)
+{
+    auto &rooms = m_byRoom[m_input.servers.at(server).zone];
+    Megabytes &room = m_room.at(server);
+    rooms.erase({room, server});
+    room += change;
+    rooms.insert({room, server});
+}
+
+// The name may stand in the order that changes, hence the copy.
+void PlacementPlanner::add(const ModelEntry &model, ServerName server)
 {
-    m_room[server] -= m_bundles.at(model.name);
+    changeRoom(server, Megabytes() - m_bundles.at(model.name));
     m_plan.models[model.name][server] = model.version;
 }
 
-void PlacementPlanner::remove(const ModelName &model, const ServerName &server)
+void PlacementPlanner::remove(const ModelName &model, ServerName server)
 {
-    m_room[server] += m_bundles.at(model);
+    changeRoom(server, m_bundles.at(model));
     m_plan.models[model].erase(server);
 }
 
--- a/src/Core/PlacementPlanner.h
+++ b/src/Core/PlacementPlanner.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace quetzalyoke {
@@ -70,12 +72,14 @@
     std::size_t copiesUnderWay() const;
     /// The best server for one more copy; nothing where none has room.
     const ServerName *findServer(const ModelEntry &model) const;
-    void add(const ModelEntry &model, const ServerName &server);
-    void remove(const ModelName &model, const ServerName &server);
+    void add(const ModelEntry &model, ServerName server);
+    void remove(const ModelName &model, ServerName server);
+    void changeRoom(const ServerName &server, Megabytes change);
 
     const PlacementInput &m_input;
     std::map<ModelName, Megabytes> m_bundles; // a model with its adapters
     std::map<ServerName, Megabytes> m_room; // of usable servers
+    std::map<ZoneName, std::set<std::pair<Megabytes, ServerName>>> m_byRoom; // the same
     PlacementPlan m_plan;
     std::vector<ModelName> m_unplaced;
     std::size_t m_underWay = 0;
--- a/test/ServiceListCheckTest.cpp
+++ b/test/ServiceListCheckTest.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <random>
 
 using namespace quetzalyoke;
@@ -118,6 +120,26 @@
     return text;
 }
 
+CheckedServiceList readExample(const std::string &name)
+{
+    std::ifstream file(std::string(EXAMPLES) + "/" + name);
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    return ServiceListCheck::read(text, name);
+}
+
+// Every example is valid and has room for a rolling change of version.
+void expectExample(const std::string &name, std::size_t servers, std::size_t models,
+                   std::size_t adapters, std::size_t accounts)
+{
+    const CheckedServiceList checked = readExample(name);
+    EXPECT_EQ(describe(checked.problems), "");
+    EXPECT_EQ(describe(checked.notices), "");
+    EXPECT_EQ(checked.list.servers.size(), servers);
+    EXPECT_EQ(checked.list.models.size(), models);
+    EXPECT_EQ(checked.list.adapters.size(), adapters);
+    EXPECT_EQ(checked.list.accounts.size(), accounts);
+}
+
 } // namespace
 
 TEST(ServiceListCheckTest, acceptsAValidList)
@@ -195,3 +217,10 @@
     EXPECT_GT(accepted, 0);
     EXPECT_LT(accepted, rounds);
 }
+
+TEST(ServiceListCheckTest, acceptsTheExamples)
+{
+    expectExample("quickstart.ini", 3, 2, 1, 2);
+    expectExample("shire.ini", 24, 30, 120, 5);
+    expectExample("cascade.ini", 13, 18, 60, 5);
+}
