Plan placement from reports, keep the plan in the table

Cause: the plan was a function of the service list alone. A lost server's models stayed unreachable, a new version replaced the old one with a gap, demand moved nothing, and a server that only the platform's list called leaving went on getting work. A lost order blocked its engine for the whole order timeout.

The platform's list is read and marks agents of engines and services as leaving. An order's answer is awaited for order_answer_ms (3 s), its effect for order_timeout_ms.

Ruled out: computing the plan anew at each change, which moves copies without need.

--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -66,6 +66,9 @@
     /// The same for all models that have any.
     std::map<std::string, std::int64_t> loads() const;
 
+    /// Refuses new attempts while the backend server is down.
+    void setBackendDown(bool down);
+    bool isBackendDown() const;
     /// Refuses new attempts from now on.
     void drain();
     bool isDraining() const;
@@ -98,6 +101,7 @@
     std::int64_t m_crashes = 0;
     Instant m_lastCrashAt;
     bool m_draining = false;
+    bool m_backendDown = false;
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Agent/EngineRunner.cpp
+++ b/src/Apps/Agent/EngineRunner.cpp
@@ -27,7 +27,7 @@
 
 EngineRunner::EngineRunner(const AgentSettings &settings, AttemptTable &table)
     : m_settings(settings), m_table(table), m_reads(settings.backend, readTimeout),
-      m_orders(settings.backend, settings.orderTimeout), m_keeper(limitsFrom(settings))
+      m_orders(settings.backend, settings.orderAnswer), m_keeper(limitsFrom(settings))
 {
     m_table.offer({});
     m_threads.emplace_back([this] { readEngine(); });
--- a/src/Apps/Gateway/PlanBook.cpp
+++ b/src/Apps/Gateway/PlanBook.cpp
@@ -13,6 +13,8 @@
     bool changed = false;
     for (const TableRow &it : m_table.scan(PlanRow::prefix, m_readVersion)) {
         m_readVersion = std::max(m_readVersion, it.version);
+        if (!isOwnRow(it.key))
+            continue;
         m_rows[it.key] = {PlanRow::fromJson(it.value), it.version};
         changed = true;
     }
@@ -20,6 +22,16 @@
         publish();
 }
 
+// Rows of a larger number of shards, from before the setting was changed, count no more.
+bool PlanBook::isOwnRow(const std::string &key) const
+{
+    for (std::size_t i = 0; i < m_shards; ++i) {
+        if (key == PlanRow::keyOf(i))
+            return true;
+    }
+    return false;
+}
+
 // One scan shows the table at one moment and versions are commit numbers of the whole table, so
 // the highest version names the state of all rows.
 void PlanBook::publish()
--- a/src/Apps/Gateway/PlanBook.h
+++ b/src/Apps/Gateway/PlanBook.h
@@ -39,6 +39,7 @@
         Version version;
     };
 
+    bool isOwnRow(const std::string &key) const;
     void publish();
 
     TableStore &m_table;
--- a/src/Apps/Gateway/Planner.cpp
+++ b/src/Apps/Gateway/Planner.cpp
@@ -130,12 +130,13 @@
 
 void Planner::noteLeaving()
 {
+    std::set<InstanceId> leaving;
     for (const ListedInstance &it : m_instances.instances()) {
-        if (!it.leaving)
-            continue;
-        const std::lock_guard lock(m_viewMutex);
-        m_view.noteLeaving(it.instance);
+        if (it.leaving)
+            leaving.insert(it.instance);
     }
+    const std::lock_guard lock(m_viewMutex);
+    m_view.setListedLeaving(std::move(leaving));
 }
 
 bool Planner::isLeaving(const InstanceId &agent) const
--- a/src/Core/PlacementPlanner.cpp
+++ b/src/Core/PlacementPlanner.cpp
@@ -308,19 +308,21 @@
 {
     auto &rooms = m_byRoom[m_input.servers.at(server).zone];
     Megabytes &room = m_room.at(server);
-    rooms.erase({room, server});
+    // The name may stand in the entry that is erased.
+    std::pair entry(room, server);
+    rooms.erase(entry);
     room += change;
-    rooms.insert({room, server});
+    entry.first = room;
+    rooms.insert(std::move(entry));
 }
 
-// The name may stand in the order that changes, hence the copy.
-void PlacementPlanner::add(const ModelEntry &model, ServerName server)
+void PlacementPlanner::add(const ModelEntry &model, const ServerName &server)
 {
-    changeRoom(server, Megabytes() - m_bundles.at(model.name));
     m_plan.models[model.name][server] = model.version;
+    changeRoom(server, Megabytes() - m_bundles.at(model.name));
 }
 
-void PlacementPlanner::remove(const ModelName &model, ServerName server)
+void PlacementPlanner::remove(const ModelName &model, const ServerName &server)
 {
     changeRoom(server, m_bundles.at(model));
     m_plan.models[model].erase(server);
--- a/src/Core/PlacementPlanner.h
+++ b/src/Core/PlacementPlanner.h
@@ -72,8 +72,8 @@
     std::size_t copiesUnderWay() const;
     /// The best server for one more copy; nothing where none has room.
     const ServerName *findServer(const ModelEntry &model) const;
-    void add(const ModelEntry &model, ServerName server);
-    void remove(const ModelName &model, ServerName server);
+    void add(const ModelEntry &model, const ServerName &server);
+    void remove(const ModelName &model, const ServerName &server);
     void changeRoom(const ServerName &server, Megabytes change);
 
     const PlacementInput &m_input;
--- a/src/Core/PlacementView.cpp
+++ b/src/Core/PlacementView.cpp
@@ -11,10 +11,16 @@
 // A copy that is not needed is kept for this long: demand comes back.
 constexpr Duration spareTime = std::chrono::seconds(30);
 
+// Whether the second copy is there only to take the first one's place.
+bool isReplacement(const PlacementPlan::Copies &copies)
+{
+    return copies.size() == 2 && copies.begin()->second != copies.rbegin()->second;
+}
+
 } // namespace
 
 PlacementView::PlacementView(Duration silence, Instant startedAt)
-    : m_silence(silence), m_startedAt(startedAt)
+    : m_silence(silence), m_startedAt(startedAt), m_halfHeardAt(startedAt)
 { }
 
 void PlacementView::update(const EngineStatus &status, Instant now)
@@ -23,28 +29,23 @@
     const auto known = std::pair(entry.status.incarnation, entry.status.sequence);
     if (known >= std::pair(status.incarnation, status.sequence))
         return;
-    const bool restarted = entry.status.incarnation != status.incarnation;
-    entry.listedLeaving = entry.listedLeaving && !restarted;
     entry.status = status;
     entry.heardAt = now;
 }
 
-void PlacementView::noteLeaving(const InstanceId &instance)
+void PlacementView::setListedLeaving(std::set<InstanceId> instances)
 {
-    for (auto &[server, entry] : m_servers) {
-        if (entry.status.instance == instance)
-            entry.listedLeaving = true;
-    }
+    m_listedLeaving = std::move(instances);
 }
 
 bool PlacementView::isLeaving(const InstanceId &instance) const
 {
-    return std::any_of(m_servers.begin(), m_servers.end(), [&instance](const auto &entry) {
-        return entry.second.listedLeaving && entry.second.status.instance == instance;
-    });
+    return m_listedLeaving.contains(instance);
 }
 
-bool PlacementView::isComplete(const ServiceList &list, Instant now) const
+// Less than half may be left of a small fleet, or this gateway may be cut off: wait a little
+// longer before models are moved.
+bool PlacementView::isComplete(const ServiceList &list, Instant now)
 {
     std::size_t listed = 0;
     std::size_t heard = 0;
@@ -56,14 +57,20 @@
         if (it != m_servers.end() && it->second.heardAt + m_silence >= now)
             ++heard;
     }
-    if (heard == listed)
+    if (heard == listed) {
+        m_halfHeardAt = now;
         return true;
-    return now >= m_startedAt + m_silence && 2 * heard >= listed;
+    }
+    if (2 * heard >= listed)
+        m_halfHeardAt = now;
+    const Duration patience = 2 * heard >= listed ? Duration() : m_silence;
+    return now >= m_startedAt + m_silence && heard > 0 && now >= m_halfHeardAt + patience;
 }
 
 bool PlacementView::isUsable(const Entry &entry, Instant now) const
 {
-    return entry.heardAt + m_silence >= now && !entry.status.draining && !entry.listedLeaving;
+    return entry.heardAt + m_silence >= now && !entry.status.draining
+        && !isLeaving(entry.status.instance);
 }
 
 PlacementInput PlacementView::input(const ServiceList &list, const PlacementPlan &plan, Instant now)
@@ -111,6 +118,8 @@
         m_busyAt[model] = now;
         return copies.size() + 1;
     }
+    if (isReplacement(copies))
+        return 1;
     if (copies.size() < 2 || load > busyShare * capacity * (n - 1) / n)
         m_busyAt[model] = now;
     return now - m_busyAt[model] > spareTime ? copies.size() - 1 : copies.size();
--- a/src/Core/PlacementView.h
+++ b/src/Core/PlacementView.h
@@ -40,14 +40,13 @@
     PlacementView(Duration silence, Instant startedAt);
 
     void update(const EngineStatus &status, Instant now);
-    /// Agents that the platform's instance list shows as leaving. One that was shown stays
-    /// leaving until another incarnation reports.
-    void noteLeaving(const InstanceId &instance);
+    /// Agents, of engines and services, that the platform's instance list shows as leaving.
+    void setListedLeaving(std::set<InstanceId> instances);
     bool isLeaving(const InstanceId &instance) const;
 
-    /// Whether enough is heard to plan: every listed engine, or enough for long enough. A gateway
-    /// that hears less than half of them is more likely cut off than they are lost.
-    bool isComplete(const ServiceList &list, Instant now) const;
+    /// Whether enough is heard to plan: every listed engine, half of them after the start, or
+    /// some of them for a while. A gateway that hears none is cut off.
+    bool isComplete(const ServiceList &list, Instant now);
     PlacementInput input(const ServiceList &list, const PlacementPlan &plan, Instant now);
 
 private:
@@ -55,7 +54,6 @@
     {
         EngineStatus status;
         Instant heardAt;
-        bool listedLeaving = false;
     };
 
     bool isUsable(const Entry &entry, Instant now) const;
@@ -64,6 +62,8 @@
 
     Duration m_silence;
     Instant m_startedAt;
+    Instant m_halfHeardAt; // when half of the listed engines were last heard
+    std::set<InstanceId> m_listedLeaving;
     std::map<ServerName, Entry> m_servers;
     std::map<ModelName, Instant> m_busyAt; // when the copies were last all needed
 };
