--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -69,7 +69,7 @@
                    [&peers](Version version) { return peers.configurationText(version); });
     peers.setNewerStateHook([&sync] { sync.wake(); });
     MemberSync member(settings, platform, state, sync, limiter, peers);
-    Planner planner(settings, platform);
+    Planner planner(settings, platform, platform, state);
     CallerApi callers(settings, state, relay, limiter, idempotency);
     TimelineCollector timeline(settings, fleet, [&peers] { return peers.addresses(); });
     OperatorApi operators(settings, platform, state, sync, fleet, member, timeline);
