Let bursts of connections wait, and take a busy server for a busy one

The HTTP library listens with room for five connections; the agent's 64 requests at once overflowed the engine's queue, their connections were reset after a second, and the probe that timed out 100 ms took the server for down, so that healthy requests were suspected of a crash. Gateways had the same short queue towards callers.

Ruled out: the cancel hook, which was never called; closed idle connections.

--- a/src/Adapters/HttpServer.cpp
+++ b/src/Adapters/HttpServer.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t unlimitedKeepAlive = 1'000'000'000;
+constexpr int listenBacklog = 1024;
 constexpr std::size_t headerBytes = 65'536; // of one request, over its body
 
 } // namespace
@@ -38,6 +39,7 @@
         throw Error(ErrorKind::BadSettings,
                     "can't listen on " + address.text() + "; choose a free address");
     }
+    m_server.setBacklog(listenBacklog);
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
     while (!m_server.is_running())
         std::this_thread::yield();
--- a/src/Adapters/internal/CallerStream.cpp
+++ b/src/Adapters/internal/CallerStream.cpp
@@ -87,9 +87,9 @@
 ssize_t CallerStream::receive(char *ptr, size_t size)
 {
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_requestEnd - Clock::now());
-    if (left.count() <= 0 || m_received > m_limits.requestBytes)
-        return -1;
-    if (!waitFor(m_socket, POLLIN, left))
+    m_exhausted = left.count() <= 0 || m_received > m_limits.requestBytes
+        || !waitFor(m_socket, POLLIN, left);
+    if (m_exhausted)
         return -1;
     const ssize_t n = recv(m_socket, ptr, size, 0);
     if (n > 0)
--- a/src/Adapters/internal/CallerStream.h
+++ b/src/Adapters/internal/CallerStream.h
@@ -27,6 +27,9 @@
     /// Waits for the first byte of the next request; false where none comes.
     bool awaitRequest(std::chrono::milliseconds wait);
 
+    /// Whether the request broke a limit; then nothing more can be read.
+    bool isExhausted() const { return m_exhausted; }
+
     bool is_readable() const override;
     bool is_writable() const override;
     ssize_t read(char *ptr, size_t size) override;
@@ -44,6 +47,7 @@
     const Limits m_limits;
     std::chrono::steady_clock::time_point m_requestEnd;
     std::size_t m_received = 0; // bytes of the current request
+    bool m_exhausted = false;
     std::array<char, bufferBytes> m_buffer{};
     std::size_t m_bufferStart = 0;
     std::size_t m_bufferEnd = 0;
--- a/src/Adapters/internal/WatchedServer.cpp
+++ b/src/Adapters/internal/WatchedServer.cpp
@@ -37,6 +37,13 @@
     return currentSocket != noSocket && isClosedByPeer(currentSocket);
 }
 
+// The library listens with room for five, so a burst of connections would be dropped or reset.
+// A second listen() on the socket only changes that number.
+void WatchedServer::setBacklog(int connections)
+{
+    ::listen(svr_sock_, connections);
+}
+
 bool WatchedServer::process_and_close_socket(socket_t socket)
 {
     if (ElasticPool::isOverloaded()) {
@@ -64,7 +71,8 @@
             continue;
         }
         bool closed = false;
-        if (!process_request(stream, false, closed, nullptr) || closed)
+        const bool answered = process_request(stream, false, closed, nullptr);
+        if (!answered || closed || stream.isExhausted())
             return;
         idleSince = std::chrono::steady_clock::now();
     }
--- a/src/Adapters/internal/WatchedServer.h
+++ b/src/Adapters/internal/WatchedServer.h
@@ -16,6 +16,9 @@
     /// Whether the caller of the request that this thread handles has gone away.
     static bool callerHasGone();
 
+    /// Lets \a connections wait to be accepted. Call it once the server is bound.
+    void setBacklog(int connections);
+
 private:
     bool process_and_close_socket(socket_t socket) override;
     void serve(socket_t socket);
--- a/src/Apps/Agent/BackendHealth.cpp
+++ b/src/Apps/Agent/BackendHealth.cpp
@@ -36,8 +36,11 @@
         return false;
     if (connect(socket, reinterpret_cast<sockaddr *>(&target), sizeof(target)) == 0)
         return true;
-    if (errno != EINPROGRESS || !isReady(socket, POLLOUT, connectTimeout))
+    if (errno != EINPROGRESS)
         return false;
+    // A server that is busy lets connections wait; only a refusal says that it is down.
+    if (!isReady(socket, POLLOUT, connectTimeout))
+        return true;
     int error = 0;
     socklen_t n = sizeof(error);
     getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &n);
--- /dev/null
+++ b/test/HttpServerTest.cpp
@@ -0,0 +1,119 @@
+#include "Adapters/HttpServer.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+#include <vector>
+
+using namespace quetzalyoke;
+
+namespace {
+
+constexpr int burstSize = 200;
+
+HttpServerLimits smallLimits(int connections)
+{
+    HttpServerLimits limits;
+    limits.connections = connections;
+    limits.requestTime = std::chrono::milliseconds(300);
+    return limits;
+}
+
+int connectTo(int port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, "127.0.0.1", &target.sin_addr);
+    EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target)), 0);
+    return fd;
+}
+
+// All that the server sends until it closes.
+std::string readAll(int fd)
+{
+    std::string text;
+    std::array<char, 1024> buf{};
+    while (true) {
+        const ssize_t n = recv(fd, buf.data(), buf.size(), 0);
+        if (n <= 0)
+            return text;
+        text.append(buf.data(), static_cast<std::size_t>(n));
+    }
+}
+
+} // namespace
+
+TEST(HttpServerTest, answersABurstOfConnections)
+{
+    HttpServer server(smallLimits(burstSize));
+    server.addHealthRoutes([] { return true; });
+    server.listen({"127.0.0.1", 0});
+    std::vector<std::future<int>> answers;
+    for (int i = 0; i < burstSize; ++i) {
+        answers.push_back(std::async(std::launch::async, [&server] {
+            httplib::Client client("127.0.0.1", server.port());
+            client.set_connection_timeout(std::chrono::milliseconds(900));
+            const auto result = client.Get("/healthz");
+            return result ? result->status : 0;
+        }));
+    }
+    int answered = 0;
+    for (std::future<int> &it : answers)
+        answered += it.get() == 200 ? 1 : 0;
+    EXPECT_EQ(answered, burstSize);
+}
+
+TEST(HttpServerTest, refusesConnectionsBeyondTheLimitAtOnce)
+{
+    HttpServer server(smallLimits(1));
+    std::promise<void> entered;
+    std::promise<void> leave;
+    server.routes().Get("/hold", [&](const auto &, auto &) {
+        entered.set_value();
+        leave.get_future().wait();
+    });
+    server.listen({"127.0.0.1", 0});
+    auto held = std::async(std::launch::async, [&server] {
+        return httplib::Client("127.0.0.1", server.port()).Get("/hold")->status;
+    });
+    entered.get_future().wait();
+    const int fd = connectTo(server.port());
+    const std::string answer = readAll(fd);
+    close(fd);
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_NE(answer.find("Quetzalyoke-Run-State: not-run"), std::string::npos);
+    leave.set_value();
+    EXPECT_EQ(held.get(), 200);
+}
+
+TEST(HttpServerTest, endsAFloodOfHeadersAndASlowRequest)
+{
+    HttpServerLimits limits = smallLimits(4);
+    limits.bodyBytes = 1024;
+    HttpServer server(limits);
+    server.addHealthRoutes([] { return true; });
+    server.listen({"127.0.0.1", 0});
+
+    const int flood = connectTo(server.port());
+    std::string text = "GET /healthz HTTP/1.1\r\n";
+    for (int i = 0; i < 4000; ++i)
+        text += "X-Header-" + std::to_string(i) + ": " + std::string(60, 'x') + "\r\n";
+    send(flood, text.data(), text.size(), MSG_NOSIGNAL);
+    EXPECT_EQ(readAll(flood).find("HTTP/1.1 200"), std::string::npos);
+    close(flood);
+
+    const int slow = connectTo(server.port());
+    const std::string start = "GET /healthz HTTP/1.1\r\nX-Half: ";
+    send(slow, start.data(), start.size(), MSG_NOSIGNAL);
+    EXPECT_EQ(readAll(slow).find("HTTP/1.1 200"), std::string::npos);
+    close(slow);
+
+    EXPECT_EQ(httplib::Client("127.0.0.1", server.port()).Get("/healthz")->status, 200);
+}
