Forget delivered answers soon, without going through all of them

An agent kept every answer for 60 s, some 600,000 of them at 10,000 requests/s, and looked at each twice a second under the lock that requests need.

Change: ended attempts wait in the order of their end; one that was fetched to its end and may be repeated is forgotten after 2 s, the others after keep_finished_ms; memory is freed outside the lock.

--- a/src/Apps/Agent/AttemptTable.cpp
+++ b/src/Apps/Agent/AttemptTable.cpp
@@ -118,6 +118,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_running.erase(attempt->submission().attemptId);
+    m_ended.push_back(attempt);
     if (attempt->submission().runAlone) {
         m_aloneRuns = false;
         m_nextAloneAt = now + pauseBetweenAlone;
@@ -215,11 +216,31 @@
 
 void AttemptTable::expire(Instant now)
 {
+    // Buffers are freed when the result goes, after the lock.
+    takeExpired(now);
+}
+
+std::vector<std::shared_ptr<Attempt>> AttemptTable::takeExpired(Instant now)
+{
+    std::vector<std::shared_ptr<Attempt>> expired;
     const std::lock_guard lock(m_mutex);
-    std::erase_if(m_attempts, [this, now](const auto &entry) {
-        const Attempt &attempt = *entry.second;
-        return attempt.isFinished() && attempt.finishedAt() + m_limits.keepFinished <= now;
-    });
+    while (!m_ended.empty() && m_ended.front()->finishedAt() + keepDelivered <= now) {
+        const auto attempt = m_ended.front();
+        m_ended.pop_front();
+        const bool isOver = attempt->isDelivered() && attempt->submission().idempotent;
+        if (!isOver) {
+            m_kept.push_back(attempt);
+            continue;
+        }
+        m_attempts.erase(attempt->submission().attemptId);
+        expired.push_back(attempt);
+    }
+    while (!m_kept.empty() && m_kept.front()->finishedAt() + m_limits.keepFinished <= now) {
+        m_attempts.erase(m_kept.front()->submission().attemptId);
+        expired.push_back(m_kept.front());
+        m_kept.pop_front();
+    }
+    return expired;
 }
 
 std::size_t AttemptTable::queued() const
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -72,7 +72,8 @@
     /// Refuses new attempts from now on.
     void drain();
     bool isDraining() const;
-    /// Forgets answers that finished longer ago than Limits::keepFinished.
+    /// Forgets answers that finished longer ago than Limits::keepFinished. One that was fetched
+    /// to its end, and may be repeated, is forgotten after keepDelivered.
     void expire(Instant now);
 
     std::size_t queued() const;
@@ -80,7 +81,11 @@
     /// Whether nothing is queued or running and every answer has been fetched to its end.
     bool isIdle() const;
 
+    /// A reply may have been lost, so the last bytes can be fetched again for a while.
+    static constexpr Duration keepDelivered = std::chrono::seconds(2);
+
 private:
+    std::vector<std::shared_ptr<Attempt>> takeExpired(Instant now);
     bool isOfferedLocked(const wire::Submission &submission) const;
     bool canTakeLocked(Instant now) const;
     bool aloneIsDueLocked(Instant now) const;
@@ -96,6 +101,8 @@
     std::unordered_map<std::string, std::shared_ptr<Attempt>> m_running;
     bool m_aloneRuns = false;
     Instant m_nextAloneAt; // other work runs in between
+    std::deque<std::shared_ptr<Attempt>> m_ended; // oldest first, not looked at yet
+    std::deque<std::shared_ptr<Attempt>> m_kept; // oldest first, kept for keepFinished
     SpentAttempts m_spent;
     std::deque<wire::Suspicion> m_suspicions; // newest last
     std::int64_t m_crashes = 0;
--- /dev/null
+++ b/test/AttemptTableTest.cpp
@@ -0,0 +1,102 @@
+#include "Apps/Agent/AttemptTable.h"
+
+#include "Adapters/Process.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+
+namespace {
+
+const AttemptTable::Limits limits{16, 4096, std::chrono::seconds(60)};
+constexpr std::chrono::milliseconds noWait{0};
+
+wire::Submission submissionOf(const std::string &id, bool idempotent)
+{
+    wire::Submission submission;
+    submission.attemptId = id;
+    submission.idempotent = idempotent;
+    submission.deadlineMillis = 60'000;
+    submission.agentIncarnation = Process::incarnation().count();
+    return submission;
+}
+
+// Submits, runs and delivers one attempt.
+void complete(AttemptTable &table, const wire::Submission &submission, Instant now)
+{
+    const auto admission = table.submit(submission, now);
+    const auto attempt = table.takeNext(noWait);
+    ASSERT_EQ(attempt, admission.attempt);
+    attempt->start();
+    attempt->append("booked", 6, 0);
+    attempt->finish(now);
+    table.release(attempt, now);
+    EXPECT_EQ(attempt->fetch(0, noWait).data, "booked");
+}
+
+} // namespace
+
+TEST(AttemptTableTest, forgetsADeliveredAnswerSoonButKeepsOneThatMayNotBeRepeated)
+{
+    AttemptTable table(limits, makeFifoQueue());
+    const Instant now = Process::now();
+    complete(table, submissionOf("repeatable", true), now);
+    complete(table, submissionOf("booking", false), now);
+    table.expire(now + AttemptTable::keepDelivered - Duration(1));
+    EXPECT_TRUE(table.find("repeatable"));
+    table.expire(now + AttemptTable::keepDelivered);
+    EXPECT_FALSE(table.find("repeatable"));
+    ASSERT_TRUE(table.find("booking"));
+    EXPECT_EQ(table.find("booking")->fetch(0, noWait).data, "booked");
+    table.expire(now + limits.keepFinished);
+    EXPECT_FALSE(table.find("booking"));
+}
+
+TEST(AttemptTableTest, neverRunsAnIdAgain)
+{
+    AttemptTable table(limits, makeFifoQueue());
+    const Instant now = Process::now();
+    complete(table, submissionOf("booking", false), now);
+    table.expire(now + limits.keepFinished);
+    const auto again = table.submit(submissionOf("booking", false), now + limits.keepFinished);
+    EXPECT_FALSE(again.attempt);
+    EXPECT_EQ(again.refusal, wire::ErrorCode::UnknownAttempt);
+}
+
+TEST(AttemptTableTest, refusesASubmissionMeantForAnEarlierStart)
+{
+    AttemptTable table(limits, makeFifoQueue());
+    wire::Submission submission = submissionOf("late", true);
+    submission.agentIncarnation -= 1;
+    EXPECT_EQ(table.submit(submission, Process::now()).refusal, wire::ErrorCode::AgentRestarted);
+}
+
+TEST(AttemptTableTest, aCancelledIdThatArrivesLateNeverRuns)
+{
+    AttemptTable table(limits, makeFifoQueue());
+    const Instant now = Process::now();
+    EXPECT_EQ(table.cancel("late", now), wire::RunState::NotRun);
+    EXPECT_FALSE(table.submit(submissionOf("late", true), now).attempt);
+}
+
+TEST(AttemptTableTest, runsASuspectAlone)
+{
+    AttemptTable table(limits, makeFifoQueue());
+    const Instant now = Process::now();
+    table.submit(submissionOf("healthy", true), now);
+    const auto healthy = table.takeNext(noWait);
+    wire::Submission suspect = submissionOf("suspect", true);
+    suspect.runAlone = true;
+    table.submit(suspect, now);
+    table.submit(submissionOf("next", true), now);
+    EXPECT_FALSE(table.takeNext(noWait));
+    healthy->finish(now);
+    table.release(healthy, now);
+    const auto alone = table.takeNext(noWait);
+    ASSERT_TRUE(alone);
+    EXPECT_EQ(alone->submission().attemptId, "suspect");
+    EXPECT_FALSE(table.takeNext(noWait));
+    alone->finish(now);
+    table.release(alone, now);
+    EXPECT_TRUE(table.takeNext(noWait));
+}
