--- a/src/Apps/Gateway/GatewayDoor.cpp
+++ b/src/Apps/Gateway/GatewayDoor.cpp
@@ -60,7 +60,6 @@
         m_parts.planner.answer(reply, report, *configuration);
     }
     // An agent that says so itself is believed at once, the platform's list whenever it shows it.
-    status.draining = status.draining || m_parts.planner.isLeaving(status.instance);
     m_parts.fleet.update(status);
     reply.clock = EventLog::stamp();
     m_parts.crashes.add(report.suspicions, report.instance);
--- a/src/Apps/Gateway/Planner.cpp
+++ b/src/Apps/Gateway/Planner.cpp
@@ -57,10 +57,9 @@
 
 } // namespace
 
-Planner::Planner(const GatewaySettings &settings, TableStore &table, InstanceList &instances,
-                 const SharedState &state)
-    : m_settings(settings), m_instances(instances), m_state(state), m_fencing(table),
-      m_plans(table, settings.planShards), m_lease(table, settings.instance, settings.planLease),
+Planner::Planner(const GatewaySettings &settings, TableStore &table, const SharedState &state)
+    : m_settings(settings), m_state(state), m_fencing(table), m_plans(table, settings.planShards),
+      m_lease(table, settings.instance, settings.planLease),
       m_view(settings.agentSilence, Process::now())
 {
     m_thread = std::thread([this] { work(); });
@@ -100,7 +99,6 @@
         m_fencing.refresh();
         if (m_settings.dynamicPlacement)
             plan();
-        noteLeaving();
     } catch (const std::exception &) {
         Metrics::count("plan_refreshes_failed_total");
     }
@@ -128,23 +126,12 @@
     m_plans.commit(next, configuration->version);
 }
 
-void Planner::noteLeaving()
+void Planner::setListedLeaving(std::set<InstanceId> leaving)
 {
-    std::set<InstanceId> leaving;
-    for (const ListedInstance &it : m_instances.instances()) {
-        if (it.leaving)
-            leaving.insert(it.instance);
-    }
     const std::lock_guard lock(m_viewMutex);
     m_view.setListedLeaving(std::move(leaving));
 }
 
-bool Planner::isLeaving(const InstanceId &agent) const
-{
-    const std::lock_guard lock(m_viewMutex);
-    return m_view.isLeaving(agent);
-}
-
 void Planner::answer(wire::ReportReply &reply, const wire::AgentReport &report,
                      const Configuration &configuration)
 {
--- a/src/Apps/Gateway/Planner.h
+++ b/src/Apps/Gateway/Planner.h
@@ -11,6 +11,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace quetzalyoke {
@@ -19,34 +20,31 @@
 class Planner
 {
 public:
-    Planner(const GatewaySettings &settings, TableStore &table, InstanceList &instances,
-            const SharedState &state);
+    Planner(const GatewaySettings &settings, TableStore &table, const SharedState &state);
     ~Planner();
 
     /// Fills in the plan's and the fencing's part of the answer to a report.
     void answer(wire::ReportReply &reply, const wire::AgentReport &report,
                 const Configuration &configuration);
-    /// Whether the platform's list showed the agent as leaving.
-    bool isLeaving(const InstanceId &agent) const;
+    /// Takes which instances the platform's list shows as leaving.
+    void setListedLeaving(std::set<InstanceId> leaving);
     void stop();
 
 private:
     void work();
     void refresh();
     void plan();
-    void noteLeaving();
     void answerPlan(wire::ReportReply &reply, const wire::AgentReport &report,
                     const Configuration &configuration);
     void answerFencing(wire::ReportReply &reply, const wire::AgentReport &report,
                        const Configuration &configuration);
 
     const GatewaySettings &m_settings;
-    InstanceList &m_instances;
     const SharedState &m_state;
     FencingBook m_fencing;
     PlanBook m_plans;
     PlanningLease m_lease;
-    mutable std::mutex m_viewMutex; // of the next member
+    std::mutex m_viewMutex; // of the next member
     PlacementView m_view;
     std::mutex m_mutex; // of the members below
     std::condition_variable m_stopped;
--- a/src/Apps/Gateway/main.cpp
+++ b/src/Apps/Gateway/main.cpp
@@ -61,15 +61,17 @@
     CrashWatch crashes;
     PeerExchange peers(settings, state, limiter, crashes);
     Fleet fleet(settings);
-    InstanceWatch instances(platform, settings.instanceListInterval,
-                            [&fleet](auto leaving) { fleet.setLeaving(std::move(leaving)); });
     Relay relay(settings, fleet, crashes);
     IdempotencyStore idempotency(platform, fleet);
     StateSync sync(settings, platform, state,
                    [&peers](Version version) { return peers.configurationText(version); });
     peers.setNewerStateHook([&sync] { sync.wake(); });
     MemberSync member(settings, platform, state, sync, limiter, peers);
-    Planner planner(settings, platform, platform, state);
+    Planner planner(settings, platform, state);
+    InstanceWatch instances(platform, settings.instanceListInterval, [&](const auto &leaving) {
+        fleet.setLeaving(leaving);
+        planner.setListedLeaving(leaving);
+    });
     CallerApi callers(settings, state, relay, limiter, idempotency);
     TimelineCollector timeline(settings, fleet, [&peers] { return peers.addresses(); });
     OperatorApi operators(settings, platform, state, sync, fleet, member, timeline);
--- a/test/BackendHealthTest.cpp
+++ b/test/BackendHealthTest.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <future>
+#include <tuple>
 
 using namespace quetzalyoke;
 
@@ -25,14 +26,14 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        std::ignore = bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof(address));
         listen(m_socket, 0);
         socklen_t n = sizeof(address);
         getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &n);
         m_port = ntohs(address.sin_port);
         for (int &it : m_waiting) {
             it = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-            connect(it, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+            std::ignore = connect(it, reinterpret_cast<sockaddr *>(&address), sizeof(address));
         }
     }
     ~FullListener()
--- a/test/HttpServerTest.cpp
+++ b/test/HttpServerTest.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <future>
+#include <tuple>
 #include <vector>
 
 using namespace quetzalyoke;
@@ -69,7 +70,8 @@
     for (int i = 0; i < burstSize; ++i) {
         waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
         const sockaddr_in target = loopback(port);
-        connect(waiting.back(), reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+        std::ignore
+            = connect(waiting.back(), reinterpret_cast<const sockaddr *>(&target), sizeof(target));
         pollfd waiter{waiting.back(), POLLOUT, 0};
         connected += poll(&waiter, 1, connectMillis) > 0 ? 1 : 0;
     }
