--- a/src/Apps/Gateway/ChangeGate.h
+++ b/src/Apps/Gateway/ChangeGate.h
@@ -19,14 +19,6 @@
     virtual void waitUntilInForce(Version version) = 0;
 };
 
-/// \brief Accepts every change at once; right only for a single gateway.
-class OpenChangeGate : public ChangeGate
-{
-public:
-    void requireMayAccept() override { }
-    void waitUntilInForce(Version) override { }
-};
-
 } // namespace quetzalyoke
 
 #endif
