--- /dev/null
+++ b/src/Adapters/Async/ConnectionPool.cpp
@@ -0,0 +1,83 @@
+#include "Adapters/Async/ConnectionPool.h"
+
+#include <vector>
+
+namespace quetzalyoke {
+
+ConnectionPool::ConnectionPool(asio::io_context &loop, const ClientConnection::Limits &limits)
+    : m_loop(loop), m_limits(limits), m_idle(std::make_shared<Idle>())
+{ }
+
+std::shared_ptr<ClientConnection> ConnectionPool::acquire(const std::string &address)
+{
+    auto &idle = (*m_idle)[address];
+    const Instant now = loopNow();
+    // The latest to become idle is the least likely to be closed by its server just now.
+    while (!idle.empty()) {
+        const auto connection = idle.back();
+        idle.pop_back();
+        if (connection->isClosed())
+            continue;
+        if (connection->idleUntil() > now)
+            return connection;
+        connection->close();
+    }
+    const auto connection
+        = std::make_shared<ClientConnection>(m_loop, Address::parse(address), m_limits);
+    const std::weak_ptr<Idle> pool = m_idle;
+    connection->setHooks(
+        [pool, address](const std::shared_ptr<ClientConnection> &idleConnection) {
+            if (const auto it = pool.lock())
+                (*it)[address].push_back(idleConnection);
+            else
+                idleConnection->close();
+        },
+        nullptr);
+    return connection;
+}
+
+void ConnectionPool::closeStale(Instant now)
+{
+    for (auto &[address, idle] : *m_idle) {
+        std::deque<std::shared_ptr<ClientConnection>> kept;
+        for (const auto &connection : idle) {
+            if (connection->isClosed())
+                continue;
+            if (connection->idleUntil() > now)
+                kept.push_back(connection);
+            else
+                connection->close();
+        }
+        idle.swap(kept);
+    }
+    std::erase_if(*m_idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
+void ConnectionPool::drop(const std::string &address)
+{
+    const auto it = m_idle->find(address);
+    if (it == m_idle->end())
+        return;
+    const auto idle = std::exchange(it->second, {});
+    for (const auto &connection : idle)
+        connection->close();
+}
+
+void ConnectionPool::dropAll()
+{
+    std::vector<std::string> addresses;
+    for (const auto &entry : *m_idle)
+        addresses.push_back(entry.first);
+    for (const std::string &address : addresses)
+        drop(address);
+}
+
+std::size_t ConnectionPool::idle() const
+{
+    std::size_t n = 0;
+    for (const auto &entry : *m_idle)
+        n += entry.second.size();
+    return n;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Adapters/Async/EventLoop.h
@@ -0,0 +1,26 @@
+#ifndef QUETZALYOKE_ADAPTERS_ASYNC_EVENTLOOP_H
+#define QUETZALYOKE_ADAPTERS_ASYNC_EVENTLOOP_H
+
+#include "Core/StrongTypes.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace quetzalyoke {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using SystemError = boost::system::error_code;
+
+/// Time of the loop's clock; it stands still while the instance is suspended.
+inline Instant loopNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Adapters/Async/PeerSocket.h
@@ -0,0 +1,41 @@
+#ifndef QUETZALYOKE_ADAPTERS_ASYNC_PEERSOCKET_H
+#define QUETZALYOKE_ADAPTERS_ASYNC_PEERSOCKET_H
+
+#include "Adapters/Address.h"
+#include "Adapters/Async/EventLoop.h"
+#include "Wire/generated/peers_types.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+
+namespace quetzalyoke {
+
+/// \brief Datagrams between gateways.
+class PeerSocket
+{
+public:
+    using Receiver = std::function<void(const wire::PeerNews &, const Address &from)>;
+
+    /// Throws Error (BadSettings) where \a address can't be bound.
+    PeerSocket(asio::io_context &loop, const Address &address, Receiver receiver);
+
+    /// Bytes of \a news, for send().
+    static std::string encode(const wire::PeerNews &news);
+    void send(const std::string &bytes, const Address &to);
+
+private:
+    static constexpr std::size_t datagramBytes = 65'536;
+
+    void receive();
+    void take(std::size_t n);
+
+    asio::ip::udp::socket m_socket;
+    const Receiver m_receiver;
+    asio::ip::udp::endpoint m_from;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Adapters/DecisionLog.cpp
@@ -0,0 +1,103 @@
+#include "Adapters/DecisionLog.h"
+
+#include "Adapters/Metrics.h"
+#include "Core/TokenBucket.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace quetzalyoke {
+
+namespace {
+
+// Lines that wait for the writer; a line takes a few hundred bytes.
+constexpr std::size_t queueLines = 512;
+
+// Routine lines a second, and those that may come at once: a gateway's usual traffic is below it,
+// a burst is sampled.
+constexpr TokensPerSecond routineRate(100);
+constexpr Tokens routineBurst(200);
+constexpr TokensPerSecond notableRate(300);
+constexpr Tokens notableBurst(600);
+
+std::shared_ptr<spdlog::async_logger> logger;
+std::string instanceName;
+std::int64_t dropped = 0;
+
+Instant logNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+void appendValue(std::string &out, std::string_view value)
+{
+    if (!needsQuotes(value)) {
+        out += value;
+        return;
+    }
+    out += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            out += '\\';
+        // A line stays one line, whatever a caller or server sent.
+        out += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    }
+    out += '"';
+}
+
+} // namespace
+
+void DecisionLog::start(const InstanceId &instance)
+{
+    instanceName = instance.text();
+    spdlog::init_thread_pool(queueLines, 1);
+    logger = std::make_shared<spdlog::async_logger>(
+        "decisions", std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(),
+        spdlog::async_overflow_policy::overrun_oldest);
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
+    logger->flush_on(spdlog::level::info);
+}
+
+void DecisionLog::write(Kind kind, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!logger)
+        return;
+    static TokenBucket routine(routineRate, routineBurst, logNow());
+    static TokenBucket notable(notableRate, notableBurst, logNow());
+    TokenBucket &bucket = kind == Kind::Routine ? routine : notable;
+    if (!bucket.take(Tokens(1), logNow())) {
+        ++dropped;
+        Metrics::count("log_lines_dropped");
+        return;
+    }
+    std::string line = "instance=" + instanceName + " event=";
+    line += event;
+    for (const LogField &field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        appendValue(line, field.value);
+    }
+    if (dropped > 0) {
+        line += " dropped=" + std::to_string(dropped);
+        dropped = 0;
+    }
+    logger->info(line);
+}
+
+void DecisionLog::flush()
+{
+    if (!logger)
+        return;
+    logger->flush();
+    logger.reset();
+    spdlog::shutdown();
+}
+
+} // namespace quetzalyoke
--- a/src/Adapters/Process.cpp
+++ b/src/Adapters/Process.cpp
@@ -52,7 +52,9 @@
     CLI::App app(name);
     std::string path;
     bool checkOnly = false;
-    app.add_option("--settings", path, "INI file with the settings")->required();
+    app.add_option("--settings", path, "INI file with the settings")
+        ->envname("QUETZALYOKE_SETTINGS")
+        ->required();
     app.add_flag("--check-settings", checkOnly, "check the settings file and exit");
     app.set_version_flag("--version", name + " " + productVersion);
     try {
--- a/src/Adapters/Process.h
+++ b/src/Adapters/Process.h
@@ -11,7 +11,7 @@
 
 /// \brief Start, signals and settings shared by every long-running program.
 ///
-/// Reads `--settings FILE`, `--check-settings`, `--help` and `--version`.
+/// Reads `--settings FILE` (or QUETZALYOKE_SETTINGS), `--check-settings`, `--help` and `--version`.
 class Process
 {
 public:
--- /dev/null
+++ b/src/Apps/Entry/AccountQuotas.cpp
@@ -0,0 +1,71 @@
+#include "Apps/Entry/AccountQuotas.h"
+
+namespace quetzalyoke {
+
+void AccountQuotas::setConfig(const ServingConfig &config, Instant now)
+{
+    for (const auto &[id, account] : config.accounts) {
+        if (account.ratePerSecond <= 0) {
+            m_quotas.erase(id);
+            continue;
+        }
+        const auto [it, isNew]
+            = m_quotas.try_emplace(id, account.ratePerSecond, account.burst, now);
+        if (isNew)
+            it->second.setGateways(m_gateways, m_silence);
+        else
+            it->second.resize(account.ratePerSecond, account.burst, now);
+    }
+}
+
+void AccountQuotas::setGateways(std::size_t gateways, Duration silence)
+{
+    m_gateways = gateways;
+    m_silence = silence;
+    for (auto &[id, quota] : m_quotas)
+        quota.setGateways(gateways, silence);
+}
+
+void AccountQuotas::takePeerSpent(const InstanceId &peer, Incarnation incarnation,
+                                  const std::map<AccountId, double> &spent, Instant now)
+{
+    for (auto &[id, quota] : m_quotas) {
+        const auto it = spent.find(id);
+        quota.takePeerSpent(peer, incarnation, it == spent.end() ? 0 : it->second, now);
+    }
+}
+
+void AccountQuotas::forgetPeer(const InstanceId &peer)
+{
+    for (auto &[id, quota] : m_quotas)
+        quota.forgetPeer(peer);
+}
+
+void AccountQuotas::suspectPeers(Instant now)
+{
+    for (auto &[id, quota] : m_quotas)
+        quota.suspectPeers(now);
+}
+
+SharedQuota *AccountQuotas::find(const AccountId &account)
+{
+    const auto it = m_quotas.find(account);
+    return it == m_quotas.end() ? nullptr : &it->second;
+}
+
+std::map<AccountId, double> AccountQuotas::spent() const
+{
+    std::map<AccountId, double> spent;
+    for (const auto &[id, quota] : m_quotas)
+        spent[id] = quota.spent();
+    return spent;
+}
+
+double quotaCost(const ClientAccount &account, bool statesTokens, double tokens)
+{
+    if (!account.countsTokens)
+        return 1;
+    return statesTokens ? tokens : account.plainTokens;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Entry/EntrySettings.cpp
@@ -0,0 +1,60 @@
+#include "Apps/Entry/EntrySettings.h"
+
+#include "Adapters/SettingsValues.h"
+
+#include <charconv>
+
+namespace quetzalyoke {
+
+namespace {
+
+// Descriptors that are not for callers: the store, peers, files and servers' connections.
+constexpr std::int64_t reservedDescriptors = 1400;
+
+double readFraction(EntryReader &reader, const std::string &name, double least, double most,
+                    const std::string &fallback)
+{
+    const std::string text = reader.text(name, fallback);
+    double value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec == std::errc() && result.ptr == text.data() + text.size() && value >= least
+        && value <= most)
+        return value;
+    reader.complain(name, name + " is not a number within its bounds",
+                    "write a number between " + std::to_string(least) + " and "
+                        + std::to_string(most));
+    return least;
+}
+
+std::chrono::milliseconds seconds(double count)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(count * 1000));
+}
+
+} // namespace
+
+EntrySettings EntrySettings::read(const IniDocument &document, Problems &problems)
+{
+    EntrySettings settings;
+    readOnlySection(document, "entry", problems, [&settings](EntryReader &reader) {
+        settings.instance = InstanceId(readName(reader, "instance"));
+        settings.zone = ZoneName(readName(reader, "zone"));
+        settings.callers = readAddress(reader, "listen_callers");
+        settings.readiness = readAddress(reader, "listen_readiness");
+        settings.peers = readAddress(reader, "listen_peers");
+        settings.store = readAddress(reader, "store");
+        const std::int64_t descriptors = reader.number("descriptors", 256, 1'048'576, 4096);
+        settings.connections = static_cast<std::size_t>(
+            std::max(descriptors - reservedDescriptors, descriptors / 2));
+        settings.lapseGrace = reader.milliseconds("lapse_grace_ms", 0, 60'000, 2000);
+        settings.holderPause = reader.milliseconds("holder_pause_ms", 0, 60'000, 3000);
+        settings.stopGrace = seconds(readFraction(reader, "stop_grace_s", 1, 600, "8"));
+        settings.retryShare = readFraction(reader, "retry_share", 0, 1, "0.2");
+        settings.retryReserve = readFraction(reader, "retry_reserve", 0, 100'000, "50");
+        settings.prefillTokensPerMs
+            = readFraction(reader, "prefill_tokens_per_ms", 0.1, 10'000, "38");
+    });
+    return settings;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Entry/EntrySettings.h
@@ -0,0 +1,35 @@
+#ifndef QUETZALYOKE_APPS_ENTRY_ENTRYSETTINGS_H
+#define QUETZALYOKE_APPS_ENTRY_ENTRYSETTINGS_H
+
+#include "Adapters/Address.h"
+#include "Core/IniDocument.h"
+#include "Core/StrongTypes.h"
+
+#include <chrono>
+
+namespace quetzalyoke {
+
+/// \brief Settings of an entry gateway: the section [entry] of its INI file.
+struct EntrySettings
+{
+    InstanceId instance;
+    ZoneName zone;
+    Address callers; ///< Where callers connect.
+    Address readiness; ///< Where the platform asks whether to send callers.
+    Address peers; ///< TCP: state and metrics; UDP: news of other gateways.
+    Address store;
+    std::size_t connections = 1; ///< Of callers.
+    std::chrono::milliseconds lapseGrace{}; ///< For entries that lapsed with the store away.
+    std::chrono::milliseconds holderPause{}; ///< Engines take no turns of holders within it.
+    std::chrono::milliseconds stopGrace{}; ///< From SIGTERM to the end.
+    double retryShare = 0; ///< Repeats for each request of a service, over all gateways.
+    double retryReserve = 0; ///< Repeats beyond the share, over all gateways.
+    double prefillTokensPerMs = 0; ///< That a healthy engine reads.
+
+    /// Mistakes are added to \a problems.
+    static EntrySettings read(const IniDocument &document, Problems &problems);
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Entry/EntryState.cpp
@@ -0,0 +1,74 @@
+#include "Apps/Entry/EntryState.h"
+
+#include "Adapters/Process.h"
+
+namespace quetzalyoke {
+
+namespace {
+
+// Of what the bounds allow, so that gateways whose windows differ stay within them together.
+constexpr double usedShareOfRetries = 0.75;
+
+// A healthy server accepts at once; a server that is gone costs the request this much.
+constexpr ClientConnection::Limits backendLimits{std::chrono::milliseconds(400),
+                                                 std::chrono::milliseconds(3000)};
+
+EngineDirector::Settings directorSettings(const EntrySettings &settings)
+{
+    EngineDirector::Settings director;
+    director.prefillTokensPerMs = settings.prefillTokensPerMs;
+    return director;
+}
+
+ServerChooser::Settings chooserSettings(const EntrySettings &settings)
+{
+    ServerChooser::Settings chooser;
+    chooser.prefillTokensPerMs = settings.prefillTokensPerMs;
+    return chooser;
+}
+
+} // namespace
+
+EntryState::EntryState(const EntrySettings &entrySettings, asio::io_context &eventLoop,
+                       const ServingDialect &servingDialect, EntryPlatform &entryPlatform)
+    : settings(entrySettings), loop(eventLoop), dialect(servingDialect), platform(entryPlatform),
+      book(entrySettings.lapseGrace), chooser(chooserSettings(entrySettings), entrySettings.zone),
+      director(directorSettings(entrySettings)), admission(AdmissionPolicy::Settings()),
+      pool(eventLoop, backendLimits),
+      m_random(std::hash<std::string>()(entrySettings.instance.text())
+               ^ static_cast<std::uint64_t>(Process::incarnation().count()))
+{ }
+
+RetryBudget &EntryState::retries(const ServiceName &service)
+{
+    const auto it = m_retries.find(service);
+    if (it != m_retries.end())
+        return it->second;
+    const double reserve = usedShareOfRetries * settings.retryReserve
+        / static_cast<double>(std::max<std::size_t>(1, gateways));
+    return m_retries
+        .emplace(service, RetryBudget(usedShareOfRetries * settings.retryShare, reserve))
+        .first->second;
+}
+
+void EntryState::noteDemand(const ModelName &model, std::int64_t tokens)
+{
+    director.noteDemand(model, tokens, loopNow());
+    demandNews[model] += tokens;
+}
+
+void EntryState::noteNeed(const ModelName &model, const AdapterName &adapter)
+{
+    director.noteNeed(model, adapter, loopNow());
+    if (wantedNews.emplace(model, adapter).second && onNeed)
+        onNeed();
+}
+
+void EntryState::noteUse(const ServerName &server, const ModelName &model,
+                         const AdapterName &adapter)
+{
+    director.noteUse(server, model, adapter, loopNow());
+    usedNews.emplace(server, model, adapter);
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Entry/EntryState.h
@@ -0,0 +1,69 @@
+#ifndef QUETZALYOKE_APPS_ENTRY_ENTRYSTATE_H
+#define QUETZALYOKE_APPS_ENTRY_ENTRYSTATE_H
+
+#include "Adapters/Async/ConnectionPool.h"
+#include "Apps/Entry/AccountQuotas.h"
+#include "Apps/Entry/CrashSuspicions.h"
+#include "Apps/Entry/EntrySettings.h"
+#include "Apps/Entry/WaitingLine.h"
+#include "Core/RetryBudget.h"
+#include "Ports/EntryPlatform.h"
+#include "Ports/ServingDialect.h"
+#include "Serving/AdmissionPolicy.h"
+#include "Serving/EngineDirector.h"
+#include "Serving/PlacementLease.h"
+
+#include <random>
+
+namespace quetzalyoke {
+
+/// \brief What the requests of one entry gateway share. Used from the event loop only.
+class EntryState
+{
+public:
+    EntryState(const EntrySettings &entrySettings, asio::io_context &eventLoop,
+               const ServingDialect &servingDialect, EntryPlatform &entryPlatform);
+
+    const EntrySettings settings;
+    asio::io_context &loop;
+    const ServingDialect &dialect;
+    EntryPlatform &platform;
+
+    ServingConfigPtr config; ///< Empty until the first one is known.
+    ServerBook book;
+    ServerChooser chooser;
+    EngineDirector director;
+    AdmissionPolicy admission;
+    ConnectionPool pool;
+    AccountQuotas quotas;
+    CrashSuspicions suspicions;
+    WaitingLine waiting;
+
+    /// Whether this gateway leaves: it takes connections until the platform has noticed.
+    bool isStopping = false;
+    std::size_t gateways = 1; ///< Known members, this one included.
+
+    /// Repeats of requests to \a service.
+    RetryBudget &retries(const ServiceName &service);
+    double random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+    /// Prompt tokens asked, adapters wanted and used since the last news to peers.
+    std::map<ModelName, std::int64_t> demandNews;
+    std::set<std::pair<ModelName, AdapterName>> wantedNews;
+    std::set<std::tuple<ServerName, ModelName, AdapterName>> usedNews;
+
+    void noteDemand(const ModelName &model, std::int64_t tokens);
+    void noteNeed(const ModelName &model, const AdapterName &adapter);
+    void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter);
+
+    /// Called when requests wait for something that another gateway may have to order.
+    std::function<void()> onNeed;
+
+private:
+    std::map<ServiceName, RetryBudget> m_retries;
+    std::mt19937_64 m_random;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Entry/Exchange.cpp
@@ -0,0 +1,735 @@
+#include "Apps/Entry/Exchange.h"
+
+#include "Adapters/DecisionLog.h"
+#include "Adapters/Metrics.h"
+
+#include <xxhash.h>
+
+namespace quetzalyoke {
+
+namespace {
+
+// Of an answer that is not a stream; the caller gets it only once it is whole.
+constexpr std::size_t answerBytes = 8'388'608;
+
+// Unsent bytes to a slow caller from which on its server's answer is no longer read.
+constexpr std::size_t slowCallerBytes = 262'144;
+
+// A server that has not begun to answer within this many objectives or expected times is given up
+// on if the request may be repeated, and held to be silent in any case.
+constexpr double patienceObjectives = 1.5;
+constexpr double patienceExpected = 4;
+constexpr Duration shortestPatience = std::chrono::milliseconds(250);
+
+// Given to a repeat so that it can still be in time.
+constexpr Duration leastTimeToRepeat = std::chrono::milliseconds(30);
+
+// Until a gateway that has just started knows the configuration.
+constexpr Duration startTime = std::chrono::milliseconds(500);
+
+// Priorities of accounts go before those of routes; both together span the servers' 0 to 9.
+constexpr int routePriorities = 3;
+constexpr int lowestPriority = 9;
+
+constexpr int httpOk = 200;
+constexpr int httpMultipleChoices = 300;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+Fingerprint fingerprintOf(const AccountId &account, const CallerRequest &request)
+{
+    XXH64_state_t *state = XXH64_createState();
+    XXH64_reset(state, 0);
+    for (const std::string *text : {&account.text(), &request.target, &request.body})
+        XXH64_update(state, text->data(), text->size());
+    const std::uint64_t digest = XXH64_digest(state);
+    XXH64_freeState(state);
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(digest));
+    return Fingerprint(buf.data());
+}
+
+const char *kindText(CallKind kind)
+{
+    switch (kind) {
+    case CallKind::Idempotent:
+        return "idempotent";
+    case CallKind::NonIdempotent:
+        return "non_idempotent";
+    case CallKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+Exchange::Exchange(EntryState &state, CallerSession::Pointer session, CallerRequest &&request)
+    : m_state(state), m_session(std::move(session)), m_request(std::move(request)),
+      m_config(state.config), m_timer(state.loop)
+{ }
+
+void Exchange::start()
+{
+    m_session->setLeaveHook([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onCallerLeft();
+    });
+    if (!admit())
+        return;
+    setTimer();
+    place();
+}
+
+bool Exchange::admit()
+{
+    std::string problem;
+    const auto call = m_state.dialect.describe(m_request.fields, problem);
+    if (!call) {
+        refuse(400, "bad_header", {});
+        return false;
+    }
+    m_call = *call;
+    if (!m_config || !m_state.platform.isLoaded()) {
+        refuse(503, "not_ready", startTime);
+        return false;
+    }
+    const std::string_view host(m_request.fields["Host"].data(), m_request.fields["Host"].size());
+    const std::string_view path
+        = std::string_view(m_request.target).substr(0, m_request.target.find_first_of("?#"));
+    m_route = m_config->findRoute(host.substr(0, host.rfind(':')), path);
+    if (!m_route) {
+        refuse(404, "no_route", {});
+        return false;
+    }
+    m_giveUpAt = m_request.arrivedAt + m_route->timeout;
+    if (m_call.timeLeft)
+        m_giveUpAt = std::min(m_giveUpAt, m_request.arrivedAt + Duration(*m_call.timeLeft));
+    if (!checkAccount())
+        return false;
+    pickService();
+    if (!m_service) {
+        refuse(503, "no_service", startTime);
+        return false;
+    }
+    if (!checkCrashes() || !checkQuota())
+        return false;
+    m_state.retries(m_service->name).onRequest();
+    m_chain = prefixChain(m_call);
+    const int routePriority = std::min(m_route->priority, routePriorities - 1);
+    m_priority = m_account && m_account->priority
+        ? *m_account->priority * routePriorities + routePriority
+        : routePriority;
+    if (m_service->engine && !m_call.model.isEmpty())
+        m_state.noteDemand(m_call.model, m_call.promptTokens.count());
+    return true;
+}
+
+bool Exchange::checkAccount()
+{
+    m_account = m_config->findAccount(m_call.key);
+    if (m_account || m_route->isOpen)
+        return true;
+    refuse(401, "unknown_key", {});
+    return false;
+}
+
+bool Exchange::checkCrashes()
+{
+    if (m_request.body.empty())
+        return true;
+    m_fingerprint = fingerprintOf(m_account ? m_account->name : AccountId(), m_request);
+    if (!m_state.suspicions.mustRefuse(m_fingerprint, loopNow()))
+        return true;
+    refuse(503, "crashes_servers", {});
+    return false;
+}
+
+bool Exchange::checkQuota()
+{
+    if (!m_account)
+        return true;
+    SharedQuota *quota = m_state.quotas.find(m_account->name);
+    if (!quota)
+        return true;
+    const double tokens
+        = static_cast<double>(m_call.promptTokens.count() + m_call.outputTokens.count());
+    const double cost = quotaCost(*m_account, m_call.statesTokens, tokens);
+    const Instant now = loopNow();
+    if (quota->charge(cost, now)) {
+        m_charged = cost;
+        return true;
+    }
+    const Duration wait = scaled(quota->waitForCredit(now), 1 + m_state.random());
+    logNotable("over_quota",
+               {{"id", m_call.id},
+                {"account", m_account->name},
+                {"cost", static_cast<std::int64_t>(cost)},
+                {"level", static_cast<std::int64_t>(quota->level(now))},
+                {"config", m_config->version}});
+    refuse(429, "over_quota", wait);
+    return false;
+}
+
+void Exchange::pickService()
+{
+    int sum = 0;
+    for (const RouteShare &share : m_route->shares)
+        sum += share.weight;
+    double point = m_state.random() * sum;
+    for (const RouteShare &share : m_route->shares) {
+        point -= share.weight;
+        if (point >= 0)
+            continue;
+        m_service = m_config->findService(share.service);
+        return;
+    }
+}
+
+// Whether the request has stopped waiting for a server.
+bool Exchange::place()
+{
+    const Instant now = loopNow();
+    const PlacementRequest request{m_service, &m_call, &m_chain, m_tried};
+    AdmissionInput input;
+    input.route = m_route;
+    input.service = m_service;
+    input.call = &m_call;
+    input.choice = m_state.chooser.choose(request, m_state.book, now);
+    input.waited = age();
+    input.left = left(now);
+    if (input.choice.outcome == PlacementChoice::Outcome::NoModel
+        || input.choice.outcome == PlacementChoice::Outcome::NoAdapter)
+        m_state.noteNeed(m_call.model, m_call.adapter);
+    const AdmissionDecision decision = m_state.admission.decide(input, m_state.random());
+    switch (decision.step) {
+    case AdmissionDecision::Step::Send:
+        send(input.choice);
+        return true;
+    case AdmissionDecision::Step::Wait:
+        waitInLine();
+        return false;
+    case AdmissionDecision::Step::Refuse:
+        refuse(503, decision.reason, decision.retryAfter);
+        return true;
+    }
+    return true;
+}
+
+void Exchange::waitInLine()
+{
+    if (m_isWaiting)
+        return;
+    m_isWaiting = true;
+    m_state.waiting.add(m_priority, m_request.arrivedAt, shared_from_this());
+    logRoutine("waiting",
+               {{"id", m_call.id},
+                {"model", m_call.model},
+                {"adapter", m_call.adapter},
+                {"age_ms", age()}});
+}
+
+bool Exchange::retry()
+{
+    if (m_isOver || !m_isWaiting)
+        return true;
+    if (!place())
+        return false;
+    m_isWaiting = false;
+    return true;
+}
+
+std::string Exchange::backendRequest(const ServerState &server, Duration timeLeft) const
+{
+    BackendCall call;
+    call.server = server.listed.id;
+    if (m_account)
+        call.account = m_account->name;
+    call.timeLeft = std::chrono::duration_cast<Milliseconds>(timeLeft);
+    if (m_service->engine)
+        call.priority = std::min(m_priority, lowestPriority);
+    if (m_isStreaming)
+        call.resumeAfter = m_events.lastId();
+    std::string text = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
+    m_state.dialect.writeBackendFields(m_request.fields, call, text);
+    if (!m_request.body.empty() || m_request.fields.count("Content-Length") > 0
+        || m_request.fields.count("Transfer-Encoding") > 0)
+        text += "Content-Length: " + std::to_string(m_request.body.size()) + "\r\n";
+    text += "\r\n";
+    text += m_request.body;
+    return text;
+}
+
+void Exchange::send(const PlacementChoice &choice)
+{
+    ServerState *server = m_state.book.find(choice.server);
+    const Instant now = loopNow();
+    m_attempt = std::make_unique<Attempt>();
+    m_attempt->server = choice.server;
+    m_attempt->incarnation = server->listed.incarnation;
+    m_attempt->address = server->listed.address;
+    m_attempt->sentAt = now;
+    m_attempt->expected = choice.expectedFirst;
+    m_attempt->work = {1, choice.prefillTokens, choice.memoryTokens};
+    server->own.running += 1;
+    server->own.prefillTokens += choice.prefillTokens;
+    server->own.memoryTokens += choice.memoryTokens;
+    m_tried.insert(choice.server);
+    m_patienceOver = false;
+
+    const PlacementRequest request{m_service, &m_call, &m_chain, {}};
+    m_state.chooser.noteSent(choice.server, request);
+    if (!m_call.adapter.isEmpty())
+        m_state.noteUse(choice.server, m_call.model, m_call.adapter);
+    logRoutine("sent",
+               {{"id", m_call.id},
+                {"route", m_route->name},
+                {"server", choice.server},
+                {"age_ms", age()},
+                {"expected_ms", choice.expectedFirst},
+                {"prefill", choice.prefillTokens},
+                {"running", server->total().running},
+                {"config", m_config->version},
+                {"attempt", m_arrivals + 1}});
+
+    ExchangeHooks hooks;
+    hooks.onHead = [self = shared_from_this()](int status, const auto &fields) {
+        return self->onHead(status, fields);
+    };
+    hooks.onBody = [self = shared_from_this()](std::string_view data) { self->onBody(data); };
+    hooks.onEnd = [self = shared_from_this()](ExchangeEnd end) { self->onEnd(end); };
+    m_attempt->connection = m_state.pool.acquire(server->listed.address);
+    setTimer();
+    m_attempt->connection->send(backendRequest(*server, left(now)), m_request.method == "HEAD",
+                                std::move(hooks));
+}
+
+ExchangeHooks::Head Exchange::onHead(int status, const boost::beast::http::fields &fields)
+{
+    if (!m_attempt)
+        return ExchangeHooks::Head::Skip;
+    const BackendVerdict verdict = m_state.dialect.judge(status, fields, m_call.id);
+    if (verdict.isForeign) {
+        Metrics::count("foreign_answers");
+        return ExchangeHooks::Head::Skip;
+    }
+    m_attempt->status = status;
+    m_attempt->verdict = verdict;
+    if (ServerState *server = m_state.book.find(m_attempt->server); server && verdict.load) {
+        server->load = verdict.load;
+        server->loadAt = loopNow();
+    }
+    const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
+    if (isSuccess && (!verdict.isSigned || verdict.isEncoded)) {
+        logNotable("bad_answer",
+                   {{"id", m_call.id},
+                    {"server", m_attempt->server},
+                    {"status", status},
+                    {"signed", verdict.isSigned ? 1 : 0}});
+        m_attempt->connection->close();
+        onBroken(ExchangeEnd::Malformed);
+        return ExchangeHooks::Head::Skip;
+    }
+    m_state.dialect.writeCallerFields(fields, m_attempt->fields);
+    m_attempt->isForwarding = isSuccess && m_route->kind == CallKind::Stream;
+    return ExchangeHooks::Head::Take;
+}
+
+void Exchange::onBody(std::string_view data)
+{
+    if (!m_attempt)
+        return;
+    onFirstByte();
+    if (m_attempt->isForwarding) {
+        forward(data);
+        return;
+    }
+    if (m_attempt->body.size() + data.size() > answerBytes) {
+        m_attempt->connection->close();
+        onBroken(ExchangeEnd::Malformed);
+        return;
+    }
+    m_attempt->body.append(data);
+}
+
+void Exchange::onFirstByte()
+{
+    if (m_attempt->firstByteSeen)
+        return;
+    m_attempt->firstByteSeen = true;
+    ServerState *server = m_state.book.find(m_attempt->server);
+    if (!server)
+        return;
+    server->own.prefillTokens -= m_attempt->work.prefillTokens;
+    m_attempt->work.prefillTokens = 0;
+    const Duration took = loopNow() - m_attempt->sentAt;
+    Metrics::observe("first_byte_seconds", std::chrono::duration<double>(took).count());
+    if (m_attempt->status >= httpMultipleChoices || m_attempt->expected.count() <= 0)
+        return;
+    server->health.notePace(static_cast<double>(took.count())
+                            / static_cast<double>(m_attempt->expected.count())
+                            * server->health.slowness());
+}
+
+// Whole events only, so that another server can go on where this one broke off.
+void Exchange::forward(std::string_view data)
+{
+    const std::string events = m_events.take(data);
+    if (events.empty())
+        return;
+    if (!m_isStreaming) {
+        m_isStreaming = true;
+        m_session->beginStream(m_attempt->status, m_attempt->fields);
+    }
+    m_session->writeStream(events);
+    if (m_session->unsentBytes() <= slowCallerBytes || !m_attempt)
+        return;
+    m_attempt->connection->pauseReading();
+    m_session->setDrainHook([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_attempt)
+            self->m_attempt->connection->resumeReading();
+    });
+}
+
+void Exchange::onEnd(ExchangeEnd end)
+{
+    if (!m_attempt)
+        return;
+    if (end != ExchangeEnd::NotSent)
+        ++m_arrivals;
+    if (end != ExchangeEnd::Complete) {
+        onBroken(end);
+        return;
+    }
+    if (m_attempt->verdict.notRun) {
+        onNotRun();
+        return;
+    }
+    ++m_runs;
+    onFirstByte();
+    onAnswered();
+}
+
+void Exchange::onNotRun()
+{
+    const int status = m_attempt->status;
+    logRoutine(
+        "turned_down",
+        {{"id", m_call.id}, {"server", m_attempt->server}, {"status", status}, {"age_ms", age()}});
+    Metrics::count("turned_down", {{"status", std::to_string(status)}});
+    releaseAttempt();
+    if (left(loopNow()) < leastTimeToRepeat) {
+        refuse(503, "turned_down", age());
+        return;
+    }
+    if (!m_state.retries(m_service->name).takeRetry()) {
+        refuse(503, "retry_budget", m_route->latencyObjective);
+        return;
+    }
+    place();
+}
+
+void Exchange::onAnswered()
+{
+    ServerState *server = m_state.book.find(m_attempt->server);
+    const bool isFailure = m_attempt->status >= 500;
+    if (server) {
+        if (isFailure)
+            server->health.noteFailure(ServerHealth::Failure::Answered, loopNow());
+        else
+            server->health.noteSuccess(loopNow());
+    }
+    if (isFailure && !m_isStreaming && mayRepeat() && takeRepeat()) {
+        repeat("server_failed");
+        return;
+    }
+    const std::unique_ptr<Attempt> attempt = std::move(m_attempt);
+    m_attempt = nullptr;
+    if (server) {
+        server->own.running -= attempt->work.running;
+        server->own.prefillTokens -= attempt->work.prefillTokens;
+        server->own.memoryTokens -= attempt->work.memoryTokens;
+    }
+    if (attempt->isForwarding) {
+        if (!m_isStreaming)
+            m_session->beginStream(attempt->status, attempt->fields);
+        m_session->writeStream(m_events.rest());
+        m_session->endStream();
+    } else if (m_isStreaming) {
+        // A stream that was to go on elsewhere can't end with another answer's status.
+        m_session->abort();
+        logNotable("stream_broken",
+                   {{"id", m_call.id},
+                    {"server", attempt->server},
+                    {"status", attempt->status},
+                    {"last", m_events.lastId()}});
+    } else {
+        m_session->answer(attempt->status, attempt->fields, attempt->body);
+    }
+    logRoutine("answered",
+               {{"id", m_call.id},
+                {"route", m_route->name},
+                {"kind", kindText(m_route->kind)},
+                {"server", attempt->server},
+                {"status", attempt->status},
+                {"age_ms", age()},
+                {"events", m_events.events()}});
+    Metrics::observe("request_seconds", std::chrono::duration<double>(age()).count(),
+                     {{"kind", kindText(m_route->kind)}});
+    finish("answered");
+}
+
+// The attempt ended without a whole answer.
+void Exchange::onBroken(ExchangeEnd end)
+{
+    const Instant now = loopNow();
+    const ServerName name = m_attempt->server;
+    if (ServerState *server = m_state.book.find(name)) {
+        server->health.noteFailure(end == ExchangeEnd::NotSent ? ServerHealth::Failure::Unreachable
+                                                               : ServerHealth::Failure::Cut,
+                                   now);
+        if (server->health.isAvoided(now)) {
+            logNotable("server_avoided",
+                       {{"server", name},
+                        {"reason", exchangeEndText(end)},
+                        {"for_ms", server->health.avoidedUntil() - now}});
+        }
+    }
+    logNotable("attempt_broken",
+               {{"id", m_call.id},
+                {"server", name},
+                {"address", m_attempt->address},
+                {"end", exchangeEndText(end)},
+                {"status", m_attempt->status},
+                {"events", m_events.events()},
+                {"took_ms", now - m_attempt->sentAt},
+                {"age_ms", age()}});
+    Metrics::count("attempts_broken", {{"end", exchangeEndText(end)}});
+    if (end == ExchangeEnd::NotSent) {
+        releaseAttempt();
+        if (left(now) < leastTimeToRepeat)
+            refuse(503, "unreachable", age());
+        else
+            place();
+        return;
+    }
+    ++m_runs;
+    if (!m_fingerprint.isEmpty())
+        m_state.suspicions.noteCut(m_fingerprint, name, m_attempt->incarnation, now);
+    if (mayRepeat() && takeRepeat()) {
+        m_events.dropRest();
+        repeat("attempt_broken");
+        return;
+    }
+    releaseAttempt();
+    fail(502, "attempt_broken");
+}
+
+// Whether another server may run the request although this one may have run it.
+bool Exchange::mayRepeat() const
+{
+    if (m_arrivals >= m_route->maxAttempts || left(loopNow()) < leastTimeToRepeat)
+        return false;
+    switch (m_route->kind) {
+    case CallKind::Idempotent:
+        return true;
+    case CallKind::NonIdempotent:
+        return false;
+    case CallKind::Stream:
+        // Without an id to go on from, a caller that has events would get them twice.
+        return m_route->isResumable && (!m_isStreaming || !m_events.lastId().empty());
+    }
+    return false;
+}
+
+bool Exchange::takeRepeat()
+{
+    if (m_state.retries(m_service->name).takeRetry())
+        return true;
+    Metrics::count("retry_budget_spent");
+    return false;
+}
+
+void Exchange::repeat(const char *reason)
+{
+    logRoutine("repeated",
+               {{"id", m_call.id},
+                {"server", m_attempt->server},
+                {"reason", reason},
+                {"last", m_events.lastId()},
+                {"age_ms", age()}});
+    Metrics::count("repeats", {{"reason", reason}});
+    releaseAttempt();
+    place();
+}
+
+void Exchange::releaseAttempt()
+{
+    if (!m_attempt)
+        return;
+    if (ServerState *server = m_state.book.find(m_attempt->server)) {
+        server->own.running -= m_attempt->work.running;
+        server->own.prefillTokens -= m_attempt->work.prefillTokens;
+        server->own.memoryTokens -= m_attempt->work.memoryTokens;
+    }
+    m_attempt.reset();
+}
+
+void Exchange::setTimer()
+{
+    Instant at = m_giveUpAt;
+    if (m_attempt && !m_patienceOver && !m_attempt->firstByteSeen) {
+        const Duration patience
+            = std::max({shortestPatience, scaled(m_route->latencyObjective, patienceObjectives),
+                        scaled(m_attempt->expected, patienceExpected)});
+        at = std::min(at, m_attempt->sentAt + patience);
+    }
+    m_timer.expires_at(at);
+    m_timer.async_wait([weak = weak_from_this()](const SystemError &ec) {
+        const auto self = weak.lock();
+        if (!ec && self)
+            self->onTimer();
+    });
+}
+
+void Exchange::onTimer()
+{
+    const Instant now = loopNow();
+    if (m_isOver || now < std::chrono::time_point_cast<Duration>(m_timer.expiry()))
+        return;
+    if (now >= m_giveUpAt) {
+        onGiveUp();
+        return;
+    }
+    onPatienceOver();
+}
+
+void Exchange::onPatienceOver()
+{
+    m_patienceOver = true;
+    if (!m_attempt || m_attempt->firstByteSeen) {
+        setTimer();
+        return;
+    }
+    const Instant now = loopNow();
+    if (ServerState *server = m_state.book.find(m_attempt->server))
+        server->health.noteFailure(ServerHealth::Failure::Silent, now);
+    logNotable("server_silent",
+               {{"id", m_call.id},
+                {"server", m_attempt->server},
+                {"expected_ms", m_attempt->expected},
+                {"took_ms", now - m_attempt->sentAt}});
+    ++m_arrivals;
+    if (mayRepeat() && takeRepeat()) {
+        ++m_runs;
+        m_attempt->connection->close();
+        repeat("server_silent");
+        return;
+    }
+    --m_arrivals;
+    setTimer();
+}
+
+void Exchange::onGiveUp()
+{
+    if (!m_attempt) {
+        if (m_runs > 0)
+            fail(504, "deadline");
+        else
+            refuse(503, "deadline", m_route->latencyObjective);
+        return;
+    }
+    ++m_runs;
+    if (ServerState *server = m_state.book.find(m_attempt->server);
+        server && !m_attempt->firstByteSeen)
+        server->health.noteFailure(ServerHealth::Failure::Silent, loopNow());
+    m_attempt->connection->close();
+    releaseAttempt();
+    fail(504, "deadline");
+}
+
+void Exchange::onCallerLeft()
+{
+    logRoutine("caller_left",
+               {{"id", m_call.id}, {"age_ms", age()}, {"events", m_events.events()}});
+    Metrics::count("callers_left");
+    if (m_attempt) {
+        m_attempt->connection->close();
+        releaseAttempt();
+    }
+    finish("caller_left");
+}
+
+void Exchange::refuse(int status, const char *reason, std::optional<Duration> retryAfter)
+{
+    // A refusal promises that the request has not run.
+    if (m_isStreaming || m_runs > 0) {
+        fail(502, reason);
+        return;
+    }
+    std::optional<Milliseconds> wait;
+    if (retryAfter)
+        wait = std::chrono::duration_cast<Milliseconds>(*retryAfter);
+    logNotable("refused",
+               {{"id", m_call.id},
+                {"status", status},
+                {"reason", reason},
+                {"route", m_route ? m_route->name : std::string("none")},
+                {"account", m_account ? m_account->name : AccountId()},
+                {"model", m_call.model},
+                {"adapter", m_call.adapter},
+                {"age_ms", age()},
+                {"retry_after_ms", wait ? wait->count() : 0},
+                {"config", m_config ? m_config->version : Version()},
+                {"arrivals", m_arrivals}});
+    Metrics::count("refused", {{"reason", reason}, {"status", std::to_string(status)}});
+    std::string fields;
+    m_state.dialect.writeOwnFields(m_call.id, wait, fields);
+    if (m_charged > 0) {
+        if (SharedQuota *quota = m_state.quotas.find(m_account->name))
+            quota->refund(m_charged);
+    }
+    m_session->answer(status, fields, reason);
+    finish("refused");
+}
+
+// The request may have run; nothing is promised.
+void Exchange::fail(int status, const char *reason)
+{
+    logNotable("failed",
+               {{"id", m_call.id},
+                {"status", status},
+                {"reason", reason},
+                {"route", m_route->name},
+                {"age_ms", age()},
+                {"events", m_events.events()},
+                {"arrivals", m_arrivals},
+                {"config", m_config->version}});
+    Metrics::count("failed", {{"reason", reason}, {"status", std::to_string(status)}});
+    if (m_isStreaming) {
+        m_session->abort();
+    } else {
+        std::string fields;
+        m_state.dialect.writeOwnFields(m_call.id, {}, fields);
+        m_session->answer(status, fields, reason);
+    }
+    finish("failed");
+}
+
+void Exchange::finish(const char *outcome)
+{
+    if (m_isOver)
+        return;
+    m_isOver = true;
+    m_timer.cancel();
+    if (m_isWaiting)
+        m_state.waiting.remove(this);
+    Metrics::count("requests", {{"outcome", outcome}});
+    m_session.reset();
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -0,0 +1,235 @@
+#include "Apps/Entry/OrderSender.h"
+
+#include "Adapters/DecisionLog.h"
+#include "Adapters/Metrics.h"
+#include "Adapters/Process.h"
+
+#include <boost/asio/post.hpp>
+
+#include <ctime>
+
+namespace quetzalyoke {
+
+namespace {
+
+// Engines answer an order within milliseconds; afterwards its outcome counts as unknown.
+constexpr std::chrono::milliseconds orderTimeout{600};
+constexpr std::chrono::milliseconds statusTimeout{600};
+constexpr ClientConnection::Limits engineLimits{std::chrono::milliseconds(400),
+                                                std::chrono::milliseconds(800)};
+
+OrderOutcome outcomeOf(const HttpOutcome &outcome)
+{
+    if (outcome.end == ExchangeEnd::NotSent)
+        return OrderOutcome::NotSent;
+    if (!outcome.isAnswered())
+        return OrderOutcome::Unknown;
+    switch (outcome.status) {
+    case 202:
+        return OrderOutcome::Accepted;
+    case 200:
+        return OrderOutcome::AlreadyHolds;
+    case 409:
+        return OrderOutcome::Conflict;
+    case 421:
+        return OrderOutcome::WrongServer;
+    case 400:
+    case 412:
+        return OrderOutcome::Impossible;
+    default:
+        return OrderOutcome::Unknown;
+    }
+}
+
+PlacementLease::Limits leaseLimits(const EntrySettings &settings)
+{
+    PlacementLease::Limits limits;
+    limits.holderPause = settings.holderPause;
+    return limits;
+}
+
+} // namespace
+
+Instant bootNow()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant(
+        Duration(static_cast<std::int64_t>(now.tv_sec) * 1'000'000 + now.tv_nsec / 1'000));
+}
+
+OrderSender::OrderSender(EntryState &state, NoticeHook onNotices)
+    : m_state(state), m_onNotices(std::move(onNotices)),
+      m_lease(leaseLimits(state.settings), state.settings.instance, Process::incarnation())
+{ }
+
+std::int64_t OrderSender::fencing() const
+{
+    return m_lease.mayOrder(bootNow()) ? m_lease.fencing().count() : 0;
+}
+
+void OrderSender::onHolderNews(const InstanceId &holder, FencingNumber fencing)
+{
+    m_lease.onHolderNews(holder, fencing, bootNow());
+}
+
+void OrderSender::resign()
+{
+    m_lease.resign();
+}
+
+void OrderSender::tick()
+{
+    keepLease();
+    giveOrders();
+    if (m_callers.size() > 2 * m_state.book.servers().size())
+        dropUnusedCallers();
+}
+
+void OrderSender::wake()
+{
+    if (m_isWoken || !m_lease.mayOrder(bootNow()))
+        return;
+    m_isWoken = true;
+    asio::post(m_state.loop, [this] {
+        m_isWoken = false;
+        giveOrders();
+    });
+}
+
+void OrderSender::keepLease()
+{
+    const Instant now = bootNow();
+    switch (m_lease.next(now)) {
+    case PlacementLease::Action::None:
+        return;
+    case PlacementLease::Action::Read:
+        m_state.platform.readLease([this, now](const auto &row) {
+            if (!row) {
+                m_lease.onFailed(bootNow());
+                return;
+            }
+            m_lease.onRead(*row, now, bootNow());
+        });
+        return;
+    case PlacementLease::Action::Write:
+        m_state.platform.writeLease(
+            m_lease.proposal(), [this, now](EntryPlatform::WriteOutcome outcome, Version version) {
+                switch (outcome) {
+                case EntryPlatform::WriteOutcome::Done:
+                    m_lease.onWritten(version, now);
+                    return;
+                case EntryPlatform::WriteOutcome::Conflict:
+                    m_lease.onWritten({}, now);
+                    return;
+                case EntryPlatform::WriteOutcome::Failed:
+                    m_lease.onFailed(bootNow());
+                    return;
+                }
+            });
+        return;
+    }
+}
+
+void OrderSender::giveOrders()
+{
+    const bool isHolder = m_lease.mayOrder(bootNow());
+    if (isHolder != m_wasHolder) {
+        logNotable(isHolder ? "lease_held" : "lease_lost",
+                   {{"fencing", m_lease.fencing()}, {"row", m_lease.row().version}});
+    }
+    const bool isNew = isHolder && !m_wasHolder;
+    m_wasHolder = isHolder;
+    if (!isHolder)
+        return;
+    const EngineDirector::Step step = m_state.director.next(loopNow(), isNew);
+    for (const EngineCommand &command : step.commands)
+        sendCommand(command);
+    for (const ServerName &server : step.statuses)
+        askStatus(server);
+    publishNotices();
+}
+
+void OrderSender::sendCommand(const EngineCommand &command)
+{
+    const ServerState *server = m_state.book.find(command.server);
+    EngineCommand sent = command;
+    sent.holder = m_state.settings.instance.text();
+    sent.fencing = m_lease.fencing().count();
+    if (!server) {
+        m_state.director.takeOutcome(sent, OrderOutcome::NotSent, loopNow());
+        return;
+    }
+    const std::string address = server->listed.address;
+    callerOf(address).call(
+        m_state.dialect.commandRequest(sent, address), orderTimeout,
+        [this, sent](const HttpOutcome &http) {
+            const OrderOutcome outcome = outcomeOf(http);
+            logNotable("order",
+                       {{"server", sent.server},
+                        {"kind", sent.kind == EngineCommand::Kind::Load ? "load" : "unload"},
+                        {"model", sent.model},
+                        {"adapter", sent.adapter},
+                        {"expected", sent.expectedOrders},
+                        {"fencing", sent.fencing},
+                        {"outcome", orderOutcomeText(outcome)},
+                        {"took_ms", loopNow() - http.sentAt}});
+            Metrics::count("orders", {{"outcome", orderOutcomeText(outcome)}});
+            m_state.director.takeOutcome(sent, outcome, loopNow());
+            publishNotices();
+            wake();
+        });
+}
+
+void OrderSender::askStatus(const ServerName &name)
+{
+    const ServerState *server = m_state.book.find(name);
+    if (!server)
+        return;
+    const std::string address = server->listed.address;
+    Metrics::count("statuses_asked");
+    callerOf(address).call(m_state.dialect.statusRequest(address), statusTimeout,
+                           [this, name](const HttpOutcome &http) {
+                               if (!http.isAnswered() || http.status != 200)
+                                   return;
+                               const auto status = m_state.dialect.readStatus(http.body);
+                               if (!status) {
+                                   logNotable("bad_status", {{"server", name}});
+                                   return;
+                               }
+                               m_state.director.takeStatus(name, *status, http.sentAt, loopNow());
+                               publishNotices();
+                           });
+}
+
+void OrderSender::publishNotices()
+{
+    const auto notices = m_state.director.takeNotices();
+    if (notices.empty())
+        return;
+    for (const OrderNotice &notice : notices)
+        m_state.book.addNotice(notice);
+    if (!m_lease.mayOrder(bootNow()))
+        return;
+    m_onNotices(notices);
+    if (!m_state.waiting.isEmpty())
+        asio::post(m_state.loop, [this] { m_state.waiting.retryAll(); });
+}
+
+HttpCaller &OrderSender::callerOf(const std::string &address)
+{
+    auto &caller = m_callers[address];
+    if (!caller)
+        caller = std::make_unique<HttpCaller>(m_state.loop, Address::parse(address), engineLimits);
+    return *caller;
+}
+
+void OrderSender::dropUnusedCallers()
+{
+    std::set<std::string> used;
+    for (const auto &[id, server] : m_state.book.servers())
+        used.insert(server.listed.address);
+    std::erase_if(m_callers, [&used](const auto &entry) { return used.count(entry.first) == 0; });
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Apps/Entry/OrderSender.h
@@ -0,0 +1,48 @@
+#ifndef QUETZALYOKE_APPS_ENTRY_ORDERSENDER_H
+#define QUETZALYOKE_APPS_ENTRY_ORDERSENDER_H
+
+#include "Adapters/Async/HttpCaller.h"
+#include "Apps/Entry/EntryState.h"
+
+namespace quetzalyoke {
+
+/// Time that goes on while the instance is suspended.
+Instant bootNow();
+
+/// \brief Keeps the placement lease and, while it is held, sends the director's orders.
+class OrderSender
+{
+public:
+    /// Changes that orders have brought.
+    using NoticeHook = std::function<void(const std::vector<OrderNotice> &)>;
+
+    OrderSender(EntryState &state, NoticeHook onNotices);
+
+    void tick();
+    /// Something is wanted: looks for orders at once.
+    void wake();
+    void resign();
+    void onHolderNews(const InstanceId &holder, FencingNumber fencing);
+    /// Above zero while this gateway may order engines.
+    std::int64_t fencing() const;
+
+private:
+    void keepLease();
+    void giveOrders();
+    void sendCommand(const EngineCommand &command);
+    void askStatus(const ServerName &server);
+    void publishNotices();
+    HttpCaller &callerOf(const std::string &address);
+    void dropUnusedCallers();
+
+    EntryState &m_state;
+    NoticeHook m_onNotices;
+    PlacementLease m_lease;
+    std::map<std::string, std::unique_ptr<HttpCaller>> m_callers;
+    bool m_wasHolder = false;
+    bool m_isWoken = false;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -0,0 +1,81 @@
+#ifndef QUETZALYOKE_APPS_ENTRY_PEERNETWORK_H
+#define QUETZALYOKE_APPS_ENTRY_PEERNETWORK_H
+
+#include "Adapters/Async/HttpCaller.h"
+#include "Adapters/Async/PeerSocket.h"
+#include "Apps/Entry/EntryState.h"
+
+namespace quetzalyoke {
+
+/// \brief Other gateways: who they are, what they tell and what they are told.
+class PeerNetwork
+{
+public:
+    /// What the lease says, for the news.
+    using LeaseFencing = std::function<std::int64_t()>;
+    /// A peer says that it holds the lease.
+    using HolderHook = std::function<void(const InstanceId &, FencingNumber)>;
+
+    PeerNetwork(EntryState &state, LeaseFencing leaseFencing, HolderHook onHolder);
+
+    void start();
+    /// Tells every peer that this gateway leaves.
+    void leave();
+    /// Tells the peers what has changed, soon.
+    void tellSoon();
+    /// Changes that orders of this gateway have brought.
+    void addNotices(const std::vector<OrderNotice> &notices);
+    /// The instance has stood still.
+    void onResumed();
+    std::size_t peers() const { return m_peers.size(); }
+
+private:
+    struct Peer
+    {
+        Address address;
+        Incarnation incarnation;
+        std::int64_t sequence = 0;
+        Instant heardAt;
+        bool isHeard = false;
+        bool isLeaving = false;
+        std::string http;
+        StateVersions versions;
+    };
+
+    void join();
+    void addMember(const InstanceId &instance, const Address &address);
+    void updateCount();
+    void tick();
+    void tell();
+    wire::PeerNews makeNews();
+    void onNews(const wire::PeerNews &news, const Address &from);
+    void applyNews(const InstanceId &from, const wire::PeerNews &news);
+    void fetchState(Instant now);
+
+    EntryState &m_state;
+    LeaseFencing m_leaseFencing;
+    HolderHook m_onHolder;
+    PeerSocket m_socket;
+    asio::steady_timer m_tick;
+    asio::steady_timer m_joinTimer;
+    asio::steady_timer m_soon;
+    bool m_isSoon = false;
+    bool m_joined = false;
+    std::map<InstanceId, Peer> m_peers;
+    std::int64_t m_sequence = 0;
+    struct SentNotice
+    {
+        OrderNotice notice;
+        Instant until;
+    };
+    std::vector<SentNotice> m_notices;
+    std::unique_ptr<HttpCaller> m_fetcher;
+    std::vector<std::unique_ptr<HttpCaller>> m_oldFetchers;
+    bool m_isFetching = false;
+    Instant m_behindSince;
+    bool m_isBehind = false;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Ports/ServingDialect.h
@@ -0,0 +1,83 @@
+#ifndef QUETZALYOKE_PORTS_SERVINGDIALECT_H
+#define QUETZALYOKE_PORTS_SERVINGDIALECT_H
+
+#include "Serving/BackendServer.h"
+#include "Serving/CallDescription.h"
+
+#include <boost/beast/http/fields.hpp>
+
+#include <optional>
+#include <string>
+
+namespace quetzalyoke {
+
+using HeaderFields = boost::beast::http::fields;
+
+/// \brief What this system adds to a request on its way to a backend server.
+struct BackendCall
+{
+    ServerName server; ///< Any other server must turn the request down.
+    AccountId account; ///< Empty on open routes.
+    Milliseconds timeLeft{0};
+    std::optional<int> priority; ///< 0 to 9, 0 is admitted first.
+    std::string resumeAfter; ///< Id of the last event that the caller has; empty: from the start.
+};
+
+/// \brief What a backend server's answer says besides its status and body.
+struct BackendVerdict
+{
+    bool isForeign = false; ///< Answers another request.
+    bool isSigned = false; ///< Carries the proof that a server made it.
+    bool isEncoded = false; ///< The body is not what the server made.
+    bool notRun = false; ///< The server states that it did not run the request.
+    std::optional<ServerLoad> load;
+};
+
+/// \brief An order to an engine and what makes it unrepeatable.
+struct EngineCommand
+{
+    enum class Kind { Load, Unload };
+
+    Kind kind = Kind::Load;
+    ServerName server;
+    ModelName model;
+    AdapterName adapter; ///< Empty: the model itself.
+    std::int64_t expectedOrders = 0; ///< Carried out only if the engine has accepted this many.
+    std::string holder;
+    std::int64_t fencing = 0;
+};
+
+/// \brief How callers, this system and backend servers spell the same things in HTTP.
+class ServingDialect
+{
+public:
+    virtual ~ServingDialect() = default;
+
+    /// Nothing where the headers contradict themselves; then \a problem says why.
+    virtual std::optional<CallDescription> describe(const HeaderFields &fields,
+                                                    std::string &problem) const = 0;
+    /// Headers of a caller's request as a backend server gets them, without framing.
+    virtual void writeBackendFields(const HeaderFields &caller, const BackendCall &call,
+                                    std::string &out) const = 0;
+    virtual BackendVerdict judge(int status, const HeaderFields &fields,
+                                 const RequestId &id) const = 0;
+    /// Headers of a backend server's answer as the caller gets them, without framing.
+    virtual void writeCallerFields(const HeaderFields &backend, std::string &out) const = 0;
+    /// Headers of an answer of this system's own.
+    virtual void writeOwnFields(const RequestId &id, std::optional<Milliseconds> retryAfter,
+                                std::string &out) const = 0;
+
+    /// Head and body of an HTTP request that carries \a command.
+    virtual std::string commandRequest(const EngineCommand &command,
+                                       const std::string &host) const = 0;
+    /// An HTTP request for an engine's status.
+    virtual std::string statusRequest(const std::string &host) const = 0;
+    /// Nothing where \a body can't be read.
+    virtual std::optional<EngineStatus> readStatus(const std::string &body) const = 0;
+    /// Path at which the platform asks whether this instance takes connections.
+    virtual std::string readinessPath() const = 0;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/AdmissionPolicy.cpp
@@ -0,0 +1,80 @@
+#include "Serving/AdmissionPolicy.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+// A service without a usable server usually gets one back within a restart.
+constexpr Duration serverReturn = std::chrono::milliseconds(600);
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+Duration AdmissionPolicy::returnAfter(Duration wanted, const AdmissionInput &input,
+                                      double spread) const
+{
+    const Duration spaced = scaled(wanted, 1 + spread / 2);
+    const Duration longest = scaled(input.left, m_settings.longestReturn);
+    return std::max(m_settings.shortestReturn, std::min(spaced, longest));
+}
+
+AdmissionDecision AdmissionPolicy::waitOrRefuse(const AdmissionInput &input, Duration patience,
+                                                Duration retryAfter, double spread) const
+{
+    AdmissionDecision decision;
+    decision.reason = outcomeText(input.choice.outcome);
+    if (input.waited < std::min(patience, input.left)) {
+        decision.step = AdmissionDecision::Step::Wait;
+        return decision;
+    }
+    decision.step = AdmissionDecision::Step::Refuse;
+    decision.retryAfter = returnAfter(retryAfter, input, spread);
+    return decision;
+}
+
+AdmissionDecision AdmissionPolicy::decide(const AdmissionInput &input, double spread) const
+{
+    const Duration objective = input.route->latencyObjective;
+    switch (input.choice.outcome) {
+    case PlacementChoice::Outcome::Chosen:
+        break;
+    case PlacementChoice::Outcome::NoServer:
+        return waitOrRefuse(input, scaled(objective, m_settings.slotPatience), serverReturn,
+                            spread);
+    case PlacementChoice::Outcome::NoModel: {
+        const auto model = input.service->engine->models.find(input.call->model);
+        if (model == input.service->engine->models.end()) {
+            AdmissionDecision decision;
+            decision.reason = "unknown_model";
+            decision.retryAfter = returnAfter(serverReturn, input, spread);
+            return decision;
+        }
+        return waitOrRefuse(input, scaled(objective, m_settings.slotPatience),
+                            model->second.loadTime, spread);
+    }
+    case PlacementChoice::Outcome::NoAdapter:
+        return waitOrRefuse(input, scaled(objective, m_settings.adapterPatience), objective,
+                            spread);
+    case PlacementChoice::Outcome::Full:
+        return waitOrRefuse(input, scaled(objective, m_settings.slotPatience), objective, spread);
+    }
+    AdmissionDecision decision;
+    const Duration firstAt = input.waited + input.choice.expectedFirst;
+    if (input.choice.expectedFirst >= input.left
+        || firstAt > scaled(objective, m_settings.latest)) {
+        decision.reason = "too_late";
+        decision.retryAfter = returnAfter(input.choice.expectedFirst, input, spread);
+        return decision;
+    }
+    decision.step = AdmissionDecision::Step::Send;
+    decision.reason = "sent";
+    return decision;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/AdmissionPolicy.h
@@ -0,0 +1,64 @@
+#ifndef QUETZALYOKE_SERVING_ADMISSIONPOLICY_H
+#define QUETZALYOKE_SERVING_ADMISSIONPOLICY_H
+
+#include "Serving/ServerChooser.h"
+
+namespace quetzalyoke {
+
+/// \brief What deciding on a request that has arrived, or waits, depends on.
+struct AdmissionInput
+{
+    const Route *route = nullptr;
+    const ServiceSpec *service = nullptr;
+    const CallDescription *call = nullptr;
+    PlacementChoice choice;
+    Duration waited{0}; ///< Since the request arrived.
+    Duration left{0}; ///< Until its caller or route gives up.
+};
+
+struct AdmissionDecision
+{
+    enum class Step { Send, Wait, Refuse };
+
+    Step step = Step::Refuse;
+    Duration retryAfter{0}; ///< Of a refusal: when there should be room.
+    const char *reason = "";
+};
+
+/// \brief Sends, holds or turns away a request; no I/O.
+///
+/// Answers bursts beyond what the servers can do in time: a request that would get its first byte
+/// only after its objective delays those behind it, so it is turned away at once and told when to
+/// come back. What is likely to free up within a fraction of the objective is waited for.
+class AdmissionPolicy
+{
+public:
+    struct Settings
+    {
+        /// Of the latency objective, for a slot at a full server.
+        double slotPatience = 0.25;
+        /// Of the latency objective, for an adapter, which loads within milliseconds.
+        double adapterPatience = 0.5;
+        /// Requests are sent while their expected first byte is within this many objectives.
+        double latest = 2.0;
+        /// Callers come back at the most this share of their time left later.
+        double longestReturn = 0.3;
+        Duration shortestReturn{100'000};
+    };
+
+    explicit AdmissionPolicy(const Settings &settings) : m_settings(settings) { }
+
+    /// \a spread in [0, 1) spaces the returns of requests that are refused together.
+    AdmissionDecision decide(const AdmissionInput &input, double spread) const;
+
+private:
+    Duration returnAfter(Duration wanted, const AdmissionInput &input, double spread) const;
+    AdmissionDecision waitOrRefuse(const AdmissionInput &input, Duration patience,
+                                   Duration retryAfter, double spread) const;
+
+    const Settings m_settings;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/BackendServer.h
@@ -0,0 +1,53 @@
+#ifndef QUETZALYOKE_SERVING_BACKENDSERVER_H
+#define QUETZALYOKE_SERVING_BACKENDSERVER_H
+
+#include "Core/StrongTypes.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief Models that an engine holds, each with its loaded adapters.
+using Holdings = std::map<ModelName, std::set<AdapterName>>;
+
+/// \brief What a backend server says of itself in the platform's list.
+struct ListedServer
+{
+    ServerName id;
+    Incarnation incarnation; ///< Rises with each start under the same id.
+    ServiceName service;
+    std::string address; ///< IP:PORT
+    ZoneName zone;
+    int slots = 1; ///< Requests that run at once.
+    bool isLeaving = false; ///< Takes no new work.
+    std::int64_t orders = 0; ///< Orders accepted in this incarnation.
+    Holdings holdings;
+
+    bool operator==(const ListedServer &) const = default;
+};
+
+/// \brief Load that a server tells with its answers.
+struct ServerLoad
+{
+    int running = 0;
+    int waiting = 0;
+    int slots = 0;
+};
+
+/// \brief What an engine reports when asked; some hundred milliseconds old.
+struct EngineStatus
+{
+    Holdings holdings;
+    std::set<std::pair<ModelName, AdapterName>> loadingAdapters;
+    bool isBusy = false; ///< Carries out an order.
+    std::int64_t orders = 0; ///< Accepted in this incarnation.
+    int running = 0;
+    int waiting = 0;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/CopyPlanner.cpp
@@ -0,0 +1,114 @@
+#include "Serving/CopyPlanner.h"
+
+namespace quetzalyoke {
+
+namespace {
+
+double valueOr(const CopyPlanner::Demand &demand, const ModelName &model)
+{
+    const auto it = demand.find(model);
+    return it == demand.end() ? 0 : it->second;
+}
+
+} // namespace
+
+std::map<ModelName, CopyPlanner::Counts> CopyPlanner::count(const EngineSpec &spec,
+                                                            const Books &books) const
+{
+    std::map<ModelName, Counts> counts;
+    for (const auto &[model, entry] : spec.models)
+        counts[model];
+    for (const auto &[id, book] : books) {
+        if (book.listed().isLeaving)
+            continue;
+        for (auto &[model, n] : counts) {
+            if (book.holds(model, {}))
+                ++n.held;
+            else if (book.isLoading(model, {}))
+                ++n.loading;
+        }
+    }
+    return counts;
+}
+
+std::optional<CopyChange> CopyPlanner::next(const EngineSpec &spec, const Books &books,
+                                            const Demand &demand, Instant now) const
+{
+    const auto counts = count(spec, books);
+    // Models without a copy first, the most wanted one at the head.
+    const ModelName *missing = nullptr;
+    for (const auto &[model, n] : counts) {
+        if (n.all() > 0)
+            continue;
+        if (!missing || valueOr(demand, model) > valueOr(demand, *missing))
+            missing = &model;
+    }
+    if (missing) {
+        const double work = std::max(valueOr(demand, *missing), 1.0);
+        if (const auto change = place(*missing, work, spec, books, demand, counts, now))
+            return change;
+    }
+    const ModelName *busiest = nullptr;
+    double most = m_settings.busyShare;
+    for (const auto &[model, n] : counts) {
+        // One copy at a time, so that the next decision sees what this one brought.
+        if (n.loading > 1 || n.held == 0)
+            continue;
+        const double work = valueOr(demand, model) / n.all();
+        if (work <= most)
+            continue;
+        busiest = &model;
+        most = work;
+    }
+    if (!busiest)
+        return {};
+    return place(*busiest, most, spec, books, demand, counts, now);
+}
+
+std::optional<CopyChange> CopyPlanner::place(const ModelName &model, double work,
+                                             const EngineSpec &, const Books &books,
+                                             const Demand &demand,
+                                             const std::map<ModelName, Counts> &counts,
+                                             Instant now) const
+{
+    std::optional<CopyChange> best;
+    double bestCost = 0;
+    for (const auto &[id, book] : books) {
+        if (book.listed().isLeaving || !book.isFree(now) || book.holds(model, {})
+            || book.isLoading(model, {}))
+            continue;
+        // Work that the engine has already.
+        double engineWork = 0;
+        for (const auto &[held, adapters] : book.holdings()) {
+            const auto n = counts.find(held);
+            if (n != counts.end() && n->second.held > 0)
+                engineWork += valueOr(demand, held) / n->second.held;
+        }
+        if (book.fits(model, {})) {
+            if (!best || !best->unload.isEmpty() || engineWork < bestCost) {
+                best = CopyChange{id, model, {}};
+                bestCost = engineWork;
+            }
+            continue;
+        }
+        if (best && best->unload.isEmpty())
+            continue;
+        for (const auto &[held, adapters] : book.holdings()) {
+            const auto n = counts.find(held);
+            const bool isKnown = n != counts.end();
+            if (isKnown && n->second.held < 2)
+                continue;
+            const double left = isKnown ? valueOr(demand, held) / (n->second.held - 1) : 0;
+            if (left > work * m_settings.victimShare)
+                continue;
+            const double cost = left + engineWork;
+            if (best && cost >= bestCost)
+                continue;
+            best = CopyChange{id, model, held};
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/CopyPlanner.h
@@ -0,0 +1,62 @@
+#ifndef QUETZALYOKE_SERVING_COPYPLANNER_H
+#define QUETZALYOKE_SERVING_COPYPLANNER_H
+
+#include "Serving/EngineBook.h"
+
+namespace quetzalyoke {
+
+/// \brief Where to load one more copy of a model, and what to unload there first.
+struct CopyChange
+{
+    ServerName server;
+    ModelName load;
+    ModelName unload; ///< Empty: there is room.
+};
+
+/// \brief Decides the copies of models on the engines of one service.
+///
+/// Answers demand that moves to other models: every model keeps one copy; the rest of the memory
+/// follows the prompt work per copy, one change at a time, and only where the model that gains is
+/// clearly busier per copy than the one that loses, so that a wavering demand moves nothing.
+class CopyPlanner
+{
+public:
+    struct Settings
+    {
+        /// Work per copy, as a share of an engine's time, from which on a model gets another one.
+        double busyShare = 0.12;
+        /// A copy is given up only where its model stays below this share of the gainer's work.
+        double victimShare = 0.5;
+    };
+
+    using Books = std::map<ServerName, EngineBook>;
+    /// Share of one engine's time that a model's requests take now.
+    using Demand = std::map<ModelName, double>;
+
+    explicit CopyPlanner(const Settings &settings) : m_settings(settings) { }
+
+    /// The most useful change, or nothing. Engines that are not free to take orders are left out
+    /// as targets, but their copies count.
+    std::optional<CopyChange> next(const EngineSpec &spec, const Books &books, const Demand &demand,
+                                   Instant now) const;
+
+private:
+    struct Counts
+    {
+        int held = 0;
+        int loading = 0;
+
+        int all() const { return held + loading; }
+    };
+
+    std::map<ModelName, Counts> count(const EngineSpec &spec, const Books &books) const;
+    std::optional<CopyChange> place(const ModelName &model, double work, const EngineSpec &spec,
+                                    const Books &books, const Demand &demand,
+                                    const std::map<ModelName, Counts> &counts, Instant now) const;
+
+    const Settings m_settings;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/EngineBook.cpp
@@ -0,0 +1,303 @@
+#include "Serving/EngineBook.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+// Engines' reports are some hundred milliseconds old.
+constexpr Duration reportLag = std::chrono::milliseconds(300);
+
+// Between two status requests to one engine.
+constexpr Duration statusPause = std::chrono::milliseconds(250);
+
+// An engine that refuses an order because of another one is asked and tried again after it.
+constexpr Duration conflictPause = std::chrono::milliseconds(150);
+
+// An order without an answer is sent again after it.
+constexpr Duration repeatPause = std::chrono::milliseconds(100);
+
+// Unloading waits for running requests; the engine is asked from here on.
+constexpr Duration unloadTime = std::chrono::milliseconds(300);
+
+// An adapter takes 5 to 10 ms, longer while many are loaded.
+constexpr Duration adapterTime = std::chrono::milliseconds(15);
+
+// A finished order is forgotten this long after its expected end, whatever reports say.
+constexpr Duration longestOverrun = std::chrono::seconds(8);
+
+} // namespace
+
+const char *orderOutcomeText(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::AlreadyHolds:
+        return "already_holds";
+    case OrderOutcome::Conflict:
+        return "conflict";
+    case OrderOutcome::WrongServer:
+        return "wrong_server";
+    case OrderOutcome::Impossible:
+        return "impossible";
+    case OrderOutcome::Unknown:
+        return "unknown";
+    case OrderOutcome::NotSent:
+        return "not_sent";
+    }
+    return "unknown";
+}
+
+EngineBook::EngineBook(const ListedServer &listed, const EngineSpec &spec)
+    : m_listed(listed), m_spec(spec), m_holdings(listed.holdings), m_orders(listed.orders)
+{ }
+
+void EngineBook::takeListed(const ListedServer &listed, Instant now)
+{
+    m_listed = listed;
+    if (listed.orders < m_orders || m_open)
+        return;
+    if (listed.orders == m_orders && now - m_changedAt < reportLag)
+        return;
+    m_orders = listed.orders;
+    settle(listed.holdings, false, now);
+}
+
+void EngineBook::takeStatus(const EngineStatus &status, Instant askedAt, Instant now)
+{
+    // A report may show the engine as it was before the latest order.
+    if (askedAt < m_changedAt + reportLag || status.orders < m_orders) {
+        m_askAt = now + statusPause;
+        return;
+    }
+    if (m_open) {
+        if (m_inFlight || askedAt < m_openSince + reportLag)
+            return;
+        if (status.orders == m_orders) {
+            m_mustAsk = false; // nothing came of it yet; it is sent again
+            return;
+        }
+        // One of the orders that named this count was carried out, and only this one did.
+        const EngineCommand command = *m_open;
+        m_open.reset();
+        applyAccepted(command, now);
+    }
+    m_mustAsk = false;
+    m_orders = status.orders;
+    settle(status.holdings, status.isBusy || !status.loadingAdapters.empty(), now);
+    if (status.isBusy && !m_running)
+        m_retryAt = now + conflictPause;
+}
+
+// Holdings as the engine showed them with all accepted orders taken into account.
+void EngineBook::settle(const Holdings &holdings, bool isBusy, Instant now)
+{
+    if (m_running) {
+        const bool isLoad = m_running->kind == EngineCommand::Kind::Load;
+        const auto it = holdings.find(m_running->model);
+        const bool isThere = it != holdings.end()
+            && (m_running->adapter.isEmpty() || it->second.count(m_running->adapter) > 0);
+        const bool isDone = isThere == isLoad && !isBusy;
+        if (!isDone && now < m_runningUntil + longestOverrun) {
+            m_mustAsk = true;
+            m_askAt = std::max(m_askAt, now + statusPause);
+            return;
+        }
+        m_running.reset();
+    }
+    m_holdings = holdings;
+}
+
+void EngineBook::takeOutcome(const EngineCommand &command, OrderOutcome outcome, Instant now)
+{
+    m_inFlight = false;
+    if (!m_open)
+        return;
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        m_open.reset();
+        applyAccepted(command, now);
+        return;
+    case OrderOutcome::AlreadyHolds:
+        m_open.reset();
+        if (command.kind == EngineCommand::Kind::Load) {
+            auto &adapters = m_holdings[command.model];
+            if (!command.adapter.isEmpty())
+                adapters.insert(command.adapter);
+        } else {
+            // An adapter that no request uses is unloaded at once.
+            applyAccepted(command, now);
+            m_running.reset();
+        }
+        // Whether it counted as accepted is only known from the engine.
+        m_mustAsk = true;
+        m_askAt = now + reportLag;
+        m_changedAt = now;
+        return;
+    case OrderOutcome::Conflict:
+        // Without an earlier try whose answer was lost, nothing can come of it any more.
+        if (!m_isDoubtful)
+            m_open.reset();
+        m_mustAsk = true;
+        m_askAt = std::max(now, m_openSince + reportLag);
+        m_retryAt = now + conflictPause;
+        return;
+    case OrderOutcome::WrongServer:
+    case OrderOutcome::Impossible:
+        m_open.reset();
+        m_mustAsk = true;
+        m_askAt = now + reportLag;
+        return;
+    case OrderOutcome::NotSent:
+        if (!m_isDoubtful)
+            m_open.reset();
+        m_retryAt = now + repeatPause;
+        return;
+    case OrderOutcome::Unknown:
+        m_isDoubtful = true;
+        m_retryAt = now + repeatPause;
+        return;
+    }
+}
+
+void EngineBook::applyAccepted(const EngineCommand &command, Instant now)
+{
+    m_orders = command.expectedOrders + 1;
+    m_changedAt = now;
+    m_running = command;
+    const auto model = m_spec.models.find(command.model);
+    const bool isLoad = command.kind == EngineCommand::Kind::Load;
+    if (!command.adapter.isEmpty()) {
+        m_runningUntil = now + adapterTime;
+        auto &adapters = m_holdings[command.model];
+        if (isLoad)
+            adapters.insert(command.adapter);
+        else
+            adapters.erase(command.adapter);
+        // Adapter orders end within milliseconds and leave the engine free for the next one.
+        m_running.reset();
+        m_retryAt = m_runningUntil;
+        return;
+    }
+    if (isLoad) {
+        m_runningUntil
+            = now + (model == m_spec.models.end() ? Milliseconds(0) : model->second.loadTime);
+    } else {
+        m_runningUntil = now + unloadTime;
+        m_holdings.erase(command.model);
+    }
+    m_mustAsk = true;
+    m_askAt = now + reportLag;
+}
+
+bool EngineBook::isFree(Instant now) const
+{
+    return !m_open && !m_running && !m_mustAsk && now >= m_retryAt;
+}
+
+std::optional<EngineCommand> EngineBook::repeat(Instant now) const
+{
+    if (!m_open || m_inFlight || now < m_retryAt || (m_mustAsk && now < m_retryAt + reportLag))
+        return {};
+    return m_open;
+}
+
+bool EngineBook::needsStatus(Instant now) const
+{
+    return m_mustAsk && now >= m_askAt && now - m_statusAskedAt >= statusPause;
+}
+
+EngineCommand EngineBook::makeLoad(const ModelName &model, const AdapterName &adapter) const
+{
+    EngineCommand command;
+    command.kind = EngineCommand::Kind::Load;
+    command.server = m_listed.id;
+    command.model = model;
+    command.adapter = adapter;
+    command.expectedOrders = m_orders;
+    return command;
+}
+
+EngineCommand EngineBook::makeUnload(const ModelName &model, const AdapterName &adapter) const
+{
+    EngineCommand command = makeLoad(model, adapter);
+    command.kind = EngineCommand::Kind::Unload;
+    return command;
+}
+
+void EngineBook::noteSent(const EngineCommand &command, Instant now)
+{
+    if (!m_open) {
+        m_openSince = now;
+        m_isDoubtful = false;
+    }
+    m_open = command;
+    m_inFlight = true;
+    m_mustAsk = false;
+}
+
+double EngineBook::megabytesOf(const ModelName &model) const
+{
+    const auto it = m_spec.models.find(model);
+    // A model that the configuration doesn't know may take all there is.
+    return it == m_spec.models.end() ? m_spec.megabytes : it->second.megabytes;
+}
+
+double EngineBook::adapterMegabytesOf(const ModelName &model) const
+{
+    const auto it = m_spec.models.find(model);
+    return it == m_spec.models.end() ? 0 : it->second.adapterMegabytes;
+}
+
+int EngineBook::adapterCount() const
+{
+    std::size_t n = 0;
+    for (const auto &[model, adapters] : m_holdings)
+        n += adapters.size();
+    return static_cast<int>(n);
+}
+
+double EngineBook::freeMegabytes() const
+{
+    double used = 0;
+    for (const auto &[model, adapters] : m_holdings)
+        used += megabytesOf(model)
+            + adapterMegabytesOf(model) * static_cast<double>(adapters.size());
+    // Loads that are open or under way, and unloads that aren't finished, still take memory.
+    for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
+        if (!command || !command->adapter.isEmpty())
+            continue;
+        if (m_holdings.count(command->model) == 0)
+            used += megabytesOf(command->model);
+    }
+    return m_spec.megabytes - used;
+}
+
+bool EngineBook::fits(const ModelName &model, const AdapterName &adapter) const
+{
+    if (adapter.isEmpty())
+        return megabytesOf(model) <= freeMegabytes();
+    return adapterCount() < m_spec.adapterSlots && adapterMegabytesOf(model) <= freeMegabytes();
+}
+
+bool EngineBook::holds(const ModelName &model, const AdapterName &adapter) const
+{
+    const auto it = m_holdings.find(model);
+    if (it == m_holdings.end())
+        return false;
+    return adapter.isEmpty() || it->second.count(adapter) > 0;
+}
+
+bool EngineBook::isLoading(const ModelName &model, const AdapterName &adapter) const
+{
+    for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
+        if (command && command->kind == EngineCommand::Kind::Load && command->model == model
+            && command->adapter == adapter)
+            return true;
+    }
+    return false;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/EngineBook.h
@@ -0,0 +1,87 @@
+#ifndef QUETZALYOKE_SERVING_ENGINEBOOK_H
+#define QUETZALYOKE_SERVING_ENGINEBOOK_H
+
+#include "Ports/ServingDialect.h"
+
+namespace quetzalyoke {
+
+/// \brief How an engine answered an order.
+enum class OrderOutcome {
+    Accepted, ///< Being carried out.
+    AlreadyHolds, ///< Nothing to do.
+    Conflict, ///< Another order is under way, or the engine has accepted others since.
+    WrongServer, ///< Another server has the address now.
+    Impossible, ///< The engine knows no such model or adapter, or the order is malformed.
+    Unknown, ///< No answer: the order may still be carried out.
+    NotSent, ///< Nothing reached the engine.
+};
+
+const char *orderOutcomeText(OrderOutcome outcome);
+
+/// \brief What one engine holds and which of its orders are open; decides whether the next may go.
+///
+/// Every order names the number of orders that the engine has accepted so far. Of all orders that
+/// name the same number at most one is carried out, so an order without an answer is sent again
+/// as it was until the engine's count shows that it, or nothing, came of it.
+class EngineBook
+{
+public:
+    EngineBook(const ListedServer &listed, const EngineSpec &spec);
+
+    /// The platform's list; it lags, so it counts only once it has caught up.
+    void takeListed(const ListedServer &listed, Instant now);
+    /// A status that was asked for at \a askedAt.
+    void takeStatus(const EngineStatus &status, Instant askedAt, Instant now);
+    void takeOutcome(const EngineCommand &command, OrderOutcome outcome, Instant now);
+
+    /// Whether a new order may be sent.
+    bool isFree(Instant now) const;
+    /// The order without an answer, to be sent again.
+    std::optional<EngineCommand> repeat(Instant now) const;
+    /// Whether a status would tell something that is not known.
+    bool needsStatus(Instant now) const;
+    void noteStatusAsked(Instant now) { m_statusAskedAt = now; }
+
+    EngineCommand makeLoad(const ModelName &model, const AdapterName &adapter) const;
+    EngineCommand makeUnload(const ModelName &model, const AdapterName &adapter) const;
+    void noteSent(const EngineCommand &command, Instant now);
+
+    /// Whether a load can't exceed the engine's memory or slots, whatever came of open orders.
+    bool fits(const ModelName &model, const AdapterName &adapter) const;
+    /// Held, and no open order takes it away.
+    bool holds(const ModelName &model, const AdapterName &adapter) const;
+    /// Being loaded, or ordered to be.
+    bool isLoading(const ModelName &model, const AdapterName &adapter) const;
+
+    const ListedServer &listed() const { return m_listed; }
+    const Holdings &holdings() const { return m_holdings; }
+    std::int64_t orders() const { return m_orders; }
+    int adapterCount() const;
+    double freeMegabytes() const;
+
+private:
+    void applyAccepted(const EngineCommand &command, Instant now);
+    void settle(const Holdings &holdings, bool isBusy, Instant now);
+    double megabytesOf(const ModelName &model) const;
+    double adapterMegabytesOf(const ModelName &model) const;
+
+    ListedServer m_listed;
+    const EngineSpec m_spec;
+    Holdings m_holdings;
+    std::int64_t m_orders = 0;
+    std::optional<EngineCommand> m_open; // sent, its outcome not known
+    Instant m_openSince;
+    bool m_inFlight = false;
+    bool m_isDoubtful = false; // an earlier try of it had no answer
+    std::optional<EngineCommand> m_running; // accepted, not known to be finished
+    Instant m_runningUntil; // expected end
+    bool m_mustAsk = false;
+    Instant m_askAt;
+    Instant m_statusAskedAt;
+    Instant m_retryAt;
+    Instant m_changedAt; // last accepted order
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/EngineDirector.cpp
@@ -0,0 +1,314 @@
+#include "Serving/EngineDirector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalyoke {
+
+namespace {
+
+// A need that no gateway has repeated for this long is over.
+constexpr Duration needLifetime = std::chrono::milliseconds(600);
+
+// An order that the engine called impossible is not tried again before.
+constexpr Duration impossiblePause = std::chrono::seconds(5);
+
+// Loads that may begin at once after a pause; the engines' rules allow three beyond the rate.
+constexpr double savedLoads = 2;
+
+// Below the weight store's rate, so that clocks that differ don't exceed it.
+constexpr double usedShareOfRate = 0.95;
+
+} // namespace
+
+EngineDirector::EngineDirector(const Settings &settings)
+    : m_settings(settings), m_planner(settings.copies)
+{ }
+
+void EngineDirector::setServers(const ServerBook &book, Instant now)
+{
+    if (!m_config)
+        return;
+    std::set<ServerName> listed;
+    for (const auto &[id, state] : book.servers()) {
+        const ServiceSpec *service = m_config->findService(state.listed.service);
+        if (!service || !service->engine)
+            continue;
+        listed.insert(id);
+        auto &books = booksOf(service->name);
+        const auto it = books.find(id);
+        const bool isKnown = it != books.end()
+            && it->second.listed().incarnation == state.listed.incarnation
+            && it->second.listed().address == state.listed.address;
+        if (isKnown) {
+            const Holdings before = it->second.holdings();
+            it->second.takeListed(state.listed, now);
+            noticeChanges(it->second, before);
+            continue;
+        }
+        if (it != books.end())
+            books.erase(it);
+        books.emplace(id, EngineBook(state.listed, *service->engine));
+        m_services[id] = service->name;
+        m_planned.erase(id);
+    }
+    for (auto &[service, books] : m_books)
+        std::erase_if(books, [&](const auto &entry) { return listed.count(entry.first) == 0; });
+}
+
+void EngineDirector::noteDemand(const ModelName &model, std::int64_t tokens, Instant now)
+{
+    auto &demand = m_demand[model];
+    demand.tokensPerSecond = demandOf(model, now);
+    demand.at = now;
+    const double window = std::chrono::duration<double>(m_settings.demandWindow).count();
+    demand.tokensPerSecond += static_cast<double>(tokens) / window;
+}
+
+double EngineDirector::demandOf(const ModelName &model, Instant now) const
+{
+    const auto it = m_demand.find(model);
+    if (it == m_demand.end())
+        return 0;
+    const double age = std::chrono::duration<double>(now - it->second.at).count();
+    const double window = std::chrono::duration<double>(m_settings.demandWindow).count();
+    return it->second.tokensPerSecond * std::exp(-std::max(0.0, age) / window);
+}
+
+void EngineDirector::noteNeed(const ModelName &model, const AdapterName &adapter, Instant now)
+{
+    m_needs[{model, adapter}] = now;
+}
+
+void EngineDirector::noteUse(const ServerName &server, const ModelName &model,
+                             const AdapterName &adapter, Instant now)
+{
+    m_uses[{server, {model, adapter}}] = now;
+}
+
+EngineDirector::Step EngineDirector::next(Instant now, bool isNew)
+{
+    Step step;
+    if (!m_config)
+        return step;
+    std::erase_if(m_needs, [now](const auto &need) { return now - need.second > needLifetime; });
+    std::erase_if(m_uses,
+                  [&](const auto &use) { return now - use.second > 4 * m_settings.adapterIdle; });
+    for (const auto &[name, service] : m_config->services) {
+        if (!service.engine)
+            continue;
+        const EngineSpec &spec = *service.engine;
+        auto &pacer = m_pacers[name];
+        if (isNew)
+            pacer = LoadPacer();
+        pacer.setRate(spec.loadsPerSecond * usedShareOfRate, savedLoads, now);
+        for (auto &[id, book] : booksOf(name)) {
+            if (book.needsStatus(now)) {
+                book.noteStatusAsked(now);
+                step.statuses.push_back(id);
+            }
+            const auto repeat = book.repeat(now);
+            if (!repeat)
+                continue;
+            book.noteSent(*repeat, now);
+            step.commands.push_back(*repeat);
+        }
+        planAdapters(name, spec, step, now);
+        planCopies(name, spec, step, now);
+    }
+    return step;
+}
+
+void EngineDirector::planAdapters(const ServiceName &service, const EngineSpec &spec, Step &step,
+                                  Instant now)
+{
+    const auto &books = booksOf(service);
+    for (const auto &[key, at] : m_needs) {
+        if (key.second.isEmpty() || spec.models.count(key.first) == 0)
+            continue;
+        const bool isComing = std::any_of(books.begin(), books.end(), [&](const auto &entry) {
+            return entry.second.isLoading(key.first, key.second)
+                || (entry.second.holds(key.first, key.second) && !entry.second.listed().isLeaving);
+        });
+        if (!isComing)
+            planAdapter(key, spec, books, step, now);
+    }
+}
+
+bool EngineDirector::planAdapter(const AdapterKey &key, const EngineSpec &,
+                                 const CopyPlanner::Books &books, Step &step, Instant now)
+{
+    ServerName bestServer;
+    AdapterKey bestVictim;
+    bool bestHasRoom = false;
+    int bestCount = 0;
+    Instant bestUse;
+    for (const auto &[id, book] : books) {
+        if (book.listed().isLeaving || !book.isFree(now) || !book.holds(key.first, {}))
+            continue;
+        const auto refused = m_impossible.find({id, key});
+        if (refused != m_impossible.end() && now - refused->second < impossiblePause)
+            continue;
+        if (book.fits(key.first, key.second)) {
+            if (!bestHasRoom || book.adapterCount() < bestCount) {
+                bestServer = id;
+                bestHasRoom = true;
+                bestCount = book.adapterCount();
+            }
+            continue;
+        }
+        if (bestHasRoom)
+            continue;
+        // The adapter that has been unused for longest makes way.
+        for (const auto &[model, adapters] : book.holdings()) {
+            for (const AdapterName &adapter : adapters) {
+                const auto use = m_uses.find({id, {model, adapter}});
+                const Instant usedAt = use == m_uses.end() ? Instant() : use->second;
+                if (now - usedAt < m_settings.adapterIdle)
+                    continue;
+                if (!bestServer.isEmpty() && usedAt >= bestUse)
+                    continue;
+                bestServer = id;
+                bestVictim = {model, adapter};
+                bestUse = usedAt;
+            }
+        }
+    }
+    EngineBook *book = findBook(bestServer);
+    if (!book)
+        return false;
+    if (bestHasRoom)
+        send(*book, book->makeLoad(key.first, key.second), step, now);
+    else
+        send(*book, book->makeUnload(bestVictim.first, bestVictim.second), step, now);
+    return true;
+}
+
+void EngineDirector::planCopies(const ServiceName &service, const EngineSpec &spec, Step &step,
+                                Instant now)
+{
+    auto &books = booksOf(service);
+    auto &pacer = m_pacers[service];
+    // Loads whose room has just been made come first.
+    for (auto it = m_planned.begin(); it != m_planned.end();) {
+        EngineBook *book = findBook(it->first);
+        const bool isObsolete = !book || book->listed().isLeaving || book->holds(it->second, {})
+            || book->isLoading(it->second, {});
+        if (isObsolete) {
+            it = m_planned.erase(it);
+            continue;
+        }
+        if (!book->isFree(now) || m_services[it->first] != service) {
+            ++it;
+            continue;
+        }
+        if (!book->fits(it->second, {})) {
+            it = m_planned.erase(it);
+            continue;
+        }
+        if (pacer.take(now)) {
+            send(*book, book->makeLoad(it->second, {}), step, now);
+            it = m_planned.erase(it);
+            continue;
+        }
+        ++it;
+    }
+    CopyPlanner::Demand demand;
+    for (const auto &[model, entry] : spec.models)
+        demand[model] = demandOf(model, now) / (m_settings.prefillTokensPerMs * 1000);
+    const auto change = m_planner.next(spec, books, demand, now);
+    if (!change || m_planned.count(change->server) > 0)
+        return;
+    EngineBook *book = findBook(change->server);
+    if (!change->unload.isEmpty()) {
+        m_planned[change->server] = change->load;
+        send(*book, book->makeUnload(change->unload, {}), step, now);
+        return;
+    }
+    if (pacer.take(now))
+        send(*book, book->makeLoad(change->load, {}), step, now);
+}
+
+void EngineDirector::send(EngineBook &book, const EngineCommand &command, Step &step, Instant now)
+{
+    book.noteSent(command, now);
+    step.commands.push_back(command);
+}
+
+void EngineDirector::takeOutcome(const EngineCommand &command, OrderOutcome outcome, Instant now)
+{
+    EngineBook *book = findBook(command.server);
+    if (!book)
+        return;
+    const Holdings before = book->holdings();
+    book->takeOutcome(command, outcome, now);
+    noticeChanges(*book, before);
+    if (outcome == OrderOutcome::Impossible)
+        m_impossible[{command.server, {command.model, command.adapter}}] = now;
+    if (outcome == OrderOutcome::Accepted && command.kind == EngineCommand::Kind::Load)
+        m_uses[{command.server, {command.model, command.adapter}}] = now;
+}
+
+void EngineDirector::takeStatus(const ServerName &server, const EngineStatus &status,
+                                Instant askedAt, Instant now)
+{
+    EngineBook *book = findBook(server);
+    if (!book)
+        return;
+    const Holdings before = book->holdings();
+    book->takeStatus(status, askedAt, now);
+    noticeChanges(*book, before);
+}
+
+void EngineDirector::noticeChanges(const EngineBook &book, const Holdings &before)
+{
+    for (const auto &[model, adapters] : before) {
+        if (!book.holds(model, {})) {
+            notice(book, model, {}, false);
+            continue;
+        }
+        for (const AdapterName &adapter : adapters) {
+            if (!book.holds(model, adapter))
+                notice(book, model, adapter, false);
+        }
+    }
+    for (const auto &[model, adapters] : book.holdings()) {
+        const auto known = before.find(model);
+        if (known == before.end())
+            notice(book, model, {}, true);
+        for (const AdapterName &adapter : adapters) {
+            if (known == before.end() || known->second.count(adapter) == 0)
+                notice(book, model, adapter, true);
+        }
+    }
+}
+
+void EngineDirector::notice(const EngineBook &book, const ModelName &model,
+                            const AdapterName &adapter, bool isLoad)
+{
+    OrderNotice notice;
+    notice.server = book.listed().id;
+    notice.incarnation = book.listed().incarnation;
+    notice.orders = book.orders();
+    notice.model = model;
+    notice.adapter = adapter;
+    notice.isLoad = isLoad;
+    m_notices.push_back(notice);
+}
+
+std::vector<OrderNotice> EngineDirector::takeNotices()
+{
+    return std::exchange(m_notices, {});
+}
+
+EngineBook *EngineDirector::findBook(const ServerName &server)
+{
+    const auto service = m_services.find(server);
+    if (service == m_services.end())
+        return nullptr;
+    auto &books = booksOf(service->second);
+    const auto it = books.find(server);
+    return it == books.end() ? nullptr : &it->second;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/EngineDirector.h
@@ -0,0 +1,90 @@
+#ifndef QUETZALYOKE_SERVING_ENGINEDIRECTOR_H
+#define QUETZALYOKE_SERVING_ENGINEDIRECTOR_H
+
+#include "Serving/CopyPlanner.h"
+#include "Serving/LoadPacer.h"
+#include "Serving/ServerBook.h"
+
+namespace quetzalyoke {
+
+/// \brief Orders to engines: copies of models by demand, adapters as requests ask for them.
+///
+/// Only the gateway that holds the placement lease sends what next() returns; every gateway feeds
+/// its own director, so that a new holder knows demand and use at once.
+class EngineDirector
+{
+public:
+    struct Step
+    {
+        std::vector<EngineCommand> commands; ///< To be sent now; each needs takeOutcome().
+        std::vector<ServerName> statuses; ///< Engines to ask; each answer to takeStatus().
+    };
+
+    struct Settings
+    {
+        CopyPlanner::Settings copies;
+        double prefillTokensPerMs = 38; ///< \sa ServerChooser::Settings
+        Duration demandWindow{2'000'000}; ///< Over which demand is averaged.
+        Duration adapterIdle{1'500'000}; ///< Unused this long, an adapter may make way.
+    };
+
+    explicit EngineDirector(const Settings &settings);
+
+    void setConfig(ServingConfigPtr config) { m_config = std::move(config); }
+    /// The engines as listed; books of others are dropped.
+    void setServers(const ServerBook &book, Instant now);
+
+    /// Prompt tokens asked of \a model, wherever its requests ended.
+    void noteDemand(const ModelName &model, std::int64_t tokens, Instant now);
+    /// Requests wait for \a adapter of \a model, or for the model itself.
+    void noteNeed(const ModelName &model, const AdapterName &adapter, Instant now);
+    void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter,
+                 Instant now);
+
+    /// Orders and questions of a holder. \a isNew: it has just become one.
+    Step next(Instant now, bool isNew);
+    void takeOutcome(const EngineCommand &command, OrderOutcome outcome, Instant now);
+    void takeStatus(const ServerName &server, const EngineStatus &status, Instant askedAt,
+                    Instant now);
+    /// Changes that orders have brought since the last call, for every gateway's ServerBook.
+    std::vector<OrderNotice> takeNotices();
+
+    double demandOf(const ModelName &model, Instant now) const;
+
+private:
+    struct Demand
+    {
+        double tokensPerSecond = 0;
+        Instant at;
+    };
+    using AdapterKey = std::pair<ModelName, AdapterName>;
+
+    const EngineSpec *specOf(const ServerName &server) const;
+    void planAdapters(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
+    bool planAdapter(const AdapterKey &key, const EngineSpec &spec, const CopyPlanner::Books &books,
+                     Step &step, Instant now);
+    void planCopies(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
+    void send(EngineBook &book, const EngineCommand &command, Step &step, Instant now);
+    void notice(const EngineBook &book, const ModelName &model, const AdapterName &adapter,
+                bool isLoad);
+    void noticeChanges(const EngineBook &book, const Holdings &before);
+    CopyPlanner::Books &booksOf(const ServiceName &service) { return m_books[service]; }
+    EngineBook *findBook(const ServerName &server);
+
+    const Settings m_settings;
+    const CopyPlanner m_planner;
+    ServingConfigPtr m_config;
+    std::map<ServiceName, CopyPlanner::Books> m_books;
+    std::map<ServerName, ServiceName> m_services;
+    std::map<ServiceName, LoadPacer> m_pacers;
+    std::map<ModelName, Demand> m_demand;
+    std::map<AdapterKey, Instant> m_needs;
+    std::map<std::pair<ServerName, AdapterKey>, Instant> m_uses;
+    std::map<std::pair<ServerName, AdapterKey>, Instant> m_impossible;
+    std::map<ServerName, ModelName> m_planned; // to be loaded once an unload has made room
+    std::vector<OrderNotice> m_notices;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/LoadPacer.cpp
@@ -0,0 +1,33 @@
+#include "Serving/LoadPacer.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+void LoadPacer::setRate(double loadsPerSecond, double saved, Instant now)
+{
+    refill(now);
+    m_rate = loadsPerSecond;
+    m_saved = saved;
+    m_level = std::min(m_level, saved);
+}
+
+void LoadPacer::refill(Instant now)
+{
+    if (m_at != Instant() && now > m_at) {
+        const double elapsed = std::chrono::duration<double>(now - m_at).count();
+        m_level = std::min(m_saved, m_level + m_rate * elapsed);
+    }
+    m_at = std::max(m_at, now);
+}
+
+bool LoadPacer::take(Instant now)
+{
+    refill(now);
+    if (m_level < 1)
+        return false;
+    m_level -= 1;
+    return true;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/PlacementLease.cpp
@@ -0,0 +1,115 @@
+#include "Serving/PlacementLease.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+// After a call that failed.
+constexpr Duration retryPause = std::chrono::milliseconds(300);
+
+} // namespace
+
+PlacementLease::PlacementLease(const Limits &limits, InstanceId self, Incarnation incarnation)
+    : m_limits(limits), m_self(std::move(self)), m_incarnation(incarnation)
+{ }
+
+bool PlacementLease::isOurs() const
+{
+    return m_known && m_row.version.count() != 0 && m_row.holder == m_self
+        && m_row.incarnation == m_incarnation;
+}
+
+bool PlacementLease::mayTakeOver(Instant now) const
+{
+    if (m_row.version.count() == 0)
+        return true;
+    return now - m_seenAt >= m_limits.validity + m_limits.holderPause + m_limits.margin;
+}
+
+PlacementLease::Action PlacementLease::next(Instant now)
+{
+    if (m_waiting || m_resigned)
+        return Action::None;
+    if (isOurs()) {
+        if (now - m_triedAt < m_limits.renewal)
+            return Action::None;
+        m_waiting = true;
+        m_triedAt = now;
+        return Action::Write;
+    }
+    if (m_known && now - m_newsAt < m_limits.quiet)
+        return Action::None;
+    if (now - m_triedAt < retryPause)
+        return Action::None;
+    // A row that has not been read lately may have been renewed since.
+    const bool takesOver = m_known && mayTakeOver(now);
+    if (m_known && !takesOver && now - m_triedAt < m_limits.quiet)
+        return Action::None;
+    m_waiting = true;
+    m_triedAt = now;
+    return takesOver ? Action::Write : Action::Read;
+}
+
+LeaseRow PlacementLease::proposal() const
+{
+    LeaseRow row;
+    row.holder = m_self;
+    row.incarnation = m_incarnation;
+    row.fencing = isOurs() ? m_row.fencing : m_row.fencing + FencingNumber(1);
+    row.version = m_row.version;
+    return row;
+}
+
+void PlacementLease::onRead(const std::optional<LeaseRow> &row, Instant, Instant now)
+{
+    m_waiting = false;
+    const LeaseRow read = row.value_or(LeaseRow());
+    // An answer that was late may show an older row than is known.
+    if (m_known && read.version < m_row.version)
+        return;
+    if (!m_known || read.version != m_row.version)
+        m_seenAt = now;
+    m_known = true;
+    m_row = read;
+    // A renewal whose answer was lost is confirmed by the next one, at once.
+    if (isOurs())
+        m_triedAt = now - m_limits.renewal;
+}
+
+void PlacementLease::onWritten(const std::optional<Version> &version, Instant sentAt)
+{
+    m_waiting = false;
+    if (!version) {
+        m_known = false;
+        m_confirmedAt.reset();
+        return;
+    }
+    m_row = proposal();
+    m_row.version = *version;
+    m_confirmedAt = sentAt;
+}
+
+void PlacementLease::onFailed(Instant now)
+{
+    m_waiting = false;
+    m_triedAt = now;
+    // The write may have taken effect: only reading tells the row's version.
+    m_known = false;
+}
+
+void PlacementLease::onHolderNews(const InstanceId &holder, FencingNumber fencing, Instant now)
+{
+    if (holder == m_self)
+        return;
+    if (!m_known || fencing >= m_row.fencing)
+        m_newsAt = std::max(m_newsAt, now);
+}
+
+bool PlacementLease::mayOrder(Instant now) const
+{
+    return !m_resigned && m_confirmedAt && now - *m_confirmedAt < m_limits.validity;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/PlacementLease.h
@@ -0,0 +1,82 @@
+#ifndef QUETZALYOKE_SERVING_PLACEMENTLEASE_H
+#define QUETZALYOKE_SERVING_PLACEMENTLEASE_H
+
+#include "Core/EngineOrder.h"
+#include "Core/StrongTypes.h"
+
+#include <optional>
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief The row that says which gateway may order engines.
+struct LeaseRow
+{
+    InstanceId holder;
+    Incarnation incarnation; ///< Of the holder.
+    FencingNumber fencing; ///< Rises with each holder.
+    Version version; ///< Of the row in the table; zero: there is none.
+};
+
+/// \brief Decides when this gateway may order engines, and when to read or write the lease row.
+///
+/// A holder orders only while its latest renewal that the table confirmed was sent less than
+/// `validity` ago. Another gateway takes over once it has seen the same row version for validity,
+/// the engines' minimum pause between holders and a margin, all by its own clock, which must go
+/// on while the instance is suspended. So no two gateways order within one pause of each other,
+/// whatever messages are lost, late or answered after a freeze.
+class PlacementLease
+{
+public:
+    struct Limits
+    {
+        Duration renewal{900'000}; ///< Between renewals; one lost call must not cost the lease.
+        Duration validity{2'200'000}; ///< Orders stop this long after the last confirmed renewal.
+        Duration holderPause{3'000'000}; ///< Engines take no turns of holders within it.
+        Duration margin{400'000}; ///< For an order on its way when its holder's right ends.
+        Duration quiet{1'200'000}; ///< Without news of a holder before the row is looked at.
+    };
+
+    enum class Action { None, Read, Write };
+
+    PlacementLease(const Limits &limits, InstanceId self, Incarnation incarnation);
+
+    /// What to do now. Each answer must be followed by a result before the next one.
+    Action next(Instant now);
+    /// Row to write for Action::Write, and the version that it replaces.
+    LeaseRow proposal() const;
+
+    void onRead(const std::optional<LeaseRow> &row, Instant sentAt, Instant now);
+    /// Nothing: the condition failed. \a sentAt is when the write was sent.
+    void onWritten(const std::optional<Version> &version, Instant sentAt);
+    /// The call's outcome is unknown or the table refused it.
+    void onFailed(Instant now);
+    /// A peer says that it holds the lease.
+    void onHolderNews(const InstanceId &holder, FencingNumber fencing, Instant now);
+
+    bool mayOrder(Instant now) const;
+    FencingNumber fencing() const { return m_row.fencing; }
+    const LeaseRow &row() const { return m_row; }
+    /// No more orders; the row is left to lapse.
+    void resign() { m_resigned = true; }
+
+private:
+    bool isOurs() const;
+    bool mayTakeOver(Instant now) const;
+
+    const Limits m_limits;
+    const InstanceId m_self;
+    const Incarnation m_incarnation;
+    LeaseRow m_row;
+    bool m_known = false; // whether the row has been read
+    bool m_waiting = false; // for a result
+    bool m_resigned = false;
+    Instant m_seenAt; // when the row's version was first seen
+    Instant m_newsAt; // of a holder
+    Instant m_triedAt;
+    std::optional<Instant> m_confirmedAt; // sending of the latest renewal that the table confirmed
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/ServerBook.h
@@ -0,0 +1,89 @@
+#ifndef QUETZALYOKE_SERVING_SERVERBOOK_H
+#define QUETZALYOKE_SERVING_SERVERBOOK_H
+
+#include "Serving/BackendServer.h"
+#include "Serving/ServerHealth.h"
+
+#include <map>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief Work that one gateway has at one server.
+struct ServerWork
+{
+    int running = 0; ///< Requests sent and not answered.
+    std::int64_t prefillTokens = 0; ///< Prompt tokens still to be read, as far as known.
+    std::int64_t memoryTokens = 0; ///< Of the requests that run.
+};
+
+/// \brief A change of an engine's holdings by an accepted order, known before the list shows it.
+struct OrderNotice
+{
+    ServerName server;
+    Incarnation incarnation;
+    std::int64_t orders = 0; ///< Accepted by the engine, this one included.
+    ModelName model;
+    AdapterName adapter; ///< Empty: the model itself.
+    bool isLoad = true;
+};
+
+/// \brief What this gateway believes of one backend server.
+struct ServerState
+{
+    ListedServer listed;
+    Holdings holdings; ///< The list's, with younger notices applied.
+    ServerWork own;
+    std::map<InstanceId, ServerWork> peers;
+    std::optional<ServerLoad> load; ///< Told with the server's latest answer.
+    Instant loadAt;
+    ServerHealth health;
+    std::optional<Instant> missingSince; ///< Its entry lapsed while the list was out of reach.
+
+    /// Of all gateways.
+    ServerWork total() const;
+    bool holds(const ModelName &model, const AdapterName &adapter) const;
+};
+
+/// \brief All backend servers that this gateway knows, by id; no I/O.
+///
+/// An entry that lapses while the platform's list can't be read is kept for a grace, since
+/// servers that live enter themselves again when the list is back.
+class ServerBook
+{
+public:
+    using Servers = std::map<ServerName, ServerState>;
+
+    /// \a lapseGrace is how long after its return the list may still miss a living server.
+    explicit ServerBook(Duration lapseGrace) : m_lapseGrace(lapseGrace) { }
+
+    /// Takes the entry of one server. An incarnation replaces the one before.
+    void put(const ListedServer &server, Instant now);
+    /// Takes the removal of an entry.
+    void remove(const ServerName &id, Instant now);
+    /// The list could not be read until \a now.
+    void noteListOutage(Instant now) { m_outageUntil = now; }
+    /// Drops the servers that are still missing after the grace; returns them.
+    std::vector<ServerName> expire(Instant now);
+
+    void addNotice(const OrderNotice &notice);
+    /// Replaces what \a peer has at all servers.
+    void setPeerWork(const InstanceId &peer, const std::map<ServerName, ServerWork> &work);
+
+    ServerState *find(const ServerName &id);
+    const ServerState *find(const ServerName &id) const;
+    const Servers &servers() const { return m_servers; }
+    Servers &servers() { return m_servers; }
+
+private:
+    void applyNotices(ServerState &server);
+
+    const Duration m_lapseGrace;
+    Servers m_servers;
+    std::map<ServerName, std::vector<OrderNotice>> m_notices; // by orders, ascending
+    std::optional<Instant> m_outageUntil;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/ServerChooser.cpp
@@ -0,0 +1,182 @@
+#include "Serving/ServerChooser.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+// Half of an engine's memory for cached beginnings: running requests take the rest.
+constexpr double cachedShareOfMemory = 0.5;
+
+// A server that fails far more often than its siblings is used only if all others are worse.
+constexpr Duration failingPenalty = std::chrono::seconds(10);
+
+// Ties are broken by rendezvous hashing, so that gateways which don't know each other's
+// prompts send the same beginnings to the same server.
+constexpr Duration tieWindow = std::chrono::milliseconds(8);
+
+std::uint64_t rendezvous(const ServerName &server, std::uint64_t key)
+{
+    const std::uint64_t x = std::hash<std::string>()(server.text()) ^ (key * 0x9e3779b97f4a7c15ULL);
+    return (x ^ (x >> 29)) * 0xbf58476d1ce4e5b9ULL;
+}
+
+// The beginning that several requests share: all parts but the last, which is the request's own.
+std::uint64_t sharedKey(const std::vector<std::uint64_t> &chain)
+{
+    if (chain.size() < 2)
+        return 0;
+    return chain[chain.size() - 2];
+}
+
+Duration milliseconds(double count)
+{
+    return Duration(static_cast<std::int64_t>(count * 1000));
+}
+
+} // namespace
+
+const char *outcomeText(PlacementChoice::Outcome outcome)
+{
+    switch (outcome) {
+    case PlacementChoice::Outcome::Chosen:
+        return "chosen";
+    case PlacementChoice::Outcome::NoServer:
+        return "no_server";
+    case PlacementChoice::Outcome::NoModel:
+        return "no_model";
+    case PlacementChoice::Outcome::NoAdapter:
+        return "no_adapter";
+    case PlacementChoice::Outcome::Full:
+        return "full";
+    }
+    return "unknown";
+}
+
+PlacementChoice ServerChooser::choose(const PlacementRequest &request, const ServerBook &book,
+                                      Instant now)
+{
+    PlacementChoice choice;
+    const bool needsModel = request.service->engine && !request.call->model.isEmpty();
+    const double mean = meanFailureShare(request, book);
+    const std::uint64_t key = sharedKey(*request.chain);
+    Candidate best;
+    std::uint64_t bestRank = 0;
+    bool anyServer = false;
+    bool anyModel = false;
+    bool anyAdapter = false;
+    for (const auto &[id, state] : book.servers()) {
+        if (state.listed.service != request.service->name || state.listed.isLeaving
+            || request.excluded.count(id) > 0)
+            continue;
+        anyServer = true;
+        if (needsModel) {
+            if (!state.holds(request.call->model, {}))
+                continue;
+            anyModel = true;
+            if (!state.holds(request.call->model, request.call->adapter))
+                continue;
+            anyAdapter = true;
+        }
+        if (state.health.isAvoided(now))
+            continue;
+        Candidate candidate = weigh(request, state);
+        if (isFull(request, state, candidate))
+            continue;
+        if (state.health.failureShare() > mean + m_settings.failureMargin)
+            candidate.expected += failingPenalty;
+        const std::uint64_t rank = rendezvous(id, key);
+        const bool isTie = best.state && candidate.expected < best.expected + tieWindow
+            && best.expected < candidate.expected + tieWindow;
+        const bool isBetter
+            = !best.state || (isTie ? rank > bestRank : candidate.expected < best.expected);
+        if (!isBetter)
+            continue;
+        best = candidate;
+        bestRank = rank;
+    }
+    if (best.state) {
+        choice.outcome = PlacementChoice::Outcome::Chosen;
+        choice.server = best.state->listed.id;
+        choice.expectedFirst = best.expected;
+        choice.prefillTokens = best.prefill;
+        choice.memoryTokens = best.memory;
+        return choice;
+    }
+    if (!anyServer)
+        choice.outcome = PlacementChoice::Outcome::NoServer;
+    else if (needsModel && !anyModel)
+        choice.outcome = PlacementChoice::Outcome::NoModel;
+    else if (needsModel && !anyAdapter)
+        choice.outcome = PlacementChoice::Outcome::NoAdapter;
+    else
+        choice.outcome = PlacementChoice::Outcome::Full;
+    return choice;
+}
+
+ServerChooser::Candidate ServerChooser::weigh(const PlacementRequest &request,
+                                              const ServerState &state) const
+{
+    Candidate candidate;
+    candidate.state = &state;
+    const ServerWork work = state.total();
+    if (request.service->engine) {
+        const CallDescription &call = *request.call;
+        const auto book = m_prefixes.find(state.listed.id);
+        const std::int64_t cached
+            = book == m_prefixes.end() ? 0 : book->second.cachedTokens(call, *request.chain);
+        candidate.prefill = std::max<std::int64_t>(0, call.promptTokens.count() - cached);
+        candidate.memory = candidate.prefill + call.outputTokens.count();
+        const double queued = static_cast<double>(work.prefillTokens + candidate.prefill);
+        candidate.expected = milliseconds(queued / m_settings.prefillTokensPerMs);
+    } else {
+        const double inLine = static_cast<double>(work.running) / state.listed.slots;
+        candidate.expected
+            = milliseconds(static_cast<double>(m_settings.plainWork.count()) / 1000 * (1 + inLine));
+    }
+    candidate.expected = Duration(static_cast<std::int64_t>(
+        static_cast<double>(candidate.expected.count()) * state.health.slowness()));
+    if (state.listed.zone != m_zone)
+        candidate.expected += m_settings.farZone;
+    return candidate;
+}
+
+bool ServerChooser::isFull(const PlacementRequest &request, const ServerState &state,
+                           const Candidate &candidate) const
+{
+    const ServerWork work = state.total();
+    if (!request.service->engine)
+        return work.running >= state.listed.slots + m_settings.queuedPerServer;
+    if (work.running >= state.listed.slots)
+        return true;
+    const double room
+        = m_settings.memoryShare * static_cast<double>(request.service->engine->memoryTokens);
+    return work.running > 0 && static_cast<double>(work.memoryTokens + candidate.memory) > room;
+}
+
+double ServerChooser::meanFailureShare(const PlacementRequest &request,
+                                       const ServerBook &book) const
+{
+    double sum = 0;
+    int n = 0;
+    for (const auto &[id, state] : book.servers()) {
+        if (state.listed.service != request.service->name)
+            continue;
+        sum += state.health.failureShare();
+        ++n;
+    }
+    return n == 0 ? 0 : sum / n;
+}
+
+void ServerChooser::noteSent(const ServerName &server, const PlacementRequest &request)
+{
+    if (!request.service->engine || request.chain->empty())
+        return;
+    const auto capacity = static_cast<std::int64_t>(
+        cachedShareOfMemory * static_cast<double>(request.service->engine->memoryTokens));
+    auto &book = m_prefixes.try_emplace(server, capacity).first->second;
+    book.add(*request.call, *request.chain);
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/ServerChooser.h
@@ -0,0 +1,89 @@
+#ifndef QUETZALYOKE_SERVING_SERVERCHOOSER_H
+#define QUETZALYOKE_SERVING_SERVERCHOOSER_H
+
+#include "Serving/PrefixBook.h"
+#include "Serving/ServerBook.h"
+
+#include <set>
+
+namespace quetzalyoke {
+
+/// \brief What placing a request depends on.
+struct PlacementRequest
+{
+    const ServiceSpec *service = nullptr;
+    const CallDescription *call = nullptr;
+    const std::vector<std::uint64_t> *chain = nullptr; ///< prefixChain() of the call.
+    std::set<ServerName> excluded; ///< Tried already.
+};
+
+/// \brief Where a request goes, or why it goes nowhere.
+struct PlacementChoice
+{
+    enum class Outcome {
+        Chosen,
+        NoServer, ///< The service has no server that takes work.
+        NoModel, ///< No server holds the model.
+        NoAdapter, ///< Servers hold the model, none of them the adapter.
+        Full, ///< Every server that could run it is full.
+    };
+
+    Outcome outcome = Outcome::NoServer;
+    ServerName server;
+    Duration expectedFirst{0}; ///< Until the first byte of the answer.
+    std::int64_t prefillTokens = 0; ///< That the server has to read.
+    std::int64_t memoryTokens = 0;
+};
+
+const char *outcomeText(PlacementChoice::Outcome outcome);
+
+/// \brief Chooses the server with the earliest expected first byte.
+///
+/// Answers bursts on few models: prompt reading dominates, so the queue of unread prompt tokens at
+/// a server, what it has cached of this prompt and its measured pace decide. Keeps requests out of
+/// servers whose batch or memory is full, where they would displace running ones.
+class ServerChooser
+{
+public:
+    struct Settings
+    {
+        double prefillTokensPerMs = 38; ///< Of a healthy engine; its measured pace corrects it.
+        Duration farZone{2000}; ///< Added for a server in another availability zone.
+        Duration plainWork{20'000}; ///< Of one call of a plain service, until measured.
+        double memoryShare = 0.9; ///< Of an engine's memory that running requests may fill.
+        int queuedPerServer = 1; ///< Calls beyond a plain server's slots.
+        double failureMargin = 0.25; ///< Failure share above the service's mean that counts.
+    };
+
+    ServerChooser(const Settings &settings, ZoneName zone)
+        : m_settings(settings), m_zone(std::move(zone))
+    { }
+
+    PlacementChoice choose(const PlacementRequest &request, const ServerBook &book, Instant now);
+    /// The request has been sent to \a server.
+    void noteSent(const ServerName &server, const PlacementRequest &request);
+    /// Forgets what was cached at \a server.
+    void forget(const ServerName &server) { m_prefixes.erase(server); }
+
+private:
+    struct Candidate
+    {
+        const ServerState *state = nullptr;
+        Duration expected{0};
+        std::int64_t prefill = 0;
+        std::int64_t memory = 0;
+    };
+
+    Candidate weigh(const PlacementRequest &request, const ServerState &state) const;
+    bool isFull(const PlacementRequest &request, const ServerState &state,
+                const Candidate &candidate) const;
+    double meanFailureShare(const PlacementRequest &request, const ServerBook &book) const;
+
+    const Settings m_settings;
+    const ZoneName m_zone;
+    std::map<ServerName, PrefixBook> m_prefixes;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Serving/SharedQuota.cpp
@@ -0,0 +1,112 @@
+#include "Serving/SharedQuota.h"
+
+#include <algorithm>
+
+namespace quetzalyoke {
+
+namespace {
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+SharedQuota::SharedQuota(double ratePerSecond, double burst, Instant now)
+    : m_rate(ratePerSecond), m_burst(burst), m_at(now)
+{ }
+
+void SharedQuota::resize(double ratePerSecond, double burst, Instant now)
+{
+    advance(now);
+    m_rate = ratePerSecond;
+    m_burst = burst;
+    m_level = std::min(m_level, burst);
+}
+
+void SharedQuota::advance(Instant now)
+{
+    if (now <= m_at)
+        return;
+    const double elapsed = seconds(now - m_at);
+    double taken = 0;
+    const double equalPart = m_rate / static_cast<double>(std::max<std::size_t>(1, m_gateways));
+    std::size_t heard = 0;
+    for (auto &[id, peer] : m_peers) {
+        if (now - peer.heardAt <= m_silence) {
+            ++heard;
+            continue;
+        }
+        peer.assumed += equalPart * elapsed;
+        taken += equalPart * elapsed;
+    }
+    // Gateways that are known to exist and have never been heard of.
+    const std::size_t others = m_gateways > 0 ? m_gateways - 1 : 0;
+    if (others > m_peers.size())
+        taken += equalPart * elapsed * static_cast<double>(others - m_peers.size());
+    m_level = std::min(m_burst, m_level + m_rate * elapsed - taken);
+    m_at = now;
+}
+
+bool SharedQuota::charge(double cost, Instant now)
+{
+    advance(now);
+    if (m_level <= 0)
+        return false;
+    m_level -= cost;
+    m_spent += cost;
+    return true;
+}
+
+void SharedQuota::refund(double cost)
+{
+    m_level = std::min(m_burst, m_level + cost);
+    m_spent -= cost;
+}
+
+Duration SharedQuota::waitForCredit(Instant now)
+{
+    advance(now);
+    if (m_level > 0 || m_rate <= 0)
+        return Duration::zero();
+    return Duration(static_cast<std::int64_t>(-m_level / m_rate * 1e6) + 1);
+}
+
+void SharedQuota::takePeerSpent(const InstanceId &peer, Incarnation incarnation, double spent,
+                                Instant now)
+{
+    advance(now);
+    auto [it, isNew] = m_peers.try_emplace(peer);
+    Peer &known = it->second;
+    const bool isRestart = !isNew && known.incarnation < incarnation;
+    if (!isNew && incarnation < known.incarnation)
+        return;
+    // What a gateway spent before it was first heard of is unknown; its silence was counted.
+    double fresh = isNew ? 0 : spent - known.spent;
+    if (isRestart)
+        fresh = spent;
+    const double setOff = std::min(std::max(0.0, fresh), known.assumed);
+    m_level -= fresh - setOff;
+    known = {incarnation, spent, now, 0};
+}
+
+void SharedQuota::setGateways(std::size_t gateways, Duration silence)
+{
+    m_gateways = std::max<std::size_t>(1, gateways);
+    m_silence = silence;
+}
+
+void SharedQuota::suspectPeers(Instant now)
+{
+    for (auto &[id, peer] : m_peers)
+        peer.heardAt = std::min(peer.heardAt, now - m_silence - Duration(1));
+}
+
+double SharedQuota::level(Instant now)
+{
+    advance(now);
+    return m_level;
+}
+
+} // namespace quetzalyoke
--- /dev/null
+++ b/src/Serving/SharedQuota.h
@@ -0,0 +1,67 @@
+#ifndef QUETZALYOKE_SERVING_SHAREDQUOTA_H
+#define QUETZALYOKE_SERVING_SHAREDQUOTA_H
+
+#include "Core/StrongTypes.h"
+
+#include <map>
+#include <optional>
+
+namespace quetzalyoke {
+
+/// \brief One account's rate and burst, kept by all gateways together.
+///
+/// Each gateway takes from the whole what it spends itself and what its peers say that they have
+/// spent. A peer that has not been heard of for the silence limit counts as spending its equal
+/// part of the rate, which is what it allows itself when it hears nobody. So the sum stays within
+/// rate and burst also while gateways are cut off from each other; news that are late by d can
+/// exceed it once by what all spend within d, and that is paid back from what follows.
+class SharedQuota
+{
+public:
+    /// Starts with nothing saved up: an earlier life may have spent the burst just before.
+    SharedQuota(double ratePerSecond, double burst, Instant now);
+
+    void resize(double ratePerSecond, double burst, Instant now);
+    /// Charges \a cost if there is any credit. A cost may exceed it: the debt is paid back first.
+    bool charge(double cost, Instant now);
+    /// Gives back a charge for work that never ran.
+    void refund(double cost);
+    /// How long until there is credit again.
+    Duration waitForCredit(Instant now);
+
+    /// Sum of what this gateway has charged since its start; only rises, refunds aside.
+    double spent() const { return m_spent; }
+    /// \a peer tells its own spent().
+    void takePeerSpent(const InstanceId &peer, Incarnation incarnation, double spent, Instant now);
+    /// Gateways in all, this one included; a peer is silent after \a silence without news.
+    void setGateways(std::size_t gateways, Duration silence);
+    void forgetPeer(const InstanceId &peer) { m_peers.erase(peer); }
+    /// Treats all peers as silent from \a now on, after this gateway has stood still.
+    void suspectPeers(Instant now);
+
+    double level(Instant now);
+
+private:
+    struct Peer
+    {
+        Incarnation incarnation;
+        double spent = 0;
+        Instant heardAt;
+        double assumed = 0; // counted for its silence, set off against its next news
+    };
+
+    void advance(Instant now);
+
+    double m_rate;
+    double m_burst;
+    double m_level = 0;
+    double m_spent = 0;
+    Instant m_at;
+    std::size_t m_gateways = 1;
+    Duration m_silence{0};
+    std::map<InstanceId, Peer> m_peers;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- /dev/null
+++ b/src/Wire/peers.thrift
@@ -0,0 +1,63 @@
+// What entry gateways tell each other in datagrams. Each message stands alone: one that is lost
+// or late only makes its receiver's knowledge older.
+namespace cpp quetzalyoke.wire
+
+// Work of the sender at one backend server.
+struct PeerWork {
+    1: string server,
+    2: i32 running,
+    3: i64 prefillTokens,
+    4: i64 memoryTokens,
+}
+
+// Cumulative since the sender's start.
+struct PeerSpent {
+    1: string account,
+    2: double spent,
+}
+
+// Prompt tokens asked of a model since the sender's previous message.
+struct PeerDemand {
+    1: string model,
+    2: i64 tokens,
+}
+
+// An adapter that requests wait for, or that one has just used at a server.
+struct PeerAdapter {
+    1: string server,     // empty: wanted, wherever
+    2: string model,
+    3: string adapter,    // empty: the model itself
+}
+
+struct PeerNotice {
+    1: string server,
+    2: i64 incarnation,
+    3: i64 orders,
+    4: string model,
+    5: string adapter,
+    6: bool isLoad,
+}
+
+// A request that was in flight at a crash of a backend server.
+struct PeerCrash {
+    1: string fingerprint,
+    2: string incident,
+}
+
+struct PeerNews {
+    1: string instance,
+    2: i64 incarnation,
+    3: i64 sequence,
+    4: bool leaving,
+    5: string http,               // IP:PORT of the sender's state and metrics
+    6: i64 configRow,             // newest row of the operators' table that the sender knows
+    7: i64 serversRow,            // newest row of the servers' table
+    8: i64 leaseFencing,          // above zero: the sender may order engines
+    9: list<PeerWork> work,
+    10: list<PeerSpent> spent,
+    11: list<PeerDemand> demand,
+    12: list<PeerAdapter> wanted,
+    13: list<PeerAdapter> used,
+    14: list<PeerNotice> notices,
+    15: list<PeerCrash> crashes,
+}
