Orders to engines: expected counts from reports, paced unloads, faster takeover

Cause: the list's seq counts heartbeats, so every order named a wrong count (409); unloads ran ahead of the paced loads; adapters were announced when accepted, a few ms before they were loaded, and the request that met 421 was not sent there again. Change: counts only from reports; room is made only for a load that may begin; adapters announced when loaded; a server that turned a request down is asked again after 20 ms; lease row version in the news.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -38,10 +38,8 @@
       m_orders(m_state,
                [this](const std::vector<OrderNotice> &notices) { m_peers.addNotices(notices); }),
       m_peers(
-          m_state, [this] { return m_orders.fencing(); },
-          [this](const InstanceId &holder, FencingNumber fencing) {
-              m_orders.onHolderNews(holder, fencing);
-          }),
+          m_state, [this] { return m_orders.heldLease(); },
+          [this](const LeaseRow &row) { m_orders.onHolderNews(row); }),
       m_callers(loop, settings.connections,
                 {[this](const CallerSession::Pointer &session, CallerRequest &&request) {
                      std::make_shared<Exchange>(m_state, session, std::move(request))->start();
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -24,6 +24,12 @@
 // Given to a repeat so that it can still be in time.
 constexpr Duration leastTimeToRepeat = std::chrono::milliseconds(30);
 
+// Before a server that has turned a request down is asked again.
+constexpr Duration turnDownPause = std::chrono::milliseconds(20);
+
+// Of several requests that share a part of their prompts, one has it read.
+constexpr std::int64_t sharedPartsPerRead = 4;
+
 // Until a gateway that has just started knows the configuration.
 constexpr Duration startTime = std::chrono::milliseconds(500);
 
@@ -52,6 +58,15 @@
     return Fingerprint(buf.data());
 }
 
+// Prompt tokens that an engine is likely to read: shared parts are mostly cached.
+std::int64_t demandOf(const CallDescription &call)
+{
+    if (call.promptParts.empty())
+        return call.promptTokens.count();
+    const std::int64_t own = call.promptParts.back().length.count();
+    return own + (call.promptTokens.count() - own) / sharedPartsPerRead;
+}
+
 const char *kindText(CallKind kind)
 {
     switch (kind) {
@@ -124,7 +139,7 @@
         ? *m_account->priority * routePriorities + routePriority
         : routePriority;
     if (m_service->engine && !m_call.model.isEmpty())
-        m_state.noteDemand(m_call.model, m_call.promptTokens.count());
+        m_state.noteDemand(m_call.model, demandOf(m_call));
     return true;
 }
 
@@ -169,6 +184,9 @@
                 {"account", m_account->name},
                 {"cost", static_cast<std::int64_t>(cost)},
                 {"level", static_cast<std::int64_t>(quota->level(now))},
+                {"rate", static_cast<std::int64_t>(m_account->ratePerSecond)},
+                {"burst", static_cast<std::int64_t>(m_account->burst)},
+                {"gateways", m_state.gateways},
                 {"config", m_config->version}});
     refuse(429, "over_quota", wait);
     return false;
@@ -193,7 +211,7 @@
 bool Exchange::place()
 {
     const Instant now = loopNow();
-    const PlacementRequest request{m_service, &m_call, &m_chain, m_tried};
+    const PlacementRequest request{m_service, &m_call, &m_chain, blockedServers(now)};
     AdmissionInput input;
     input.route = m_route;
     input.service = m_service;
@@ -277,7 +295,7 @@
     server->own.running += 1;
     server->own.prefillTokens += choice.prefillTokens;
     server->own.memoryTokens += choice.memoryTokens;
-    m_tried.insert(choice.server);
+    m_blocked[choice.server] = Instant::max();
     m_patienceOver = false;
 
     const PlacementRequest request{m_service, &m_call, &m_chain, {}};
@@ -414,6 +432,16 @@
     onAnswered();
 }
 
+std::set<ServerName> Exchange::blockedServers(Instant now) const
+{
+    std::set<ServerName> blocked;
+    for (const auto &[server, until] : m_blocked) {
+        if (now < until)
+            blocked.insert(server);
+    }
+    return blocked;
+}
+
 void Exchange::onNotRun()
 {
     const int status = m_attempt->status;
@@ -421,6 +449,8 @@
         "turned_down",
         {{"id", m_call.id}, {"server", m_attempt->server}, {"status", status}, {"age_ms", age()}});
     Metrics::count("turned_down", {{"status", std::to_string(status)}});
+    // It has not run there: what was missing may have come a moment later.
+    m_blocked[m_attempt->server] = loopNow() + turnDownPause;
     releaseAttempt();
     if (left(loopNow()) < leastTimeToRepeat) {
         refuse(503, "turned_down", age());
--- a/src/Apps/Entry/Exchange.h
+++ b/src/Apps/Entry/Exchange.h
@@ -53,6 +53,7 @@
     void onEnd(ExchangeEnd end);
     void onFirstByte();
     void forward(std::string_view data);
+    std::set<ServerName> blockedServers(Instant now) const;
     void onNotRun();
     void onAnswered();
     void onBroken(ExchangeEnd end);
@@ -86,7 +87,7 @@
     Instant m_giveUpAt;
     asio::steady_timer m_timer;
     std::unique_ptr<Attempt> m_attempt;
-    std::set<ServerName> m_tried;
+    std::map<ServerName, Instant> m_blocked; // not to be tried before
     int m_arrivals = 0; // at servers
     int m_runs = 0; // that may have taken place
     double m_charged = 0;
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -60,7 +60,8 @@
 
 OrderSender::OrderSender(EntryState &state, NoticeHook onNotices)
     : m_state(state), m_onNotices(std::move(onNotices)),
-      m_lease(leaseLimits(state.settings), state.settings.instance, Process::incarnation())
+      m_lease(leaseLimits(state.settings), state.settings.instance, Process::incarnation()),
+      m_nextTimer(state.loop)
 { }
 
 std::int64_t OrderSender::fencing() const
@@ -68,9 +69,16 @@
     return m_lease.mayOrder(bootNow()) ? m_lease.fencing().count() : 0;
 }
 
-void OrderSender::onHolderNews(const InstanceId &holder, FencingNumber fencing)
+std::optional<LeaseRow> OrderSender::heldLease() const
 {
-    m_lease.onHolderNews(holder, fencing, bootNow());
+    if (!m_lease.mayOrder(bootNow()))
+        return {};
+    return m_lease.row();
+}
+
+void OrderSender::onHolderNews(const LeaseRow &row)
+{
+    m_lease.onHolderNews(row, bootNow());
 }
 
 void OrderSender::resign()
@@ -148,6 +156,13 @@
     for (const ServerName &server : step.statuses)
         askStatus(server);
     publishNotices();
+    if (!step.nextAt)
+        return;
+    m_nextTimer.expires_at(*step.nextAt);
+    m_nextTimer.async_wait([this](const SystemError &ec) {
+        if (!ec)
+            giveOrders();
+    });
 }
 
 void OrderSender::sendCommand(const EngineCommand &command)
@@ -208,7 +223,7 @@
     if (notices.empty())
         return;
     for (const OrderNotice &notice : notices)
-        m_state.book.addNotice(notice);
+        m_state.book.addNotice(notice, loopNow());
     if (!m_lease.mayOrder(bootNow()))
         return;
     m_onNotices(notices);
--- a/src/Apps/Entry/OrderSender.h
+++ b/src/Apps/Entry/OrderSender.h
@@ -22,7 +22,9 @@
     /// Something is wanted: looks for orders at once.
     void wake();
     void resign();
-    void onHolderNews(const InstanceId &holder, FencingNumber fencing);
+    void onHolderNews(const LeaseRow &row);
+    /// The lease's row while this gateway may order engines.
+    std::optional<LeaseRow> heldLease() const;
     /// Above zero while this gateway may order engines.
     std::int64_t fencing() const;
 
@@ -38,6 +40,7 @@
     EntryState &m_state;
     NoticeHook m_onNotices;
     PlacementLease m_lease;
+    asio::steady_timer m_nextTimer;
     std::map<std::string, std::unique_ptr<HttpCaller>> m_callers;
     bool m_wasHolder = false;
     bool m_isWoken = false;
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-PeerNetwork::PeerNetwork(EntryState &state, LeaseFencing leaseFencing, HolderHook onHolder)
-    : m_state(state), m_leaseFencing(std::move(leaseFencing)), m_onHolder(std::move(onHolder)),
+PeerNetwork::PeerNetwork(EntryState &state, HeldLease heldLease, HolderHook onHolder)
+    : m_state(state), m_heldLease(std::move(heldLease)), m_onHolder(std::move(onHolder)),
       m_socket(state.loop, state.settings.peers,
                [this](const wire::PeerNews &news, const Address &from) { onNews(news, from); }),
       m_tick(state.loop), m_joinTimer(state.loop), m_soon(state.loop)
@@ -152,7 +152,10 @@
     const StateVersions versions = m_state.platform.versions();
     news.configRow = versions.config.count();
     news.serversRow = versions.servers.count();
-    news.leaseFencing = m_leaseFencing();
+    if (const auto row = m_heldLease()) {
+        news.leaseFencing = row->fencing.count();
+        news.leaseRow = row->version.count();
+    }
     for (const auto &[id, server] : m_state.book.servers()) {
         if (server.own.running == 0)
             continue;
@@ -280,12 +283,13 @@
         notice.model = ModelName(entry.model);
         notice.adapter = AdapterName(entry.adapter);
         notice.isLoad = entry.isLoad;
-        m_state.book.addNotice(notice);
+        m_state.book.addNotice(notice, now);
     }
     for (const wire::PeerCrash &entry : news.crashes)
         m_state.suspicions.add({Fingerprint(entry.fingerprint), {entry.incident}}, now);
     if (news.leaseFencing > 0)
-        m_onHolder(from, FencingNumber(news.leaseFencing));
+        m_onHolder({from, Incarnation(news.incarnation), FencingNumber(news.leaseFencing),
+                    Version(news.leaseRow)});
     if (!news.notices.empty() && !m_state.waiting.isEmpty())
         m_state.waiting.retryAll();
     if (!news.wanted.empty() && m_state.onNeed)
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -11,12 +11,12 @@
 class PeerNetwork
 {
 public:
-    /// What the lease says, for the news.
-    using LeaseFencing = std::function<std::int64_t()>;
+    /// The lease's row while this gateway holds it, for the news.
+    using HeldLease = std::function<std::optional<LeaseRow>()>;
     /// A peer says that it holds the lease.
-    using HolderHook = std::function<void(const InstanceId &, FencingNumber)>;
+    using HolderHook = std::function<void(const LeaseRow &)>;
 
-    PeerNetwork(EntryState &state, LeaseFencing leaseFencing, HolderHook onHolder);
+    PeerNetwork(EntryState &state, HeldLease heldLease, HolderHook onHolder);
 
     void start();
     /// Tells every peer that this gateway leaves.
@@ -53,7 +53,7 @@
     void fetchState(Instant now);
 
     EntryState &m_state;
-    LeaseFencing m_leaseFencing;
+    HeldLease m_heldLease;
     HolderHook m_onHolder;
     PeerSocket m_socket;
     asio::steady_timer m_tick;
--- a/src/Serving/BackendServer.h
+++ b/src/Serving/BackendServer.h
@@ -23,7 +23,6 @@
     ZoneName zone;
     int slots = 1; ///< Requests that run at once.
     bool isLeaving = false; ///< Takes no new work.
-    std::int64_t orders = 0; ///< Orders accepted in this incarnation.
     Holdings holdings;
 
     bool operator==(const ListedServer &) const = default;
--- a/src/Serving/CopyPlanner.cpp
+++ b/src/Serving/CopyPlanner.cpp
@@ -12,13 +12,12 @@
 
 } // namespace
 
-std::map<ModelName, CopyPlanner::Counts> CopyPlanner::count(const EngineSpec &spec,
-                                                            const Books &books) const
+std::map<ModelName, CopyPlanner::Counts> CopyPlanner::count(const Input &input) const
 {
     std::map<ModelName, Counts> counts;
-    for (const auto &[model, entry] : spec.models)
+    for (const auto &[model, entry] : input.spec.models)
         counts[model];
-    for (const auto &[id, book] : books) {
+    for (const auto &[id, book] : input.books) {
         if (book.listed().isLeaving)
             continue;
         for (auto &[model, n] : counts) {
@@ -28,33 +27,37 @@
                 ++n.loading;
         }
     }
+    for (const auto &[server, model] : input.planned) {
+        const auto n = counts.find(model);
+        if (n != counts.end())
+            ++n->second.loading;
+    }
     return counts;
 }
 
-std::optional<CopyChange> CopyPlanner::next(const EngineSpec &spec, const Books &books,
-                                            const Demand &demand, Instant now) const
+std::optional<CopyChange> CopyPlanner::next(const Input &input) const
 {
-    const auto counts = count(spec, books);
+    const auto counts = count(input);
     // Models without a copy first, the most wanted one at the head.
     const ModelName *missing = nullptr;
-    for (const auto &[model, n] : counts) {
-        if (n.all() > 0)
+    for (const ModelName &model : input.missing) {
+        const auto n = counts.find(model);
+        if (n == counts.end() || n->second.all() > 0)
             continue;
-        if (!missing || valueOr(demand, model) > valueOr(demand, *missing))
+        if (!missing || valueOr(input.demand, model) > valueOr(input.demand, *missing))
             missing = &model;
     }
     if (missing) {
-        const double work = std::max(valueOr(demand, *missing), 1.0);
-        if (const auto change = place(*missing, work, spec, books, demand, counts, now))
+        const double work = std::max(valueOr(input.demand, *missing), 1.0);
+        if (const auto change = place(*missing, work, input, counts))
             return change;
     }
     const ModelName *busiest = nullptr;
     double most = m_settings.busyShare;
     for (const auto &[model, n] : counts) {
-        // One copy at a time, so that the next decision sees what this one brought.
-        if (n.loading > 1 || n.held == 0)
+        if (n.held == 0)
             continue;
-        const double work = valueOr(demand, model) / n.all();
+        const double work = valueOr(input.demand, model) / n.all();
         if (work <= most)
             continue;
         busiest = &model;
@@ -62,27 +65,25 @@
     }
     if (!busiest)
         return {};
-    return place(*busiest, most, spec, books, demand, counts, now);
+    return place(*busiest, most, input, counts);
 }
 
 std::optional<CopyChange> CopyPlanner::place(const ModelName &model, double work,
-                                             const EngineSpec &, const Books &books,
-                                             const Demand &demand,
-                                             const std::map<ModelName, Counts> &counts,
-                                             Instant now) const
+                                             const Input &input,
+                                             const std::map<ModelName, Counts> &counts) const
 {
     std::optional<CopyChange> best;
     double bestCost = 0;
-    for (const auto &[id, book] : books) {
-        if (book.listed().isLeaving || !book.isFree(now) || book.holds(model, {})
-            || book.isLoading(model, {}))
+    for (const auto &[id, book] : input.books) {
+        if (book.listed().isLeaving || !book.isFree(input.now) || book.holds(model, {})
+            || input.planned.count(id) > 0)
             continue;
         // Work that the engine has already.
         double engineWork = 0;
         for (const auto &[held, adapters] : book.holdings()) {
             const auto n = counts.find(held);
             if (n != counts.end() && n->second.held > 0)
-                engineWork += valueOr(demand, held) / n->second.held;
+                engineWork += valueOr(input.demand, held) / n->second.held;
         }
         if (book.fits(model, {})) {
             if (!best || !best->unload.isEmpty() || engineWork < bestCost) {
@@ -98,7 +99,7 @@
             const bool isKnown = n != counts.end();
             if (isKnown && n->second.held < 2)
                 continue;
-            const double left = isKnown ? valueOr(demand, held) / (n->second.held - 1) : 0;
+            const double left = isKnown ? valueOr(input.demand, held) / (n->second.held - 1) : 0;
             if (left > work * m_settings.victimShare)
                 continue;
             const double cost = left + engineWork;
--- a/src/Serving/CopyPlanner.h
+++ b/src/Serving/CopyPlanner.h
@@ -24,7 +24,7 @@
     struct Settings
     {
         /// Work per copy, as a share of an engine's time, from which on a model gets another one.
-        double busyShare = 0.12;
+        double busyShare = 0.15;
         /// A copy is given up only where its model stays below this share of the gainer's work.
         double victimShare = 0.5;
     };
@@ -33,12 +33,21 @@
     /// Share of one engine's time that a model's requests take now.
     using Demand = std::map<ModelName, double>;
 
+    struct Input
+    {
+        const EngineSpec &spec;
+        const Books &books;
+        Demand demand;
+        std::map<ServerName, ModelName> planned; ///< Loads that wait for an unload.
+        std::set<ModelName> missing; ///< Models without a copy that need one.
+        Instant now;
+    };
+
     explicit CopyPlanner(const Settings &settings) : m_settings(settings) { }
 
     /// The most useful change, or nothing. Engines that are not free to take orders are left out
     /// as targets, but their copies count.
-    std::optional<CopyChange> next(const EngineSpec &spec, const Books &books, const Demand &demand,
-                                   Instant now) const;
+    std::optional<CopyChange> next(const Input &input) const;
 
 private:
     struct Counts
@@ -49,10 +58,9 @@
         int all() const { return held + loading; }
     };
 
-    std::map<ModelName, Counts> count(const EngineSpec &spec, const Books &books) const;
-    std::optional<CopyChange> place(const ModelName &model, double work, const EngineSpec &spec,
-                                    const Books &books, const Demand &demand,
-                                    const std::map<ModelName, Counts> &counts, Instant now) const;
+    std::map<ModelName, Counts> count(const Input &input) const;
+    std::optional<CopyChange> place(const ModelName &model, double work, const Input &input,
+                                    const std::map<ModelName, Counts> &counts) const;
 
     const Settings m_settings;
 };
--- a/src/Serving/EngineBook.cpp
+++ b/src/Serving/EngineBook.cpp
@@ -9,6 +9,9 @@
 // Engines' reports are some hundred milliseconds old.
 constexpr Duration reportLag = std::chrono::milliseconds(300);
 
+// By then the platform's list shows a change: a heartbeat and its own lag.
+constexpr Duration listLag = std::chrono::seconds(4);
+
 // Between two status requests to one engine.
 constexpr Duration statusPause = std::chrono::milliseconds(250);
 
@@ -22,7 +25,7 @@
 constexpr Duration unloadTime = std::chrono::milliseconds(300);
 
 // An adapter takes 5 to 10 ms, longer while many are loaded.
-constexpr Duration adapterTime = std::chrono::milliseconds(15);
+constexpr Duration adapterTime = std::chrono::milliseconds(12);
 
 // A finished order is forgotten this long after its expected end, whatever reports say.
 constexpr Duration longestOverrun = std::chrono::seconds(8);
@@ -51,27 +54,38 @@
 }
 
 EngineBook::EngineBook(const ListedServer &listed, const EngineSpec &spec)
-    : m_listed(listed), m_spec(spec), m_holdings(listed.holdings), m_orders(listed.orders)
+    : m_listed(listed), m_spec(spec), m_holdings(listed.holdings)
 { }
 
 void EngineBook::takeListed(const ListedServer &listed, Instant now)
 {
     m_listed = listed;
-    if (listed.orders < m_orders || m_open)
-        return;
-    if (listed.orders == m_orders && now - m_changedAt < reportLag)
+    if (m_open || m_running || now - m_changedAt < listLag)
         return;
-    m_orders = listed.orders;
-    settle(listed.holdings, false, now);
+    m_holdings = listed.holdings;
+}
+
+void EngineBook::forgetOrders()
+{
+    m_isOrdersKnown = false;
+    m_open.reset();
+    m_running.reset();
+    m_inFlight = false;
+    m_mustAsk = true;
 }
 
 void EngineBook::takeStatus(const EngineStatus &status, Instant askedAt, Instant now)
 {
     // A report may show the engine as it was before the latest order.
-    if (askedAt < m_changedAt + reportLag || status.orders < m_orders) {
+    const bool isOld
+        = m_isOrdersKnown && status.orders < m_orders && askedAt < m_changedAt + listLag;
+    if (askedAt < m_changedAt + reportLag || isOld) {
         m_askAt = now + statusPause;
         return;
     }
+    if (!m_isOrdersKnown)
+        m_orders = status.orders;
+    m_isOrdersKnown = true;
     if (m_open) {
         if (m_inFlight || askedAt < m_openSince + reportLag)
             return;
@@ -170,15 +184,10 @@
     const auto model = m_spec.models.find(command.model);
     const bool isLoad = command.kind == EngineCommand::Kind::Load;
     if (!command.adapter.isEmpty()) {
-        m_runningUntil = now + adapterTime;
-        auto &adapters = m_holdings[command.model];
-        if (isLoad)
-            adapters.insert(command.adapter);
-        else
-            adapters.erase(command.adapter);
-        // Adapter orders end within milliseconds and leave the engine free for the next one.
-        m_running.reset();
-        m_retryAt = m_runningUntil;
+        // Requests for an adapter that is on its way would be turned down.
+        m_runningUntil = now + (isLoad ? adapterTime : Duration(0));
+        if (!isLoad)
+            advance(now);
         return;
     }
     if (isLoad) {
@@ -192,9 +201,30 @@
     m_askAt = now + reportLag;
 }
 
+void EngineBook::advance(Instant now)
+{
+    if (!m_running || m_running->adapter.isEmpty() || now < m_runningUntil)
+        return;
+    const auto model = m_holdings.find(m_running->model);
+    if (model != m_holdings.end()) {
+        if (m_running->kind == EngineCommand::Kind::Load)
+            model->second.insert(m_running->adapter);
+        else
+            model->second.erase(m_running->adapter);
+    }
+    m_running.reset();
+}
+
+std::optional<Instant> EngineBook::nextChange() const
+{
+    if (!m_running || m_running->adapter.isEmpty())
+        return {};
+    return m_runningUntil;
+}
+
 bool EngineBook::isFree(Instant now) const
 {
-    return !m_open && !m_running && !m_mustAsk && now >= m_retryAt;
+    return m_isOrdersKnown && !m_open && !m_running && !m_mustAsk && now >= m_retryAt;
 }
 
 std::optional<EngineCommand> EngineBook::repeat(Instant now) const
@@ -256,6 +286,10 @@
     std::size_t n = 0;
     for (const auto &[model, adapters] : m_holdings)
         n += adapters.size();
+    for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
+        if (command && command->kind == EngineCommand::Kind::Load && !command->adapter.isEmpty())
+            ++n;
+    }
     return static_cast<int>(n);
 }
 
@@ -267,8 +301,12 @@
             + adapterMegabytesOf(model) * static_cast<double>(adapters.size());
     // Loads that are open or under way, and unloads that aren't finished, still take memory.
     for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
-        if (!command || !command->adapter.isEmpty())
+        if (!command)
             continue;
+        if (!command->adapter.isEmpty()) {
+            used += adapterMegabytesOf(command->model);
+            continue;
+        }
         if (m_holdings.count(command->model) == 0)
             used += megabytesOf(command->model);
     }
--- a/src/Serving/EngineBook.h
+++ b/src/Serving/EngineBook.h
@@ -28,12 +28,18 @@
 public:
     EngineBook(const ListedServer &listed, const EngineSpec &spec);
 
-    /// The platform's list; it lags, so it counts only once it has caught up.
+    /// The platform's list; it lags, so what it says of holdings counts only while nothing changes.
     void takeListed(const ListedServer &listed, Instant now);
     /// A status that was asked for at \a askedAt.
     void takeStatus(const EngineStatus &status, Instant askedAt, Instant now);
     void takeOutcome(const EngineCommand &command, OrderOutcome outcome, Instant now);
 
+    /// Adapter orders end by themselves; takes note of those that have.
+    void advance(Instant now);
+    /// When advance() has something to do.
+    std::optional<Instant> nextChange() const;
+    /// Another gateway may have given orders: the engine must be asked before the next one.
+    void forgetOrders();
     /// Whether a new order may be sent.
     bool isFree(Instant now) const;
     /// The order without an answer, to be sent again.
@@ -69,6 +75,7 @@
     const EngineSpec m_spec;
     Holdings m_holdings;
     std::int64_t m_orders = 0;
+    bool m_isOrdersKnown = false;
     std::optional<EngineCommand> m_open; // sent, its outcome not known
     Instant m_openSince;
     bool m_inFlight = false;
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -48,7 +48,8 @@
         }
         if (it != books.end())
             books.erase(it);
-        books.emplace(id, EngineBook(state.listed, *service->engine));
+        const auto added = books.emplace(id, EngineBook(state.listed, *service->engine)).first;
+        added->second.forgetOrders();
         m_services[id] = service->name;
         m_planned.erase(id);
     }
@@ -99,10 +100,16 @@
             continue;
         const EngineSpec &spec = *service.engine;
         auto &pacer = m_pacers[name];
-        if (isNew)
+        if (isNew) {
             pacer = LoadPacer();
+            for (auto &[id, book] : booksOf(name))
+                book.forgetOrders();
+        }
         pacer.setRate(spec.loadsPerSecond * usedShareOfRate, savedLoads, now);
         for (auto &[id, book] : booksOf(name)) {
+            const Holdings before = book.holdings();
+            book.advance(now);
+            noticeChanges(book, before);
             if (book.needsStatus(now)) {
                 book.noteStatusAsked(now);
                 step.statuses.push_back(id);
@@ -115,6 +122,11 @@
         }
         planAdapters(name, spec, step, now);
         planCopies(name, spec, step, now);
+        for (const auto &[id, book] : booksOf(name)) {
+            const auto at = book.nextChange();
+            if (at && (!step.nextAt || *at < *step.nextAt))
+                step.nextAt = at;
+        }
     }
     return step;
 }
@@ -206,18 +218,13 @@
             it = m_planned.erase(it);
             continue;
         }
-        if (pacer.take(now)) {
-            send(*book, book->makeLoad(it->second, {}), step, now);
-            it = m_planned.erase(it);
-            continue;
-        }
-        ++it;
+        send(*book, book->makeLoad(it->second, {}), step, now);
+        it = m_planned.erase(it);
     }
-    CopyPlanner::Demand demand;
-    for (const auto &[model, entry] : spec.models)
-        demand[model] = demandOf(model, now) / (m_settings.prefillTokensPerMs * 1000);
-    const auto change = m_planner.next(spec, books, demand, now);
-    if (!change || m_planned.count(change->server) > 0)
+    const auto change = m_planner.next(
+        {spec, books, workOf(spec, now), m_planned, missingModels(spec, books, now), now});
+    // Room is made only for a load that may begin at once.
+    if (!change || !pacer.take(now))
         return;
     EngineBook *book = findBook(change->server);
     if (!change->unload.isEmpty()) {
@@ -225,8 +232,48 @@
         send(*book, book->makeUnload(change->unload, {}), step, now);
         return;
     }
-    if (pacer.take(now))
-        send(*book, book->makeLoad(change->load, {}), step, now);
+    send(*book, book->makeLoad(change->load, {}), step, now);
+}
+
+// Share of one engine's time, or, where that is more, what the adapters in use take of its slots.
+CopyPlanner::Demand EngineDirector::workOf(const EngineSpec &spec, Instant now) const
+{
+    std::map<ModelName, std::set<AdapterName>> adapters;
+    for (const auto &[use, at] : m_uses)
+        adapters[use.second.first].insert(use.second.second);
+    CopyPlanner::Demand work;
+    for (const auto &[model, entry] : spec.models) {
+        work[model] = demandOf(model, now) / (m_settings.prefillTokensPerMs * 1000);
+        const auto used = adapters.find(model);
+        if (used == adapters.end() || spec.adapterSlots == 0)
+            continue;
+        const double engines = static_cast<double>(used->second.size()) / spec.adapterSlots;
+        work[model] = std::max(work[model], engines * m_settings.copies.busyShare);
+    }
+    return work;
+}
+
+std::set<ModelName> EngineDirector::missingModels(const EngineSpec &spec,
+                                                  const CopyPlanner::Books &books, Instant now)
+{
+    std::set<ModelName> missing;
+    for (const auto &[model, entry] : spec.models) {
+        const bool isHeld = std::any_of(books.begin(), books.end(), [&model](const auto &it) {
+            return !it.second.listed().isLeaving
+                && (it.second.holds(model, {}) || it.second.isLoading(model, {}));
+        });
+        if (isHeld) {
+            m_missingSince.erase(model);
+            continue;
+        }
+        const Instant since = m_missingSince.try_emplace(model, now).first->second;
+        const bool isWanted = std::any_of(m_needs.begin(), m_needs.end(), [&](const auto &need) {
+            return need.first.first == model;
+        });
+        if (isWanted || now - since >= m_settings.missingTolerance)
+            missing.insert(model);
+    }
+    return missing;
 }
 
 void EngineDirector::send(EngineBook &book, const EngineCommand &command, Step &step, Instant now)
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/EngineDirector.h
@@ -18,6 +18,7 @@
     {
         std::vector<EngineCommand> commands; ///< To be sent now; each needs takeOutcome().
         std::vector<ServerName> statuses; ///< Engines to ask; each answer to takeStatus().
+        std::optional<Instant> nextAt; ///< When to ask for the next step at the latest.
     };
 
     struct Settings
@@ -25,7 +26,10 @@
         CopyPlanner::Settings copies;
         double prefillTokensPerMs = 38; ///< \sa ServerChooser::Settings
         Duration demandWindow{2'000'000}; ///< Over which demand is averaged.
-        Duration adapterIdle{1'500'000}; ///< Unused this long, an adapter may make way.
+        Duration adapterIdle{700'000}; ///< Unused this long, an adapter may make way.
+        /// A model that no request waits for has lost its last copy for this long before it is
+        /// loaded again: servers that have just started are listed one after the other.
+        Duration missingTolerance{2'000'000};
     };
 
     explicit EngineDirector(const Settings &settings);
@@ -68,6 +72,9 @@
     void notice(const EngineBook &book, const ModelName &model, const AdapterName &adapter,
                 bool isLoad);
     void noticeChanges(const EngineBook &book, const Holdings &before);
+    CopyPlanner::Demand workOf(const EngineSpec &spec, Instant now) const;
+    std::set<ModelName> missingModels(const EngineSpec &spec, const CopyPlanner::Books &books,
+                                      Instant now);
     CopyPlanner::Books &booksOf(const ServiceName &service) { return m_books[service]; }
     EngineBook *findBook(const ServerName &server);
 
@@ -82,6 +89,7 @@
     std::map<std::pair<ServerName, AdapterKey>, Instant> m_uses;
     std::map<std::pair<ServerName, AdapterKey>, Instant> m_impossible;
     std::map<ServerName, ModelName> m_planned; // to be loaded once an unload has made room
+    std::map<ModelName, Instant> m_missingSince;
     std::vector<OrderNotice> m_notices;
 };
 
--- a/src/Serving/PlacementLease.cpp
+++ b/src/Serving/PlacementLease.cpp
@@ -99,12 +99,18 @@
     m_known = false;
 }
 
-void PlacementLease::onHolderNews(const InstanceId &holder, FencingNumber fencing, Instant now)
+void PlacementLease::onHolderNews(const LeaseRow &row, Instant now)
 {
-    if (holder == m_self)
+    if (row.holder == m_self || (m_known && row.version < m_row.version))
         return;
-    if (!m_known || fencing >= m_row.fencing)
-        m_newsAt = std::max(m_newsAt, now);
+    m_newsAt = std::max(m_newsAt, now);
+    // The renewal was sent before this news, so its validity ends before that of one sent now.
+    if (m_waiting || (m_known && row.version == m_row.version))
+        return;
+    m_known = true;
+    m_row = row;
+    m_seenAt = now;
+    m_confirmedAt.reset();
 }
 
 bool PlacementLease::mayOrder(Instant now) const
--- a/src/Serving/PlacementLease.h
+++ b/src/Serving/PlacementLease.h
@@ -30,11 +30,11 @@
 public:
     struct Limits
     {
-        Duration renewal{900'000}; ///< Between renewals; one lost call must not cost the lease.
-        Duration validity{2'200'000}; ///< Orders stop this long after the last confirmed renewal.
+        Duration renewal{600'000}; ///< Between renewals; one lost call must not cost the lease.
+        Duration validity{1'700'000}; ///< Orders stop this long after the last confirmed renewal.
         Duration holderPause{3'000'000}; ///< Engines take no turns of holders within it.
         Duration margin{400'000}; ///< For an order on its way when its holder's right ends.
-        Duration quiet{1'200'000}; ///< Without news of a holder before the row is looked at.
+        Duration quiet{1'000'000}; ///< Without news of a holder before the row is looked at.
     };
 
     enum class Action { None, Read, Write };
@@ -51,8 +51,8 @@
     void onWritten(const std::optional<Version> &version, Instant sentAt);
     /// The call's outcome is unknown or the table refused it.
     void onFailed(Instant now);
-    /// A peer says that it holds the lease.
-    void onHolderNews(const InstanceId &holder, FencingNumber fencing, Instant now);
+    /// The row as a peer that holds the lease has last renewed it.
+    void onHolderNews(const LeaseRow &row, Instant now);
 
     bool mayOrder(Instant now) const;
     FencingNumber fencing() const { return m_row.fencing; }
--- a/src/Serving/ServerBook.cpp
+++ b/src/Serving/ServerBook.cpp
@@ -4,6 +4,13 @@
 
 namespace quetzalyoke {
 
+namespace {
+
+// By then the platform's list shows what an order has changed: a heartbeat and its own lag.
+constexpr Duration noticeLifetime = std::chrono::seconds(4);
+
+} // namespace
+
 ServerWork ServerState::total() const
 {
     ServerWork sum = own;
@@ -39,7 +46,7 @@
     }
     state.listed = server;
     state.missingSince.reset();
-    applyNotices(state);
+    applyNotices(state, now);
 }
 
 void ServerBook::remove(const ServerName &id, Instant now)
@@ -59,6 +66,8 @@
 
 std::vector<ServerName> ServerBook::expire(Instant now)
 {
+    for (auto &[id, server] : m_servers)
+        applyNotices(server, now);
     std::vector<ServerName> gone;
     for (const auto &[id, server] : m_servers) {
         if (!server.missingSince || (m_outageUntil && now < *m_outageUntil + m_lapseGrace))
@@ -72,49 +81,45 @@
     return gone;
 }
 
-void ServerBook::addNotice(const OrderNotice &notice)
+void ServerBook::addNotice(const OrderNotice &notice, Instant now)
 {
     const auto it = m_servers.find(notice.server);
-    if (it == m_servers.end() || it->second.listed.incarnation != notice.incarnation
-        || notice.orders <= it->second.listed.orders)
+    if (it == m_servers.end() || it->second.listed.incarnation != notice.incarnation)
         return;
     auto &notices = m_notices[notice.server];
-    const bool isKnown = std::any_of(notices.begin(), notices.end(), [&](const auto &known) {
-        return known.orders == notice.orders && known.model == notice.model
-            && known.adapter == notice.adapter;
-    });
-    if (isKnown)
+    const Holding key(notice.model, notice.adapter);
+    const auto known = notices.find(key);
+    if (known != notices.end() && known->second.notice.orders >= notice.orders)
         return;
-    const auto place = std::find_if(notices.begin(), notices.end(), [&](const auto &known) {
-        return known.orders > notice.orders;
-    });
-    notices.insert(place, notice);
-    applyNotices(it->second);
+    notices[key] = {notice, now + noticeLifetime};
+    applyNotices(it->second, now);
 }
 
-void ServerBook::applyNotices(ServerState &server)
+void ServerBook::applyNotices(ServerState &server, Instant now)
 {
     server.holdings = server.listed.holdings;
     auto &notices = m_notices[server.listed.id];
-    std::erase_if(notices, [&server](const OrderNotice &notice) {
-        return notice.incarnation != server.listed.incarnation
-            || notice.orders <= server.listed.orders;
+    std::erase_if(notices, [&](const auto &entry) {
+        return entry.second.notice.incarnation != server.listed.incarnation
+            || now > entry.second.until;
     });
-    for (const OrderNotice &notice : notices) {
-        if (notice.adapter.isEmpty()) {
-            if (notice.isLoad)
-                server.holdings[notice.model];
+    // A model sorts before its adapters, since its own entry names none.
+    for (const auto &[key, noticed] : notices) {
+        const auto &[model, adapter] = key;
+        if (adapter.isEmpty()) {
+            if (noticed.notice.isLoad)
+                server.holdings[model];
             else
-                server.holdings.erase(notice.model);
+                server.holdings.erase(model);
             continue;
         }
-        const auto model = server.holdings.find(notice.model);
-        if (model == server.holdings.end())
+        const auto holding = server.holdings.find(model);
+        if (holding == server.holdings.end())
             continue;
-        if (notice.isLoad)
-            model->second.insert(notice.adapter);
+        if (noticed.notice.isLoad)
+            holding->second.insert(adapter);
         else
-            model->second.erase(notice.adapter);
+            holding->second.erase(adapter);
     }
 }
 
--- a/src/Serving/ServerBook.h
+++ b/src/Serving/ServerBook.h
@@ -22,7 +22,7 @@
 {
     ServerName server;
     Incarnation incarnation;
-    std::int64_t orders = 0; ///< Accepted by the engine, this one included.
+    std::int64_t orders = 0; ///< Accepted by the engine, this one included; the higher one counts.
     ModelName model;
     AdapterName adapter; ///< Empty: the model itself.
     bool isLoad = true;
@@ -66,7 +66,7 @@
     /// Drops the servers that are still missing after the grace; returns them.
     std::vector<ServerName> expire(Instant now);
 
-    void addNotice(const OrderNotice &notice);
+    void addNotice(const OrderNotice &notice, Instant now);
     /// Replaces what \a peer has at all servers.
     void setPeerWork(const InstanceId &peer, const std::map<ServerName, ServerWork> &work);
 
@@ -76,11 +76,18 @@
     Servers &servers() { return m_servers; }
 
 private:
-    void applyNotices(ServerState &server);
+    struct Noticed
+    {
+        OrderNotice notice;
+        Instant until;
+    };
+    using Holding = std::pair<ModelName, AdapterName>;
+
+    void applyNotices(ServerState &server, Instant now);
 
     const Duration m_lapseGrace;
     Servers m_servers;
-    std::map<ServerName, std::vector<OrderNotice>> m_notices; // by orders, ascending
+    std::map<ServerName, std::map<Holding, Noticed>> m_notices;
     std::optional<Instant> m_outageUntil;
 };
 
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -53,6 +53,7 @@
     6: i64 configRow,             // newest row of the operators' table that the sender knows
     7: i64 serversRow,            // newest row of the servers' table
     8: i64 leaseFencing,          // above zero: the sender may order engines
+    16: i64 leaseRow,             // version of the lease's row as the sender renewed it last
     9: list<PeerWork> work,
     10: list<PeerSpent> spent,
     11: list<PeerDemand> demand,
