--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -22,7 +22,7 @@
 
 // The platform takes an instance out of rotation after two misses, a second apart, and may have
 // connections on their way.
-constexpr Duration rotationTime = std::chrono::milliseconds(2600);
+constexpr Duration rotationTime = std::chrono::milliseconds(2800);
 
 // Left of the grace for answers' last bytes.
 constexpr Duration stopMargin = std::chrono::milliseconds(400);
@@ -292,8 +292,11 @@
     const Duration since = loopNow() - m_stopBegun;
     const Duration grace = m_state.settings.stopGrace;
     const bool isOutOfRotation = since >= rotationTime;
-    if (isOutOfRotation)
+    if (isOutOfRotation) {
+        // A zone's only instance gets connections as long as it accepts them, ready or not.
+        m_callers.stopListening();
         m_callers.closeIdle();
+    }
     if ((isOutOfRotation && m_callers.connections() == 0) || since >= grace - stopMargin) {
         m_state.platform.stop();
         m_loop.stop();
--- a/src/Serving/EngineBook.cpp
+++ b/src/Serving/EngineBook.cpp
@@ -100,9 +100,13 @@
     }
     m_mustAsk = false;
     m_orders = status.orders;
-    settle(status.holdings, status.isBusy || !status.loadingAdapters.empty(), now);
-    if (status.isBusy && !m_running)
-        m_retryAt = now + conflictPause;
+    const bool isBusy = status.isBusy || !status.loadingAdapters.empty();
+    settle(status.holdings, isBusy, now);
+    // An order of another holder is under way: what it brings is not among the holdings yet.
+    if (isBusy && !m_running) {
+        m_mustAsk = true;
+        m_askAt = now + statusPause;
+    }
 }
 
 // Holdings as the engine showed them with all accepted orders taken into account.
