--- a/src/Adapters/Async/CallerSession.cpp
+++ b/src/Adapters/Async/CallerSession.cpp
@@ -267,7 +267,8 @@
     m_onLeave = nullptr;
     m_onDrained = nullptr;
     m_needsDrainCall = false;
-    if (!m_keepAlive) {
+    // A long answer's head may have been sent before the stop began.
+    if (!m_keepAlive || m_hooks->isStopping()) {
         m_state = State::Finishing;
         flush();
         return;
