One store reader a zone, news that don't grow with the square of the gateways

Change: beyond two gateways a zone one reads the store and the others wait at it for changes (ReaderElection, StateExchange); the interval of news grows with the peers; servers by hash; demand, use and needs go to the lease's holder alone beyond eight peers.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -36,10 +36,12 @@
                            const ServingDialect &dialect, EntryPlatform &platform)
     : m_loop(loop), m_state(settings, loop, dialect, platform),
       m_orders(m_state,
-               [this](const std::vector<OrderNotice> &notices) { m_peers.addNotices(notices); }),
-      m_peers(
-          m_state, [this] { return m_orders.heldLease(); },
-          [this](const LeaseRow &row) { m_orders.onHolderNews(row); }),
+               [this](const std::vector<OrderNotice> &notices) { m_peers.tellNotices(notices); }),
+      m_peers(m_state,
+              {[this] { return m_orders.heldLease(); },
+               [this](const LeaseRow &row) { m_orders.onHolderNews(row); },
+               [this] { return m_exchange.followsStore(); }}),
+      m_exchange(m_state, [this] { return m_peers.statePeers(); }),
       m_callers(loop, settings.connections,
                 {[this](const CallerSession::Pointer &session, CallerRequest &&request) {
                      std::make_shared<Exchange>(m_state, session, std::move(request))->start();
@@ -71,7 +73,7 @@
                 {"callers", m_state.settings.callers.text()},
                 {"zone", m_state.settings.zone}});
     m_state.onNeed = [this] {
-        m_peers.tellSoon();
+        m_peers.tellNeeds();
         m_orders.wake();
     };
     m_steadySeen = loopNow();
@@ -97,6 +99,7 @@
     hooks.onChanged = [this] {
         m_state.director.setServers(m_state.book, loopNow());
         m_orders.wake();
+        m_exchange.onChanged();
         scheduleRetry();
     };
     hooks.onReach
@@ -200,8 +203,8 @@
 
 void EntryGateway::answerPeer(const CallerSession::Pointer &session, const CallerRequest &request)
 {
-    if (request.target == "/state") {
-        session->answer(200, "Content-Type: application/json\r\n", m_state.platform.snapshot());
+    if (request.target.starts_with("/state")) {
+        m_exchange.answer(session, request.target);
         return;
     }
     if (request.target == "/metrics") {
@@ -234,6 +237,7 @@
     watchClocks();
     const Instant now = loopNow();
     m_orders.tick();
+    m_exchange.tick();
     if (!m_state.waiting.isEmpty())
         m_state.waiting.retryAll();
     if (now - m_housekeptAt >= housekeepingInterval) {
@@ -269,6 +273,7 @@
     m_state.quotas.suspectPeers(now);
     m_peers.onResumed();
     m_state.platform.refresh();
+    m_exchange.onResumed();
 }
 
 void EntryGateway::scheduleRetry()
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -40,6 +40,7 @@
     EntryState m_state;
     OrderSender m_orders;
     PeerNetwork m_peers;
+    StateExchange m_exchange;
     CallerServer m_callers;
     CallerServer m_readiness;
     CallerServer m_peerServer;
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-// Between news; what a gateway knows of its peers' work is half of it old on average.
-constexpr std::chrono::milliseconds newsInterval{100};
+// Between news; what a gateway knows of its peers' work is half of it old on average. Grows with
+// the peers, so that a small instance is not kept busy by news alone.
+constexpr std::chrono::milliseconds shortestInterval{100};
+constexpr std::chrono::milliseconds intervalPerPeer{16};
 
-// For news that can't wait, so that several of them travel together.
-constexpr std::chrono::milliseconds soonDelay{2};
-
-// Three news in a row are lost, or the peer is.
-constexpr Duration peerSilence = std::chrono::milliseconds(450);
+// Two news in a row are lost, or the peer is.
+constexpr int intervalsOfSilence = 3;
+constexpr std::chrono::milliseconds silenceMargin{150};
 
 // Work of a silent peer is no longer counted at servers.
 constexpr Duration workLifetime = std::chrono::milliseconds(1500);
@@ -24,21 +24,23 @@
 // Changes by orders are repeated in case a datagram is lost, until the platform's list shows them.
 constexpr Duration noticeLifetime = std::chrono::milliseconds(1500);
 
-// A change that is known to a peer is waited for this long at the store before the peer is asked.
-constexpr Duration behindTolerance = std::chrono::milliseconds(300);
-constexpr std::chrono::milliseconds fetchTimeout{800};
-constexpr ClientConnection::Limits fetchLimits{std::chrono::milliseconds(300),
-                                               std::chrono::milliseconds(1000)};
+// Urgent news that come together travel together.
+constexpr std::chrono::milliseconds urgentDelay{2};
+constexpr std::chrono::milliseconds urgentDelayPerPeer{1};
+
+// Up to here all peers hear of demand and use, so that any of them can take over the lease well
+// informed; beyond, only the holder does.
+constexpr std::size_t peersToldEverything = 8;
 
 constexpr std::chrono::milliseconds joinRetry{500};
 
 } // namespace
 
-PeerNetwork::PeerNetwork(EntryState &state, HeldLease heldLease, HolderHook onHolder)
-    : m_state(state), m_heldLease(std::move(heldLease)), m_onHolder(std::move(onHolder)),
+PeerNetwork::PeerNetwork(EntryState &state, Hooks hooks)
+    : m_state(state), m_hooks(std::move(hooks)),
       m_socket(state.loop, state.settings.peers,
                [this](const wire::PeerNews &news, const Address &from) { onNews(news, from); }),
-      m_tick(state.loop), m_joinTimer(state.loop), m_soon(state.loop)
+      m_tick(state.loop), m_joinTimer(state.loop), m_urgentTimer(state.loop)
 { }
 
 void PeerNetwork::start()
@@ -48,6 +50,16 @@
     tick();
 }
 
+std::chrono::milliseconds PeerNetwork::interval() const
+{
+    return std::max(shortestInterval, intervalPerPeer * static_cast<int>(m_peers.size()));
+}
+
+Duration PeerNetwork::silence() const
+{
+    return intervalsOfSilence * interval() + silenceMargin;
+}
+
 void PeerNetwork::join()
 {
     const MemberEntry self{m_state.settings.instance, m_state.settings.peers.text()};
@@ -61,7 +73,6 @@
             });
             return;
         }
-        m_joined = true;
         for (const MemberEntry &member : members) {
             if (member.instance == m_state.settings.instance)
                 continue;
@@ -72,7 +83,7 @@
             }
         }
         logNotable("joined", {{"members", m_peers.size() + 1}});
-        tellSoon();
+        tellAll();
     });
 }
 
@@ -92,67 +103,127 @@
             ++n;
     }
     m_state.gateways = n;
-    m_state.quotas.setGateways(n, peerSilence);
+    m_state.quotas.setGateways(n, silence());
 }
 
 void PeerNetwork::tick()
 {
-    tell();
+    tellAll();
     const Instant now = loopNow();
     for (auto &[id, peer] : m_peers) {
-        if (!peer.isHeard || now - peer.heardAt < workLifetime)
+        if (!peer.isHeard || now - peer.heardAt < std::max(workLifetime, silence()))
             continue;
         peer.isHeard = false;
         m_state.book.setPeerWork(id, {});
         logNotable("peer_silent", {{"peer", id}, {"silent_ms", now - peer.heardAt}});
     }
-    fetchState(now);
-    m_tick.expires_after(newsInterval);
+    m_tick.expires_after(interval());
     m_tick.async_wait([this](const SystemError &ec) {
         if (!ec)
             tick();
     });
 }
 
-void PeerNetwork::tellSoon()
+void PeerNetwork::tellNeeds()
 {
-    if (m_isSoon)
-        return;
-    m_isSoon = true;
-    m_soon.expires_after(soonDelay);
-    m_soon.async_wait([this](const SystemError &ec) {
-        m_isSoon = false;
-        if (!ec)
-            tell();
-    });
+    scheduleUrgent();
 }
 
-void PeerNetwork::addNotices(const std::vector<OrderNotice> &notices)
+void PeerNetwork::tellNotices(const std::vector<OrderNotice> &notices)
 {
     for (const OrderNotice &notice : notices)
         m_notices.push_back({notice, loopNow() + noticeLifetime});
-    if (!notices.empty())
-        tellSoon();
+    m_hasNewNotices = m_hasNewNotices || !notices.empty();
+    scheduleUrgent();
+}
+
+void PeerNetwork::scheduleUrgent()
+{
+    if (m_isUrgentScheduled)
+        return;
+    m_isUrgentScheduled = true;
+    m_urgentTimer.expires_after(urgentDelay
+                                + urgentDelayPerPeer * static_cast<int>(m_peers.size()));
+    m_urgentTimer.async_wait([this](const SystemError &ec) {
+        m_isUrgentScheduled = false;
+        if (!ec)
+            tellUrgent();
+    });
 }
 
 void PeerNetwork::leave()
 {
     m_state.isStopping = true;
-    tell();
+    tellAll();
+}
+
+const PeerNetwork::Peer *PeerNetwork::holder() const
+{
+    const auto it = m_peers.find(m_holder);
+    return it == m_peers.end() || !it->second.isHeard ? nullptr : &it->second;
 }
 
-wire::PeerNews PeerNetwork::makeNews()
+void PeerNetwork::tellAll()
+{
+    const Instant now = loopNow();
+    std::erase_if(m_notices, [now](const SentNotice &sent) { return now > sent.until; });
+    if (m_peers.empty())
+        return;
+    wire::PeerNews news = makeHead(false);
+    addFacts(news);
+    addNotices(news);
+    const bool tellsEverything = m_peers.size() <= peersToldEverything;
+    if (tellsEverything)
+        addEvents(news);
+    const std::string bytes = PeerSocket::encode(news);
+    for (const auto &[id, peer] : m_peers)
+        m_socket.send(bytes, peer.address);
+    if (tellsEverything)
+        return;
+    wire::PeerNews events = makeHead(true);
+    addEvents(events);
+    const bool hasEvents = !events.wanted.empty() || !events.used.empty() || !events.demand.empty();
+    const Peer *told = holder();
+    if (told && hasEvents)
+        m_socket.send(PeerSocket::encode(events), told->address);
+}
+
+void PeerNetwork::tellUrgent()
+{
+    wire::PeerNews news = makeHead(true);
+    addEvents(news);
+    if (std::exchange(m_hasNewNotices, false))
+        addNotices(news);
+    const std::string bytes = PeerSocket::encode(news);
+    const Peer *told = holder();
+    if (told && news.notices.empty()) {
+        m_socket.send(bytes, told->address);
+        return;
+    }
+    for (const auto &[id, peer] : m_peers)
+        m_socket.send(bytes, peer.address);
+}
+
+wire::PeerNews PeerNetwork::makeHead(bool isUrgent)
 {
     wire::PeerNews news;
     news.instance = m_state.settings.instance.text();
     news.incarnation = Process::incarnation().count();
     news.sequence = ++m_sequence;
+    news.isUrgent = isUrgent;
+    return news;
+}
+
+void PeerNetwork::addFacts(wire::PeerNews &news) const
+{
     news.leaving = m_state.isStopping;
     news.http = m_state.settings.peers.text();
+    news.zone = m_state.settings.zone.text();
+    news.followsStore = m_hooks.followsStore();
     const StateVersions versions = m_state.platform.versions();
     news.configRow = versions.config.count();
     news.serversRow = versions.servers.count();
-    if (const auto row = m_heldLease()) {
+    if (const auto row = m_hooks.heldLease()) {
         news.leaseFencing = row->fencing.count();
         news.leaseRow = row->version.count();
     }
@@ -160,11 +231,11 @@
         if (server.own.running == 0)
             continue;
         wire::PeerWork work;
-        work.server = id.text();
+        work.server = server.hash;
         work.running = server.own.running;
         work.prefillTokens = server.own.prefillTokens;
         work.memoryTokens = server.own.memoryTokens;
-        news.work.push_back(std::move(work));
+        news.work.push_back(work);
     }
     for (const auto &[account, spent] : m_state.quotas.spent()) {
         wire::PeerSpent entry;
@@ -172,6 +243,18 @@
         entry.spent = spent;
         news.spent.push_back(std::move(entry));
     }
+    for (const Suspicion &suspicion : m_state.suspicions.suspicions(loopNow())) {
+        for (const std::string &incident : suspicion.incidents) {
+            wire::PeerCrash crash;
+            crash.fingerprint = suspicion.fingerprint.text();
+            crash.incident = incident;
+            news.crashes.push_back(std::move(crash));
+        }
+    }
+}
+
+void PeerNetwork::addEvents(wire::PeerNews &news)
+{
     for (const auto &[model, tokens] : std::exchange(m_state.demandNews, {})) {
         wire::PeerDemand demand;
         demand.model = model.text();
@@ -191,6 +274,10 @@
         used.adapter = adapter.text();
         news.used.push_back(std::move(used));
     }
+}
+
+void PeerNetwork::addNotices(wire::PeerNews &news) const
+{
     for (const SentNotice &sent : m_notices) {
         wire::PeerNotice notice;
         notice.server = sent.notice.server.text();
@@ -201,26 +288,6 @@
         notice.isLoad = sent.notice.isLoad;
         news.notices.push_back(std::move(notice));
     }
-    for (const Suspicion &suspicion : m_state.suspicions.suspicions(loopNow())) {
-        for (const std::string &incident : suspicion.incidents) {
-            wire::PeerCrash crash;
-            crash.fingerprint = suspicion.fingerprint.text();
-            crash.incident = incident;
-            news.crashes.push_back(std::move(crash));
-        }
-    }
-    return news;
-}
-
-void PeerNetwork::tell()
-{
-    const Instant now = loopNow();
-    std::erase_if(m_notices, [now](const SentNotice &sent) { return now > sent.until; });
-    if (m_peers.empty())
-        return;
-    const std::string bytes = PeerSocket::encode(makeNews());
-    for (const auto &[id, peer] : m_peers)
-        m_socket.send(bytes, peer.address);
 }
 
 void PeerNetwork::onNews(const wire::PeerNews &news, const Address &from)
@@ -232,41 +299,57 @@
     addMember(instance, from);
     Peer &peer = m_peers[instance];
     const Incarnation incarnation(news.incarnation);
-    const bool isOlder = incarnation < peer.incarnation
-        || (incarnation == peer.incarnation && news.sequence <= peer.sequence);
-    if (isOlder)
+    if (incarnation < peer.incarnation)
+        return;
+    if (news.isUrgent) {
+        applyEvents(news);
+        return;
+    }
+    if (incarnation == peer.incarnation && news.sequence <= peer.sequence)
         return;
     if (isNew || !peer.isHeard || incarnation != peer.incarnation) {
         logNotable("peer_heard",
                    {{"peer", instance}, {"incarnation", incarnation}, {"address", from.text()}});
-        // It may have started after this gateway read the members.
-        tellSoon();
     }
     peer.incarnation = incarnation;
     peer.sequence = news.sequence;
     peer.heardAt = loopNow();
     peer.isHeard = true;
     peer.http = news.http;
+    peer.zone = ZoneName(news.zone);
+    peer.followsStore = news.followsStore;
     peer.versions = {Version(news.configRow), Version(news.serversRow)};
     if (peer.isLeaving != news.leaving) {
         peer.isLeaving = news.leaving;
         updateCount();
     }
-    applyNews(instance, news);
+    applyFacts(instance, news);
+    applyEvents(news);
 }
 
-void PeerNetwork::applyNews(const InstanceId &from, const wire::PeerNews &news)
+void PeerNetwork::applyFacts(const InstanceId &from, const wire::PeerNews &news)
 {
     const Instant now = loopNow();
-    std::map<ServerName, ServerWork> work;
-    for (const wire::PeerWork &entry : news.work) {
-        work[ServerName(entry.server)] = {entry.running, entry.prefillTokens, entry.memoryTokens};
-    }
+    std::map<std::int32_t, ServerWork> work;
+    for (const wire::PeerWork &entry : news.work)
+        work[entry.server] = {entry.running, entry.prefillTokens, entry.memoryTokens};
     m_state.book.setPeerWork(from, work);
     std::map<AccountId, double> spent;
     for (const wire::PeerSpent &entry : news.spent)
         spent[AccountId(entry.account)] = entry.spent;
     m_state.quotas.takePeerSpent(from, Incarnation(news.incarnation), spent, now);
+    for (const wire::PeerCrash &entry : news.crashes)
+        m_state.suspicions.add({Fingerprint(entry.fingerprint), {entry.incident}}, now);
+    if (news.leaseFencing <= 0)
+        return;
+    m_holder = from;
+    m_hooks.onHolder({from, Incarnation(news.incarnation), FencingNumber(news.leaseFencing),
+                      Version(news.leaseRow)});
+}
+
+void PeerNetwork::applyEvents(const wire::PeerNews &news)
+{
+    const Instant now = loopNow();
     for (const wire::PeerDemand &entry : news.demand)
         m_state.director.noteDemand(ModelName(entry.model), entry.tokens, now);
     for (const wire::PeerAdapter &entry : news.wanted)
@@ -285,72 +368,28 @@
         notice.isLoad = entry.isLoad;
         m_state.book.addNotice(notice, now);
     }
-    for (const wire::PeerCrash &entry : news.crashes)
-        m_state.suspicions.add({Fingerprint(entry.fingerprint), {entry.incident}}, now);
-    if (news.leaseFencing > 0)
-        m_onHolder({from, Incarnation(news.incarnation), FencingNumber(news.leaseFencing),
-                    Version(news.leaseRow)});
     if (!news.notices.empty() && !m_state.waiting.isEmpty())
         m_state.waiting.retryAll();
     if (!news.wanted.empty() && m_state.onNeed)
         m_state.onNeed();
 }
 
-// A gateway that the store turns away learns of changes from a peer that the store serves.
-void PeerNetwork::fetchState(Instant now)
+std::vector<StatePeer> PeerNetwork::statePeers() const
 {
-    const StateVersions own = m_state.platform.versions();
-    const Peer *ahead = nullptr;
+    std::vector<StatePeer> peers;
     for (const auto &[id, peer] : m_peers) {
-        const bool isAhead = peer.isHeard
-            && (peer.versions.config > own.config || peer.versions.servers > own.servers);
-        if (isAhead
-            && (!ahead || peer.versions.servers > ahead->versions.servers
-                || peer.versions.config > ahead->versions.config))
-            ahead = &peer;
-    }
-    if (!ahead) {
-        m_isBehind = false;
-        return;
-    }
-    if (!m_isBehind) {
-        m_isBehind = true;
-        m_behindSince = now;
+        peers.push_back({{id, peer.zone, peer.isHeard && !peer.isLeaving, peer.followsStore},
+                         peer.http,
+                         peer.versions});
     }
-    if (m_isFetching || now - m_behindSince < behindTolerance)
-        return;
-    m_isFetching = true;
-    m_oldFetchers.clear();
-    if (!m_fetcher || m_fetcher->peer().text() != ahead->http) {
-        if (m_fetcher)
-            m_oldFetchers.push_back(std::move(m_fetcher));
-        m_fetcher
-            = std::make_unique<HttpCaller>(m_state.loop, Address::parse(ahead->http), fetchLimits);
-    }
-    const std::string request = "GET /state HTTP/1.1\r\nHost: " + ahead->http + "\r\n\r\n";
-    m_fetcher->call(request, fetchTimeout, [this](const HttpOutcome &outcome) {
-        m_isFetching = false;
-        m_isBehind = false;
-        if (!outcome.isAnswered() || outcome.status != 200) {
-            logNotable("state_not_fetched",
-                       {{"peer", m_fetcher->peer().text()}, {"end", exchangeEndText(outcome.end)}});
-            return;
-        }
-        Metrics::count("states_fetched");
-        m_state.platform.takeSnapshot(outcome.body);
-        const StateVersions versions = m_state.platform.versions();
-        logNotable("state_fetched",
-                   {{"peer", m_fetcher->peer().text()},
-                    {"config_row", versions.config},
-                    {"servers_row", versions.servers}});
-    });
+    return peers;
 }
 
 void PeerNetwork::onResumed()
 {
     const Instant now = loopNow();
     for (auto &[id, peer] : m_peers)
-        peer.heardAt = std::min(peer.heardAt, now - peerSilence);
+        peer.heardAt = std::min(peer.heardAt, now - silence());
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -1,9 +1,9 @@
 #ifndef QUETZALYOKE_APPS_ENTRY_PEERNETWORK_H
 #define QUETZALYOKE_APPS_ENTRY_PEERNETWORK_H
 
-#include "Adapters/Async/HttpCaller.h"
 #include "Adapters/Async/PeerSocket.h"
 #include "Apps/Entry/EntryState.h"
+#include "Apps/Entry/StateExchange.h"
 
 namespace quetzalyoke {
 
@@ -11,23 +11,28 @@
 class PeerNetwork
 {
 public:
-    /// The lease's row while this gateway holds it, for the news.
-    using HeldLease = std::function<std::optional<LeaseRow>()>;
-    /// A peer says that it holds the lease.
-    using HolderHook = std::function<void(const LeaseRow &)>;
+    struct Hooks
+    {
+        /// The lease's row while this gateway holds it.
+        std::function<std::optional<LeaseRow>()> heldLease;
+        /// A peer says that it holds the lease.
+        std::function<void(const LeaseRow &)> onHolder;
+        std::function<bool()> followsStore; ///< \sa StateExchange
+    };
 
-    PeerNetwork(EntryState &state, HeldLease heldLease, HolderHook onHolder);
+    PeerNetwork(EntryState &state, Hooks hooks);
 
     void start();
     /// Tells every peer that this gateway leaves.
     void leave();
-    /// Tells the peers what has changed, soon.
-    void tellSoon();
-    /// Changes that orders of this gateway have brought.
-    void addNotices(const std::vector<OrderNotice> &notices);
+    /// Requests wait for an adapter or a model: tells the lease's holder.
+    void tellNeeds();
+    /// Changes that orders of this gateway have brought: tells every peer.
+    void tellNotices(const std::vector<OrderNotice> &notices);
     /// The instance has stood still.
     void onResumed();
-    std::size_t peers() const { return m_peers.size(); }
+    /// Peers as sources of state.
+    std::vector<StatePeer> statePeers() const;
 
 private:
     struct Peer
@@ -38,42 +43,47 @@
         Instant heardAt;
         bool isHeard = false;
         bool isLeaving = false;
+        bool followsStore = false;
+        ZoneName zone;
         std::string http;
         StateVersions versions;
     };
+    struct SentNotice
+    {
+        OrderNotice notice;
+        Instant until;
+    };
 
     void join();
     void addMember(const InstanceId &instance, const Address &address);
     void updateCount();
     void tick();
-    void tell();
-    wire::PeerNews makeNews();
+    void tellAll();
+    void tellUrgent();
+    void scheduleUrgent();
+    std::chrono::milliseconds interval() const;
+    Duration silence() const;
+    const Peer *holder() const;
+    wire::PeerNews makeHead(bool isUrgent);
+    void addFacts(wire::PeerNews &news) const;
+    void addEvents(wire::PeerNews &news);
+    void addNotices(wire::PeerNews &news) const;
     void onNews(const wire::PeerNews &news, const Address &from);
-    void applyNews(const InstanceId &from, const wire::PeerNews &news);
-    void fetchState(Instant now);
+    void applyFacts(const InstanceId &from, const wire::PeerNews &news);
+    void applyEvents(const wire::PeerNews &news);
 
     EntryState &m_state;
-    HeldLease m_heldLease;
-    HolderHook m_onHolder;
+    const Hooks m_hooks;
     PeerSocket m_socket;
     asio::steady_timer m_tick;
     asio::steady_timer m_joinTimer;
-    asio::steady_timer m_soon;
-    bool m_isSoon = false;
-    bool m_joined = false;
+    asio::steady_timer m_urgentTimer;
+    bool m_isUrgentScheduled = false;
+    bool m_hasNewNotices = false;
     std::map<InstanceId, Peer> m_peers;
+    InstanceId m_holder;
     std::int64_t m_sequence = 0;
-    struct SentNotice
-    {
-        OrderNotice notice;
-        Instant until;
-    };
     std::vector<SentNotice> m_notices;
-    std::unique_ptr<HttpCaller> m_fetcher;
-    std::vector<std::unique_ptr<HttpCaller>> m_oldFetchers;
-    bool m_isFetching = false;
-    Instant m_behindSince;
-    bool m_isBehind = false;
 };
 
 } // namespace quetzalyoke
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -57,10 +57,13 @@
     virtual bool isReachable() const = 0;
     virtual StateVersions versions() const = 0;
 
-    /// All that is known, for another gateway.
-    virtual std::string snapshot() const = 0;
+    /// Whether this gateway follows the store itself; else changes come from another gateway
+    /// through takeChanges().
+    virtual void setFollowing(bool isFollowing) = 0;
+    /// What has changed since \a known, for another gateway; everything where that can't be told.
+    virtual std::string changesSince(const StateVersions &known) const = 0;
     /// What another gateway knows; older parts are ignored.
-    virtual void takeSnapshot(const std::string &text) = 0;
+    virtual void takeChanges(const std::string &text) = 0;
 
     /// Nothing in the outer optional: the call failed.
     using LeaseRead = std::function<void(const std::optional<std::optional<LeaseRow>> &)>;
--- /dev/null
+++ b/src/Serving/ReaderElection.h
@@ -0,0 +1,50 @@
+#ifndef QUETZALYOKE_SERVING_READERELECTION_H
+#define QUETZALYOKE_SERVING_READERELECTION_H
+
+#include "Core/StrongTypes.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief A gateway as the election sees it.
+struct ReaderCandidate
+{
+    InstanceId instance;
+    ZoneName zone;
+    bool isAlive = false; ///< Heard of lately and not leaving.
+    bool followsStore = false; ///< Reads changes from the store, which answers it.
+};
+
+/// \brief Chooses which gateway of an availability zone reads the store for the others.
+///
+/// The store's calls would otherwise grow with the gateways. Every gateway decides by itself from
+/// what it hears; if two differ, both read the store, and a gateway that gets nothing from its
+/// reader reads the store itself.
+class ReaderElection
+{
+public:
+    struct Settings
+    {
+        std::size_t smallZone = 2; ///< Gateways of a zone up to which each reads the store.
+        Duration distrust{5'000'000}; ///< After a reader failed.
+    };
+
+    ReaderElection(const Settings &settings, InstanceId self, ZoneName zone);
+
+    /// The gateway to read from; nothing: the store itself.
+    std::optional<InstanceId> reader(const std::vector<ReaderCandidate> &peers, Instant now) const;
+    void noteFailure(const InstanceId &reader, Instant now) { m_failedAt[reader] = now; }
+
+private:
+    const Settings m_settings;
+    const InstanceId m_self;
+    const ZoneName m_zone;
+    std::map<InstanceId, Instant> m_failedAt;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Serving/ServerBook.cpp
+++ b/src/Serving/ServerBook.cpp
@@ -1,5 +1,7 @@
 #include "Serving/ServerBook.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace quetzalyoke {
@@ -11,15 +13,15 @@
 
 } // namespace
 
+std::int32_t serverHash(const ServerName &id)
+{
+    return static_cast<std::int32_t>(XXH32(id.text().data(), id.text().size(), 0));
+}
+
 ServerWork ServerState::total() const
 {
-    ServerWork sum = own;
-    for (const auto &[peer, work] : peers) {
-        sum.running += work.running;
-        sum.prefillTokens += work.prefillTokens;
-        sum.memoryTokens += work.memoryTokens;
-    }
-    return sum;
+    return {own.running + peersTotal.running, own.prefillTokens + peersTotal.prefillTokens,
+            own.memoryTokens + peersTotal.memoryTokens};
 }
 
 bool ServerState::holds(const ModelName &model, const AdapterName &adapter) const
@@ -41,6 +43,7 @@
         // Work sent to the earlier life is counted there until its exchanges end.
         const ServerWork own = state.own;
         state = ServerState();
+        state.hash = serverHash(server.id);
         state.own = own;
         state.health.reset(now);
     }
@@ -123,14 +126,16 @@
     }
 }
 
-void ServerBook::setPeerWork(const InstanceId &peer, const std::map<ServerName, ServerWork> &work)
+void ServerBook::setPeerWork(const InstanceId &peer, const std::map<std::int32_t, ServerWork> &work)
 {
     for (auto &[id, server] : m_servers) {
-        const auto it = work.find(id);
-        if (it == work.end())
-            server.peers.erase(peer);
-        else
-            server.peers[peer] = it->second;
+        const auto it = work.find(server.hash);
+        const ServerWork now = it == work.end() ? ServerWork() : it->second;
+        ServerWork &known = server.peers[peer];
+        server.peersTotal.running += now.running - known.running;
+        server.peersTotal.prefillTokens += now.prefillTokens - known.prefillTokens;
+        server.peersTotal.memoryTokens += now.memoryTokens - known.memoryTokens;
+        known = now;
     }
 }
 
--- a/src/Serving/ServerBook.h
+++ b/src/Serving/ServerBook.h
@@ -32,9 +32,11 @@
 struct ServerState
 {
     ListedServer listed;
+    std::int32_t hash = 0; ///< serverHash() of its id.
     Holdings holdings; ///< The list's, with younger notices applied.
     ServerWork own;
     std::map<InstanceId, ServerWork> peers;
+    ServerWork peersTotal; ///< Sum of \c peers.
     std::optional<ServerLoad> load; ///< Told with the server's latest answer.
     Instant loadAt;
     ServerHealth health;
@@ -45,6 +47,9 @@
     bool holds(const ModelName &model, const AdapterName &adapter) const;
 };
 
+/// A short stand-in for a server's id, the same at every gateway.
+std::int32_t serverHash(const ServerName &id);
+
 /// \brief All backend servers that this gateway knows, by id; no I/O.
 ///
 /// An entry that lapses while the platform's list can't be read is kept for a grace, since
@@ -67,8 +72,8 @@
     std::vector<ServerName> expire(Instant now);
 
     void addNotice(const OrderNotice &notice, Instant now);
-    /// Replaces what \a peer has at all servers.
-    void setPeerWork(const InstanceId &peer, const std::map<ServerName, ServerWork> &work);
+    /// Replaces what \a peer has at all servers, by serverHash().
+    void setPeerWork(const InstanceId &peer, const std::map<std::int32_t, ServerWork> &work);
 
     ServerState *find(const ServerName &id);
     const ServerState *find(const ServerName &id) const;
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -4,7 +4,7 @@
 
 // Work of the sender at one backend server.
 struct PeerWork {
-    1: string server,
+    1: i32 server,                // hash of its id, to keep datagrams small
     2: i32 running,
     3: i64 prefillTokens,
     4: i64 memoryTokens,
@@ -54,6 +54,9 @@
     7: i64 serversRow,            // newest row of the servers' table
     8: i64 leaseFencing,          // above zero: the sender may order engines
     16: i64 leaseRow,             // version of the lease's row as the sender renewed it last
+    17: string zone,
+    18: bool followsStore,        // the sender reads changes from the store, which answers it
+    19: bool isUrgent,            // only wanted, used, demand and notices are filled in
     9: list<PeerWork> work,
     10: list<PeerSpent> spent,
     11: list<PeerDemand> demand,
