--- /dev/null
+++ b/test/AdmissionPolicyTest.cpp
@@ -0,0 +1,175 @@
+#include "Serving/AdmissionPolicy.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{1h};
+const ModelName model("large");
+
+// Engines of one service, each able to read prompts at the chooser's pace.
+struct Site
+{
+    Site()
+    {
+        service.name = ServiceName("llm");
+        service.engine.emplace();
+        service.engine->slots = 64;
+        service.engine->memoryTokens = 234'000;
+        service.engine->models[model] = {model, 70'000, 66, 4, Milliseconds(1200)};
+        route.kind = CallKind::Stream;
+        route.timeout = Milliseconds(5000);
+        route.latencyObjective = Milliseconds(800);
+    }
+
+    void addServer(const std::string &name, const std::string &zone = "east")
+    {
+        ListedServer server;
+        server.id = ServerName(name);
+        server.service = service.name;
+        server.zone = ZoneName(zone);
+        server.address = "10.0.0.1:80";
+        server.slots = 64;
+        server.holdings[model];
+        book.put(server, start);
+    }
+
+    CallDescription call(std::int64_t own) const
+    {
+        CallDescription call;
+        call.model = model;
+        call.promptTokens = Tokens(6300 + own);
+        call.outputTokens = Tokens(50);
+        call.promptParts = {{1, Tokens(2500)}, {2, Tokens(3800)}, {m_next++, Tokens(own)}};
+        return call;
+    }
+
+    PlacementChoice choose(const CallDescription &call, std::set<ServerName> excluded = {})
+    {
+        chain = prefixChain(call);
+        return chooser.choose({&service, &call, &chain, std::move(excluded)}, book, start);
+    }
+
+    AdmissionDecision decide(const CallDescription &call, Duration waited = Duration(0))
+    {
+        const AdmissionInput input{&route, &service, &call, choose(call), waited, 5s - waited};
+        return policy.decide(input, 0.5);
+    }
+
+    // Sends a call and keeps it at its server's prompt queue.
+    void send(const CallDescription &call)
+    {
+        const PlacementChoice choice = choose(call);
+        chooser.noteSent(choice.server, {&service, &call, &chain, {}});
+        auto &own = book.find(choice.server)->own;
+        own.running += 1;
+        own.prefillTokens += choice.prefillTokens;
+        own.memoryTokens += choice.memoryTokens;
+    }
+
+    ServiceSpec service;
+    Route route;
+    ServerBook book{2s};
+    ServerChooser chooser{ServerChooser::Settings(), ZoneName("east")};
+    AdmissionPolicy policy{AdmissionPolicy::Settings()};
+    std::vector<std::uint64_t> chain;
+    mutable std::uint64_t m_next = 100;
+};
+
+} // namespace
+
+TEST(AdmissionPolicyTest, sendsWhereThePromptIsCached)
+{
+    Site site;
+    site.addServer("engine-1");
+    site.addServer("engine-2");
+    const CallDescription first = site.call(1000);
+    const ServerName server = site.choose(first).server;
+    site.chooser.noteSent(server, {&site.service, &first, &site.chain, {}});
+    const PlacementChoice again = site.choose(site.call(1000));
+    EXPECT_EQ(again.server, server);
+    EXPECT_EQ(again.prefillTokens, 1000);
+}
+
+// Load pattern: a burst of calls on one model whose prompts share their beginning.
+TEST(AdmissionPolicyTest, spreadsABurstOnceTheQueueOutweighsTheCache)
+{
+    Site site;
+    site.addServer("engine-1");
+    site.addServer("engine-2");
+    for (int i = 0; i < 12; ++i)
+        site.send(site.call(2900));
+    const auto &one = site.book.find(ServerName("engine-1"))->own;
+    const auto &two = site.book.find(ServerName("engine-2"))->own;
+    EXPECT_GT(one.running, 0);
+    EXPECT_GT(two.running, 0);
+    EXPECT_LT(std::abs(one.prefillTokens - two.prefillTokens), 10'000);
+}
+
+// Load pattern: a burst beyond what all engines read within twice the objective. The plain
+// baseline sends everything; then all of the later calls are late.
+TEST(AdmissionPolicyTest, turnsAwayAtOnceWhatWouldBeFarTooLate)
+{
+    Site site;
+    site.addServer("engine-1");
+    int sent = 0;
+    int refused = 0;
+    for (int i = 0; i < 60; ++i) {
+        const CallDescription call = site.call(2900);
+        const AdmissionDecision decision = site.decide(call);
+        if (decision.step == AdmissionDecision::Step::Send) {
+            site.send(call);
+            ++sent;
+            continue;
+        }
+        EXPECT_EQ(decision.step, AdmissionDecision::Step::Refuse);
+        EXPECT_GT(decision.retryAfter, Duration(0));
+        EXPECT_LE(decision.retryAfter, 1500ms); // 0.3 of the time left
+        ++refused;
+    }
+    EXPECT_GT(refused, 0);
+    const double queuedMs
+        = static_cast<double>(site.book.find(ServerName("engine-1"))->own.prefillTokens) / 38;
+    EXPECT_LE(queuedMs, 2 * 800 + 100);
+    EXPECT_GT(sent, 15);
+}
+
+TEST(AdmissionPolicyTest, holdsARequestForAnAdapterButNotForLong)
+{
+    Site site;
+    site.addServer("engine-1");
+    CallDescription call = site.call(600);
+    call.adapter = AdapterName("a1");
+    EXPECT_EQ(site.decide(call).step, AdmissionDecision::Step::Wait);
+    EXPECT_EQ(site.decide(call, 500ms).step, AdmissionDecision::Step::Refuse);
+}
+
+TEST(AdmissionPolicyTest, refusesAModelThatNobodyListsAtOnce)
+{
+    Site site;
+    site.addServer("engine-1");
+    CallDescription call = site.call(600);
+    call.model = ModelName("unknown");
+    EXPECT_EQ(site.decide(call).step, AdmissionDecision::Step::Refuse);
+}
+
+TEST(AdmissionPolicyTest, avoidsLeavingExcludedAndFailingServers)
+{
+    Site site;
+    site.addServer("engine-1");
+    site.addServer("engine-2");
+    const CallDescription call = site.call(600);
+    EXPECT_EQ(site.choose(call, {ServerName("engine-1")}).server, ServerName("engine-2"));
+    auto &health = site.book.find(ServerName("engine-2"))->health;
+    for (int i = 0; i < 8; ++i)
+        health.noteFailure(ServerHealth::Failure::Answered, start);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(site.choose(site.call(600)).server, ServerName("engine-1"));
+    ListedServer leaving = site.book.find(ServerName("engine-1"))->listed;
+    leaving.isLeaving = true;
+    site.book.put(leaving, start);
+    EXPECT_EQ(site.choose(call).server, ServerName("engine-2"));
+}
--- /dev/null
+++ b/test/CopyPlannerTest.cpp
@@ -0,0 +1,191 @@
+#include "Serving/EngineDirector.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{1h};
+const ServiceName service("llm");
+
+ModelName model(int i)
+{
+    return ModelName("model-" + std::to_string(i));
+}
+
+// Engines that carry out every order at once, three models each, and a director that orders them.
+class Fleet
+{
+public:
+    Fleet(int engines, int models) : m_director(EngineDirector::Settings())
+    {
+        auto config = std::make_shared<ServingConfig>();
+        ServiceSpec spec;
+        spec.name = service;
+        spec.engine.emplace();
+        spec.engine->megabytes = 220'000;
+        spec.engine->adapterSlots = 5;
+        spec.engine->loadsPerSecond = 1.1;
+        for (int i = 0; i < models; ++i)
+            spec.engine->models[model(i)] = {model(i), 70'000, 66, 29, Milliseconds(1200)};
+        config->services[service] = spec;
+        m_director.setConfig(config);
+        for (int i = 0; i < engines; ++i) {
+            ListedServer server;
+            server.id = ServerName("engine-" + std::to_string(i));
+            server.incarnation = Incarnation(1);
+            server.service = service;
+            server.address = "10.0.0.1:80";
+            for (int k = 0; k < 3; ++k)
+                server.holdings[model((i * 3 + k) % models)];
+            m_engines[server.id].holdings = server.holdings;
+            m_book.put(server, start);
+        }
+        m_director.setServers(m_book, start);
+    }
+
+    void ask(int i, std::int64_t tokensPerStep) { m_demand[i] = tokensPerStep; }
+    void wantAdapter(int i, const AdapterName &adapter, Instant now)
+    {
+        m_director.noteNeed(model(i), adapter, now);
+    }
+
+    void step(Instant now)
+    {
+        for (const auto &[i, tokens] : m_demand)
+            m_director.noteDemand(model(i), tokens, now);
+        const auto step = m_director.next(now, now == start);
+        for (const EngineCommand &command : step.commands)
+            carryOut(command, now);
+        for (const ServerName &server : step.statuses)
+            m_director.takeStatus(server, m_engines[server], now, now);
+    }
+
+    int copies(int i) const
+    {
+        int n = 0;
+        for (const auto &[id, engine] : m_engines)
+            n += static_cast<int>(engine.holdings.count(model(i)));
+        return n;
+    }
+    bool hasAdapter(int i, const AdapterName &adapter) const
+    {
+        for (const auto &[id, engine] : m_engines) {
+            const auto it = engine.holdings.find(model(i));
+            if (it != engine.holdings.end() && it->second.count(adapter) > 0)
+                return true;
+        }
+        return false;
+    }
+
+    std::vector<Instant> loads;
+    bool overfull = false;
+    bool lostLastCopy = false;
+
+private:
+    void carryOut(const EngineCommand &command, Instant now)
+    {
+        EngineStatus &engine = m_engines[command.server];
+        if (command.expectedOrders != engine.orders) {
+            m_director.takeOutcome(command, OrderOutcome::Conflict, now);
+            return;
+        }
+        ++engine.orders;
+        auto &holdings = engine.holdings;
+        if (command.kind == EngineCommand::Kind::Load && command.adapter.isEmpty()) {
+            holdings[command.model];
+            loads.push_back(now);
+        } else if (command.kind == EngineCommand::Kind::Load) {
+            holdings[command.model].insert(command.adapter);
+        } else if (command.adapter.isEmpty()) {
+            holdings.erase(command.model);
+            int n = 0;
+            for (const auto &[id, other] : m_engines)
+                n += static_cast<int>(other.holdings.count(command.model));
+            lostLastCopy = lostLastCopy || n == 0;
+        } else {
+            holdings[command.model].erase(command.adapter);
+        }
+        std::size_t adapters = 0;
+        for (const auto &[name, held] : holdings)
+            adapters += held.size();
+        overfull = overfull || holdings.size() > 3 || adapters > 5;
+        m_director.takeOutcome(command, OrderOutcome::Accepted, now);
+    }
+
+    EngineDirector m_director;
+    ServerBook m_book{2s};
+    std::map<ServerName, EngineStatus> m_engines;
+    std::map<int, std::int64_t> m_demand;
+};
+
+constexpr Duration tick = 50ms;
+
+} // namespace
+
+// Load pattern: the demand moves to a model that has one copy.
+TEST(CopyPlannerTest, givesAModelThatBecomesBusyMoreCopies)
+{
+    Fleet fleet(9, 17);
+    Instant now = start;
+    for (; now < start + 3s; now += tick)
+        fleet.step(now);
+    EXPECT_TRUE(fleet.loads.empty());
+    fleet.ask(5, 3000); // about one and a half engines' time
+    for (; now < start + 12s; now += tick)
+        fleet.step(now);
+    EXPECT_GE(fleet.copies(5), 4);
+    EXPECT_FALSE(fleet.overfull);
+    EXPECT_FALSE(fleet.lostLastCopy);
+    for (int i = 0; i < 17; ++i)
+        EXPECT_GE(fleet.copies(i), 1) << i;
+}
+
+// Load pattern: a demand that wavers around what the copies carry moves nothing.
+TEST(CopyPlannerTest, leavesABalancedFleetAlone)
+{
+    Fleet fleet(9, 17);
+    for (int i = 0; i < 17; ++i)
+        fleet.ask(i, 120);
+    for (Instant now = start; now < start + 20s; now += tick)
+        fleet.step(now);
+    EXPECT_LE(fleet.loads.size(), 1U);
+}
+
+TEST(CopyPlannerTest, keepsTheWeightStoresRateInEveryWindow)
+{
+    Fleet fleet(18, 17);
+    for (Instant now = start; now < start + 40s; now += tick) {
+        const int busy = static_cast<int>((now - start) / 4s) % 17;
+        for (int i = 0; i < 17; ++i)
+            fleet.ask(i, i == busy ? 6000 : 0);
+        fleet.step(now);
+    }
+    ASSERT_GT(fleet.loads.size(), 10U);
+    const Duration window = 5s;
+    const std::size_t most = static_cast<std::size_t>(1.1 * 5 + 3);
+    for (std::size_t i = 0; i + most < fleet.loads.size(); ++i)
+        EXPECT_GT(fleet.loads[i + most] - fleet.loads[i], window);
+    EXPECT_FALSE(fleet.overfull);
+}
+
+// Load pattern: more adapters in use than one engine has slots for.
+TEST(CopyPlannerTest, loadsAdaptersThatAreWaitedForWithinTheSlots)
+{
+    Fleet fleet(9, 17);
+    Instant now = start;
+    for (; now < start + 1s; now += tick)
+        fleet.step(now);
+    for (int i = 0; i < 20; ++i) {
+        const AdapterName adapter("a" + std::to_string(i));
+        const Instant asked = now;
+        for (; now < asked + 400ms; now += tick) {
+            fleet.wantAdapter(2, adapter, now);
+            fleet.step(now);
+        }
+    }
+    EXPECT_TRUE(fleet.hasAdapter(2, AdapterName("a19")));
+    EXPECT_FALSE(fleet.overfull);
+}
--- /dev/null
+++ b/test/PlacementLeaseTest.cpp
@@ -0,0 +1,205 @@
+#include "Serving/PlacementLease.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+using namespace quetzalyoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{1h};
+
+// A row with conditional writes; calls can be lost before or after they take effect.
+struct LeaseTable
+{
+    LeaseRow row;
+    std::int64_t versions = 0;
+
+    std::optional<Version> write(const LeaseRow &wanted)
+    {
+        if (wanted.version != row.version)
+            return {};
+        row = wanted;
+        row.version = Version(++versions);
+        return row.version;
+    }
+};
+
+// One call of a gateway under way.
+struct Call
+{
+    bool isWrite = false;
+    LeaseRow proposal;
+    Instant sentAt;
+    Instant reachesTableAt;
+    Instant answeredAt;
+    bool isDone = false;
+    bool isLost = false; // no answer
+    std::optional<Version> result;
+    std::optional<LeaseRow> read;
+};
+
+struct Gateway
+{
+    explicit Gateway(int number)
+        : name("gateway-" + std::to_string(number)),
+          lease(std::make_unique<PlacementLease>(PlacementLease::Limits(), name, Incarnation(1)))
+    { }
+
+    InstanceId name;
+    std::unique_ptr<PlacementLease> lease;
+    std::optional<Call> call;
+    bool isFrozen = false;
+    bool isCut = false; // from the table
+    bool isMute = false; // no news to peers
+};
+
+} // namespace
+
+TEST(PlacementLeaseTest, isTakenAtOnceWhereThereIsNoRow)
+{
+    PlacementLease lease(PlacementLease::Limits(), InstanceId("a"), Incarnation(1));
+    ASSERT_EQ(lease.next(start), PlacementLease::Action::Read);
+    lease.onRead(std::nullopt, start, start);
+    ASSERT_EQ(lease.next(start + 1s), PlacementLease::Action::Write);
+    EXPECT_EQ(lease.proposal().fencing.count(), 1);
+    lease.onWritten(Version(4), start + 1s);
+    EXPECT_TRUE(lease.mayOrder(start + 1s));
+    EXPECT_FALSE(lease.mayOrder(start + 1s + PlacementLease::Limits().validity));
+}
+
+TEST(PlacementLeaseTest, endsWithItsLastConfirmedRenewalNotItsLatestTry)
+{
+    PlacementLease lease(PlacementLease::Limits(), InstanceId("a"), Incarnation(1));
+    lease.next(start);
+    lease.onRead(std::nullopt, start, start);
+    ASSERT_EQ(lease.next(start + 1s), PlacementLease::Action::Write);
+    lease.onWritten(Version(1), start + 1s);
+    ASSERT_EQ(lease.next(start + 2s), PlacementLease::Action::Write);
+    lease.onFailed(start + 2500ms);
+    EXPECT_FALSE(lease.mayOrder(start + 1s + PlacementLease::Limits().validity));
+    // The lost renewal took effect: reading shows it, the next renewal confirms it.
+    ASSERT_EQ(lease.next(start + 3s), PlacementLease::Action::Read);
+    LeaseRow row = lease.proposal();
+    row.holder = InstanceId("a");
+    row.incarnation = Incarnation(1);
+    row.version = Version(2);
+    lease.onRead(row, start + 3s, start + 3s);
+    EXPECT_FALSE(lease.mayOrder(start + 3s));
+    ASSERT_EQ(lease.next(start + 3s), PlacementLease::Action::Write);
+    lease.onWritten(Version(3), start + 3s);
+    EXPECT_TRUE(lease.mayOrder(start + 3s));
+}
+
+// Whatever is lost, late, frozen or cut: between the orders of two holders lies the engines' pause,
+// and fencing numbers rise with holders.
+TEST(PlacementLeaseTest, neverLetsTwoHoldersOrderWithinThePause)
+{
+    constexpr int schedules = 2000;
+    constexpr int gateways = 3;
+    const PlacementLease::Limits limits;
+    int handovers = 0;
+    for (int seed = 1; seed <= schedules; ++seed) {
+        std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+        const auto chance = [&random](int n) { return random() % static_cast<unsigned>(n) == 0; };
+        LeaseTable table;
+        std::vector<Gateway> fleet;
+        for (int i = 0; i < gateways; ++i)
+            fleet.emplace_back(i);
+        std::vector<Call> ghosts; // calls whose gateway was killed, still on their way
+        int lastHolder = -1;
+        Instant lastOrder;
+        FencingNumber lastFencing;
+        std::vector<std::int64_t> incarnations(gateways, 1);
+        for (Instant now = start; now < start + 40s; now += 20ms) {
+            for (Call &ghost : ghosts) {
+                if (!ghost.isDone && ghost.isWrite && now >= ghost.reachesTableAt) {
+                    table.write(ghost.proposal);
+                    ghost.isDone = true;
+                }
+            }
+            for (int i = 0; i < gateways; ++i) {
+                Gateway &gateway = fleet[static_cast<std::size_t>(i)];
+                if (chance(300))
+                    gateway.isFrozen = !gateway.isFrozen;
+                if (chance(300))
+                    gateway.isCut = !gateway.isCut;
+                if (chance(300))
+                    gateway.isMute = !gateway.isMute;
+                if (chance(1500)) {
+                    if (gateway.call)
+                        ghosts.push_back(*gateway.call);
+                    gateway.call.reset();
+                    const auto life = ++incarnations[static_cast<std::size_t>(i)];
+                    gateway.lease = std::make_unique<PlacementLease>(limits, gateway.name,
+                                                                     Incarnation(life));
+                }
+                if (gateway.call && !gateway.call->isDone && now >= gateway.call->reachesTableAt) {
+                    Call &call = *gateway.call;
+                    call.isDone = true;
+                    if (call.isWrite)
+                        call.result = table.write(call.proposal);
+                    else if (table.row.version.count() != 0)
+                        call.read = table.row;
+                }
+                if (gateway.isFrozen)
+                    continue;
+                if (gateway.call && now >= gateway.call->answeredAt) {
+                    const Call call = *gateway.call;
+                    if (call.isLost || !call.isDone) {
+                        gateway.lease->onFailed(now);
+                        if (!call.isDone)
+                            ghosts.push_back(call);
+                    } else if (call.isWrite) {
+                        gateway.lease->onWritten(call.result, call.sentAt);
+                    } else {
+                        gateway.lease->onRead(call.read, call.sentAt, now);
+                    }
+                    gateway.call.reset();
+                }
+                if (!gateway.call) {
+                    const auto action = gateway.lease->next(now);
+                    if (action != PlacementLease::Action::None) {
+                        Call call;
+                        call.isWrite = action == PlacementLease::Action::Write;
+                        call.proposal = gateway.lease->proposal();
+                        call.sentAt = now;
+                        const bool isSlow = gateway.isCut || chance(20);
+                        call.reachesTableAt
+                            = now + (isSlow ? Duration(std::chrono::milliseconds(random() % 4000))
+                                            : Duration(20ms));
+                        call.answeredAt = now + (isSlow ? Duration(1s) : Duration(40ms));
+                        call.isLost = isSlow;
+                        gateway.call = call;
+                    }
+                }
+                if (!gateway.lease->mayOrder(now))
+                    continue;
+                const FencingNumber fencing = gateway.lease->fencing();
+                if (lastHolder >= 0 && lastHolder != i) {
+                    ++handovers;
+                    ASSERT_GE(now - lastOrder, limits.holderPause) << "seed " << seed;
+                    ASSERT_GT(fencing, lastFencing) << "seed " << seed;
+                }
+                ASSERT_GE(fencing, lastFencing) << "seed " << seed;
+                lastHolder = i;
+                lastOrder = now;
+                lastFencing = fencing;
+                if (gateway.isMute)
+                    continue;
+                for (int k = 0; k < gateways; ++k) {
+                    Gateway &peer = fleet[static_cast<std::size_t>(k)];
+                    if (k != i && !peer.isFrozen && !peer.isMute)
+                        peer.lease->onHolderNews(gateway.lease->row(), now);
+                }
+            }
+        }
+    }
+    // The schedules must reach what they are about.
+    EXPECT_GT(handovers, schedules / 2);
+}
--- /dev/null
+++ b/test/PlatformDecoderTest.cpp
@@ -0,0 +1,180 @@
+#include "platform/ConfigurationDecoder.h"
+#include "platform/HeaderDialect.h"
+#include "platform/ServerDecoder.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace quetzalyoke::platform;
+
+namespace {
+
+constexpr const char *configuration = R"({"version":7,
+"routes":[{"name":"r1","host":"h.example","prefix":"/a/","kind":"stream","timeout_ms":6000,
+"target_latency_ms":1500,"priority":1,"service":"llm","max_attempts":2,"public":false,
+"sticky":true,"resumable":true,"target_gap_ms":400},
+{"name":"r2","host":"h.example","prefix":"/a/b/","kind":"never-heard-of","timeout_ms":1000,
+"traffic_split":[{"service":"llm","weight":90},{"service":"app","weight":10}],"public":true}],
+"services":[{"name":"llm","max_conns":360,"engine":{"slots":64,"kv_capacity":234138,
+"models":[{"name":"m","mb":72700.0,"load_s":1.2,"adapters":29,"adapter_mb":66.0}],
+"mb":220000.0,"adapter_slots":5,"loads_per_s":1.1}},{"name":"app","max_conns":100}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+"idle_timeout_ms":15000},
+"tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,
+"rate_per_s":75963,"burst":75963}]})";
+
+constexpr const char *server = R"({"service":"llm","address":"10.128.0.9:8080","zone":"z",
+"version":"v1","slots":64,"state":"ready","cold_ms":0,"seq":4,"born":17,
+"models":[{"name":"m","version":1,"adapters":["a1"]}]})";
+
+HeaderFields callerFields()
+{
+    HeaderFields fields;
+    fields.set("Host", "h.example");
+    fields.set("Attempt-Id", "id-1");
+    fields.set("Model", "m/a3");
+    fields.set("Token-Count", "1460,80");
+    fields.set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    fields.set("Deadline-Ms", "5000");
+    fields.set("Api-Key", "secret");
+    return fields;
+}
+
+} // namespace
+
+TEST(PlatformDecoderTest, readsRoutesServicesAndAccounts)
+{
+    const ServingConfigPtr config = decodeConfiguration(configuration);
+    EXPECT_EQ(config->version, Version(7));
+    const Route *longer = config->findRoute("h.example", "/a/b/c");
+    ASSERT_NE(longer, nullptr);
+    EXPECT_EQ(longer->name, "r2");
+    EXPECT_EQ(longer->kind, CallKind::NonIdempotent); // what isn't known must not be repeated
+    EXPECT_EQ(config->findRoute("h.example", "/a/c")->name, "r1");
+    EXPECT_EQ(config->findRoute("h.example", "/ab"), nullptr);
+    EXPECT_EQ(config->findRoute("other.example", "/a/c"), nullptr);
+    ASSERT_NE(config->findAccount("k2"), nullptr);
+    EXPECT_EQ(config->findAccount("k2")->name, AccountId("t"));
+    EXPECT_EQ(config->findAccount(""), nullptr);
+    EXPECT_EQ(config->findService(ServiceName("llm"))->engine->models.size(), 1U);
+    EXPECT_FALSE(config->findService(ServiceName("app"))->engine);
+}
+
+TEST(PlatformDecoderTest, turnsDownConfigurationsThatCannotBeReadWithoutEnding)
+{
+    for (const char *text : {"", "null", "[]", "{", "{\"version\":1}", "{\"version\":true}",
+                             "{\"version\":1,\"routes\":{},\"services\":4}",
+                             "{\"version\":1,\"routes\":[{}],\"services\":[]}"}) {
+        EXPECT_THROW(decodeConfiguration(text), Error) << text;
+    }
+}
+
+TEST(PlatformDecoderTest, readsServersAndSkipsEntriesOfOtherWriters)
+{
+    std::string problem;
+    const auto read = decodeServer("i-1", server, problem);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->incarnation, Incarnation(17));
+    EXPECT_EQ(read->holdings.at(ModelName("m")).count(AdapterName("a1")), 1U);
+    const std::string good = server;
+    const auto with = [&good](const std::string &from, const std::string &to) {
+        std::string text = good;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    for (const std::string &text :
+         {std::string("\xff\xfe"), std::string("17"), with("\"ready\"", "\"asleep\""),
+          with("\"slots\":64", "\"slots\":\"64\""), with("\"service\":\"llm\",", ""),
+          with("10.128.0.9:8080", "nowhere"), with("[\"a1\"]", "[4]")}) {
+        EXPECT_FALSE(decodeServer("i-1", text, problem)) << text;
+    }
+}
+
+TEST(PlatformDecoderTest, readsReports)
+{
+    const auto status = decodeStatus(
+        R"({"models":[{"name":"m","version":1,"adapters":[]}],"busy":true,"seq":2,"waiting":1,
+"running":12,"pending":["m/a3@1"]})");
+    ASSERT_TRUE(status);
+    EXPECT_TRUE(status->isBusy);
+    EXPECT_EQ(status->orders, 2);
+    EXPECT_EQ(status->loadingAdapters.count({ModelName("m"), AdapterName("a3")}), 1U);
+    EXPECT_FALSE(decodeStatus("{}"));
+    EXPECT_FALSE(decodeStatus("<html>"));
+}
+
+TEST(PlatformDecoderTest, describesACall)
+{
+    std::string problem;
+    const auto call = HeaderDialect().describe(callerFields(), problem);
+    ASSERT_TRUE(call);
+    EXPECT_EQ(call->model, ModelName("m"));
+    EXPECT_EQ(call->adapter, AdapterName("a3"));
+    EXPECT_EQ(call->promptTokens, Tokens(1460));
+    EXPECT_EQ(call->promptParts.size(), 3U);
+    EXPECT_EQ(call->promptParts[2].length, Tokens(250));
+}
+
+TEST(PlatformDecoderTest, turnsDownHeadersThatContradictThemselves)
+{
+    std::string problem;
+    HeaderFields twice = callerFields();
+    twice.insert("Attempt-Id", "id-2");
+    EXPECT_FALSE(HeaderDialect().describe(twice, problem));
+    for (const char *text : {"-1", "5s", "99999999999999999999", "0x10"}) {
+        HeaderFields fields = callerFields();
+        fields.set("Deadline-Ms", text);
+        EXPECT_FALSE(HeaderDialect().describe(fields, problem)) << text;
+    }
+}
+
+TEST(PlatformDecoderTest, passesOnNeitherKeysNorConnectionHeadersNorReservedOnes)
+{
+    HeaderFields fields = callerFields();
+    fields.set("Connection", "X-Private, Attempt-Id");
+    fields.set("X-Private", "1");
+    fields.set("X-Public", "2");
+    fields.set("Tenant", "somebody-else");
+    fields.set("Target-Instance", "i-9");
+    fields.set("Hold", "h");
+    fields.set("Pin-Ms", "4000");
+    fields.set("Transfer-Encoding", "chunked");
+    BackendCall call;
+    call.server = ServerName("i-1");
+    call.account = AccountId("t");
+    call.timeLeft = Milliseconds(4990);
+    std::string out;
+    HeaderDialect().writeBackendFields(fields, call, out);
+    EXPECT_EQ(out.find("secret"), std::string::npos);
+    EXPECT_EQ(out.find("X-Private"), std::string::npos);
+    EXPECT_EQ(out.find("somebody-else"), std::string::npos);
+    EXPECT_EQ(out.find("i-9"), std::string::npos);
+    EXPECT_EQ(out.find("Hold"), std::string::npos);
+    EXPECT_EQ(out.find("Pin-Ms"), std::string::npos);
+    EXPECT_EQ(out.find("chunked"), std::string::npos);
+    EXPECT_NE(out.find("Attempt-Id: id-1\r\n"), std::string::npos);
+    EXPECT_NE(out.find("Tenant: t\r\n"), std::string::npos);
+    EXPECT_NE(out.find("Deadline-Ms: 4990\r\n"), std::string::npos);
+    EXPECT_NE(out.find("X-Public: 2\r\n"), std::string::npos);
+}
+
+TEST(PlatformDecoderTest, judgesAnswers)
+{
+    const HeaderDialect dialect;
+    const RequestId id("id-1");
+    HeaderFields fields;
+    fields.set("Attempt-Id", "id-1");
+    fields.set("Response-Stamp", "s");
+    fields.set("Server-Load", "3,0,8");
+    const BackendVerdict good = dialect.judge(200, fields, id);
+    EXPECT_TRUE(good.isSigned);
+    EXPECT_FALSE(good.isForeign);
+    ASSERT_TRUE(good.load);
+    EXPECT_EQ(good.load->running, 3);
+    fields.set("Attempt-Id", "id-0");
+    EXPECT_TRUE(dialect.judge(200, fields, id).isForeign);
+    fields.set("Attempt-Id", "id-1");
+    fields.set("Not-Executed", "1");
+    EXPECT_TRUE(dialect.judge(503, fields, id).notRun);
+    EXPECT_FALSE(dialect.judge(200, HeaderFields(), id).isSigned);
+}
--- /dev/null
+++ b/test/SharedQuotaTest.cpp
@@ -0,0 +1,178 @@
+#include "Serving/SharedQuota.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <random>
+
+using namespace quetzalyoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start{1h};
+constexpr double rate = 1000; // tokens a second
+constexpr double burst = 1000;
+constexpr Duration silence = 450ms;
+constexpr Duration newsInterval = 100ms;
+
+InstanceId gateway(int i)
+{
+    return InstanceId("gateway-" + std::to_string(i));
+}
+
+// Gateways that tell each other what they have spent, over links that can be cut.
+class Fleet
+{
+public:
+    explicit Fleet(int n)
+    {
+        for (int i = 0; i < n; ++i) {
+            m_quotas.emplace_back(rate, burst, start);
+            m_quotas.back().setGateways(static_cast<std::size_t>(n), silence);
+            m_cut.push_back(false);
+            m_frozen.push_back(false);
+        }
+    }
+
+    void setCut(int i, bool isCut) { m_cut[i] = isCut; }
+    void setFrozen(int i, bool isFrozen, Instant now)
+    {
+        if (m_frozen[i] && !isFrozen)
+            m_quotas[i].suspectPeers(now);
+        m_frozen[i] = isFrozen;
+    }
+    void restart(int i, Instant now)
+    {
+        m_quotas[i] = SharedQuota(rate, burst, now);
+        m_quotas[i].setGateways(m_quotas.size(), silence);
+        ++m_incarnation;
+        m_incarnations[i] = m_incarnation;
+    }
+
+    // Requests of \a cost at gateway \a i.
+    void ask(int i, double cost, Instant now)
+    {
+        if (m_frozen[i] || !m_quotas[i].charge(cost, now))
+            return;
+        m_spent.emplace_back(now, cost);
+    }
+    void tell(Instant now)
+    {
+        for (int i = 0; i < size(); ++i) {
+            for (int k = 0; k < size(); ++k) {
+                if (i == k || m_cut[i] || m_cut[k] || m_frozen[i] || m_frozen[k])
+                    continue;
+                m_quotas[k].takePeerSpent(gateway(i), Incarnation(m_incarnations[i]),
+                                          m_quotas[i].spent(), now);
+            }
+        }
+    }
+    int size() const { return static_cast<int>(m_quotas.size()); }
+
+    // Most that any window of \a length has seen.
+    double worst(Duration length) const
+    {
+        double most = 0;
+        double sum = 0;
+        std::size_t first = 0;
+        for (const auto &[at, cost] : m_spent) {
+            sum += cost;
+            while (m_spent[first].first + length <= at)
+                sum -= m_spent[first++].second;
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+    double total() const
+    {
+        double sum = 0;
+        for (const auto &[at, cost] : m_spent)
+            sum += cost;
+        return sum;
+    }
+
+private:
+    std::vector<SharedQuota> m_quotas;
+    std::vector<bool> m_cut;
+    std::vector<bool> m_frozen;
+    std::map<int, std::int64_t> m_incarnations;
+    std::int64_t m_incarnation = 0;
+    std::vector<std::pair<Instant, double>> m_spent;
+};
+
+constexpr Duration window = 8s;
+constexpr double costOfOne = 20;
+
+// Within a window: rate and burst, and once what all spend before news of it arrive.
+double allowed(int gateways, double askedPerSecond)
+{
+    const double seconds = std::chrono::duration<double>(window).count();
+    const double late = std::chrono::duration<double>(newsInterval + silence).count();
+    return rate * seconds + burst + askedPerSecond * late + costOfOne * gateways;
+}
+
+} // namespace
+
+TEST(SharedQuotaTest, startsWithoutCredit)
+{
+    SharedQuota quota(rate, burst, start);
+    EXPECT_FALSE(quota.charge(1, start));
+    EXPECT_TRUE(quota.charge(500, start + 10ms));
+    EXPECT_FALSE(quota.charge(1, start + 20ms));
+    EXPECT_GT(quota.waitForCredit(start + 20ms), 400ms);
+}
+
+TEST(SharedQuotaTest, servesTheWholeRateAtOneGatewayOfSeveral)
+{
+    Fleet fleet(5);
+    const Duration length = 20s;
+    for (Duration t{0}; t < length; t += 10ms) {
+        fleet.ask(0, costOfOne, start + t);
+        if (t % newsInterval == Duration(0))
+            fleet.tell(start + t);
+    }
+    EXPECT_GE(fleet.total(), 0.95 * rate * 20);
+}
+
+TEST(SharedQuotaTest, givesACutOffGatewayItsEqualPart)
+{
+    Fleet fleet(4);
+    fleet.setCut(0, true);
+    for (Duration t{0}; t < Duration(20s); t += 5ms) {
+        for (int i = 0; i < fleet.size(); ++i)
+            fleet.ask(i, costOfOne, start + t);
+        if (t % newsInterval == Duration(0))
+            fleet.tell(start + t);
+    }
+    EXPECT_LE(fleet.worst(window), allowed(4, 4 * costOfOne / 0.005));
+}
+
+// Random cuts, freezes and restarts under five times the allowed demand.
+TEST(SharedQuotaTest, staysWithinRateAndBurstWhateverHappensToGateways)
+{
+    constexpr int schedules = 400;
+    constexpr int gateways = 4;
+    for (int seed = 1; seed <= schedules; ++seed) {
+        std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+        Fleet fleet(gateways);
+        int restarts = 0;
+        for (Duration t{0}; t < Duration(24s); t += 16ms) {
+            const Instant now = start + t;
+            const int event = static_cast<int>(random() % 200);
+            const int victim = static_cast<int>(random() % gateways);
+            if (event == 0)
+                fleet.setCut(victim, random() % 2 == 0);
+            if (event == 1)
+                fleet.setFrozen(victim, random() % 2 == 0, now);
+            if (event == 2 && restarts++ < 3)
+                fleet.restart(victim, now);
+            for (int i = 0; i < gateways; ++i)
+                fleet.ask(i, costOfOne, now);
+            if (t % Duration(96ms) == Duration(0))
+                fleet.tell(now);
+        }
+        ASSERT_LE(fleet.worst(window), allowed(gateways, gateways * costOfOne / 0.016))
+            << "seed " << seed;
+    }
+}
