Check that a kept connection is quiet before it is used again

Cause: a server's close can lie in the socket while the loop has not come to it; the next request on it was cut and, where it may not be repeated, failed. With tests of the HTTP layer and the store's follower.

--- a/src/Adapters/Async/ClientConnection.cpp
+++ b/src/Adapters/Async/ClientConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <array>
 #include <charconv>
 #include <limits>
 
@@ -146,6 +147,16 @@
         becomeIdle();
 }
 
+bool ClientConnection::isQuiet()
+{
+    if (m_state != State::Idle)
+        return false;
+    std::array<char, 1> buf{};
+    SystemError ec;
+    m_socket.receive(asio::buffer(buf), Tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
 void ClientConnection::resumeReading()
 {
     if (!m_paused)
--- a/src/Adapters/Async/ClientConnection.h
+++ b/src/Adapters/Async/ClientConnection.h
@@ -65,6 +65,8 @@
     void resumeReading();
 
     bool isClosed() const { return m_state == State::Closed; }
+    /// Whether an idle connection has neither ended nor brought bytes that nobody asked for.
+    bool isQuiet();
     bool isFresh() const { return m_exchanges <= 1; } ///< Carries its first request.
     /// Until when the server keeps the connection open while it is idle.
     Instant idleUntil() const { return m_idleUntil; }
--- a/src/Adapters/Async/ConnectionPool.cpp
+++ b/src/Adapters/Async/ConnectionPool.cpp
@@ -18,7 +18,8 @@
         idle.pop_back();
         if (connection->isClosed())
             continue;
-        if (connection->idleUntil() > now)
+        // Its end may have come without the loop having noticed yet.
+        if (connection->idleUntil() > now && connection->isQuiet())
             return connection;
         connection->close();
     }
--- a/src/Adapters/Async/HttpCaller.cpp
+++ b/src/Adapters/Async/HttpCaller.cpp
@@ -53,7 +53,7 @@
         m_idle->pop_back();
         if (connection->isClosed())
             continue;
-        if (connection->idleUntil() > loopNow())
+        if (connection->idleUntil() > loopNow() && connection->isQuiet())
             call->connection = connection;
         else
             connection->close();
--- /dev/null
+++ b/test/ClientConnectionTest.cpp
@@ -0,0 +1,159 @@
+#include "Adapters/Async/ConnectionPool.h"
+#include "Adapters/Async/HttpCaller.h"
+#include "LoopbackSocket.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::string whole(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// One exchange over a pool, as a gateway makes it.
+struct Exchange
+{
+    std::optional<ExchangeEnd> end;
+    int status = 0;
+    std::string body;
+
+    std::shared_ptr<ClientConnection> run(asio::io_context &loop, ConnectionPool &pool,
+                                          const std::string &address, const std::string &id)
+    {
+        ExchangeHooks hooks;
+        hooks.onHead = [this, id](int headStatus, const boost::beast::http::fields &fields) {
+            if (!fields["Id"].empty() && fields["Id"] != id)
+                return ExchangeHooks::Head::Skip;
+            status = headStatus;
+            return ExchangeHooks::Head::Take;
+        };
+        hooks.onBody = [this](std::string_view data) { body.append(data); };
+        hooks.onEnd = [this](ExchangeEnd how) { end = how; };
+        const auto connection = pool.acquire(address);
+        connection->send(request, false, std::move(hooks));
+        runUntil(loop, [this] { return end.has_value(); });
+        return connection;
+    }
+};
+
+class ClientConnectionTest : public ::testing::Test
+{
+protected:
+    ExchangeEnd endOf(const std::string &answer, ScriptedServer::End end)
+    {
+        server.answer(answer, end);
+        Exchange exchange;
+        exchange.run(loop, pool, server.address(), "1");
+        lastBody = exchange.body;
+        return exchange.end.value_or(ExchangeEnd::NotSent);
+    }
+
+    asio::io_context loop;
+    ScriptedServer server{loop};
+    ConnectionPool pool{loop, {300ms, 1000ms}};
+    std::string lastBody;
+};
+
+} // namespace
+
+TEST_F(ClientConnectionTest, tellsWholeAnswersFromBrokenOnes)
+{
+    using End = ScriptedServer::End;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    EXPECT_EQ(endOf(whole("1", "fine"), End::KeepOpen), ExchangeEnd::Complete);
+    EXPECT_EQ(endOf(head + "Content-Length: 9\r\n\r\nshort", End::Close), ExchangeEnd::Cut);
+    EXPECT_EQ(endOf(head + "Content-Length: 9\r\n\r\nshort", End::Reset), ExchangeEnd::Cut);
+    EXPECT_EQ(endOf(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n", End::Close),
+              ExchangeEnd::Cut);
+    EXPECT_EQ(endOf(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", End::Close),
+              ExchangeEnd::Complete);
+    EXPECT_EQ(endOf(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", End::KeepOpen),
+              ExchangeEnd::Malformed);
+    EXPECT_EQ(endOf("garbage\r\n\r\n", End::KeepOpen), ExchangeEnd::Malformed);
+    EXPECT_EQ(endOf("", End::Close), ExchangeEnd::Cut);
+    // Without a length the answer ends with its connection, but not with a reset.
+    EXPECT_EQ(endOf(head + "\r\nuntil the end", End::Close), ExchangeEnd::Complete);
+    EXPECT_EQ(lastBody, "until the end");
+}
+
+TEST_F(ClientConnectionTest, skipsAnAnswerToAnotherRequest)
+{
+    server.answer(whole("0", "late") + whole("1", "mine"));
+    Exchange exchange;
+    exchange.run(loop, pool, server.address(), "1");
+    EXPECT_EQ(exchange.end, ExchangeEnd::Complete);
+    EXPECT_EQ(exchange.body, "mine");
+}
+
+TEST_F(ClientConnectionTest, keepsAConnectionOnlyWhereNothingFollowsTheAnswer)
+{
+    Exchange first;
+    server.answer(whole("1", "fine"));
+    const auto connection = first.run(loop, pool, server.address(), "1");
+    EXPECT_FALSE(connection->isClosed());
+    server.answer(whole("2", "fine") + whole("2", "again"));
+    Exchange second;
+    EXPECT_EQ(second.run(loop, pool, server.address(), "2"), connection);
+    EXPECT_EQ(second.body, "fine");
+    EXPECT_TRUE(connection->isClosed());
+    EXPECT_EQ(server.connections(), 1);
+}
+
+TEST_F(ClientConnectionTest, closesAnIdleConnectionOnWhichBytesArrive)
+{
+    server.answer(whole("1", "fine"));
+    Exchange exchange;
+    const auto connection = exchange.run(loop, pool, server.address(), "1");
+    ASSERT_FALSE(connection->isClosed());
+    server.answer("HTTP/1.1 200 OK\r\n\r\n");
+    // The script runs at the server's next read, so the extra bytes are sent by a second caller.
+    EXPECT_EQ(pool.idle(), 1U);
+    pool.closeStale(loopNow() + 10s);
+    EXPECT_TRUE(connection->isClosed());
+}
+
+TEST_F(ClientConnectionTest, saysThatNothingWasSentWhereNobodyListens)
+{
+    int port = 0;
+    {
+        Tcp::acceptor unused(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        port = unused.local_endpoint().port();
+    }
+    Exchange exchange;
+    exchange.run(loop, pool, "127.0.0.1:" + std::to_string(port), "1");
+    EXPECT_EQ(exchange.end, ExchangeEnd::NotSent);
+    Exchange nowhere;
+    nowhere.run(loop, pool, "not-an-address:80", "1");
+    EXPECT_EQ(nowhere.end, ExchangeEnd::NotSent);
+}
+
+TEST_F(ClientConnectionTest, callsNoHookAfterClose)
+{
+    Exchange exchange;
+    const auto connection = pool.acquire(server.address());
+    ExchangeHooks hooks;
+    hooks.onHead = [](int, const auto &) { return ExchangeHooks::Head::Take; };
+    hooks.onEnd = [&exchange](ExchangeEnd end) { exchange.end = end; };
+    connection->send(request, false, std::move(hooks));
+    connection->close();
+    EXPECT_FALSE(runUntil(
+        loop, [&] { return exchange.end.has_value(); }, 50ms));
+}
+
+TEST_F(ClientConnectionTest, givesUpACallAtItsTimeout)
+{
+    HttpCaller caller(loop, Address::parse(server.address()), {300ms, 1000ms});
+    std::optional<HttpOutcome> outcome;
+    caller.call(request, 60ms, [&outcome](const HttpOutcome &it) { outcome = it; });
+    ASSERT_TRUE(runUntil(loop, [&] { return outcome.has_value(); }));
+    EXPECT_TRUE(outcome->timedOut);
+    EXPECT_FALSE(outcome->isAnswered());
+    EXPECT_EQ(outcome->status, 0);
+}
--- /dev/null
+++ b/test/LoopbackSocket.h
@@ -0,0 +1,153 @@
+#ifndef QUETZALYOKE_TEST_LOOPBACKSOCKET_H
+#define QUETZALYOKE_TEST_LOOPBACKSOCKET_H
+
+#include "Adapters/Async/EventLoop.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
+
+namespace quetzalyoke {
+
+/// \brief Runs \a loop until \a done says so or \a limit has passed; whether it is done.
+template<typename Condition>
+bool runUntil(asio::io_context &loop, Condition done,
+              std::chrono::milliseconds limit = std::chrono::seconds(5))
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    loop.restart();
+    while (!done() && std::chrono::steady_clock::now() < end)
+        loop.run_one_for(std::chrono::milliseconds(10));
+    return done();
+}
+
+/// \brief A caller that writes bytes as they are and collects what comes back.
+class RawCaller
+{
+public:
+    RawCaller(asio::io_context &loop, int port) : m_loop(loop), m_socket(loop)
+    {
+        m_socket.connect(
+            Tcp::endpoint(asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)));
+        read();
+    }
+
+    void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+    void close() { m_socket.close(); }
+    /// Ends the connection without the usual farewell.
+    void reset()
+    {
+        m_socket.set_option(asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+    bool awaitText(const std::string &text)
+    {
+        return runUntil(m_loop, [&] { return m_received.find(text) != std::string::npos; });
+    }
+    bool awaitEnd()
+    {
+        return runUntil(m_loop, [this] { return m_isEnded; });
+    }
+    const std::string &received() const { return m_received; }
+    bool isEnded() const { return m_isEnded; }
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_buf), [this](const SystemError &ec, std::size_t n) {
+            if (ec) {
+                m_isEnded = true;
+                return;
+            }
+            m_received.append(m_buf.data(), n);
+            read();
+        });
+    }
+
+    asio::io_context &m_loop;
+    Tcp::socket m_socket;
+    std::array<char, 4096> m_buf{};
+    std::string m_received;
+    bool m_isEnded = false;
+};
+
+/// \brief A server that answers each connection's first bytes with a script.
+class ScriptedServer
+{
+public:
+    enum class End {
+        KeepOpen,
+        Close, ///< After the bytes, as a server that has said all.
+        Reset, ///< After the bytes, as a server that has crashed.
+    };
+
+    explicit ScriptedServer(asio::io_context &loop)
+        : m_loop(loop), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        accept();
+    }
+
+    int port() const { return m_acceptor.local_endpoint().port(); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+    /// What the next request is answered with, on whichever connection it comes.
+    void answer(std::string bytes, End end = End::KeepOpen) { m_script = {std::move(bytes), end}; }
+    const std::string &received() const { return m_received; }
+    int connections() const { return m_connections; }
+
+private:
+    struct Connection
+    {
+        explicit Connection(Tcp::socket s) : socket(std::move(s)) { }
+        Tcp::socket socket;
+        std::array<char, 65536> buf{};
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const SystemError &ec, Tcp::socket socket) {
+            if (ec)
+                return;
+            ++m_connections;
+            read(std::make_shared<Connection>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Connection> &connection)
+    {
+        connection->socket.async_read_some(
+            asio::buffer(connection->buf),
+            [this, connection](const SystemError &ec, std::size_t n) {
+                if (ec)
+                    return;
+                m_received.append(connection->buf.data(), n);
+                if (m_received.find("\r\n\r\n") != std::string::npos)
+                    reply(connection);
+                if (connection->socket.is_open())
+                    read(connection);
+            });
+    }
+
+    void reply(const std::shared_ptr<Connection> &connection)
+    {
+        const auto script = std::exchange(m_script, {});
+        SystemError ignored;
+        if (!script.first.empty())
+            asio::write(connection->socket, asio::buffer(script.first), ignored);
+        if (script.second == End::Reset)
+            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        if (script.second != End::KeepOpen)
+            connection->socket.close(ignored);
+    }
+
+    asio::io_context &m_loop;
+    Tcp::acceptor m_acceptor;
+    std::pair<std::string, End> m_script;
+    std::string m_received;
+    int m_connections = 0;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/test/PlacementLeaseTest.cpp
+++ b/test/PlacementLeaseTest.cpp
@@ -136,8 +136,8 @@
                         ghosts.push_back(*gateway.call);
                     gateway.call.reset();
                     const auto life = ++incarnations[static_cast<std::size_t>(i)];
-                    gateway.lease = std::make_unique<PlacementLease>(limits, gateway.name,
-                                                                     Incarnation(life));
+                    gateway.lease
+                        = std::make_unique<PlacementLease>(limits, gateway.name, Incarnation(life));
                 }
                 if (gateway.call && !gateway.call->isDone && now >= gateway.call->reachesTableAt) {
                     Call &call = *gateway.call;
@@ -170,9 +170,9 @@
                         call.proposal = gateway.lease->proposal();
                         call.sentAt = now;
                         const bool isSlow = gateway.isCut || chance(20);
-                        call.reachesTableAt
-                            = now + (isSlow ? Duration(std::chrono::milliseconds(random() % 4000))
-                                            : Duration(20ms));
+                        call.reachesTableAt = now
+                            + (isSlow ? Duration(std::chrono::milliseconds(random() % 4000))
+                                      : Duration(20ms));
                         call.answeredAt = now + (isSlow ? Duration(1s) : Duration(40ms));
                         call.isLost = isSlow;
                         gateway.call = call;
--- /dev/null
+++ b/test/PlatformStoreTest.cpp
@@ -0,0 +1,203 @@
+#include "Adapters/Async/CallerServer.h"
+#include "LoopbackSocket.h"
+#include "platform/StorePlatform.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace quetzalyoke::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The platform's store as far as its answers to one follower go; the test plays each answer.
+class FakeStore
+{
+public:
+    explicit FakeStore(asio::io_context &loop)
+        : m_loop(loop),
+          m_server(loop, 16,
+                   {[this](const CallerSession::Pointer &session, CallerRequest &&request) {
+                        take(session, request);
+                    },
+                    [] { return SessionLimits(); }, [] { return false; }, [](int, const char *) {}})
+    {
+        m_server.listen({"127.0.0.1", 0});
+    }
+
+    Address address() const { return {"127.0.0.1", m_server.port()}; }
+
+    /// Waits for a call whose target contains \a part, and answers it.
+    bool answer(const std::string &part, int status, const std::string &body)
+    {
+        std::size_t at = 0;
+        const bool isThere = runUntil(m_loop, [&] {
+            for (at = 0; at < m_calls.size(); ++at) {
+                if (m_calls[at].first.find(part) != std::string::npos)
+                    return true;
+            }
+            return false;
+        });
+        if (!isThere)
+            return false;
+        const auto session = m_calls[at].second;
+        m_calls.erase(m_calls.begin() + static_cast<std::ptrdiff_t>(at));
+        session->answer(status, "Content-Type: application/json\r\n", body);
+        return true;
+    }
+    const std::string &lastBody() const { return m_lastBody; }
+
+private:
+    void take(const CallerSession::Pointer &session, const CallerRequest &request)
+    {
+        m_lastBody = request.body;
+        m_calls.emplace_back(request.target, session);
+    }
+
+    asio::io_context &m_loop;
+    CallerServer m_server;
+    std::vector<std::pair<std::string, CallerSession::Pointer>> m_calls;
+    std::string m_lastBody;
+};
+
+std::string rows(const std::string &list, int version)
+{
+    return R"({"rows":[)" + list + R"(],"truncated":false,"ver":)" + std::to_string(version)
+        + R"(,"now_ms":5})";
+}
+
+// base64 of "x"
+std::string row(const std::string &key, int version)
+{
+    return R"({"table":"servers","part":"","key":")" + key + R"(","value":"eA==","ver":)"
+        + std::to_string(version) + "}";
+}
+
+std::string deletion(const std::string &key, int version)
+{
+    return R"({"table":"servers","part":"","key":")" + key + R"(","deleted":true,"ver":)"
+        + std::to_string(version) + "}";
+}
+
+class PlatformStoreTest : public ::testing::Test
+{
+protected:
+    PlatformStoreTest()
+        : follower(
+            loop, client, "servers",
+            {[this](const StoreRow &change) {
+                 seen.push_back((change.isDeleted ? "-" : "+") + change.key);
+             },
+             [this] { ++batches; },
+             [this](bool isReachable, const std::string &) { reach.push_back(isReachable); }})
+    { }
+
+    bool awaitBatches(int n)
+    {
+        return runUntil(loop, [&] { return batches >= n; });
+    }
+
+    asio::io_context loop;
+    FakeStore store{loop};
+    StoreClient client{loop, store.address()};
+    std::vector<std::string> seen;
+    std::vector<bool> reach;
+    int batches = 0;
+    TableFollower follower;
+};
+
+using Strings = std::vector<std::string>;
+
+} // namespace
+
+TEST_F(PlatformStoreTest, readsATableThenFollowsItsChanges)
+{
+    follower.start();
+    ASSERT_TRUE(store.answer("/rows-get?table=servers", 200, rows(row("a", 3), 7)));
+    ASSERT_TRUE(store.answer("after=7", 200, rows(row("b", 8) + "," + deletion("a", 9), 9)));
+    ASSERT_TRUE(awaitBatches(2));
+    EXPECT_EQ(seen, (Strings{"+a", "+b", "-a"}));
+    EXPECT_EQ(follower.newest(), Version(9));
+    ASSERT_TRUE(store.answer("after=9", 200, rows("", 12)));
+    EXPECT_TRUE(store.answer("after=12", 200, rows("", 12)));
+}
+
+TEST_F(PlatformStoreTest, readsEverythingAgainOnceItsHistoryIsGone)
+{
+    follower.start();
+    ASSERT_TRUE(store.answer("/rows-get", 200, rows(row("a", 3) + "," + row("b", 4), 7)));
+    ASSERT_TRUE(store.answer("after=7", 410, "{}"));
+    ASSERT_TRUE(store.answer("/rows-get", 200, rows(row("b", 4) + "," + row("c", 9), 9)));
+    ASSERT_TRUE(awaitBatches(2));
+    EXPECT_EQ(seen, (Strings{"+a", "+b", "-a", "+c"}));
+}
+
+// An answer from outside must not end the process, whatever it holds.
+TEST_F(PlatformStoreTest, asksAgainAfterAnswersThatCannotBeRead)
+{
+    follower.start();
+    for (const char *body : {"", "{}", "[]", "null", "{\"rows\":4,\"ver\":1}",
+                             "{\"rows\":[{}],\"ver\":1}", "{\"rows\":[]}", "<html>"}) {
+        ASSERT_TRUE(store.answer("/rows-get", 200, body)) << body;
+    }
+    ASSERT_TRUE(store.answer("/rows-get", 503, ""));
+    ASSERT_TRUE(store.answer("/rows-get", 200, rows(row("a", 3), 7)));
+    ASSERT_TRUE(awaitBatches(1));
+    EXPECT_EQ(reach, (std::vector<bool>{false, true}));
+}
+
+TEST_F(PlatformStoreTest, neverGoesBackToAnOlderRow)
+{
+    follower.start();
+    ASSERT_TRUE(store.answer("/rows-get", 200, rows(row("a", 6), 7)));
+    ASSERT_TRUE(store.answer("after=7", 200, rows(row("a", 5), 8)));
+    ASSERT_TRUE(awaitBatches(2));
+    EXPECT_EQ(seen, (Strings{"+a"}));
+}
+
+TEST_F(PlatformStoreTest, givesAndTakesChangesBetweenGateways)
+{
+    follower.start();
+    ASSERT_TRUE(store.answer("/rows-get", 200, rows(row("a", 3) + "," + row("b", 4), 7)));
+    ASSERT_TRUE(store.answer("after=7", 200, rows(row("c", 8) + "," + deletion("a", 9), 9)));
+    ASSERT_TRUE(awaitBatches(2));
+    const auto changes = follower.changesSince(Version(7));
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->size(), 2U);
+    EXPECT_FALSE(follower.changesSince(Version(0))); // a newcomer gets everything
+
+    follower.pause();
+    StoreRow gone;
+    gone.key = "b";
+    gone.version = Version(11);
+    gone.isDeleted = true;
+    follower.takeChanges({gone}, Version(9), Version(11));
+    EXPECT_EQ(follower.rows().count("b"), 0U);
+    EXPECT_EQ(follower.newest(), Version(11));
+    StoreRow old;
+    old.key = "z";
+    old.version = Version(10);
+    follower.takeChanges({old}, Version(9), Version(10)); // a late answer of another gateway
+    EXPECT_EQ(follower.rows().count("z"), 0U);
+    follower.resume();
+    EXPECT_TRUE(store.answer("after=11", 200, rows("", 11)));
+}
+
+TEST_F(PlatformStoreTest, writesUnderAConditionAndTellsTheThreeOutcomes)
+{
+    std::vector<StoreClient::WriteStatus> outcomes;
+    const auto note
+        = [&outcomes](StoreClient::WriteStatus status, Version) { outcomes.push_back(status); };
+    const StoreWrite write{"t", "k", "x", Version(4)};
+    client.write(write, note);
+    ASSERT_TRUE(store.answer("/rows-tx", 200, R"({"ver":5,"now_ms":1})"));
+    EXPECT_NE(store.lastBody().find("\"eA==\""), std::string::npos);
+    client.write(write, note);
+    ASSERT_TRUE(store.answer("/rows-tx", 412, "{}"));
+    client.write(write, note);
+    ASSERT_TRUE(store.answer("/rows-tx", 200, "{}"));
+    ASSERT_TRUE(runUntil(loop, [&] { return outcomes.size() == 3; }));
+    EXPECT_EQ(outcomes[0], StoreClient::WriteStatus::Done);
+    EXPECT_EQ(outcomes[1], StoreClient::WriteStatus::Conflict);
+    EXPECT_EQ(outcomes[2], StoreClient::WriteStatus::Failed);
+}
