Holders don't take a lagging list for their engines' holdings

Ruled out: late orders (expected counts rise one by one in the trace). Change: after the first report the holder's book believes its orders and reports only. Test: EngineBookTest.doesNotTakeAListThatLagsForTheEngine failed first.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -97,7 +97,7 @@
     hooks.onServer = [this](const ListedServer &server) { onServer(server); };
     hooks.onServerGone = [this](const ServerName &id) { onServerGone(id); };
     hooks.onChanged = [this] {
-        m_state.director.setServers(m_state.book, loopNow());
+        m_state.director.setServers(m_state.book);
         m_orders.wake();
         m_exchange.onChanged();
         scheduleRetry();
--- a/src/Serving/EngineBook.cpp
+++ b/src/Serving/EngineBook.cpp
@@ -57,10 +57,11 @@
     : m_listed(listed), m_spec(spec), m_holdings(listed.holdings)
 { }
 
-void EngineBook::takeListed(const ListedServer &listed, Instant now)
+void EngineBook::takeListed(const ListedServer &listed)
 {
     m_listed = listed;
-    if (m_open || m_running || now - m_changedAt < listLag)
+    // A holder knows its own orders better than a list that may lag by as long as the store is away.
+    if (m_isOrdersKnown || m_open || m_running)
         return;
     m_holdings = listed.holdings;
 }
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -25,7 +25,7 @@
     : m_settings(settings), m_planner(settings.copies)
 { }
 
-void EngineDirector::setServers(const ServerBook &book, Instant now)
+void EngineDirector::setServers(const ServerBook &book)
 {
     if (!m_config)
         return;
@@ -42,7 +42,7 @@
             && it->second.listed().address == state.listed.address;
         if (isKnown) {
             const Holdings before = it->second.holdings();
-            it->second.takeListed(state.listed, now);
+            it->second.takeListed(state.listed);
             noticeChanges(it->second, before);
             continue;
         }
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/EngineDirector.h
@@ -36,7 +36,7 @@
 
     void setConfig(ServingConfigPtr config) { m_config = std::move(config); }
     /// The engines as listed; books of others are dropped.
-    void setServers(const ServerBook &book, Instant now);
+    void setServers(const ServerBook &book);
 
     /// Prompt tokens asked of \a model, wherever its requests ended.
     void noteDemand(const ModelName &model, std::int64_t tokens, Instant now);
--- a/test/CopyPlannerTest.cpp
+++ b/test/CopyPlannerTest.cpp
@@ -43,7 +43,7 @@
             m_engines[server.id].holdings = server.holdings;
             m_book.put(server, start);
         }
-        m_director.setServers(m_book, start);
+        m_director.setServers(m_book);
     }
 
     void ask(int i, std::int64_t tokensPerStep) { m_demand[i] = tokensPerStep; }
--- a/test/EngineBookTest.cpp
+++ b/test/EngineBookTest.cpp
@@ -168,3 +168,17 @@
     }
     EXPECT_FALSE(book.fits(small, AdapterName("a3")));
 }
+
+// Load takes longer than the list's lag: when its end is seen, the list is still the one before.
+TEST(EngineBookTest, doesNotTakeAListThatLagsForTheEngine)
+{
+    EngineBook book = knownBook(0, {small, other});
+    const EngineCommand load = book.makeLoad(large, {});
+    book.noteSent(load, start);
+    book.takeOutcome(load, OrderOutcome::Accepted, start);
+    book.takeStatus(status(1, {small, other, large}), start + 5s, start + 5s);
+    ASSERT_TRUE(book.holds(large, {}));
+    book.takeListed(listed({small, other}));
+    EXPECT_TRUE(book.holds(large, {}));
+    EXPECT_FALSE(book.fits(ModelName("third"), {}));
+}
