Keep the placement lease through a peer; take it back in the holder's next life

Change: a failed call for the lease goes through a peer that the store serves; an instance takes its own former lease at once; the wait for another's goes on through a store outage.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -35,8 +35,10 @@
 EntryGateway::EntryGateway(const EntrySettings &settings, asio::io_context &loop,
                            const ServingDialect &dialect, EntryPlatform &platform)
     : m_loop(loop), m_state(settings, loop, dialect, platform),
-      m_orders(m_state,
-               [this](const std::vector<OrderNotice> &notices) { m_peers.tellNotices(notices); }),
+      m_orders(
+          m_state,
+          [this](const std::vector<OrderNotice> &notices) { m_peers.tellNotices(notices); },
+          [this] { return m_peers.statePeers(); }),
       m_peers(m_state,
               {[this] { return m_orders.heldLease(); },
                [this](const LeaseRow &row) { m_orders.onHolderNews(row); },
@@ -207,6 +209,10 @@
         m_exchange.answer(session, request.target);
         return;
     }
+    if (request.target == LeaseRelay::path) {
+        m_orders.answerPeer(session, request);
+        return;
+    }
     if (request.target == "/metrics") {
         Metrics::gauge("servers", static_cast<double>(m_state.book.servers().size()));
         Metrics::gauge("waiting", static_cast<double>(m_state.waiting.size()));
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -58,10 +58,10 @@
         Duration(static_cast<std::int64_t>(now.tv_sec) * 1'000'000 + now.tv_nsec / 1'000));
 }
 
-OrderSender::OrderSender(EntryState &state, NoticeHook onNotices)
+OrderSender::OrderSender(EntryState &state, NoticeHook onNotices, LeaseRelay::Peers peers)
     : m_state(state), m_onNotices(std::move(onNotices)),
       m_lease(leaseLimits(state.settings), state.settings.instance, Process::incarnation()),
-      m_nextTimer(state.loop)
+      m_relay(state, std::move(peers)), m_nextTimer(state.loop)
 { }
 
 std::int64_t OrderSender::fencing() const
@@ -112,7 +112,7 @@
     case PlacementLease::Action::None:
         return;
     case PlacementLease::Action::Read:
-        m_state.platform.readLease([this, now](const auto &row) {
+        m_relay.read([this, now](const auto &row) {
             if (!row) {
                 m_lease.onFailed(bootNow());
                 return;
@@ -121,20 +121,20 @@
         });
         return;
     case PlacementLease::Action::Write:
-        m_state.platform.writeLease(
-            m_lease.proposal(), [this, now](EntryPlatform::WriteOutcome outcome, Version version) {
-                switch (outcome) {
-                case EntryPlatform::WriteOutcome::Done:
-                    m_lease.onWritten(version, now);
-                    return;
-                case EntryPlatform::WriteOutcome::Conflict:
-                    m_lease.onWritten({}, now);
-                    return;
-                case EntryPlatform::WriteOutcome::Failed:
-                    m_lease.onFailed(bootNow());
-                    return;
-                }
-            });
+        m_relay.write(m_lease.proposal(),
+                      [this, now](EntryPlatform::WriteOutcome outcome, Version version) {
+                          switch (outcome) {
+                          case EntryPlatform::WriteOutcome::Done:
+                              m_lease.onWritten(version, now);
+                              return;
+                          case EntryPlatform::WriteOutcome::Conflict:
+                              m_lease.onWritten({}, now);
+                              return;
+                          case EntryPlatform::WriteOutcome::Failed:
+                              m_lease.onFailed(bootNow());
+                              return;
+                          }
+                      });
         return;
     }
 }
--- a/src/Apps/Entry/OrderSender.h
+++ b/src/Apps/Entry/OrderSender.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/Async/HttpCaller.h"
 #include "Apps/Entry/EntryState.h"
+#include "Apps/Entry/LeaseRelay.h"
 
 namespace quetzalyoke {
 
@@ -16,7 +17,7 @@
     /// Changes that orders have brought.
     using NoticeHook = std::function<void(const std::vector<OrderNotice> &)>;
 
-    OrderSender(EntryState &state, NoticeHook onNotices);
+    OrderSender(EntryState &state, NoticeHook onNotices, LeaseRelay::Peers peers);
 
     void tick();
     /// Something is wanted: looks for orders at once.
@@ -25,6 +26,11 @@
     void onHolderNews(const LeaseRow &row);
     /// The lease's row while this gateway may order engines.
     std::optional<LeaseRow> heldLease() const;
+    /// Reads or writes the lease's row for a peer that can't reach the store.
+    void answerPeer(const CallerSession::Pointer &session, const CallerRequest &request)
+    {
+        m_relay.answer(session, request);
+    }
     /// Above zero while this gateway may order engines.
     std::int64_t fencing() const;
 
@@ -40,6 +46,7 @@
     EntryState &m_state;
     NoticeHook m_onNotices;
     PlacementLease m_lease;
+    LeaseRelay m_relay;
     asio::steady_timer m_nextTimer;
     std::map<std::string, std::unique_ptr<HttpCaller>> m_callers;
     bool m_wasHolder = false;
--- a/src/Serving/PlacementLease.cpp
+++ b/src/Serving/PlacementLease.cpp
@@ -23,7 +23,9 @@
 
 bool PlacementLease::mayTakeOver(Instant now) const
 {
-    if (m_row.version.count() == 0)
+    // An earlier life of this instance ended before this one began, and engines tell holders apart
+    // by instance.
+    if (m_row.version.count() == 0 || m_row.holder == m_self)
         return true;
     return now - m_seenAt >= m_limits.validity + m_limits.holderPause + m_limits.margin;
 }
@@ -69,7 +71,8 @@
     // An answer that was late may show an older row than is known.
     if (m_known && read.version < m_row.version)
         return;
-    if (!m_known || read.version != m_row.version)
+    // A row that has not changed while the table was away has not been renewed either.
+    if (read.version != m_row.version)
         m_seenAt = now;
     m_known = true;
     m_row = read;
--- a/src/Serving/PlacementLease.h
+++ b/src/Serving/PlacementLease.h
@@ -31,7 +31,7 @@
     struct Limits
     {
         Duration renewal{600'000}; ///< Between renewals; one lost call must not cost the lease.
-        Duration validity{1'700'000}; ///< Orders stop this long after the last confirmed renewal.
+        Duration validity{2'200'000}; ///< Orders stop this long after the last confirmed renewal.
         Duration holderPause{3'000'000}; ///< Engines take no turns of holders within it.
         Duration margin{400'000}; ///< For an order on its way when its holder's right ends.
         Duration quiet{1'000'000}; ///< Without news of a holder before the row is looked at.
--- a/test/PlacementLeaseTest.cpp
+++ b/test/PlacementLeaseTest.cpp
@@ -203,3 +203,39 @@
     // The schedules must reach what they are about.
     EXPECT_GT(handovers, schedules / 2);
 }
+
+TEST(PlacementLeaseTest, goesOnWaitingWhereItStoodWhenTheTableIsBack)
+{
+    const PlacementLease::Limits limits;
+    const LeaseRow row{InstanceId("gone"), Incarnation(1), FencingNumber(4), Version(9)};
+    PlacementLease lease(limits, InstanceId("a"), Incarnation(1));
+    ASSERT_EQ(lease.next(start), PlacementLease::Action::Read);
+    lease.onRead(row, start, start);
+    Instant now = start;
+    for (; now < start + 6s; now += 100ms) {
+        if (lease.next(now) != PlacementLease::Action::None)
+            lease.onFailed(now); // the table is away
+    }
+    while (lease.next(now) != PlacementLease::Action::Read)
+        now += 50ms;
+    lease.onRead(row, now, now);
+    while (lease.next(now) != PlacementLease::Action::Write) {
+        now += 50ms;
+        ASSERT_LT(now, start + 8s);
+    }
+    EXPECT_EQ(lease.proposal().fencing, FencingNumber(5));
+}
+
+TEST(PlacementLeaseTest, isTakenBackAtOnceByTheNextLifeOfItsHolder)
+{
+    PlacementLease lease(PlacementLease::Limits(), InstanceId("a"), Incarnation(2));
+    ASSERT_EQ(lease.next(start), PlacementLease::Action::Read);
+    lease.onRead(LeaseRow{InstanceId("a"), Incarnation(1), FencingNumber(4), Version(9)}, start,
+                 start);
+    Instant now = start;
+    while (lease.next(now) != PlacementLease::Action::Write) {
+        now += 50ms;
+        ASSERT_LT(now, start + 1200ms);
+    }
+    EXPECT_EQ(lease.proposal().fencing, FencingNumber(5));
+}
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -189,12 +189,12 @@
     const auto note
         = [&outcomes](StoreClient::WriteStatus status, Version) { outcomes.push_back(status); };
     const StoreWrite write{"t", "k", "x", Version(4)};
-    client.write(write, note);
+    client.write(write, 1s, note);
     ASSERT_TRUE(store.answer("/rows-tx", 200, R"({"ver":5,"now_ms":1})"));
     EXPECT_NE(store.lastBody().find("\"eA==\""), std::string::npos);
-    client.write(write, note);
+    client.write(write, 1s, note);
     ASSERT_TRUE(store.answer("/rows-tx", 412, "{}"));
-    client.write(write, note);
+    client.write(write, 1s, note);
     ASSERT_TRUE(store.answer("/rows-tx", 200, "{}"));
     ASSERT_TRUE(runUntil(loop, [&] { return outcomes.size() == 3; }));
     EXPECT_EQ(outcomes[0], StoreClient::WriteStatus::Done);
