--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -135,7 +135,8 @@
                                   Instant now)
 {
     const auto &books = booksOf(service);
-    for (const auto &[key, at] : m_needs) {
+    for (const auto &need : m_needs) {
+        const AdapterKey &key = need.first;
         if (key.second.isEmpty() || spec.models.count(key.first) == 0)
             continue;
         const bool isComing = std::any_of(books.begin(), books.end(), [&](const auto &entry) {
@@ -257,7 +258,8 @@
                                                   const CopyPlanner::Books &books, Instant now)
 {
     std::set<ModelName> missing;
-    for (const auto &[model, entry] : spec.models) {
+    for (const auto &entry : spec.models) {
+        const ModelName &model = entry.first;
         const bool isHeld = std::any_of(books.begin(), books.end(), [&model](const auto &it) {
             return !it.second.listed().isLeaving
                 && (it.second.holds(model, {}) || it.second.isLoading(model, {}));
--- a/src/Serving/SharedQuota.cpp
+++ b/src/Serving/SharedQuota.cpp
@@ -10,7 +10,13 @@
 constexpr std::size_t gatewaysWithFrequentNews = 8;
 
 // Over which the demand at a gateway is averaged.
-constexpr double demandWindowSeconds = 1.0;
+constexpr double demandWindowSeconds = 0.5;
+
+// From this share of the rate on, what is asked may use up the credit between two news.
+constexpr double pressingShare = 0.9;
+
+// Of the burst: credit above it covers what all spend between two news.
+constexpr double comfortableShare = 0.5;
 
 // Of the rate, divided evenly over the gateways whatever is asked of them, so that one that was
 // idle can begin.
@@ -67,17 +73,24 @@
 
 double SharedQuota::ownShare() const
 {
-    double all = m_askedPerSecond;
-    for (const auto &[id, peer] : m_peers)
-        all += peer.askedPerSecond;
+    const double all = askedByAll();
     const double even = 1.0 / static_cast<double>(m_gateways);
     const double byDemand = all > 0 ? m_askedPerSecond / all : even;
     return evenShare * even + (1 - evenShare) * byDemand;
 }
 
+double SharedQuota::askedByAll() const
+{
+    double all = m_askedPerSecond;
+    for (const auto &[id, peer] : m_peers)
+        all += peer.askedPerSecond;
+    return all;
+}
+
 bool SharedQuota::keepsToItsPart() const
 {
-    return m_gateways > gatewaysWithFrequentNews;
+    return m_gateways > gatewaysWithFrequentNews && m_level < comfortableShare * m_burst
+        && askedByAll() >= pressingShare * m_rate;
 }
 
 bool SharedQuota::charge(double cost, Instant now)
@@ -87,7 +100,8 @@
     if (m_level <= 0 || (keepsToItsPart() && m_ownLevel <= 0))
         return false;
     m_level -= cost;
-    m_ownLevel -= cost;
+    // What was spent beyond the part while nothing pressed is no debt of the part.
+    m_ownLevel = keepsToItsPart() ? m_ownLevel - cost : std::max(m_ownLevel - cost, 0.0);
     m_spent += cost;
     return true;
 }
--- a/src/Serving/SharedQuota.h
+++ b/src/Serving/SharedQuota.h
@@ -16,7 +16,7 @@
 /// rate and burst also while gateways are cut off from each other; news that are late by d can
 /// exceed it once by what all spend within d, and that is paid back from what follows. Where many
 /// gateways make news too rare for that, each also keeps to its part of rate and burst, divided
-/// by what has lately been asked of them.
+/// by what has lately been asked of them, while all together are asked for about the rate or more.
 class SharedQuota
 {
 public:
@@ -58,6 +58,7 @@
     };
 
     void advance(Instant now);
+    double askedByAll() const;
     double ownShare() const;
     bool keepsToItsPart() const;
 
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -43,7 +43,7 @@
         call.model = model;
         call.promptTokens = Tokens(6300 + own);
         call.outputTokens = Tokens(50);
-        call.promptParts = {{1, Tokens(2500)}, {2, Tokens(3800)}, {m_next++, Tokens(own)}};
+        call.promptParts = {{1, Tokens(2500)}, {2, Tokens(3800)}, {next++, Tokens(own)}};
         return call;
     }
 
@@ -76,7 +76,7 @@
     ServerChooser chooser{ServerChooser::Settings(), ZoneName("east")};
     AdmissionPolicy policy{AdmissionPolicy::Settings()};
     std::vector<std::uint64_t> chain;
-    mutable std::uint64_t m_next = 100;
+    mutable std::uint64_t next = 100;
 };
 
 } // namespace
--- a/test/SharedQuotaTest.cpp
+++ b/test/SharedQuotaTest.cpp
@@ -25,11 +25,11 @@
 class Fleet
 {
 public:
-    explicit Fleet(int n)
+    explicit Fleet(int n, Duration peerSilence = silence) : m_silence(peerSilence)
     {
         for (int i = 0; i < n; ++i) {
             m_quotas.emplace_back(rate, burst, start);
-            m_quotas.back().setGateways(static_cast<std::size_t>(n), silence);
+            m_quotas.back().setGateways(static_cast<std::size_t>(n), m_silence);
             m_cut.push_back(false);
             m_frozen.push_back(false);
         }
@@ -45,7 +45,7 @@
     void restart(int i, Instant now)
     {
         m_quotas[i] = SharedQuota(rate, burst, now);
-        m_quotas[i].setGateways(m_quotas.size(), silence);
+        m_quotas[i].setGateways(m_quotas.size(), m_silence);
         ++m_incarnation;
         m_incarnations[i] = m_incarnation;
     }
@@ -93,6 +93,7 @@
     }
 
 private:
+    const Duration m_silence;
     std::vector<SharedQuota> m_quotas;
     std::vector<bool> m_cut;
     std::vector<bool> m_frozen;
@@ -183,7 +184,7 @@
 {
     constexpr int gateways = 30;
     constexpr Duration rareNews = 480ms;
-    Fleet fleet(gateways);
+    Fleet fleet(gateways, 3 * rareNews + 150ms);
     for (Duration t{0}; t < Duration(30s); t += 20ms) {
         const bool isSurge = t > Duration(10s);
         for (int i = 0; i < gateways; ++i) {
@@ -197,3 +198,24 @@
     EXPECT_LE(fleet.worst(window), (rate * 8 + burst) * 1.1 + gateways * 8);
     EXPECT_GE(fleet.total(), 0.85 * rate * 20);
 }
+
+// Load pattern: an account well within its rate, a few large requests a second over many gateways.
+TEST(SharedQuotaTest, refusesNothingWithinTheRateAtManyGateways)
+{
+    constexpr int gateways = 30;
+    constexpr Duration rareNews = 480ms;
+    constexpr double cost = 90; // several times a gateway's even part of the burst
+    std::mt19937_64 random(7);
+    Fleet fleet(gateways, 3 * rareNews + 150ms);
+    double asked = 0;
+    for (Duration t{0}; t < Duration(60s); t += 20ms) {
+        if (t % rareNews == Duration(0))
+            fleet.tell(start + t);
+        // 0.55 of the rate on average, once there is credit.
+        if (t < Duration(2s) || random() % 1000 >= 122)
+            continue;
+        asked += cost;
+        fleet.ask(static_cast<int>(random() % gateways), cost, start + t);
+    }
+    EXPECT_GE(fleet.total(), 0.99 * asked);
+}
