--- a/src/Serving/ServerChooser.h
+++ b/src/Serving/ServerChooser.h
@@ -48,7 +48,7 @@
     struct Settings
     {
         double prefillTokensPerMs = 38; ///< Of a healthy engine; its measured pace corrects it.
-        Duration farZone{2000}; ///< Added for a server in another availability zone.
+        Duration farZone{20'000}; ///< A server in another zone must be faster by this much.
         Duration plainWork{20'000}; ///< Of one call of a plain service, until measured.
         double memoryShare = 0.9; ///< Of an engine's memory that running requests may fill.
         int queuedPerServer = 1; ///< Calls beyond a plain server's slots.
--- a/src/Serving/SharedQuota.cpp
+++ b/src/Serving/SharedQuota.cpp
@@ -16,7 +16,7 @@
 constexpr double pressingShare = 0.9;
 
 // Of the burst: credit above it covers what all spend between two news.
-constexpr double comfortableShare = 0.5;
+constexpr double comfortableShare = 0.6;
 
 // Of the rate, divided evenly over the gateways whatever is asked of them, so that one that was
 // idle can begin.
