--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -69,7 +69,7 @@
 // base64 of "x"
 std::string row(const std::string &key, int version)
 {
-    return R"({"table":"servers", 5ms,"part":"","key":")" + key + R"(","value":"eA==","ver":)"
+    return R"({"table":"servers","part":"","key":")" + key + R"(","value":"eA==","ver":)"
         + std::to_string(version) + "}";
 }
 
@@ -84,7 +84,7 @@
 protected:
     PlatformStoreTest()
         : follower(
-            loop, client, "servers",
+            loop, client, "servers", 5ms,
             {[this](const StoreRow &change) {
                  seen.push_back((change.isDeleted ? "-" : "+") + change.key);
              },
