Holder and readers on the larger instances; copies planned every 150 ms

Gateways that hold no lease also kept notices of the list for ever. Change: instances below 0.15 core wait 1.5 s longer for a vacant lease; the largest of a zone reads; three changes at most every 150 ms; no notices from the list.

--- a/src/Apps/Entry/EntrySettings.cpp
+++ b/src/Apps/Entry/EntrySettings.cpp
@@ -51,6 +51,7 @@
         settings.stopGrace = seconds(readFraction(reader, "stop_grace_s", 1, 600, "8"));
         settings.retryShare = readFraction(reader, "retry_share", 0, 1, "0.2");
         settings.retryReserve = readFraction(reader, "retry_reserve", 0, 100'000, "50");
+        settings.processorShare = readFraction(reader, "processor_share", 0.001, 1024, "1");
         settings.prefillTokensPerMs
             = readFraction(reader, "prefill_tokens_per_ms", 0.1, 10'000, "38");
     });
--- a/src/Apps/Entry/EntrySettings.h
+++ b/src/Apps/Entry/EntrySettings.h
@@ -24,6 +24,7 @@
     std::chrono::milliseconds stopGrace{}; ///< From SIGTERM to the end.
     double retryShare = 0; ///< Repeats for each request of a service, over all gateways.
     double retryReserve = 0; ///< Repeats beyond the share, over all gateways.
+    double processorShare = 0; ///< Of a core that this instance has.
     double prefillTokensPerMs = 0; ///< That a healthy engine reads.
 
     /// Mistakes are added to \a problems.
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -18,6 +18,11 @@
 constexpr ClientConnection::Limits engineLimits{std::chrono::milliseconds(400),
                                                 std::chrono::milliseconds(800)};
 
+// Planning for some dozens of engines takes a few hundredths of a core; instances that have little
+// more leave it to larger ones.
+constexpr double largeProcessorShare = 0.15;
+constexpr Duration smallReluctance = std::chrono::milliseconds(1500);
+
 OrderOutcome outcomeOf(const HttpOutcome &outcome)
 {
     if (outcome.end == ExchangeEnd::NotSent)
@@ -45,6 +50,8 @@
 {
     PlacementLease::Limits limits;
     limits.holderPause = settings.holderPause;
+    if (settings.processorShare < largeProcessorShare)
+        limits.reluctance = smallReluctance;
     return limits;
 }
 
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -220,6 +220,7 @@
     news.http = m_state.settings.peers.text();
     news.zone = m_state.settings.zone.text();
     news.followsStore = m_hooks.followsStore();
+    news.processorShare = m_state.settings.processorShare;
     const StateVersions versions = m_state.platform.versions();
     news.configRow = versions.config.count();
     news.serversRow = versions.servers.count();
@@ -319,6 +320,7 @@
     peer.http = news.http;
     peer.zone = ZoneName(news.zone);
     peer.followsStore = news.followsStore;
+    peer.processorShare = news.processorShare;
     peer.versions = {Version(news.configRow), Version(news.serversRow)};
     if (peer.isLeaving != news.leaving) {
         peer.isLeaving = news.leaving;
@@ -379,7 +381,8 @@
 {
     std::vector<StatePeer> peers;
     for (const auto &[id, peer] : m_peers) {
-        peers.push_back({{id, peer.zone, peer.isHeard && !peer.isLeaving, peer.followsStore},
+        peers.push_back({{id, peer.zone, peer.isHeard && !peer.isLeaving, peer.followsStore,
+                          peer.processorShare},
                          peer.http,
                          peer.versions});
     }
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -44,6 +44,7 @@
         bool isHeard = false;
         bool isLeaving = false;
         bool followsStore = false;
+        double processorShare = 0;
         ZoneName zone;
         std::string http;
         StateVersions versions;
--- a/src/Apps/Entry/StateExchange.cpp
+++ b/src/Apps/Entry/StateExchange.cpp
@@ -36,7 +36,8 @@
 
 StateExchange::StateExchange(EntryState &state, Peers peers)
     : m_state(state), m_peers(std::move(peers)),
-      m_election(ReaderElection::Settings(), state.settings.instance, state.settings.zone)
+      m_election(ReaderElection::Settings(), state.settings.instance, state.settings.zone,
+                 state.settings.processorShare)
 { }
 
 bool StateExchange::followsStore() const
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -16,6 +16,11 @@
 // Loads that may begin at once after a pause; the engines' rules allow three beyond the rate.
 constexpr double savedLoads = 2;
 
+// Between two looks at the copies of all models, and changes that one look may bring: together more
+// than a weight store allows.
+constexpr Duration planInterval = std::chrono::milliseconds(150);
+constexpr int changesPerPlan = 3;
+
 // Below the weight store's rate, so that clocks that differ don't exceed it.
 constexpr double usedShareOfRate = 0.95;
 
@@ -41,9 +46,7 @@
             && it->second.listed().incarnation == state.listed.incarnation
             && it->second.listed().address == state.listed.address;
         if (isKnown) {
-            const Holdings before = it->second.holdings();
             it->second.takeListed(state.listed);
-            noticeChanges(it->second, before);
             continue;
         }
         if (it != books.end())
@@ -121,13 +124,17 @@
             step.commands.push_back(*repeat);
         }
         planAdapters(name, spec, step, now);
-        planCopies(name, spec, step, now);
+        startPlannedLoads(name, step, now);
+        if (now >= m_planAt)
+            planCopies(name, spec, step, now);
         for (const auto &[id, book] : booksOf(name)) {
             const auto at = book.nextChange();
             if (at && (!step.nextAt || *at < *step.nextAt))
                 step.nextAt = at;
         }
     }
+    if (now >= m_planAt)
+        m_planAt = now + planInterval;
     return step;
 }
 
@@ -197,12 +204,9 @@
     return true;
 }
 
-void EngineDirector::planCopies(const ServiceName &service, const EngineSpec &spec, Step &step,
-                                Instant now)
+// Loads whose room has just been made.
+void EngineDirector::startPlannedLoads(const ServiceName &service, Step &step, Instant now)
 {
-    auto &books = booksOf(service);
-    auto &pacer = m_pacers[service];
-    // Loads whose room has just been made come first.
     for (auto it = m_planned.begin(); it != m_planned.end();) {
         EngineBook *book = findBook(it->first);
         const bool isObsolete = !book || book->listed().isLeaving || book->holds(it->second, {})
@@ -222,18 +226,28 @@
         send(*book, book->makeLoad(it->second, {}), step, now);
         it = m_planned.erase(it);
     }
-    const auto change = m_planner.next(
-        {spec, books, workOf(spec, now), m_planned, missingModels(spec, books, now), now});
-    // Room is made only for a load that may begin at once.
-    if (!change || !pacer.take(now))
-        return;
-    EngineBook *book = findBook(change->server);
-    if (!change->unload.isEmpty()) {
+}
+
+void EngineDirector::planCopies(const ServiceName &service, const EngineSpec &spec, Step &step,
+                                Instant now)
+{
+    auto &books = booksOf(service);
+    auto &pacer = m_pacers[service];
+    const CopyPlanner::Demand work = workOf(spec, now);
+    const std::set<ModelName> missing = missingModels(spec, books, now);
+    for (int i = 0; i < changesPerPlan; ++i) {
+        const auto change = m_planner.next({spec, books, work, m_planned, missing, now});
+        // Room is made only for a load that may begin at once.
+        if (!change || !pacer.take(now))
+            return;
+        EngineBook *book = findBook(change->server);
+        if (change->unload.isEmpty()) {
+            send(*book, book->makeLoad(change->load, {}), step, now);
+            continue;
+        }
         m_planned[change->server] = change->load;
         send(*book, book->makeUnload(change->unload, {}), step, now);
-        return;
     }
-    send(*book, book->makeLoad(change->load, {}), step, now);
 }
 
 // Share of one engine's time, or, where that is more, what the adapters in use take of its slots.
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/EngineDirector.h
@@ -67,6 +67,7 @@
     void planAdapters(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
     bool planAdapter(const AdapterKey &key, const EngineSpec &spec, const CopyPlanner::Books &books,
                      Step &step, Instant now);
+    void startPlannedLoads(const ServiceName &service, Step &step, Instant now);
     void planCopies(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
     void send(EngineBook &book, const EngineCommand &command, Step &step, Instant now);
     void notice(const EngineBook &book, const ModelName &model, const AdapterName &adapter,
@@ -91,6 +92,7 @@
     std::map<ServerName, ModelName> m_planned; // to be loaded once an unload has made room
     std::map<ModelName, Instant> m_missingSince;
     std::vector<OrderNotice> m_notices;
+    Instant m_planAt;
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/PlacementLease.cpp
+++ b/src/Serving/PlacementLease.cpp
@@ -25,9 +25,12 @@
 {
     // An earlier life of this instance ended before this one began, and engines tell holders apart
     // by instance.
-    if (m_row.version.count() == 0 || m_row.holder == m_self)
+    if (m_row.holder == m_self && m_row.version.count() != 0)
         return true;
-    return now - m_seenAt >= m_limits.validity + m_limits.holderPause + m_limits.margin;
+    if (m_row.version.count() == 0)
+        return m_firstReadAt && now - *m_firstReadAt >= m_limits.reluctance;
+    return now - m_seenAt
+        >= m_limits.validity + m_limits.holderPause + m_limits.margin + m_limits.reluctance;
 }
 
 PlacementLease::Action PlacementLease::next(Instant now)
@@ -67,6 +70,8 @@
 void PlacementLease::onRead(const std::optional<LeaseRow> &row, Instant, Instant now)
 {
     m_waiting = false;
+    if (!m_firstReadAt)
+        m_firstReadAt = now;
     const LeaseRow read = row.value_or(LeaseRow());
     // An answer that was late may show an older row than is known.
     if (m_known && read.version < m_row.version)
--- a/src/Serving/PlacementLease.h
+++ b/src/Serving/PlacementLease.h
@@ -34,6 +34,8 @@
         Duration validity{2'200'000}; ///< Orders stop this long after the last confirmed renewal.
         Duration holderPause{3'000'000}; ///< Engines take no turns of holders within it.
         Duration margin{400'000}; ///< For an order on its way when its holder's right ends.
+        Duration reluctance{
+            0}; ///< Longer wait for a vacant lease, to let larger instances take it.
         Duration quiet{1'000'000}; ///< Without news of a holder before the row is looked at.
     };
 
@@ -73,6 +75,7 @@
     bool m_resigned = false;
     Instant m_seenAt; // when the row's version was first seen
     Instant m_newsAt; // of a holder
+    std::optional<Instant> m_firstReadAt;
     Instant m_triedAt;
     std::optional<Instant> m_confirmedAt; // sending of the latest renewal that the table confirmed
 };
--- a/src/Serving/ReaderElection.cpp
+++ b/src/Serving/ReaderElection.cpp
@@ -2,8 +2,21 @@
 
 namespace quetzalyoke {
 
-ReaderElection::ReaderElection(const Settings &settings, InstanceId self, ZoneName zone)
-    : m_settings(settings), m_self(std::move(self)), m_zone(std::move(zone))
+namespace {
+
+// Larger instances first, then by name.
+bool comesBefore(double share, const InstanceId &instance, double otherShare,
+                 const InstanceId &other)
+{
+    return share != otherShare ? share > otherShare : instance < other;
+}
+
+} // namespace
+
+ReaderElection::ReaderElection(const Settings &settings, InstanceId self, ZoneName zone,
+                               double processorShare)
+    : m_settings(settings), m_self(std::move(self)), m_zone(std::move(zone)),
+      m_processorShare(processorShare)
 { }
 
 std::optional<InstanceId> ReaderElection::reader(const std::vector<ReaderCandidate> &peers,
@@ -15,10 +28,13 @@
         if (peer.zone != m_zone || !peer.isAlive)
             continue;
         ++gateways;
-        if (!first || peer.instance < first->instance)
+        if (!first
+            || comesBefore(peer.processorShare, peer.instance, first->processorShare,
+                           first->instance))
             first = &peer;
     }
-    if (gateways <= m_settings.smallZone || m_self < first->instance || !first->followsStore)
+    if (gateways <= m_settings.smallZone || !first->followsStore
+        || comesBefore(m_processorShare, m_self, first->processorShare, first->instance))
         return {};
     const auto failure = m_failedAt.find(first->instance);
     if (failure != m_failedAt.end() && now - failure->second < m_settings.distrust)
--- a/src/Serving/ReaderElection.h
+++ b/src/Serving/ReaderElection.h
@@ -16,6 +16,7 @@
     ZoneName zone;
     bool isAlive = false; ///< Heard of lately and not leaving.
     bool followsStore = false; ///< Reads changes from the store, which answers it.
+    double processorShare = 0; ///< The largest instance reads first.
 };
 
 /// \brief Chooses which gateway of an availability zone reads the store for the others.
@@ -32,7 +33,7 @@
         Duration distrust{5'000'000}; ///< After a reader failed.
     };
 
-    ReaderElection(const Settings &settings, InstanceId self, ZoneName zone);
+    ReaderElection(const Settings &settings, InstanceId self, ZoneName zone, double processorShare);
 
     /// The gateway to read from; nothing: the store itself.
     std::optional<InstanceId> reader(const std::vector<ReaderCandidate> &peers, Instant now) const;
@@ -42,6 +43,7 @@
     const Settings m_settings;
     const InstanceId m_self;
     const ZoneName m_zone;
+    const double m_processorShare;
     std::map<InstanceId, Instant> m_failedAt;
 };
 
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -56,6 +56,7 @@
     8: i64 leaseFencing,          // above zero: the sender may order engines
     16: i64 leaseRow,             // version of the lease's row as the sender renewed it last
     17: string zone,
+    20: double processorShare,    // of a core
     18: bool followsStore,        // the sender reads changes from the store, which answers it
     19: bool isUrgent,            // only wanted, used, demand and notices are filled in
     9: list<PeerWork> work,
--- a/test/PlacementLeaseTest.cpp
+++ b/test/PlacementLeaseTest.cpp
@@ -75,6 +75,7 @@
 
 TEST(PlacementLeaseTest, endsWithItsLastConfirmedRenewalNotItsLatestTry)
 {
+    const Instant lapsed = start + 1s + PlacementLease::Limits().validity + 100ms;
     PlacementLease lease(PlacementLease::Limits(), InstanceId("a"), Incarnation(1));
     lease.next(start);
     lease.onRead(std::nullopt, start, start);
@@ -84,16 +85,16 @@
     lease.onFailed(start + 2500ms);
     EXPECT_FALSE(lease.mayOrder(start + 1s + PlacementLease::Limits().validity));
     // The lost renewal took effect: reading shows it, the next renewal confirms it.
-    ASSERT_EQ(lease.next(start + 3s), PlacementLease::Action::Read);
+    ASSERT_EQ(lease.next(lapsed), PlacementLease::Action::Read);
     LeaseRow row = lease.proposal();
     row.holder = InstanceId("a");
     row.incarnation = Incarnation(1);
     row.version = Version(2);
-    lease.onRead(row, start + 3s, start + 3s);
-    EXPECT_FALSE(lease.mayOrder(start + 3s));
-    ASSERT_EQ(lease.next(start + 3s), PlacementLease::Action::Write);
-    lease.onWritten(Version(3), start + 3s);
-    EXPECT_TRUE(lease.mayOrder(start + 3s));
+    lease.onRead(row, lapsed, lapsed);
+    EXPECT_FALSE(lease.mayOrder(lapsed));
+    ASSERT_EQ(lease.next(lapsed), PlacementLease::Action::Write);
+    lease.onWritten(Version(3), lapsed);
+    EXPECT_TRUE(lease.mayOrder(lapsed));
 }
 
 // Whatever is lost, late, frozen or cut: between the orders of two holders lies the engines' pause,
--- a/test/ReaderElectionTest.cpp
+++ b/test/ReaderElectionTest.cpp
@@ -10,14 +10,15 @@
 const Instant start{1h};
 const ZoneName east("east");
 
-ReaderCandidate peer(const char *name, const ZoneName &zone = east, bool followsStore = true)
+ReaderCandidate peer(const char *name, const ZoneName &zone = east, bool followsStore = true,
+                     double processorShare = 0.2)
 {
-    return {InstanceId(name), zone, true, followsStore};
+    return {InstanceId(name), zone, true, followsStore, processorShare};
 }
 
 ReaderElection election(const char *self)
 {
-    return {ReaderElection::Settings(), InstanceId(self), east};
+    return {ReaderElection::Settings(), InstanceId(self), east, 0.2};
 }
 
 } // namespace
@@ -43,3 +44,10 @@
     EXPECT_FALSE(distrustful.reader({peer("a"), peer("b")}, start + 1s));
     EXPECT_TRUE(distrustful.reader({peer("a"), peer("b")}, start + 6s));
 }
+
+TEST(ReaderElectionTest, prefersALargerInstance)
+{
+    const auto reader = election("a").reader({peer("b"), peer("c", east, true, 0.5)}, start);
+    ASSERT_TRUE(reader);
+    EXPECT_EQ(*reader, InstanceId("c"));
+}
