--- /dev/null
+++ b/test/soak/PlatformStoreStandIn.cpp
@@ -0,0 +1,186 @@
+#include "PlatformStoreStandIn.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+
+#include <charconv>
+
+namespace quetzalyoke::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+namespace base64 = boost::beast::detail::base64;
+
+std::string encode(const std::string &bytes)
+{
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+std::string decode(const std::string &text)
+{
+    std::string bytes(base64::decoded_size(text.size()), '\0');
+    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+    return bytes;
+}
+
+std::string parameter(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos)
+        return {};
+    const auto begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::int64_t number(const std::string &text)
+{
+    std::int64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+} // namespace
+
+PlatformStoreStandIn::PlatformStoreStandIn(asio::io_context &loop)
+    : m_server(loop, 256,
+               {[this](const CallerSession::Pointer &session, CallerRequest &&request) {
+                    take(session, request);
+                },
+                [] { return SessionLimits(); }, [] { return false; }, [](int, const char *) {}})
+{
+    m_server.listen({"127.0.0.1", 0});
+}
+
+std::int64_t PlatformStoreStandIn::put(const std::string &table, const std::string &key,
+                                       const std::string &value)
+{
+    m_tables[table][key] = {value, ++m_version, false};
+    wake();
+    return m_version;
+}
+
+void PlatformStoreStandIn::remove(const std::string &table, const std::string &key)
+{
+    m_tables[table][key] = {"", ++m_version, true};
+    wake();
+}
+
+void PlatformStoreStandIn::take(const CallerSession::Pointer &session, const CallerRequest &request)
+{
+    if (m_isAway) {
+        session->answer(503, "", "");
+        return;
+    }
+    if (request.target.starts_with("/rows-get"))
+        answer(session, rowsOf(parameter(request.target, "table"), -1, false));
+    else if (request.target.starts_with("/rows-feed"))
+        feed(session, request.target);
+    else if (request.target.starts_with("/rows-tx"))
+        transact(session, request.body);
+    else
+        session->answer(404, "", "");
+}
+
+Json PlatformStoreStandIn::rowsOf(const std::string &table, std::int64_t after,
+                                  bool withDeleted) const
+{
+    Json rows = Json::array();
+    const auto it = m_tables.find(table);
+    if (it == m_tables.end())
+        return rows;
+    for (const auto &[key, row] : it->second) {
+        if (row.version <= after || (row.isDeleted && !withDeleted))
+            continue;
+        Json json{{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
+        if (row.isDeleted)
+            json["deleted"] = true;
+        else
+            json["value"] = encode(row.value);
+        rows.push_back(json);
+    }
+    std::sort(rows.begin(), rows.end(), [](const Json &a, const Json &b) {
+        return a["ver"].get<std::int64_t>() < b["ver"].get<std::int64_t>();
+    });
+    return rows;
+}
+
+void PlatformStoreStandIn::answer(const CallerSession::Pointer &session, const Json &rows)
+{
+    const Json json{{"rows", rows}, {"truncated", false}, {"ver", m_version}, {"now_ms", 1}};
+    session->answer(200, "Keep-Alive: timeout=30\r\n", json.dump());
+}
+
+void PlatformStoreStandIn::feed(const CallerSession::Pointer &session, const std::string &target)
+{
+    const std::int64_t after = number(parameter(target, "after"));
+    if (after < m_historyFrom) {
+        session->answer(410, "", "{}");
+        return;
+    }
+    const std::string table = parameter(target, "table");
+    const Json rows = rowsOf(table, after, true);
+    if (!rows.empty()) {
+        answer(session, rows);
+        return;
+    }
+    const std::chrono::milliseconds wait(number(parameter(target, "wait_ms")));
+    m_waiting.push_back({session, table, after, loopNow() + wait});
+}
+
+void PlatformStoreStandIn::transact(const CallerSession::Pointer &session, const std::string &body)
+{
+    const Json json = Json::parse(body);
+    for (const Json &condition : json["expected_rev"]) {
+        const Row &row = m_tables[condition["table"]][condition["key"]];
+        const std::int64_t version = row.isDeleted ? 0 : row.version;
+        if (version == condition["ver"].get<std::int64_t>())
+            continue;
+        session->answer(412, "", "{\"rows\":[]}");
+        return;
+    }
+    ++m_version;
+    for (const Json &row : json["set_keys"])
+        m_tables[row["table"]][row["key"]] = {decode(row["value"]), m_version, false};
+    wake();
+    if (m_isLosingAnswers) {
+        m_unanswered.push_back(session);
+        return;
+    }
+    session->answer(200, "Keep-Alive: timeout=30\r\n",
+                    Json{{"ver", m_version}, {"now_ms", 1}}.dump());
+}
+
+void PlatformStoreStandIn::wake()
+{
+    std::vector<Waiting> ready;
+    std::erase_if(m_waiting, [&](const Waiting &waiting) {
+        if (rowsOf(waiting.table, waiting.after, true).empty())
+            return false;
+        ready.push_back(waiting);
+        return true;
+    });
+    for (const Waiting &waiting : ready)
+        answer(waiting.session, rowsOf(waiting.table, waiting.after, true));
+}
+
+void PlatformStoreStandIn::tick()
+{
+    const Instant now = loopNow();
+    std::vector<Waiting> ended;
+    std::erase_if(m_waiting, [&](const Waiting &waiting) {
+        if (now < waiting.until && !m_isAway)
+            return false;
+        ended.push_back(waiting);
+        return true;
+    });
+    for (const Waiting &waiting : ended) {
+        if (m_isAway)
+            waiting.session->abort();
+        else
+            answer(waiting.session, Json::array());
+    }
+}
+
+} // namespace quetzalyoke::soak
