--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -40,6 +40,14 @@
 constexpr double leastServedShare = 0.9; // of what is sent once all is calm again
 constexpr int requestsPerTick = 1;
 
+// Of this run alone, so that two runs at once can't take each other's ports.
+const std::string &ownHost()
+{
+    static const std::string host = "127." + std::to_string(1 + getpid() / 250 % 250) + "."
+        + std::to_string(1 + getpid() % 250) + ".1";
+    return host;
+}
+
 // Outside the range from which the system takes the ports of outgoing connections, so that a
 // restarted process finds its port free.
 int freePort()
@@ -52,7 +60,7 @@
         const int port = ports(random);
         SystemError ec;
         acceptor.bind(
-            Tcp::endpoint(asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)),
+            Tcp::endpoint(asio::ip::make_address(ownHost()), static_cast<unsigned short>(port)),
             ec);
         if (!ec)
             return port;
@@ -187,15 +195,15 @@
     {
         auto gateway = std::make_unique<Gateway>();
         gateway->name = name("gateway", i);
-        gateway->callers = {"127.0.0.1", freePort()};
+        gateway->callers = {ownHost(), freePort()};
         gateway->toStore.setTarget(m_store.address());
         gateway->settingsFile = (m_folder / (gateway->name + ".ini")).string();
         gateway->logFile = (m_folder / (gateway->name + ".log")).string();
         std::ofstream(gateway->settingsFile)
             << "[entry]\ninstance = " << gateway->name
             << "\nzone = east\nlisten_callers = " << gateway->callers.text()
-            << "\nlisten_readiness = 127.0.0.1:" << freePort()
-            << "\nlisten_peers = 127.0.0.1:" << freePort()
+            << "\nlisten_readiness = " << ownHost() << ':' << freePort()
+            << "\nlisten_peers = " << ownHost() << ':' << freePort()
             << "\nstore = " << gateway->toStore.address().text() << "\nstop_grace_s = 5\n";
         gateway->pool = std::make_unique<ConnectionPool>(
             m_loop, ClientConnection::Limits{milliseconds(500), milliseconds(3000)});
