--- /dev/null
+++ b/test/PlatformExchangeTest.cpp
@@ -0,0 +1,277 @@
+#include "Adapters/Async/CallerServer.h"
+#include "Apps/Entry/Exchange.h"
+#include "LoopbackSocket.h"
+#include "platform/HeaderDialect.h"
+
+#include <gtest/gtest.h>
+
+using namespace quetzalyoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A platform that has been read and is there.
+class FakePlatform : public EntryPlatform
+{
+public:
+    void start(Hooks) override { }
+    void stop() override { }
+    void refresh() override { }
+    bool isLoaded() const override { return true; }
+    bool isReachable() const override { return true; }
+    StateVersions versions() const override { return {}; }
+    void setFollowing(bool) override { }
+    std::string changesSince(const StateVersions &) const override { return {}; }
+    void takeChanges(const std::string &) override { }
+    void readLease(LeaseRead) override { }
+    void writeLease(const LeaseRow &, std::function<void(WriteOutcome, Version)>) override { }
+    void join(const MemberEntry &,
+              std::function<void(bool, const std::vector<MemberEntry> &)>) override
+    { }
+};
+
+Route route(const std::string &prefix, CallKind kind, int attempts, bool isResumable)
+{
+    Route route;
+    route.name = prefix;
+    route.host = "h.example";
+    route.prefix = prefix;
+    route.kind = kind;
+    route.timeout = Milliseconds(2000);
+    route.latencyObjective = Milliseconds(400);
+    route.maxAttempts = attempts;
+    route.isResumable = isResumable;
+    route.shares = {{ServiceName("app"), 1}};
+    return route;
+}
+
+EntrySettings settings()
+{
+    EntrySettings settings;
+    settings.instance = InstanceId("gateway-1");
+    settings.zone = ZoneName("east");
+    settings.retryShare = 0.2;
+    settings.retryReserve = 50;
+    settings.prefillTokensPerMs = 38;
+    settings.processorShare = 1;
+    return settings;
+}
+
+std::string event(int i)
+{
+    return "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
+}
+
+std::string chunk(const std::string &text)
+{
+    std::array<char, 16> buf{};
+    std::snprintf(buf.data(), buf.size(), "%zx\r\n", text.size());
+    return buf.data() + text + "\r\n";
+}
+
+const std::string signedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nResponse-Stamp: s\r\n";
+const std::string streamHead = signedHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string lastChunk = "0\r\n\r\n";
+
+class PlatformExchangeTest : public ::testing::Test
+{
+protected:
+    PlatformExchangeTest()
+        : state(settings(), loop, dialect, platform),
+          gateway(loop, 16,
+                  {[this](const CallerSession::Pointer &session, CallerRequest &&request) {
+                       std::make_shared<Exchange>(state, session, std::move(request))->start();
+                   },
+                   [] { return SessionLimits(); }, [] { return false; }, [](int, const char *) {}})
+    {
+        auto config = std::make_shared<ServingConfig>();
+        config->version = Version(3);
+        config->routesByHost["h.example"]
+            = {route("/n/", CallKind::NonIdempotent, 3, false),
+               route("/i/", CallKind::Idempotent, 2, false),
+               route("/s/", CallKind::Stream, 1, false), route("/r/", CallKind::Stream, 2, true)};
+        config->services[ServiceName("app")].name = ServiceName("app");
+        ClientAccount account;
+        account.name = AccountId("account");
+        config->accounts[account.name] = account;
+        config->accountsByKey["key"] = account.name;
+        state.config = config;
+        gateway.listen({"127.0.0.1", 0});
+        addServer("a", first);
+    }
+
+    void addServer(const std::string &id, const ScriptedServer &server)
+    {
+        ListedServer listed;
+        listed.id = ServerName(id);
+        listed.service = ServiceName("app");
+        listed.zone = ZoneName(id == "a" ? "east" : "west"); // the nearer one is tried first
+        listed.address = server.address();
+        listed.slots = 4;
+        state.book.put(listed, loopNow());
+    }
+
+    // The answer to a request as the caller sees it.
+    std::string ask(const std::string &path, const std::string &key = "key",
+                    const std::string &until = "\r\n\r\n")
+    {
+        caller = std::make_unique<RawCaller>(loop, gateway.port());
+        caller->send("POST " + path
+                     + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n"
+                       "Deadline-Ms: 1500\r\nApi-Key: "
+                     + key + "\r\nContent-Length: 4\r\n\r\nbody");
+        runUntil(
+            loop,
+            [&] {
+                return caller->received().find(until) != std::string::npos || caller->isEnded();
+            },
+            3s);
+        return caller->received();
+    }
+    static bool hasStatus(const std::string &answer, int status)
+    {
+        return answer.starts_with("HTTP/1.1 " + std::to_string(status));
+    }
+
+    asio::io_context loop;
+    platform::HeaderDialect dialect;
+    FakePlatform platform;
+    ScriptedServer first{loop};
+    ScriptedServer second{loop};
+    EntryState state;
+    CallerServer gateway;
+    std::unique_ptr<RawCaller> caller;
+};
+
+} // namespace
+
+TEST_F(PlatformExchangeTest, answersWhatItsServerAnswers)
+{
+    first.answer(signedHead + "X: y\r\nContent-Length: 4\r\n\r\nfine");
+    const std::string answer = ask("/n/x", "key", "fine");
+    EXPECT_TRUE(hasStatus(answer, 200));
+    EXPECT_NE(answer.find("X: y"), std::string::npos);
+    EXPECT_NE(first.received().find("Tenant: account"), std::string::npos);
+    EXPECT_EQ(first.received().find("key"), std::string::npos);
+}
+
+// It may have run: nothing is promised, and no other server gets it.
+TEST_F(PlatformExchangeTest, neitherRepeatsNorRefusesACallThatMayHaveRun)
+{
+    addServer("b", second);
+    first.answer("", ScriptedServer::End::Reset);
+    EXPECT_TRUE(hasStatus(ask("/n/x"), 502));
+    EXPECT_EQ(second.connections(), 0);
+}
+
+TEST_F(PlatformExchangeTest, repeatsAnIdempotentCallElsewhere)
+{
+    addServer("b", second);
+    first.answer("", ScriptedServer::End::Reset);
+    second.answer(signedHead + "Content-Length: 4\r\n\r\nfine");
+    EXPECT_TRUE(hasStatus(ask("/i/x", "key", "fine"), 200));
+}
+
+TEST_F(PlatformExchangeTest, takesACallElsewhereThatItsServerTurnedDown)
+{
+    addServer("b", second);
+    first.answer("HTTP/1.1 503 Busy\r\nAttempt-Id: id-1\r\nNot-Executed: 1\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    second.answer(signedHead + "Content-Length: 4\r\n\r\nfine");
+    EXPECT_TRUE(hasStatus(ask("/n/x", "key", "fine"), 200));
+}
+
+TEST_F(PlatformExchangeTest, refusesACallThatReachedNoServerWithWhenToComeBack)
+{
+    ListedServer leaving = state.book.find(ServerName("a"))->listed;
+    leaving.isLeaving = true;
+    state.book.put(leaving, loopNow());
+    // Waiting requests are tried again by the gateway's tick, which the test stands in for.
+    asio::steady_timer tick(loop, 300ms);
+    tick.async_wait([this](const SystemError &) { state.waiting.retryAll(); });
+    const std::string answer = ask("/n/x");
+    EXPECT_TRUE(hasStatus(answer, 503));
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_EQ(first.connections(), 0);
+}
+
+TEST_F(PlatformExchangeTest, handsOnNoSuccessWithoutASignature)
+{
+    first.answer("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nContent-Length: 4\r\n\r\nfake");
+    const std::string answer = ask("/n/x");
+    EXPECT_TRUE(hasStatus(answer, 502));
+    EXPECT_EQ(answer.find("fake"), std::string::npos);
+}
+
+TEST_F(PlatformExchangeTest, skipsALateAnswerToAnotherRequest)
+{
+    first.answer("HTTP/1.1 200 OK\r\nAttempt-Id: id-0\r\nResponse-Stamp: s\r\n"
+                 "Content-Length: 5\r\n\r\nother"
+                 + signedHead + "Content-Length: 4\r\n\r\nfine");
+    const std::string answer = ask("/n/x", "key", "fine");
+    EXPECT_TRUE(hasStatus(answer, 200));
+    EXPECT_EQ(answer.find("other"), std::string::npos);
+}
+
+TEST_F(PlatformExchangeTest, goesOnWithAResumableStreamAfterItsLastWholeEvent)
+{
+    addServer("b", second);
+    first.answer(streamHead + chunk(event(1) + event(2) + "id: 3\nda"), ScriptedServer::End::Close);
+    second.answer(streamHead + chunk(event(3) + event(4)) + lastChunk);
+    const std::string answer = ask("/r/x", "key", lastChunk);
+    EXPECT_TRUE(hasStatus(answer, 200));
+    EXPECT_NE(second.received().find("Last-Event-Id: 2"), std::string::npos);
+    for (int i = 1; i <= 4; ++i) {
+        const auto at = answer.find(event(i));
+        ASSERT_NE(at, std::string::npos) << i;
+        EXPECT_EQ(answer.find(event(i), at + 1), std::string::npos) << i;
+    }
+}
+
+TEST_F(PlatformExchangeTest, showsABrokenStreamToBeBroken)
+{
+    addServer("b", second);
+    first.answer(streamHead + chunk(event(1)), ScriptedServer::End::Close);
+    const std::string answer = ask("/s/x", "key", lastChunk);
+    EXPECT_NE(answer.find(event(1)), std::string::npos);
+    EXPECT_EQ(answer.find(lastChunk), std::string::npos);
+    EXPECT_TRUE(caller->awaitEnd());
+    EXPECT_EQ(second.connections(), 0);
+}
+
+TEST_F(PlatformExchangeTest, turnsDownUnknownKeysAndRoutesWithoutAskingAServer)
+{
+    EXPECT_TRUE(hasStatus(ask("/n/x", "other"), 401));
+    EXPECT_TRUE(hasStatus(ask("/none/x"), 404));
+    EXPECT_TRUE(hasStatus(ask("/nx"), 404));
+    EXPECT_EQ(first.connections(), 0);
+}
+
+TEST_F(PlatformExchangeTest, refusesBeyondTheAccountsRate)
+{
+    auto config = std::make_shared<ServingConfig>(*state.config);
+    config->accounts[AccountId("account")].ratePerSecond = 0.001;
+    config->accounts[AccountId("account")].burst = 1;
+    state.config = config;
+    state.quotas.setConfig(*config, loopNow());
+    // Any credit at all lets a request through; the next one finds the debt.
+    first.answer(signedHead + "Content-Length: 4\r\n\r\nfine");
+    EXPECT_TRUE(hasStatus(ask("/n/x", "key", "fine"), 200));
+    const std::string before = first.received();
+    const std::string answer = ask("/n/x");
+    EXPECT_TRUE(hasStatus(answer, 429));
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos);
+    EXPECT_EQ(first.received(), before);
+}
+
+TEST_F(PlatformExchangeTest, leavesItsServerAloneOnceTheCallerHasLeft)
+{
+    caller = std::make_unique<RawCaller>(loop, gateway.port());
+    caller->send(
+        "GET /i/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\nApi-Key: key\r\n\r\n");
+    ASSERT_TRUE(runUntil(loop, [this] { return !first.received().empty(); }));
+    EXPECT_EQ(state.book.find(ServerName("a"))->own.running, 1);
+    caller->close();
+    EXPECT_TRUE(
+        runUntil(loop, [this] { return state.book.find(ServerName("a"))->own.running == 0; }));
+}
