Remove unused parts; take little until the members are known

Read once more: the load header, a connection's age and a closed hook had no user. A gateway that had not read the members yet counted itself as the only one: with all restarted while the store is away, each took the whole reserve of retries and, for up to a second, the whole rate of an account. Until it has joined it now counts sixteen.

--- a/src/Adapters/Async/ClientConnection.cpp
+++ b/src/Adapters/Async/ClientConnection.cpp
@@ -63,12 +63,6 @@
       m_idleTime(unstatedIdleTime)
 { }
 
-void ClientConnection::setHooks(IdleHook onIdle, ClosedHook onClosed)
-{
-    m_onIdle = std::move(onIdle);
-    m_onClosed = std::move(onClosed);
-}
-
 void ClientConnection::send(std::string request, bool isHead, ExchangeHooks hooks)
 {
     m_request = std::move(request);
@@ -77,7 +71,6 @@
     m_answerEnded = false;
     m_sent = false;
     m_paused = false;
-    ++m_exchanges;
     startParser();
     if (m_state == State::New) {
         connect();
@@ -119,7 +112,6 @@
         return;
     }
     tuneConnection(m_socket, m_limits.silence);
-    m_connectedAt = loopNow();
     m_state = State::Busy;
     write();
     awaitBytes();
@@ -331,10 +323,7 @@
     m_connectTimer.cancel();
     SystemError ignored;
     m_socket.close(ignored);
-    if (m_onClosed)
-        m_onClosed(this);
     m_onIdle = nullptr;
-    m_onClosed = nullptr;
 }
 
 } // namespace quetzalyoke
--- a/src/Adapters/Async/ClientConnection.h
+++ b/src/Adapters/Async/ClientConnection.h
@@ -43,8 +43,6 @@
 public:
     /// Called when the connection can take another request.
     using IdleHook = std::function<void(const std::shared_ptr<ClientConnection> &)>;
-    /// Called once when the connection can take no more.
-    using ClosedHook = std::function<void(const ClientConnection *)>;
 
     struct Limits
     {
@@ -54,7 +52,7 @@
 
     ClientConnection(asio::io_context &loop, const Address &peer, const Limits &limits);
 
-    void setHooks(IdleHook onIdle, ClosedHook onClosed);
+    void setIdleHook(IdleHook onIdle) { m_onIdle = std::move(onIdle); }
     /// Sends \a request, a whole HTTP message; connects first where that is still to be done.
     void send(std::string request, bool isHead, ExchangeHooks hooks);
     /// Ends the connection and whatever it carries. No hook of the exchange is called.
@@ -67,10 +65,8 @@
     bool isClosed() const { return m_state == State::Closed; }
     /// Whether an idle connection has neither ended nor brought bytes that nobody asked for.
     bool isQuiet();
-    bool isFresh() const { return m_exchanges <= 1; } ///< Carries its first request.
     /// Until when the server keeps the connection open while it is idle.
     Instant idleUntil() const { return m_idleUntil; }
-    Instant connectedAt() const { return m_connectedAt; }
 
 private:
     enum class State { New, Connecting, Idle, Busy, Closed };
@@ -96,7 +92,6 @@
     const Address m_peer;
     const Limits m_limits;
     IdleHook m_onIdle;
-    ClosedHook m_onClosed;
     State m_state = State::New;
     ExchangeHooks m_hooks;
     std::unique_ptr<internal::AnswerParser> m_parser;
@@ -111,10 +106,8 @@
     bool m_waiting = false;
     bool m_paused = false;
     bool m_keepAlive = false;
-    int m_exchanges = 0;
     std::chrono::milliseconds m_idleTime;
     Instant m_idleUntil;
-    Instant m_connectedAt;
 };
 
 } // namespace quetzalyoke
--- a/src/Adapters/Async/ConnectionPool.cpp
+++ b/src/Adapters/Async/ConnectionPool.cpp
@@ -26,14 +26,13 @@
     const auto connection
         = std::make_shared<ClientConnection>(m_loop, Address::parse(address), m_limits);
     const std::weak_ptr<Idle> pool = m_idle;
-    connection->setHooks(
+    connection->setIdleHook(
         [pool, address](const std::shared_ptr<ClientConnection> &idleConnection) {
             if (const auto it = pool.lock())
                 (*it)[address].push_back(idleConnection);
             else
                 idleConnection->close();
-        },
-        nullptr);
+        });
     return connection;
 }
 
--- a/src/Adapters/Async/HttpCaller.cpp
+++ b/src/Adapters/Async/HttpCaller.cpp
@@ -61,15 +61,13 @@
     if (!call->connection) {
         call->connection = std::make_shared<ClientConnection>(m_loop, m_peer, m_limits);
         const std::weak_ptr<std::list<std::shared_ptr<ClientConnection>>> idle = m_idle;
-        call->connection->setHooks(
-            [idle](const std::shared_ptr<ClientConnection> &connection) {
-                const auto list = idle.lock();
-                if (!list || list->size() >= idleConnections)
-                    connection->close();
-                else
-                    list->push_back(connection);
-            },
-            nullptr);
+        call->connection->setIdleHook([idle](const std::shared_ptr<ClientConnection> &connection) {
+            const auto list = idle.lock();
+            if (!list || list->size() >= idleConnections)
+                connection->close();
+            else
+                list->push_back(connection);
+        });
     }
     m_calls.push_back(call);
 
--- a/src/Adapters/Async/PeerSocket.cpp
+++ b/src/Adapters/Async/PeerSocket.cpp
@@ -6,6 +6,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <array>
+
 namespace quetzalyoke {
 
 namespace {
@@ -17,6 +19,7 @@
 // Datagrams taken in one turn of the loop, so that a flood of them can't starve requests.
 constexpr int datagramsPerTurn = 16;
 
+// Largest payload of a datagram; one at a time is read.
 std::array<char, 65'536> datagram;
 
 } // namespace
--- a/src/Adapters/Async/PeerSocket.h
+++ b/src/Adapters/Async/PeerSocket.h
@@ -7,7 +7,6 @@
 
 #include <boost/asio/ip/udp.hpp>
 
-#include <array>
 #include <functional>
 
 namespace quetzalyoke {
@@ -26,8 +25,6 @@
     void send(const std::string &bytes, const Address &to);
 
 private:
-    static constexpr std::size_t datagramBytes = 65'536;
-
     void receive();
     void take(std::size_t n);
 
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -39,15 +39,22 @@
                ^ static_cast<std::uint64_t>(Process::incarnation().count()))
 { }
 
+void EntryState::setGateways(std::size_t gateways, Duration silence)
+{
+    m_gateways = std::max<std::size_t>(1, gateways);
+    quotas.setGateways(m_gateways, silence);
+    for (auto &[service, budget] : m_retries)
+        budget.setReserve(retryReserve());
+}
+
+double EntryState::retryReserve() const
+{
+    return usedShareOfRetries * settings.retryReserve / static_cast<double>(m_gateways);
+}
+
 RetryBudget &EntryState::retries(const ServiceName &service)
 {
-    const auto it = m_retries.find(service);
-    if (it != m_retries.end())
-        return it->second;
-    const double reserve = usedShareOfRetries * settings.retryReserve
-        / static_cast<double>(std::max<std::size_t>(1, gateways));
-    return m_retries
-        .emplace(service, RetryBudget(usedShareOfRetries * settings.retryShare, reserve))
+    return m_retries.try_emplace(service, usedShareOfRetries * settings.retryShare, retryReserve())
         .first->second;
 }
 
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -41,7 +41,10 @@
 
     /// Whether this gateway leaves: it takes connections until the platform has noticed.
     bool isStopping = false;
-    std::size_t gateways = 1; ///< Known members, this one included.
+    /// Known members, this one included.
+    std::size_t gateways() const { return m_gateways; }
+    /// A peer is silent after \a silence without news.
+    void setGateways(std::size_t gateways, Duration silence);
 
     /// Repeats of requests to \a service.
     RetryBudget &retries(const ServiceName &service);
@@ -60,6 +63,9 @@
     std::function<void()> onNeed;
 
 private:
+    double retryReserve() const;
+
+    std::size_t m_gateways = 1;
     std::map<ServiceName, RetryBudget> m_retries;
     std::mt19937_64 m_random;
 };
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -186,7 +186,7 @@
                 {"level", static_cast<std::int64_t>(quota->level(now))},
                 {"rate", static_cast<std::int64_t>(m_account->ratePerSecond)},
                 {"burst", static_cast<std::int64_t>(m_account->burst)},
-                {"gateways", m_state.gateways},
+                {"gateways", m_state.gateways()},
                 {"config", m_config->version}});
     refuse(429, "over_quota", wait);
     return false;
@@ -336,10 +336,6 @@
     }
     m_attempt->status = status;
     m_attempt->verdict = verdict;
-    if (ServerState *server = m_state.book.find(m_attempt->server); server && verdict.load) {
-        server->load = verdict.load;
-        server->loadAt = loopNow();
-    }
     const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
     if (isSuccess && (!verdict.isSigned || verdict.isEncoded)) {
         logNotable("bad_answer",
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -32,6 +32,9 @@
 // informed; beyond, only the holder does.
 constexpr std::size_t peersToldEverything = 8;
 
+// Until the members are known, this gateway takes no more than one of so many would.
+constexpr std::size_t gatewaysBeforeJoining = 16;
+
 constexpr std::chrono::milliseconds joinRetry{500};
 
 } // namespace
@@ -73,6 +76,7 @@
             });
             return;
         }
+        m_hasJoined = true;
         for (const MemberEntry &member : members) {
             if (member.instance == m_state.settings.instance)
                 continue;
@@ -82,6 +86,7 @@
                 logNotable("bad_member", {{"peer", member.instance}, {"reason", e.what()}});
             }
         }
+        updateCount();
         logNotable("joined", {{"members", m_peers.size() + 1}});
         tellAll();
     });
@@ -102,8 +107,9 @@
         if (!peer.isLeaving)
             ++n;
     }
-    m_state.gateways = n;
-    m_state.quotas.setGateways(n, silence());
+    if (!m_hasJoined)
+        n = std::max(n, gatewaysBeforeJoining);
+    m_state.setGateways(n, silence());
 }
 
 void PeerNetwork::tick()
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -81,6 +81,7 @@
     asio::steady_timer m_urgentTimer;
     bool m_isUrgentScheduled = false;
     bool m_hasNewNotices = false;
+    bool m_hasJoined = false;
     std::map<InstanceId, Peer> m_peers;
     InstanceId m_holder;
     std::int64_t m_sequence = 0;
--- a/src/Core/RetryBudget.h
+++ b/src/Core/RetryBudget.h
@@ -13,6 +13,12 @@
     RetryBudget(double share, double reserve) : m_share(share), m_reserve(reserve), m_saved(reserve)
     { }
 
+    /// Changes the retries that may be saved up.
+    void setReserve(double reserve)
+    {
+        m_reserve = reserve;
+        m_saved = std::min(m_saved, reserve);
+    }
     void onRequest() { m_saved = std::min(m_reserve, m_saved + m_share); }
 
     /// Takes one retry; false where the budget is spent.
--- a/src/Ports/ServingDialect.h
+++ b/src/Ports/ServingDialect.h
@@ -30,7 +30,6 @@
     bool isSigned = false; ///< Carries the proof that a server made it.
     bool isEncoded = false; ///< The body is not what the server made.
     bool notRun = false; ///< The server states that it did not run the request.
-    std::optional<ServerLoad> load;
 };
 
 /// \brief An order to an engine and what makes it unrepeatable.
--- a/src/Serving/BackendServer.h
+++ b/src/Serving/BackendServer.h
@@ -28,14 +28,6 @@
     bool operator==(const ListedServer &) const = default;
 };
 
-/// \brief Load that a server tells with its answers.
-struct ServerLoad
-{
-    int running = 0;
-    int waiting = 0;
-    int slots = 0;
-};
-
 /// \brief What an engine reports when asked; some hundred milliseconds old.
 struct EngineStatus
 {
@@ -43,8 +35,6 @@
     std::set<std::pair<ModelName, AdapterName>> loadingAdapters;
     bool isBusy = false; ///< Carries out an order.
     std::int64_t orders = 0; ///< Accepted in this incarnation.
-    int running = 0;
-    int waiting = 0;
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -151,12 +151,12 @@
                 || (entry.second.holds(key.first, key.second) && !entry.second.listed().isLeaving);
         });
         if (!isComing)
-            planAdapter(key, spec, books, step, now);
+            planAdapter(key, books, step, now);
     }
 }
 
-bool EngineDirector::planAdapter(const AdapterKey &key, const EngineSpec &,
-                                 const CopyPlanner::Books &books, Step &step, Instant now)
+void EngineDirector::planAdapter(const AdapterKey &key, const CopyPlanner::Books &books, Step &step,
+                                 Instant now)
 {
     ServerName bestServer;
     AdapterKey bestVictim;
@@ -196,12 +196,11 @@
     }
     EngineBook *book = findBook(bestServer);
     if (!book)
-        return false;
+        return;
     if (bestHasRoom)
         send(*book, book->makeLoad(key.first, key.second), step, now);
     else
         send(*book, book->makeUnload(bestVictim.first, bestVictim.second), step, now);
-    return true;
 }
 
 // Loads whose room has just been made.
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/EngineDirector.h
@@ -63,10 +63,9 @@
     };
     using AdapterKey = std::pair<ModelName, AdapterName>;
 
-    const EngineSpec *specOf(const ServerName &server) const;
     void planAdapters(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
-    bool planAdapter(const AdapterKey &key, const EngineSpec &spec, const CopyPlanner::Books &books,
-                     Step &step, Instant now);
+    void planAdapter(const AdapterKey &key, const CopyPlanner::Books &books, Step &step,
+                     Instant now);
     void startPlannedLoads(const ServiceName &service, Step &step, Instant now);
     void planCopies(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
     void send(EngineBook &book, const EngineCommand &command, Step &step, Instant now);
--- a/src/Serving/ServerBook.h
+++ b/src/Serving/ServerBook.h
@@ -37,8 +37,6 @@
     ServerWork own;
     std::map<InstanceId, ServerWork> peers;
     ServerWork peersTotal; ///< Sum of \c peers.
-    std::optional<ServerLoad> load; ///< Told with the server's latest answer.
-    Instant loadAt;
     ServerHealth health;
     std::optional<Instant> missingSince; ///< Its entry lapsed while the list was out of reach.
 
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -165,12 +165,9 @@
     HeaderFields fields;
     fields.set("Attempt-Id", "id-1");
     fields.set("Response-Stamp", "s");
-    fields.set("Server-Load", "3,0,8");
     const BackendVerdict good = dialect.judge(200, fields, id);
     EXPECT_TRUE(good.isSigned);
     EXPECT_FALSE(good.isForeign);
-    ASSERT_TRUE(good.load);
-    EXPECT_EQ(good.load->running, 3);
     fields.set("Attempt-Id", "id-0");
     EXPECT_TRUE(dialect.judge(200, fields, id).isForeign);
     fields.set("Attempt-Id", "id-1");
