--- a/test/soak/PlatformEngineStandIn.cpp
+++ b/test/soak/PlatformEngineStandIn.cpp
@@ -1,5 +1,6 @@
 #include "PlatformEngineStandIn.h"
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 namespace quetzalyoke::soak {
@@ -207,12 +208,14 @@
     });
     if (m_isSilent)
         return;
-    after(runTime, [this, session, id, life = m_life] {
+    // A resumed stream goes on after the last event that its caller has.
+    const int firstEvent = 1 + std::atoi(text(request, "Last-Event-Id").c_str());
+    after(runTime, [this, session, id, firstEvent, life = m_life] {
         if (life != m_life)
             return;
         if (m_settings.isModelEngine) {
             session->beginStream(200, head(id));
-            streamEvent(session, id, 1, life);
+            streamEvent(session, id, firstEvent, life);
             return;
         }
         --m_running;
