Let HttpCaller keep its connections in ConnectionPool; one place releases an attempt's work

Read once more: HttpCaller kept idle connections by the same rules as ConnectionPool beside it; Exchange took an attempt's work off its server in two places; an empty waiting line was guarded before retryAll(), which does nothing then; CallerServer kept a loop that nothing used. Change: HttpCaller holds a pool with its limit of four idle connections; Exchange::releaseWork(). No behaviour is meant to change.

--- a/src/Adapters/Async/CallerServer.cpp
+++ b/src/Adapters/Async/CallerServer.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 CallerServer::CallerServer(asio::io_context &loop, std::size_t connections, Hooks hooks)
-    : m_loop(loop), m_limit(connections), m_acceptor(loop), m_pause(loop)
+    : m_limit(connections), m_acceptor(loop), m_pause(loop)
 {
     auto own = std::make_shared<CallerSession::Hooks>();
     own->onRequest = std::move(hooks.onRequest);
--- a/src/Adapters/Async/CallerServer.h
+++ b/src/Adapters/Async/CallerServer.h
@@ -35,7 +35,6 @@
     void accept();
     void onAccepted(const SystemError &ec, Tcp::socket socket);
 
-    asio::io_context &m_loop;
     const std::size_t m_limit;
     Tcp::acceptor m_acceptor;
     asio::steady_timer m_pause;
--- a/src/Adapters/Async/ConnectionPool.cpp
+++ b/src/Adapters/Async/ConnectionPool.cpp
@@ -4,8 +4,9 @@
 
 namespace quetzalyoke {
 
-ConnectionPool::ConnectionPool(asio::io_context &loop, const ClientConnection::Limits &limits)
-    : m_loop(loop), m_limits(limits), m_idle(std::make_shared<Idle>())
+ConnectionPool::ConnectionPool(asio::io_context &loop, const ClientConnection::Limits &limits,
+                               std::size_t idleLimit)
+    : m_loop(loop), m_limits(limits), m_idleLimit(idleLimit), m_idle(std::make_shared<Idle>())
 { }
 
 std::shared_ptr<ClientConnection> ConnectionPool::acquire(const std::string &address)
@@ -26,13 +27,14 @@
     const auto connection
         = std::make_shared<ClientConnection>(m_loop, Address::parse(address), m_limits);
     const std::weak_ptr<Idle> pool = m_idle;
-    connection->setIdleHook(
-        [pool, address](const std::shared_ptr<ClientConnection> &idleConnection) {
-            if (const auto it = pool.lock())
-                (*it)[address].push_back(idleConnection);
-            else
-                idleConnection->close();
-        });
+    connection->setIdleHook([pool, address, limit = m_idleLimit](
+                                const std::shared_ptr<ClientConnection> &idleConnection) {
+        const auto it = pool.lock();
+        if (!it || (limit > 0 && (*it)[address].size() >= limit))
+            idleConnection->close();
+        else
+            (*it)[address].push_back(idleConnection);
+    });
     return connection;
 }
 
--- a/src/Adapters/Async/ConnectionPool.h
+++ b/src/Adapters/Async/ConnectionPool.h
@@ -8,11 +8,13 @@
 
 namespace quetzalyoke {
 
-/// \brief Kept connections to backend servers, by address.
+/// \brief Kept connections to servers, by address.
 class ConnectionPool
 {
 public:
-    ConnectionPool(asio::io_context &loop, const ClientConnection::Limits &limits);
+    /// Keeps at most \a idleLimit idle connections to one address; 0: any number.
+    ConnectionPool(asio::io_context &loop, const ClientConnection::Limits &limits,
+                   std::size_t idleLimit = 0);
 
     /// A connection that is idle or not yet connected; it returns by itself when it is idle again.
     std::shared_ptr<ClientConnection> acquire(const std::string &address);
@@ -28,6 +30,7 @@
 
     asio::io_context &m_loop;
     const ClientConnection::Limits m_limits;
+    const std::size_t m_idleLimit;
     std::shared_ptr<Idle> m_idle;
 };
 
--- a/src/Adapters/Async/HttpCaller.cpp
+++ b/src/Adapters/Async/HttpCaller.cpp
@@ -29,8 +29,7 @@
 
 HttpCaller::HttpCaller(asio::io_context &loop, const Address &peer,
                        const ClientConnection::Limits &limits)
-    : m_loop(loop), m_peer(peer), m_limits(limits),
-      m_idle(std::make_shared<std::list<std::shared_ptr<ClientConnection>>>())
+    : m_loop(loop), m_peer(peer), m_pool(loop, limits, idleConnections)
 { }
 
 HttpCaller::~HttpCaller()
@@ -48,27 +47,7 @@
     const auto call = std::make_shared<Call>(m_loop);
     call->done = std::move(done);
     call->outcome.sentAt = loopNow();
-    while (!m_idle->empty() && !call->connection) {
-        const auto connection = m_idle->back();
-        m_idle->pop_back();
-        if (connection->isClosed())
-            continue;
-        if (connection->idleUntil() > loopNow() && connection->isQuiet())
-            call->connection = connection;
-        else
-            connection->close();
-    }
-    if (!call->connection) {
-        call->connection = std::make_shared<ClientConnection>(m_loop, m_peer, m_limits);
-        const std::weak_ptr<std::list<std::shared_ptr<ClientConnection>>> idle = m_idle;
-        call->connection->setIdleHook([idle](const std::shared_ptr<ClientConnection> &connection) {
-            const auto list = idle.lock();
-            if (!list || list->size() >= idleConnections)
-                connection->close();
-            else
-                list->push_back(connection);
-        });
-    }
+    call->connection = m_pool.acquire(m_peer.text());
     m_calls.push_back(call);
 
     ExchangeHooks hooks;
@@ -108,11 +87,4 @@
         done(call->outcome);
 }
 
-void HttpCaller::dropIdle()
-{
-    const auto idle = std::exchange(*m_idle, {});
-    for (const auto &connection : idle)
-        connection->close();
-}
-
 } // namespace quetzalyoke
--- a/src/Adapters/Async/HttpCaller.h
+++ b/src/Adapters/Async/HttpCaller.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_ADAPTERS_ASYNC_HTTPCALLER_H
 #define QUETZALYOKE_ADAPTERS_ASYNC_HTTPCALLER_H
 
-#include "Adapters/Async/ClientConnection.h"
+#include "Adapters/Async/ConnectionPool.h"
 
 #include <list>
 
@@ -34,7 +34,7 @@
     /// latest after \a timeout; never after the caller's end.
     void call(std::string request, std::chrono::milliseconds timeout, Callback done);
     /// Drops the kept connections; calls under way go on.
-    void dropIdle();
+    void dropIdle() { m_pool.dropAll(); }
     const Address &peer() const { return m_peer; }
 
 private:
@@ -44,8 +44,7 @@
 
     asio::io_context &m_loop;
     const Address m_peer;
-    const ClientConnection::Limits m_limits;
-    std::shared_ptr<std::list<std::shared_ptr<ClientConnection>>> m_idle;
+    ConnectionPool m_pool;
     std::list<std::shared_ptr<Call>> m_calls;
 };
 
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -102,7 +102,7 @@
         m_state.director.setServers(m_state.book);
         m_orders.wake();
         m_exchange.onChanged();
-        scheduleRetry();
+        m_state.waiting.retryAll();
     };
     hooks.onReach
         = [this](bool isReachable, const std::string &reason) { onReach(isReachable, reason); };
@@ -244,8 +244,7 @@
     const Instant now = loopNow();
     m_orders.tick();
     m_exchange.tick();
-    if (!m_state.waiting.isEmpty())
-        m_state.waiting.retryAll();
+    m_state.waiting.retryAll();
     if (now - m_housekeptAt >= housekeepingInterval) {
         m_housekeptAt = now;
         m_state.pool.closeStale(now);
@@ -282,12 +281,6 @@
     m_exchange.onResumed();
 }
 
-void EntryGateway::scheduleRetry()
-{
-    if (!m_state.waiting.isEmpty())
-        m_state.waiting.retryAll();
-}
-
 void EntryGateway::beginStop()
 {
     logNotable("stopping",
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -32,7 +32,6 @@
     void awaitSignal();
     void tick();
     void watchClocks();
-    void scheduleRetry();
     void beginStop();
     void checkStopped();
 
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -475,11 +475,7 @@
     }
     const std::unique_ptr<Attempt> attempt = std::move(m_attempt);
     m_attempt = nullptr;
-    if (server) {
-        server->own.running -= attempt->work.running;
-        server->own.prefillTokens -= attempt->work.prefillTokens;
-        server->own.memoryTokens -= attempt->work.memoryTokens;
-    }
+    releaseWork(*attempt);
     if (attempt->isForwarding) {
         if (!m_isStreaming)
             m_session->beginStream(attempt->status, attempt->fields);
@@ -593,15 +589,22 @@
     place();
 }
 
+// What was counted at the server for the attempt.
+void Exchange::releaseWork(const Attempt &attempt)
+{
+    ServerState *server = m_state.book.find(attempt.server);
+    if (!server)
+        return;
+    server->own.running -= attempt.work.running;
+    server->own.prefillTokens -= attempt.work.prefillTokens;
+    server->own.memoryTokens -= attempt.work.memoryTokens;
+}
+
 void Exchange::releaseAttempt()
 {
     if (!m_attempt)
         return;
-    if (ServerState *server = m_state.book.find(m_attempt->server)) {
-        server->own.running -= m_attempt->work.running;
-        server->own.prefillTokens -= m_attempt->work.prefillTokens;
-        server->own.memoryTokens -= m_attempt->work.memoryTokens;
-    }
+    releaseWork(*m_attempt);
     m_attempt.reset();
 }
 
--- a/src/Apps/Entry/Exchange.h
+++ b/src/Apps/Entry/Exchange.h
@@ -60,6 +60,7 @@
     bool mayRepeat() const;
     bool takeRepeat();
     void repeat(const char *reason);
+    void releaseWork(const Attempt &attempt);
     void releaseAttempt();
 
     void setTimer();
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -377,7 +377,7 @@
         notice.isLoad = entry.isLoad;
         m_state.book.addNotice(notice, now);
     }
-    if (!news.notices.empty() && !m_state.waiting.isEmpty())
+    if (!news.notices.empty())
         m_state.waiting.retryAll();
     if (!news.wanted.empty() && m_state.onNeed)
         m_state.onNeed();
