Count reports of engines as old as they may be; load a version anew that the list made smaller

Change: holdings count as report_lag_ms old (agent, 500 ms); an order that is answered or refused from now on is settled by holdings that are no older than that; a version that is held at more than its listed size is loaded anew where the plan doesn't fit otherwise, once for each listed size.

Ports are now counted up and looked at in TCP and UDP, and the soak prints status and log of a gateway that ends by itself.

--- a/src/Apps/Agent/AgentSettings.cpp
+++ b/src/Apps/Agent/AgentSettings.cpp
@@ -61,6 +61,7 @@
             reader.number("buffer_bytes", 1024, 64 * mebibyte, mebibyte));
         settings.reportInterval = reader.milliseconds("report_interval_ms", 10, 60'000, 500);
         settings.engineInterval = reader.milliseconds("engine_interval_ms", 10, 60'000, 200);
+        settings.reportLag = reader.milliseconds("report_lag_ms", 0, 60'000, 500);
         settings.orderAnswer = reader.milliseconds("order_answer_ms", 10, 3'600'000, 3000);
         settings.orderTimeout = reader.milliseconds("order_timeout_ms", 100, 3'600'000, 30'000);
         settings.orderAuthority = reader.milliseconds("order_authority_ms", 100, 600'000, 10'000);
--- a/src/Apps/Agent/AgentSettings.h
+++ b/src/Apps/Agent/AgentSettings.h
@@ -34,6 +34,7 @@
     std::size_t bufferBytes = 0; ///< Of one answer that its gateway has not fetched yet.
     std::chrono::milliseconds reportInterval{};
     std::chrono::milliseconds engineInterval{}; ///< Between two readings of the engine.
+    std::chrono::milliseconds reportLag{}; ///< How far a report's holdings may lie back.
     std::chrono::milliseconds orderAnswer{}; ///< Wait for an order's answer.
     std::chrono::milliseconds orderTimeout{}; ///< An order has taken effect by then or never will.
     std::chrono::milliseconds orderAuthority{}; ///< Right to order since the table was read for it.
--- a/src/Apps/Agent/EngineRunner.cpp
+++ b/src/Apps/Agent/EngineRunner.cpp
@@ -15,7 +15,7 @@
 
 EngineKeeper::Limits limitsFrom(const AgentSettings &settings)
 {
-    return {settings.memory, settings.orderTimeout, settings.predecessorWait};
+    return {settings.memory, settings.orderTimeout, settings.predecessorWait, settings.reportLag};
 }
 
 const char *nameOf(EngineOrder::Kind kind)
@@ -81,9 +81,9 @@
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
         lock.unlock();
-        const Instant asOf = Process::now();
+        const Instant readFrom = Process::now();
         try {
-            takeReport(m_reads.report(), asOf);
+            takeReport(m_reads.report(), readFrom);
         } catch (const std::exception &e) {
             Metrics::count("engine_reads_failed_total");
             LOG_EVERY_N(WARNING, 100) << "event=engine_unread reason=\"" << e.what() << '"';
@@ -93,10 +93,10 @@
     }
 }
 
-void EngineRunner::takeReport(const EngineReport &report, Instant asOf)
+void EngineRunner::takeReport(const EngineReport &report, Instant readFrom)
 {
     const std::lock_guard lock(m_mutex);
-    m_keeper.takeReport(report, asOf);
+    m_keeper.takeReport(report, readFrom, Process::now());
     decideLocked(Process::now());
     Metrics::gauge("engine_memory_worst_case_mb",
                    static_cast<double>(m_keeper.worstCase().count()));
--- a/src/Apps/Agent/EngineRunner.h
+++ b/src/Apps/Agent/EngineRunner.h
@@ -38,7 +38,7 @@
 private:
     void readEngine();
     void sendOrders();
-    void takeReport(const EngineReport &report, Instant asOf);
+    void takeReport(const EngineReport &report, Instant readFrom);
     void decideLocked(Instant now);
     void send(const EngineOrder &order);
 
--- a/src/Core/EngineKeeper.cpp
+++ b/src/Core/EngineKeeper.cpp
@@ -37,19 +37,31 @@
     m_ledger.setFencingChecked(grant.checked);
 }
 
-void EngineKeeper::takeReport(const EngineReport &report, Instant asOf)
+void EngineKeeper::takeReport(const EngineReport &report, Instant readFrom, Instant readTo)
 {
+    const Instant asOf = readFrom - m_limits.reportLag;
     if (m_reportAsOf && asOf < *m_reportAsOf)
         return;
     m_report = report;
     m_reportAsOf = asOf;
-    m_ledger.takeReport(report, asOf);
+    const bool isOfOneMoment = m_limits.reportLag == Duration();
+    const Instant fencingAsOf = isOfOneMoment ? asOf : readTo;
+    m_ledger.takeReport(report, asOf, fencingAsOf);
+    if (!m_grant || report.fencing < firstNumber())
+        m_fencedAt.reset();
+    else if (!m_fencedAt)
+        m_fencedAt = fencingAsOf;
 }
 
 void EngineKeeper::orderEnded(bool answered, Instant now)
 {
-    if (answered && m_orderOut)
-        m_ledger.noteAnswered(*m_orderOut);
+    if (answered && m_orderOut) {
+        m_ledger.noteAnswered(*m_orderOut, now);
+        std::erase_if(m_loaded,
+                      [this](const Holding &it) { return it.name == m_orderOut->holding.name; });
+        if (m_orderOut->kind == EngineOrder::Kind::Load)
+            m_loaded.push_back(m_orderOut->holding);
+    }
     m_orderOut.reset();
     m_orderEndedAt = now;
 }
@@ -84,7 +96,7 @@
 bool EngineKeeper::hasOutlivedPredecessor() const
 {
     if (m_grant->checked)
-        return m_report.fencing >= firstNumber();
+        return m_fencedAt && *m_reportAsOf >= *m_fencedAt;
     const bool isFirst = m_grant->epoch == 1;
     return isFirst || *m_reportAsOf >= m_grantedAt + m_limits.predecessorWait;
 }
@@ -92,8 +104,9 @@
 // Something wanted again may yet be taken away by an order that came before.
 bool EngineKeeper::awaitsLateOrder() const
 {
-    return std::any_of(m_wanted.begin(), m_wanted.end(),
-                       [this](const Holding &it) { return m_ledger.mayGo(it); });
+    return std::any_of(m_wanted.begin(), m_wanted.end(), [this](const Holding &it) {
+        return m_ledger.mayGo(it) || (!findHeld(it.name) && m_ledger.mayDiffer(it));
+    });
 }
 
 std::optional<EngineOrder> EngineKeeper::fenceOrder(Instant now)
@@ -117,8 +130,10 @@
 {
     for (const Holding &it : m_wanted) {
         // Another version under the same name goes first: engines keep one of each name.
-        if (findHeld(it.name) || m_ledger.mayGo(it) || !m_ledger.fits(it))
+        if (findHeld(it.name) || m_ledger.mayGo(it) || m_ledger.mayDiffer(it)
+            || !m_ledger.fits(it)) {
             continue;
+        }
         return give(EngineOrder::Kind::Load, it, now);
     }
     return std::nullopt;
@@ -151,10 +166,43 @@
 
 bool EngineKeeper::isWanted(const Holding &holding) const
 {
+    if (&holding == findMisfit())
+        return false;
     return std::any_of(m_wanted.begin(), m_wanted.end(),
                        [&holding](const Holding &it) { return it.isSame(holding); });
 }
 
+// The holding to load anew where the list has made a version smaller and the engine, which still
+// holds it at its old size, has no room for the rest of the plan. A size that the engine reports
+// after a load with the listed one is its own and stays.
+const Holding *EngineKeeper::findMisfit() const
+{
+    const Holding *misfit = nullptr;
+    Megabytes excess;
+    Megabytes needed;
+    for (const Holding &it : m_wanted) {
+        const Holding *held = findHeld(it.name);
+        if (!held || !held->isSame(it) || held->memory <= it.memory) {
+            needed += it.memory;
+            continue;
+        }
+        needed += held->memory;
+        const Megabytes more = held->memory - it.memory;
+        if (more <= excess || wasLoadedAs(it))
+            continue;
+        excess = more;
+        misfit = held;
+    }
+    return needed > m_ledger.total() ? misfit : nullptr;
+}
+
+bool EngineKeeper::wasLoadedAs(const Holding &wanted) const
+{
+    return std::any_of(m_loaded.begin(), m_loaded.end(), [&wanted](const Holding &it) {
+        return it.isSame(wanted) && it.memory == wanted.memory;
+    });
+}
+
 const Holding *EngineKeeper::findHeld(const std::string &name) const
 {
     const auto it = std::find_if(m_report.holdings.begin(), m_report.holdings.end(),
--- a/src/Core/EngineKeeper.h
+++ b/src/Core/EngineKeeper.h
@@ -33,6 +33,8 @@
         /// How long a predecessor's order may still take effect after this agent's grant, on an
         /// engine that doesn't check fencing numbers.
         Duration predecessorWait{};
+        /// How far a report's holdings may lie back; zero: a report is the engine at one moment.
+        Duration reportLag{};
     };
     /// Requests for a model or adapter that the agent has accepted and not finished.
     using InFlight = std::function<std::size_t(const std::string &name)>;
@@ -46,8 +48,8 @@
     /// Another agent has a higher epoch: no more orders, nothing offered.
     void supersede() { m_superseded = true; }
     bool isSuperseded() const { return m_superseded; }
-    /// A report that shows the engine as it was at \a asOf or later.
-    void takeReport(const EngineReport &report, Instant asOf);
+    /// A report that was asked for at \a readFrom and had come by \a readTo.
+    void takeReport(const EngineReport &report, Instant readFrom, Instant readTo);
     /// The order given out last was answered by the engine, or given up on.
     void orderEnded(bool answered, Instant now);
 
@@ -63,6 +65,8 @@
 private:
     bool isWanted(const Holding &holding) const;
     const Holding *findHeld(const std::string &name) const;
+    const Holding *findMisfit() const;
+    bool wasLoadedAs(const Holding &wanted) const;
     bool hasOutlivedPredecessor() const;
     bool awaitsLateOrder() const;
     std::optional<EngineOrder> fenceOrder(Instant now);
@@ -74,12 +78,14 @@
     Limits m_limits;
     MemoryLedger m_ledger;
     std::vector<Holding> m_wanted;
+    std::vector<Holding> m_loaded; // as this agent's answered loads named them
     bool m_planKnown = false;
     std::optional<FencingGrant> m_grant;
     Instant m_grantedAt; // of the first grant
     bool m_superseded = false;
     EngineReport m_report;
     std::optional<Instant> m_reportAsOf;
+    std::optional<Instant> m_fencedAt; // the engine had taken a number of this epoch by then
     std::optional<EngineOrder> m_orderOut;
     Instant m_orderEndedAt;
     std::int64_t m_orders = 0;
--- a/src/Core/MemoryLedger.cpp
+++ b/src/Core/MemoryLedger.cpp
@@ -33,30 +33,36 @@
 
 void MemoryLedger::noteSent(const EngineOrder &order, Instant now)
 {
-    m_pending.push_back({order, now});
+    m_pending.push_back({order, now, std::nullopt});
 }
 
 // An answered unload is over. An answered load still counts until a report shows its memory.
-void MemoryLedger::noteAnswered(const EngineOrder &order)
+void MemoryLedger::noteAnswered(const EngineOrder &order, Instant now)
 {
-    std::erase_if(m_pending, [&order](const Pending &it) {
-        return it.order.kind == EngineOrder::Kind::Unload && it.order.fencing == order.fencing;
-    });
+    for (Pending &it : m_pending) {
+        if (it.order.kind == EngineOrder::Kind::Unload && it.order.fencing == order.fencing)
+            it.overSince = now;
+    }
 }
 
-void MemoryLedger::takeReport(const EngineReport &report, Instant asOf)
+// An engine that took a higher number refuses the order from then on; any other engine must be
+// waited out.
+void MemoryLedger::takeReport(const EngineReport &report, Instant asOf, Instant fencingAsOf)
 {
+    for (Pending &it : m_pending) {
+        if (m_fencingChecked && report.fencing > it.order.fencing && !it.overSince)
+            it.overSince = fencingAsOf;
+    }
     m_held = report.holdings;
     if (report.memory > Megabytes() && (m_total == Megabytes() || report.memory < m_total))
         m_total = report.memory;
-    std::erase_if(m_pending, [&](const Pending &it) { return isSettled(it, report, asOf); });
+    std::erase_if(m_pending, [&](const Pending &it) { return isSettled(it, asOf); });
 }
 
-// An engine that took a higher number refuses the order from then on; any other engine must be
-// waited out.
-bool MemoryLedger::isSettled(const Pending &pending, const EngineReport &report, Instant asOf) const
+// What the order did shows only in holdings that are no older than its end.
+bool MemoryLedger::isSettled(const Pending &pending, Instant asOf) const
 {
-    if (m_fencingChecked && report.fencing > pending.order.fencing)
+    if (pending.overSince && asOf >= *pending.overSince)
         return true;
     return asOf >= pending.sentAt + m_orderLifetime;
 }
@@ -90,6 +96,14 @@
     });
 }
 
+bool MemoryLedger::mayDiffer(const Holding &holding) const
+{
+    return std::any_of(m_pending.begin(), m_pending.end(), [&holding](const Pending &it) {
+        return it.order.kind == EngineOrder::Kind::Load && it.order.holding.isSame(holding)
+            && it.order.holding.memory != holding.memory;
+    });
+}
+
 Megabytes MemoryLedger::worstCase() const
 {
     return sum(possible());
--- a/src/Core/MemoryLedger.h
+++ b/src/Core/MemoryLedger.h
@@ -3,6 +3,7 @@
 
 #include "Core/EngineOrder.h"
 
+#include <optional>
 #include <vector>
 
 namespace quetzalyoke {
@@ -22,15 +23,18 @@
     /// Notes an order that is about to be sent.
     void noteSent(const EngineOrder &order, Instant now);
     /// Notes that the engine answered an order.
-    void noteAnswered(const EngineOrder &order);
-    /// Takes a report that shows the engine as it was at \a asOf or later.
-    void takeReport(const EngineReport &report, Instant asOf);
+    void noteAnswered(const EngineOrder &order, Instant now);
+    /// Takes a report whose holdings are as of \a asOf or later, its fencing number as of
+    /// \a fencingAsOf at the latest.
+    void takeReport(const EngineReport &report, Instant asOf, Instant fencingAsOf);
 
     /// Whether \a holding can be loaded without a chance of overcommitment.
     bool fits(const Holding &holding) const;
     /// Whether an order that may still take effect would take \a holding away: an unload that
     /// was never answered, or a load of another version.
     bool mayGo(const Holding &holding) const;
+    /// Whether a load that may still take effect gives \a holding another size.
+    bool mayDiffer(const Holding &holding) const;
     /// Memory taken if every order in doubt takes effect.
     Megabytes worstCase() const;
     /// Memory of the engine: the setting's, or less where the engine says so.
@@ -41,9 +45,10 @@
     {
         EngineOrder order;
         Instant sentAt;
+        std::optional<Instant> overSince; ///< Takes no effect any more from then on.
     };
 
-    bool isSettled(const Pending &pending, const EngineReport &report, Instant asOf) const;
+    bool isSettled(const Pending &pending, Instant asOf) const;
     std::vector<Holding> possible() const;
 
     Megabytes m_total;
--- a/test/MemoryLedgerScheduleTest.cpp
+++ b/test/MemoryLedgerScheduleTest.cpp
@@ -1,5 +1,6 @@
 // Random schedules over agents that keep one engine: orders late, lost, doubled and reordered,
-// agents restarted and two at once, the engine restarted, plans changed. Whatever happens, no
+// agents restarted and two at once, the engine restarted, plans changed, reports that show the
+// engine as it was before, sizes that change under one version. Whatever happens, no
 // order reaches the engine that its memory can't take, no order of the newest agent takes away a
 // model under one of its requests, and once faults end the engine holds what the plan wants.
 
@@ -8,6 +9,7 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <memory>
 #include <random>
 
@@ -22,17 +24,25 @@
 constexpr Duration authority = 1s; // of an agent on an engine that ignores fencing numbers
 constexpr Duration predecessorWait = orderLifetime + authority;
 constexpr Duration loadTime = 300ms;
+constexpr Duration reportLag = 400ms;
 constexpr Megabytes memory(100);
 constexpr int models = 5;
 constexpr int faultySteps = 600;
 constexpr int quietSteps = 1200;
 constexpr int seeds = 2000;
 
+struct Kind
+{
+    bool isChecked = false; // the engine refuses old fencing numbers
+    bool lags = false; // its reports show holdings of up to reportLag ago
+    bool keepsVersions = false; // a model's size changes, its version doesn't
+};
+
 class Schedule
 {
 public:
-    Schedule(std::uint64_t seed, bool checked)
-        : m_random(seed), m_checked(checked), m_engine(memory, checked, loadTime),
+    Schedule(std::uint64_t seed, const Kind &kind)
+        : m_random(seed), m_kind(kind), m_engine(memory, kind.isChecked, loadTime),
           m_latePercent(number(10, 70)), m_changePercent(number(1, 20))
     {
         // A successor serves at once what the engine holds, so that a restart costs no model its
@@ -84,6 +94,8 @@
     {
         m_now += step;
         deliver();
+        m_reports.push_front(m_engine.report(m_now));
+        m_reports.resize(std::min<std::size_t>(m_reports.size(), reportLag / step));
         if (faults)
             makeTrouble();
         for (Agent &it : m_agents)
@@ -117,8 +129,7 @@
             if (size > left)
                 continue;
             left -= size;
-            // One version has one size.
-            const std::string version = std::to_string(size.count());
+            const std::string version = m_kind.keepsVersions ? "1" : std::to_string(size.count());
             m_wanted.push_back({"model-" + std::to_string(i), version, size, false, false});
         }
         for (Agent &it : m_agents)
@@ -128,10 +139,10 @@
     void startAgent()
     {
         Agent agent;
-        agent.keeper = std::make_unique<EngineKeeper>(
-            EngineKeeper::Limits{Megabytes(), orderLifetime, predecessorWait});
+        agent.keeper = std::make_unique<EngineKeeper>(EngineKeeper::Limits{
+            Megabytes(), orderLifetime, predecessorWait, m_kind.lags ? reportLag : Duration()});
         agent.epoch = ++m_epoch;
-        agent.keeper->grant({agent.epoch, m_checked, m_now + authority}, m_now);
+        agent.keeper->grant({agent.epoch, m_kind.isChecked, m_now + authority}, m_now);
         agent.keeper->setPlan(m_wanted);
         m_agents.push_back(std::move(agent));
     }
@@ -141,7 +152,7 @@
         if (faults && chance(20))
             return; // paused
         if (agent.epoch == m_epoch)
-            agent.keeper->grant({agent.epoch, m_checked, m_now + authority}, m_now);
+            agent.keeper->grant({agent.epoch, m_kind.isChecked, m_now + authority}, m_now);
         else if (chance(10))
             agent.keeper->supersede();
         if (agent.answerAt && *agent.answerAt <= m_now) {
@@ -149,13 +160,24 @@
             agent.keeper->orderEnded(agent.answered, m_now);
         }
         if (!faults || chance(70))
-            agent.keeper->takeReport(m_engine.report(m_now), m_now);
+            agent.keeper->takeReport(report(), m_now, m_now);
         serve(agent);
         const auto inFlight = [&agent](const std::string &name) { return agent.inFlight[name]; };
         if (const auto order = agent.keeper->nextOrder(m_now, inFlight))
             send(agent, *order, faults);
     }
 
+    // The counts of orders are as of now also where the holdings lag.
+    EngineReport report()
+    {
+        const EngineReport current = m_engine.report(m_now);
+        if (!m_kind.lags)
+            return current;
+        EngineReport report = m_reports[std::size_t(number(0, int(m_reports.size()) - 1))];
+        report.fencing = current.fencing;
+        return report;
+    }
+
     void serve(Agent &agent)
     {
         for (auto &[name, n] : agent.inFlight) {
@@ -197,8 +219,9 @@
     }
 
     std::mt19937_64 m_random;
-    bool m_checked;
+    Kind m_kind;
     FakeEngine m_engine;
+    std::deque<EngineReport> m_reports; // the newest first, one a step
     int m_latePercent;
     int m_changePercent;
     Instant m_now{};
@@ -209,11 +232,11 @@
     bool m_cutRequest = false;
 };
 
-void runSchedules(bool checked)
+void runSchedules(const Kind &kind)
 {
     std::cout << "seeds 1 to " << seeds << '\n';
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        Schedule schedule(seed, checked);
+        Schedule schedule(seed, kind);
         schedule.run();
         ASSERT_FALSE(schedule.overcommitted()) << "seed " << seed;
         ASSERT_FALSE(schedule.cutRequest()) << "seed " << seed;
@@ -223,12 +246,28 @@
 
 TEST(MemoryLedgerScheduleTest, engineThatChecksFencingNumbers)
 {
-    runSchedules(true);
+    runSchedules({.isChecked = true});
 }
 
 TEST(MemoryLedgerScheduleTest, engineThatIgnoresFencingNumbers)
 {
-    runSchedules(false);
+    runSchedules({});
+}
+
+TEST(MemoryLedgerScheduleTest, reportsThatLagOfAnEngineThatChecks)
+{
+    runSchedules({.isChecked = true, .lags = true});
+}
+
+TEST(MemoryLedgerScheduleTest, reportsThatLagOfAnEngineThatIgnores)
+{
+    runSchedules({.lags = true});
+}
+
+TEST(MemoryLedgerScheduleTest, sizesThatChangeUnderOneVersion)
+{
+    runSchedules({.isChecked = true, .keepsVersions = true});
+    runSchedules({.isChecked = false, .lags = true, .keepsVersions = true});
 }
 
 } // namespace
--- a/test/PlacementScheduleTest.cpp
+++ b/test/PlacementScheduleTest.cpp
@@ -100,7 +100,7 @@
     void startAgent(Server &server)
     {
         server.keeper = std::make_unique<EngineKeeper>(
-            EngineKeeper::Limits{memory, orderTimeout, orderTimeout});
+            EngineKeeper::Limits{memory, orderTimeout, orderTimeout, Duration()});
         server.keeper->grant({++server.epoch, server.checked, Instant::max()}, m_now);
         server.answerAt.reset();
         server.planTaken = 0;
@@ -166,7 +166,7 @@
             server.answerAt.reset();
             server.keeper->orderEnded(server.answered, m_now);
         }
-        server.keeper->takeReport(server.engine->report(m_now), m_now);
+        server.keeper->takeReport(server.engine->report(m_now), m_now, m_now);
         if (const auto order = server.keeper->nextOrder(m_now, [](const auto &) { return 0U; })) {
             const bool lost = faults && chance(50);
             if (!lost)
--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -10,9 +10,11 @@
 #include "SoakChecks.h"
 
 #include <CLI/CLI.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -24,6 +26,7 @@
 using scenarios::LinkRelay;
 using scenarios::LinkState;
 using Json = nlohmann::json;
+using Udp = asio::ip::udp;
 using std::chrono::milliseconds;
 
 namespace {
@@ -39,6 +42,7 @@
 constexpr milliseconds measured{3000};
 constexpr double leastServedShare = 0.9; // of what is sent once all is calm again
 constexpr int requestsPerTick = 1;
+constexpr std::size_t shownLogLines = 3;
 
 // Of this run alone, so that two runs at once can't take each other's ports.
 const std::string &ownHost()
@@ -48,23 +52,41 @@
     return host;
 }
 
-// Outside the range from which the system takes the ports of outgoing connections, so that a
-// restarted process finds its port free.
-int freePort()
+template<typename Protocol>
+bool isFree(int port)
 {
-    static std::mt19937 random(std::random_device{}());
-    std::uniform_int_distribution<int> ports(15'000, 32'000);
     asio::io_context loop;
-    while (true) {
-        Tcp::acceptor acceptor(loop, Tcp::v4());
-        const int port = ports(random);
-        SystemError ec;
-        acceptor.bind(
-            Tcp::endpoint(asio::ip::make_address(ownHost()), static_cast<unsigned short>(port)),
-            ec);
-        if (!ec)
-            return port;
+    typename Protocol::socket socket(loop, Protocol::v4());
+    SystemError ec;
+    socket.bind({asio::ip::make_address(ownHost()), static_cast<unsigned short>(port)}, ec);
+    return !ec;
+}
+
+// Each port once in a run. Outside the range from which the system takes the ports of outgoing
+// connections, so that a restarted process finds its port free.
+int freePort()
+{
+    static int last = 15'000;
+    do {
+        ++last;
+    } while (!isFree<Tcp>(last) || !isFree<Udp>(last));
+    return last;
+}
+
+// The end of a process's log, for the report of its failure.
+std::string lastLines(const std::string &file)
+{
+    std::ifstream log(file);
+    std::deque<std::string> lines;
+    for (std::string line; std::getline(log, line);) {
+        lines.push_back(std::move(line));
+        if (lines.size() > shownLogLines)
+            lines.pop_front();
     }
+    std::string text;
+    for (const std::string &line : lines)
+        text += "\n    " + line;
+    return text;
 }
 
 std::string name(const char *kind, int i)
@@ -352,7 +374,8 @@
             const bool isOwn = ending->signal != SIGKILL && !gateway->isStopping;
             if (isOwn && gateway->restartAt == Instant())
                 m_checks.fail("EXIT: " + gateway->name + " ended by itself, signal "
-                              + std::to_string(ending->signal));
+                              + std::to_string(ending->signal) + ", status "
+                              + std::to_string(ending->exitStatus) + lastLines(gateway->logFile));
             if (gateway->restartAt == Instant())
                 gateway->restartAt = now + milliseconds(pick(200, 1200));
             if (now < gateway->restartAt)
