Take no broken answer of the table for data; refuse requests of unclear length; a folder a settings test

Old gateway, three faults known since, now mended: - an answer of the table or the list without its fields ended the process (JSON exception); an error page was taken for an object or a row. Both end as BadAnswer; a write whose answer can't be read ends as OutcomeUnknown, since it may have taken effect. - Content-Length beside chunked, two lengths and other codings passed; a negative length was neither answered nor closed. Such a request gets 400 "not run" before it is routed and its connection ends. Before: HttpPlatformTest 1 of 4, HttpServerTest.refusesUnclearLengthsAndCloses hung for 60 s. After: build/test/HttpPlatformTest 4 of 4, build/test/HttpServerTest 4 of 4.

SettingsTest.namesTheLineOfAWrongSettingOfTheGateway failed once in ctest -j 6. Cause: each test is a process of its own and all wrote one secret file, which another was reading. Shown by 400 runs of build/test/SettingsTest, 16 at a time: 290 failed before, 0 with a folder of each process's own. ctest -j 6 without the soak and the long schedules: 203 of 204 before that, this one red.

--- a/src/Adapters/HttpPlatform.cpp
+++ b/src/Adapters/HttpPlatform.cpp
@@ -33,14 +33,31 @@
     return *result;
 }
 
-Json parseBody(const httplib::Response &response)
+[[noreturn]] void throwBadAnswer(const httplib::Response &response, ErrorKind kind,
+                                 const std::string &problem)
 {
+    throw Error(kind,
+                "the platform's service gave an answer that can't be used (status "
+                    + std::to_string(response.status) + ", " + problem
+                    + "); check platform_address");
+}
+
+// An error page must not be taken for data.
+void requireSuccess(const httplib::Response &response, ErrorKind badAnswer)
+{
+    if (response.status / 100 != 2)
+        throwBadAnswer(response, badAnswer, "an error");
+}
+
+// What \a read makes of the body; fields that are missing or of another type end as \a badAnswer.
+template<typename Reader>
+auto decode(const httplib::Response &response, ErrorKind badAnswer, const Reader &read)
+{
+    requireSuccess(response, badAnswer);
     try {
-        return Json::parse(response.body);
-    } catch (const Json::exception &) {
-        throw Error(ErrorKind::BadAnswer,
-                    "the platform's service answered no JSON (status "
-                        + std::to_string(response.status) + "); check platform_address");
+        return read(Json::parse(response.body));
+    } catch (const Json::exception &e) {
+        throwBadAnswer(response, badAnswer, e.what());
     }
 }
 
@@ -101,7 +118,7 @@
     const auto &response = requireAnswer(result, ErrorKind::PlatformUnavailable);
     if (response.status == 404)
         return std::nullopt;
-    return rowFromJson(parseBody(response));
+    return decode(response, ErrorKind::BadAnswer, rowFromJson);
 }
 
 std::vector<TableRow> HttpPlatform::scan(const std::string &prefix, Version after)
@@ -109,11 +126,13 @@
     Lease client(*this);
     const httplib::Params params{{"prefix", prefix}, {"after", std::to_string(after.count())}};
     const auto result = client->Get("/table/scan", params, httplib::Headers{});
-    const Json json = parseBody(requireAnswer(result, ErrorKind::PlatformUnavailable));
-    std::vector<TableRow> rows;
-    for (const Json &it : json.at("rows"))
-        rows.push_back(rowFromJson(it));
-    return rows;
+    const auto &response = requireAnswer(result, ErrorKind::PlatformUnavailable);
+    return decode(response, ErrorKind::BadAnswer, [](const Json &json) {
+        std::vector<TableRow> rows;
+        for (const Json &it : json.at("rows").get_ref<const Json::array_t &>())
+            rows.push_back(rowFromJson(it));
+        return rows;
+    });
 }
 
 std::optional<Version> HttpPlatform::commit(const std::vector<ConditionalWrite> &writes)
@@ -133,7 +152,9 @@
     const auto &response = requireAnswer(result, ErrorKind::OutcomeUnknown);
     if (response.status == 409)
         return std::nullopt;
-    return Version(parseBody(response).at("version"));
+    // The write was taken in whatever the answer says.
+    return decode(response, ErrorKind::OutcomeUnknown,
+                  [](const Json &json) { return Version(json.at("version")); });
 }
 
 std::optional<std::string> HttpPlatform::get(const std::string &name)
@@ -143,6 +164,7 @@
     const auto &response = requireAnswer(result, ErrorKind::PlatformUnavailable);
     if (response.status == 404)
         return std::nullopt;
+    requireSuccess(response, ErrorKind::BadAnswer);
     return response.body;
 }
 
@@ -150,19 +172,22 @@
 {
     Lease client(*this);
     const auto result = client->Put("/objects/" + name, body, "application/octet-stream");
-    requireAnswer(result, ErrorKind::OutcomeUnknown);
+    requireSuccess(requireAnswer(result, ErrorKind::OutcomeUnknown), ErrorKind::OutcomeUnknown);
 }
 
 std::vector<ListedInstance> HttpPlatform::instances()
 {
     Lease client(*this);
     const auto result = client->Get("/instances");
-    const Json json = parseBody(requireAnswer(result, ErrorKind::PlatformUnavailable));
-    std::vector<ListedInstance> list;
-    for (const Json &it : json.at("instances"))
-        list.push_back(
-            {InstanceId(it.at("instance")), it.at("address"), it.value("leaving", false)});
-    return list;
+    const auto &response = requireAnswer(result, ErrorKind::PlatformUnavailable);
+    return decode(response, ErrorKind::BadAnswer, [](const Json &json) {
+        std::vector<ListedInstance> list;
+        for (const Json &it : json.at("instances").get_ref<const Json::array_t &>()) {
+            list.push_back(
+                {InstanceId(it.at("instance")), it.at("address"), it.value("leaving", false)});
+        }
+        return list;
+    });
 }
 
 } // namespace quetzalyoke
--- a/src/Adapters/internal/WatchedServer.cpp
+++ b/src/Adapters/internal/WatchedServer.cpp
@@ -3,6 +3,7 @@
 #include "Adapters/internal/ElasticPool.h"
 
 #include <string>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,13 +15,20 @@
 constexpr std::chrono::milliseconds idlePoll{200}; // how soon an idle connection sees a stop
 constexpr std::chrono::seconds idleLimit{60};
 
+constexpr std::size_t lengthDigits = 18; // of a Content-Length that fits 64 bits
+
 thread_local socket_t currentSocket = noSocket;
+thread_local bool mustClose = false; // after the answer to the current request
+
+std::string errorBody(const std::string &code, const std::string &message)
+{
+    return R"({"error":{"message":")" + message + R"(","type":")" + code + R"(","code":")" + code
+        + R"(","run_state":"not-run"}})";
+}
 
 const std::string &overloadAnswer()
 {
-    static const std::string body
-        = R"({"error":{"message":"too many connections; ask again","type":"overloaded",)"
-          R"("code":"overloaded","run_state":"not-run"}})";
+    static const std::string body = errorBody("overloaded", "too many connections; ask again");
     static const std::string answer
         = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
           "Quetzalyoke-Run-State: not-run\r\nContent-Type: application/json\r\nContent-Length: "
@@ -28,9 +36,42 @@
     return answer;
 }
 
+// Whether every reader of the request sees its end at the same place. Otherwise the rest of it
+// could pass for another request.
+bool hasClearLength(const httplib::Request &req)
+{
+    const std::size_t lengths = req.get_header_value_count("Content-Length");
+    const std::size_t codings = req.get_header_value_count("Transfer-Encoding");
+    if (lengths + codings > 1)
+        return false;
+    if (codings == 1)
+        return strcasecmp(req.get_header_value("Transfer-Encoding").c_str(), "chunked") == 0;
+    const std::string length = req.get_header_value("Content-Length");
+    return lengths == 0
+        || (!length.empty() && length.size() <= lengthDigits
+            && length.find_first_not_of("0123456789") == std::string::npos);
+}
+
+httplib::Server::HandlerResponse refuseUnclearLength(const httplib::Request &req,
+                                                     httplib::Response &res)
+{
+    if (hasClearLength(req))
+        return httplib::Server::HandlerResponse::Unhandled;
+    mustClose = true;
+    res.status = 400;
+    res.set_header("Connection", "close");
+    res.set_header("Quetzalyoke-Run-State", "not-run");
+    res.set_content(errorBody("invalid_request", "give one Content-Length or chunked, not both"),
+                    "application/json");
+    return httplib::Server::HandlerResponse::Handled;
+}
+
 } // namespace
 
-WatchedServer::WatchedServer(const CallerStream::Limits &limits) : m_limits(limits) { }
+WatchedServer::WatchedServer(const CallerStream::Limits &limits) : m_limits(limits)
+{
+    set_pre_routing_handler(refuseUnclearLength);
+}
 
 bool WatchedServer::callerHasGone()
 {
@@ -71,8 +112,9 @@
             continue;
         }
         bool closed = false;
+        mustClose = false;
         const bool answered = process_request(stream, false, closed, nullptr);
-        if (!answered || closed || stream.isExhausted())
+        if (!answered || closed || mustClose || stream.isExhausted())
             return;
         idleSince = std::chrono::steady_clock::now();
     }
--- a/test/HttpServerTest.cpp
+++ b/test/HttpServerTest.cpp
@@ -127,3 +127,37 @@
 
     EXPECT_EQ(httplib::Client("127.0.0.1", server.port()).Get("/healthz")->status, 200);
 }
+
+// A request whose end two readers may see at different places is refused and its connection closed.
+TEST(HttpServerTest, refusesUnclearLengthsAndCloses)
+{
+    HttpServer server(smallLimits(4));
+    server.routes().Post("/", [](const httplib::Request &, httplib::Response &res) {
+        res.set_content("taken", "text/plain");
+    });
+    server.listen({"127.0.0.1", 0});
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<std::string> unclear{
+        "Content-Length: 5\r\n" + chunked,
+        chunked + "Content-Length: 5\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: -5\r\n",
+        "Content-Length: +5\r\n",
+        "Content-Length: 5x\r\n",
+        "Content-Length: 99999999999999999999999\r\n",
+        "Transfer-Encoding: gzip\r\n",
+        chunked + chunked,
+    };
+    for (const std::string &lengths : unclear) {
+        const int fd = connectTo(server.port());
+        const std::string text = "POST / HTTP/1.1\r\nHost: h\r\n" + lengths + "\r\n0\r\n\r\n";
+        send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+        const std::string answer = readAll(fd);
+        close(fd);
+        EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << lengths;
+        EXPECT_NE(answer.find("Quetzalyoke-Run-State: not-run"), std::string::npos) << lengths;
+        EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << lengths;
+    }
+    httplib::Client caller("127.0.0.1", server.port());
+    EXPECT_EQ(caller.Post("/", "hello", "text/plain")->body, "taken");
+}
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -5,8 +5,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <sys/stat.h>
+#include <unistd.h>
 
 using namespace quetzalyoke;
 
@@ -15,9 +17,20 @@
 constexpr mode_t ownerOnly = S_IRUSR | S_IWUSR;
 constexpr mode_t readableByAll = ownerOnly | S_IRGRP | S_IROTH;
 
+// Of this process alone, as tests run beside each other.
+struct OwnFolder
+{
+    OwnFolder() { std::filesystem::create_directories(path); }
+    ~OwnFolder() { std::filesystem::remove_all(path); }
+
+    const std::string path = testing::TempDir() + "settings-test-" + std::to_string(getpid()) + "/";
+};
+
+const OwnFolder folder;
+
 std::string secretFile(const std::string &name, const std::string &text, mode_t mode = ownerOnly)
 {
-    std::string path = testing::TempDir() + name;
+    std::string path = folder.path + name;
     std::ofstream(path) << text;
     chmod(path.c_str(), mode);
     return path;
