--- a/bench/Slopes.cpp
+++ b/bench/Slopes.cpp
@@ -1,12 +1,12 @@
 // Prints how state, messages and processor time of the decision modules grow, one slope a line.
-#include "Core/AccountShares.h"
-#include "Core/AgentDirectory.h"
-#include "Core/CrashLedger.h"
-#include "Core/FloorPlan.h"
-#include "Core/GatewaySync.h"
-#include "Core/IdempotencyRecord.h"
-#include "Core/ServiceList.h"
-#include "Core/StateCache.h"
+#include "Core/Accounts/AccountShares.h"
+#include "Core/Configuration/ServiceList.h"
+#include "Core/Placement/FloorPlan.h"
+#include "Core/Requests/CrashLedger.h"
+#include "Core/Requests/IdempotencyRecord.h"
+#include "Core/Routing/AgentDirectory.h"
+#include "Core/State/GatewaySync.h"
+#include "Core/State/StateCache.h"
 #include "Wire/generated/Gateway.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
--- a/src/Adapters/DecisionLog.cpp
+++ b/src/Adapters/DecisionLog.cpp
@@ -1,7 +1,7 @@
 #include "Adapters/DecisionLog.h"
 
 #include "Adapters/Metrics.h"
-#include "Core/TokenBucket.h"
+#include "Core/Accounts/TokenBucket.h"
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
--- a/src/Adapters/EventJson.h
+++ b/src/Adapters/EventJson.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_ADAPTERS_EVENTJSON_H
 #define QUETZALYOKE_ADAPTERS_EVENTJSON_H
 
-#include "Core/Timeline.h"
+#include "Core/Requests/Timeline.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Adapters/EventLog.h
+++ b/src/Adapters/EventLog.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_ADAPTERS_EVENTLOG_H
 #define QUETZALYOKE_ADAPTERS_EVENTLOG_H
 
-#include "Core/Timeline.h"
+#include "Core/Requests/Timeline.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <string>
--- a/src/Adapters/Process.h
+++ b/src/Adapters/Process.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_ADAPTERS_PROCESS_H
 #define QUETZALYOKE_ADAPTERS_PROCESS_H
 
-#include "Core/EntryReader.h"
+#include "Core/Configuration/EntryReader.h"
 #include "Core/StrongTypes.h"
 
 #include <functional>
--- a/src/Adapters/SettingsValues.h
+++ b/src/Adapters/SettingsValues.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_ADAPTERS_SETTINGSVALUES_H
 
 #include "Adapters/Address.h"
-#include "Core/EntryReader.h"
+#include "Core/Configuration/EntryReader.h"
 
 #include <functional>
 #include <optional>
--- a/src/Adapters/WireConversion.h
+++ b/src/Adapters/WireConversion.h
@@ -1,9 +1,9 @@
 #ifndef QUETZALYOKE_ADAPTERS_WIRECONVERSION_H
 #define QUETZALYOKE_ADAPTERS_WIRECONVERSION_H
 
-#include "Core/AgentDirectory.h"
-#include "Core/PeerStatus.h"
-#include "Core/StateCache.h"
+#include "Core/Routing/AgentDirectory.h"
+#include "Core/State/PeerStatus.h"
+#include "Core/State/StateCache.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <vector>
--- a/src/Apps/Agent/AgentSettings.h
+++ b/src/Apps/Agent/AgentSettings.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_APPS_AGENT_AGENTSETTINGS_H
 
 #include "Adapters/Address.h"
-#include "Core/IniDocument.h"
+#include "Core/Configuration/IniDocument.h"
 #include "Core/StrongTypes.h"
 
 #include <chrono>
--- a/src/Apps/Agent/Attempt.h
+++ b/src/Apps/Agent/Attempt.h
@@ -1,8 +1,8 @@
 #ifndef QUETZALYOKE_APPS_AGENT_ATTEMPT_H
 #define QUETZALYOKE_APPS_AGENT_ATTEMPT_H
 
+#include "Core/Requests/Timeline.h"
 #include "Core/StrongTypes.h"
-#include "Core/Timeline.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <chrono>
--- a/src/Apps/Agent/AttemptTable.h
+++ b/src/Apps/Agent/AttemptTable.h
@@ -2,8 +2,8 @@
 #define QUETZALYOKE_APPS_AGENT_ATTEMPTTABLE_H
 
 #include "Apps/Agent/Attempt.h"
-#include "Core/RequestQueue.h"
-#include "Core/SpentAttempts.h"
+#include "Core/Requests/RequestQueue.h"
+#include "Core/Requests/SpentAttempts.h"
 
 #include <condition_variable>
 #include <deque>
--- a/src/Apps/Agent/BackendClient.cpp
+++ b/src/Apps/Agent/BackendClient.cpp
@@ -1,7 +1,7 @@
 #include "Apps/Agent/BackendClient.h"
 
 #include "Adapters/Process.h"
-#include "Core/TokenCounter.h"
+#include "Core/Accounts/TokenCounter.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
--- a/src/Apps/Agent/EngineOrders.h
+++ b/src/Apps/Agent/EngineOrders.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_APPS_AGENT_ENGINEORDERS_H
 
 #include "Adapters/Address.h"
-#include "Core/EngineOrder.h"
+#include "Core/Placement/EngineOrder.h"
 
 #include <chrono>
 #include <string>
--- a/src/Apps/Agent/EngineRunner.h
+++ b/src/Apps/Agent/EngineRunner.h
@@ -4,7 +4,7 @@
 #include "Apps/Agent/AgentSettings.h"
 #include "Apps/Agent/AttemptTable.h"
 #include "Apps/Agent/EngineOrders.h"
-#include "Core/EngineKeeper.h"
+#include "Core/Placement/EngineKeeper.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/src/Apps/Ctl/ServiceListCommands.cpp
+++ b/src/Apps/Ctl/ServiceListCommands.cpp
@@ -1,9 +1,9 @@
 #include "Apps/Ctl/ServiceListCommands.h"
 
 #include "Adapters/Process.h"
-#include "Core/ServiceListCheck.h"
-#include "Core/ServiceListDiff.h"
-#include "Core/VersionLine.h"
+#include "Core/Configuration/ServiceListCheck.h"
+#include "Core/Configuration/ServiceListDiff.h"
+#include "Core/Configuration/VersionLine.h"
 
 namespace quetzalyoke {
 
--- a/src/Apps/Ctl/TimelineCommand.cpp
+++ b/src/Apps/Ctl/TimelineCommand.cpp
@@ -1,7 +1,7 @@
 #include "Apps/Ctl/TimelineCommand.h"
 
 #include "Adapters/EventJson.h"
-#include "Core/Timeline.h"
+#include "Core/Requests/Timeline.h"
 
 #include <array>
 #include <ctime>
--- a/src/Apps/Entry/CrashSuspicions.h
+++ b/src/Apps/Entry/CrashSuspicions.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_APPS_ENTRY_CRASHSUSPICIONS_H
 #define QUETZALYOKE_APPS_ENTRY_CRASHSUSPICIONS_H
 
-#include "Core/CrashLedger.h"
+#include "Core/Requests/CrashLedger.h"
 #include "Serving/BackendServer.h"
 
 namespace quetzalyoke {
--- a/src/Apps/Entry/EntrySettings.h
+++ b/src/Apps/Entry/EntrySettings.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_APPS_ENTRY_ENTRYSETTINGS_H
 
 #include "Adapters/Address.h"
-#include "Core/IniDocument.h"
+#include "Core/Configuration/IniDocument.h"
 #include "Core/StrongTypes.h"
 
 #include <chrono>
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -6,7 +6,7 @@
 #include "Apps/Entry/CrashSuspicions.h"
 #include "Apps/Entry/EntrySettings.h"
 #include "Apps/Entry/WaitingLine.h"
-#include "Core/RetryBudget.h"
+#include "Core/Requests/RetryBudget.h"
 #include "Ports/EntryPlatform.h"
 #include "Ports/ServingDialect.h"
 #include "Serving/AdmissionPolicy.h"
--- a/src/Apps/Gateway/AccountLimiter.h
+++ b/src/Apps/Gateway/AccountLimiter.h
@@ -2,8 +2,8 @@
 #define QUETZALYOKE_APPS_GATEWAY_ACCOUNTLIMITER_H
 
 #include "Apps/Gateway/SharedState.h"
-#include "Core/AccountShares.h"
-#include "Core/SharePlanner.h"
+#include "Core/Accounts/AccountShares.h"
+#include "Core/Accounts/SharePlanner.h"
 #include "Ports/AccountLimits.h"
 
 #include <condition_variable>
--- a/src/Apps/Gateway/AnswerStream.h
+++ b/src/Apps/Gateway/AnswerStream.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_APPS_GATEWAY_ANSWERSTREAM_H
 
 #include "Apps/Gateway/Fleet.h"
-#include "Core/Refusal.h"
+#include "Core/Requests/Refusal.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <string>
--- a/src/Apps/Gateway/AnswerWriter.h
+++ b/src/Apps/Gateway/AnswerWriter.h
@@ -3,8 +3,8 @@
 
 #include "Apps/Gateway/AnswerStream.h"
 #include "Apps/Gateway/Call.h"
-#include "Core/Refusal.h"
-#include "Core/TokenCounter.h"
+#include "Core/Accounts/TokenCounter.h"
+#include "Core/Requests/Refusal.h"
 #include "Ports/AccountLimits.h"
 
 #include <httplib.h>
--- a/src/Apps/Gateway/Authenticator.cpp
+++ b/src/Apps/Gateway/Authenticator.cpp
@@ -1,7 +1,7 @@
 #include "Apps/Gateway/Authenticator.h"
 
 #include "Adapters/Crypto.h"
-#include "Core/KeyText.h"
+#include "Core/Accounts/KeyText.h"
 
 namespace quetzalyoke {
 
--- a/src/Apps/Gateway/Authenticator.h
+++ b/src/Apps/Gateway/Authenticator.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_APPS_GATEWAY_AUTHENTICATOR_H
 
 #include "Apps/Gateway/SharedState.h"
-#include "Core/Refusal.h"
+#include "Core/Requests/Refusal.h"
 
 #include <optional>
 #include <string>
--- a/src/Apps/Gateway/CrashWatch.h
+++ b/src/Apps/Gateway/CrashWatch.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_APPS_GATEWAY_CRASHWATCH_H
 #define QUETZALYOKE_APPS_GATEWAY_CRASHWATCH_H
 
-#include "Core/CrashLedger.h"
+#include "Core/Requests/CrashLedger.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <mutex>
--- a/src/Apps/Gateway/FencingBook.h
+++ b/src/Apps/Gateway/FencingBook.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_APPS_GATEWAY_FENCINGBOOK_H
 #define QUETZALYOKE_APPS_GATEWAY_FENCINGBOOK_H
 
-#include "Core/FencingRow.h"
+#include "Core/Placement/FencingRow.h"
 #include "Ports/TableStore.h"
 
 #include <mutex>
--- a/src/Apps/Gateway/Fleet.h
+++ b/src/Apps/Gateway/Fleet.h
@@ -3,8 +3,8 @@
 
 #include "Adapters/ThriftPool.h"
 #include "Apps/Gateway/GatewaySettings.h"
-#include "Core/AgentDirectory.h"
-#include "Core/Router.h"
+#include "Core/Routing/AgentDirectory.h"
+#include "Core/Routing/Router.h"
 #include "Wire/generated/Agent.h"
 
 #include <memory>
--- a/src/Apps/Gateway/GatewaySettings.h
+++ b/src/Apps/Gateway/GatewaySettings.h
@@ -2,9 +2,9 @@
 #define QUETZALYOKE_APPS_GATEWAY_GATEWAYSETTINGS_H
 
 #include "Adapters/Address.h"
-#include "Core/GatewaySync.h"
-#include "Core/IniDocument.h"
-#include "Core/SharePlanner.h"
+#include "Core/Accounts/SharePlanner.h"
+#include "Core/Configuration/IniDocument.h"
+#include "Core/State/GatewaySync.h"
 #include "Core/StrongTypes.h"
 
 #include <chrono>
--- a/src/Apps/Gateway/IdempotencyStore.h
+++ b/src/Apps/Gateway/IdempotencyStore.h
@@ -3,8 +3,8 @@
 
 #include "Apps/Gateway/Call.h"
 #include "Apps/Gateway/Fleet.h"
-#include "Core/IdempotencyRecord.h"
-#include "Core/Refusal.h"
+#include "Core/Requests/IdempotencyRecord.h"
+#include "Core/Requests/Refusal.h"
 #include "Ports/TableStore.h"
 
 #include <atomic>
--- a/src/Apps/Gateway/OperatorChanges.cpp
+++ b/src/Apps/Gateway/OperatorChanges.cpp
@@ -2,9 +2,9 @@
 
 #include "Adapters/Crypto.h"
 #include "Adapters/EventLog.h"
+#include "Core/Configuration/ServiceListCheck.h"
+#include "Core/Configuration/VersionLine.h"
 #include "Core/Error.h"
-#include "Core/ServiceListCheck.h"
-#include "Core/VersionLine.h"
 
 #include <glog/logging.h>
 
--- a/src/Apps/Gateway/PlanBook.h
+++ b/src/Apps/Gateway/PlanBook.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_APPS_GATEWAY_PLANBOOK_H
 #define QUETZALYOKE_APPS_GATEWAY_PLANBOOK_H
 
-#include "Core/PlacementPlan.h"
+#include "Core/Placement/PlacementPlan.h"
 #include "Ports/TableStore.h"
 
 #include <map>
--- a/src/Apps/Gateway/Planner.h
+++ b/src/Apps/Gateway/Planner.h
@@ -6,7 +6,7 @@
 #include "Apps/Gateway/PlanBook.h"
 #include "Apps/Gateway/PlanningLease.h"
 #include "Apps/Gateway/SharedState.h"
-#include "Core/PlacementView.h"
+#include "Core/Placement/PlacementView.h"
 #include "Wire/generated/quetzalyoke_types.h"
 
 #include <condition_variable>
--- a/src/Apps/Gateway/Relay.h
+++ b/src/Apps/Gateway/Relay.h
@@ -5,8 +5,8 @@
 #include "Apps/Gateway/Call.h"
 #include "Apps/Gateway/CrashWatch.h"
 #include "Apps/Gateway/Fleet.h"
-#include "Core/RequestFlow.h"
-#include "Core/RetryBudget.h"
+#include "Core/Requests/RequestFlow.h"
+#include "Core/Requests/RetryBudget.h"
 
 #include <memory>
 #include <mutex>
--- a/src/Apps/Gateway/RequestReader.cpp
+++ b/src/Apps/Gateway/RequestReader.cpp
@@ -2,9 +2,9 @@
 
 #include "Adapters/Crypto.h"
 #include "Adapters/Process.h"
-#include "Core/KeyText.h"
-#include "Core/Router.h"
-#include "Core/TokenCounter.h"
+#include "Core/Accounts/KeyText.h"
+#include "Core/Accounts/TokenCounter.h"
+#include "Core/Routing/Router.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Apps/Gateway/RequestReader.h
+++ b/src/Apps/Gateway/RequestReader.h
@@ -4,7 +4,7 @@
 #include "Apps/Gateway/Call.h"
 #include "Apps/Gateway/GatewaySettings.h"
 #include "Apps/Gateway/SharedState.h"
-#include "Core/Refusal.h"
+#include "Core/Requests/Refusal.h"
 
 #include <httplib.h>
 
--- a/src/Apps/Gateway/SharedState.h
+++ b/src/Apps/Gateway/SharedState.h
@@ -1,9 +1,9 @@
 #ifndef QUETZALYOKE_APPS_GATEWAY_SHAREDSTATE_H
 #define QUETZALYOKE_APPS_GATEWAY_SHAREDSTATE_H
 
-#include "Core/FloorPlan.h"
-#include "Core/GatewaySync.h"
-#include "Core/ServiceList.h"
+#include "Core/Configuration/ServiceList.h"
+#include "Core/Placement/FloorPlan.h"
+#include "Core/State/GatewaySync.h"
 
 #include <functional>
 #include <memory>
--- a/src/Apps/Gateway/TimelineCollector.h
+++ b/src/Apps/Gateway/TimelineCollector.h
@@ -3,7 +3,7 @@
 
 #include "Apps/Gateway/Fleet.h"
 #include "Apps/Gateway/GatewaySettings.h"
-#include "Core/Timeline.h"
+#include "Core/Requests/Timeline.h"
 
 #include <functional>
 #include <string>
--- a/src/Apps/Load/Experiment.cpp
+++ b/src/Apps/Load/Experiment.cpp
@@ -1,6 +1,6 @@
 #include "Apps/Load/Experiment.h"
 
-#include "Core/EntryReader.h"
+#include "Core/Configuration/EntryReader.h"
 
 namespace quetzalyoke {
 
--- a/src/Apps/Load/Experiment.h
+++ b/src/Apps/Load/Experiment.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_APPS_LOAD_EXPERIMENT_H
 #define QUETZALYOKE_APPS_LOAD_EXPERIMENT_H
 
-#include "Core/IniDocument.h"
+#include "Core/Configuration/IniDocument.h"
 #include "Core/StrongTypes.h"
 
 #include <chrono>
--- a/src/Apps/Load/Schedule.cpp
+++ b/src/Apps/Load/Schedule.cpp
@@ -1,6 +1,6 @@
 #include "Apps/Load/Schedule.h"
 
-#include "Core/TokenCounter.h"
+#include "Core/Accounts/TokenCounter.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Core/AccountShares.cpp
+++ b/src/Core/Accounts/AccountShares.cpp
@@ -1,4 +1,4 @@
-#include "Core/AccountShares.h"
+#include "Core/Accounts/AccountShares.h"
 
 #include <algorithm>
 
--- a/src/Core/AccountShares.h
+++ b/src/Core/Accounts/AccountShares.h
@@ -1,10 +1,10 @@
-#ifndef QUETZALYOKE_CORE_ACCOUNTSHARES_H
-#define QUETZALYOKE_CORE_ACCOUNTSHARES_H
+#ifndef QUETZALYOKE_CORE_ACCOUNTS_ACCOUNTSHARES_H
+#define QUETZALYOKE_CORE_ACCOUNTS_ACCOUNTSHARES_H
 
-#include "Core/PeerStatus.h"
-#include "Core/Refusal.h"
-#include "Core/ServiceList.h"
-#include "Core/ShareBucket.h"
+#include "Core/Accounts/ShareBucket.h"
+#include "Core/Configuration/ServiceList.h"
+#include "Core/Requests/Refusal.h"
+#include "Core/State/PeerStatus.h"
 
 #include <map>
 #include <optional>
--- a/src/Core/KeyText.cpp
+++ b/src/Core/Accounts/KeyText.cpp
@@ -1,4 +1,4 @@
-#include "Core/KeyText.h"
+#include "Core/Accounts/KeyText.h"
 
 #include <algorithm>
 
--- a/src/Core/ShareBucket.cpp
+++ b/src/Core/Accounts/ShareBucket.cpp
@@ -1,4 +1,4 @@
-#include "Core/ShareBucket.h"
+#include "Core/Accounts/ShareBucket.h"
 
 #include <algorithm>
 
--- a/src/Core/ShareBucket.h
+++ b/src/Core/Accounts/ShareBucket.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_SHAREBUCKET_H
-#define QUETZALYOKE_CORE_SHAREBUCKET_H
+#ifndef QUETZALYOKE_CORE_ACCOUNTS_SHAREBUCKET_H
+#define QUETZALYOKE_CORE_ACCOUNTS_SHAREBUCKET_H
 
-#include "Core/ShareRow.h"
+#include "Core/Accounts/ShareRow.h"
 #include "Core/StrongTypes.h"
 
 #include <deque>
--- a/src/Core/SharePlanner.cpp
+++ b/src/Core/Accounts/SharePlanner.cpp
@@ -1,4 +1,4 @@
-#include "Core/SharePlanner.h"
+#include "Core/Accounts/SharePlanner.h"
 
 #include <algorithm>
 
--- a/src/Core/SharePlanner.h
+++ b/src/Core/Accounts/SharePlanner.h
@@ -1,8 +1,8 @@
-#ifndef QUETZALYOKE_CORE_SHAREPLANNER_H
-#define QUETZALYOKE_CORE_SHAREPLANNER_H
+#ifndef QUETZALYOKE_CORE_ACCOUNTS_SHAREPLANNER_H
+#define QUETZALYOKE_CORE_ACCOUNTS_SHAREPLANNER_H
 
-#include "Core/AccountShares.h"
-#include "Core/GatewaySync.h"
+#include "Core/Accounts/AccountShares.h"
+#include "Core/State/GatewaySync.h"
 
 #include <map>
 #include <random>
--- a/src/Core/ShareRow.cpp
+++ b/src/Core/Accounts/ShareRow.cpp
@@ -1,4 +1,4 @@
-#include "Core/ShareRow.h"
+#include "Core/Accounts/ShareRow.h"
 
 #include "Core/Error.h"
 
--- a/src/Core/TokenCounter.cpp
+++ b/src/Core/Accounts/TokenCounter.cpp
@@ -1,4 +1,4 @@
-#include "Core/TokenCounter.h"
+#include "Core/Accounts/TokenCounter.h"
 
 #include <algorithm>
 
--- a/src/Core/EntryReader.cpp
+++ b/src/Core/Configuration/EntryReader.cpp
@@ -1,4 +1,4 @@
-#include "Core/EntryReader.h"
+#include "Core/Configuration/EntryReader.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/Core/EntryReader.h
+++ b/src/Core/Configuration/EntryReader.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_ENTRYREADER_H
-#define QUETZALYOKE_CORE_ENTRYREADER_H
+#ifndef QUETZALYOKE_CORE_CONFIGURATION_ENTRYREADER_H
+#define QUETZALYOKE_CORE_CONFIGURATION_ENTRYREADER_H
 
-#include "Core/IniDocument.h"
+#include "Core/Configuration/IniDocument.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/Core/IniDocument.cpp
+++ b/src/Core/Configuration/IniDocument.cpp
@@ -1,4 +1,4 @@
-#include "Core/IniDocument.h"
+#include "Core/Configuration/IniDocument.h"
 
 #include <ini.h>
 
--- a/src/Core/IniDocument.h
+++ b/src/Core/Configuration/IniDocument.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_INIDOCUMENT_H
-#define QUETZALYOKE_CORE_INIDOCUMENT_H
+#ifndef QUETZALYOKE_CORE_CONFIGURATION_INIDOCUMENT_H
+#define QUETZALYOKE_CORE_CONFIGURATION_INIDOCUMENT_H
 
-#include "Core/Problem.h"
+#include "Core/Configuration/Problem.h"
 
 #include <string>
 #include <vector>
--- a/src/Core/Problem.cpp
+++ b/src/Core/Configuration/Problem.cpp
@@ -1,4 +1,4 @@
-#include "Core/Problem.h"
+#include "Core/Configuration/Problem.h"
 
 namespace quetzalyoke {
 
--- a/src/Core/ServiceList.cpp
+++ b/src/Core/Configuration/ServiceList.cpp
@@ -1,6 +1,6 @@
-#include "Core/ServiceList.h"
+#include "Core/Configuration/ServiceList.h"
 
-#include "Core/internal/ServiceListReader.h"
+#include "Core/Configuration/internal/ServiceListReader.h"
 
 #include <algorithm>
 
--- a/src/Core/ServiceList.h
+++ b/src/Core/Configuration/ServiceList.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_SERVICELIST_H
-#define QUETZALYOKE_CORE_SERVICELIST_H
+#ifndef QUETZALYOKE_CORE_CONFIGURATION_SERVICELIST_H
+#define QUETZALYOKE_CORE_CONFIGURATION_SERVICELIST_H
 
-#include "Core/IniDocument.h"
+#include "Core/Configuration/IniDocument.h"
 #include "Core/StrongTypes.h"
 
 #include <map>
--- a/src/Core/ServiceListCheck.cpp
+++ b/src/Core/Configuration/ServiceListCheck.cpp
@@ -1,6 +1,6 @@
-#include "Core/ServiceListCheck.h"
+#include "Core/Configuration/ServiceListCheck.h"
 
-#include "Core/FloorPlan.h"
+#include "Core/Placement/FloorPlan.h"
 
 #include <algorithm>
 
--- a/src/Core/ServiceListCheck.h
+++ b/src/Core/Configuration/ServiceListCheck.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_SERVICELISTCHECK_H
-#define QUETZALYOKE_CORE_SERVICELISTCHECK_H
+#ifndef QUETZALYOKE_CORE_CONFIGURATION_SERVICELISTCHECK_H
+#define QUETZALYOKE_CORE_CONFIGURATION_SERVICELISTCHECK_H
 
-#include "Core/ServiceList.h"
+#include "Core/Configuration/ServiceList.h"
 
 #include <map>
 #include <set>
--- a/src/Core/ServiceListDiff.cpp
+++ b/src/Core/Configuration/ServiceListDiff.cpp
@@ -1,4 +1,4 @@
-#include "Core/ServiceListDiff.h"
+#include "Core/Configuration/ServiceListDiff.h"
 
 #include <map>
 #include <set>
--- a/src/Core/ServiceListDiff.h
+++ b/src/Core/Configuration/ServiceListDiff.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_SERVICELISTDIFF_H
-#define QUETZALYOKE_CORE_SERVICELISTDIFF_H
+#ifndef QUETZALYOKE_CORE_CONFIGURATION_SERVICELISTDIFF_H
+#define QUETZALYOKE_CORE_CONFIGURATION_SERVICELISTDIFF_H
 
-#include "Core/ServiceList.h"
+#include "Core/Configuration/ServiceList.h"
 
 #include <string>
 #include <vector>
--- a/src/Core/VersionLine.cpp
+++ b/src/Core/Configuration/VersionLine.cpp
@@ -1,4 +1,4 @@
-#include "Core/VersionLine.h"
+#include "Core/Configuration/VersionLine.h"
 
 #include <charconv>
 #include <string_view>
--- a/src/Core/internal/ServiceListReader.cpp
+++ b/src/Core/Configuration/internal/ServiceListReader.cpp
@@ -1,4 +1,4 @@
-#include "Core/internal/ServiceListReader.h"
+#include "Core/Configuration/internal/ServiceListReader.h"
 
 #include "Core/Name.h"
 
--- a/src/Core/internal/ServiceListReader.h
+++ b/src/Core/Configuration/internal/ServiceListReader.h
@@ -1,8 +1,8 @@
-#ifndef QUETZALYOKE_CORE_INTERNAL_SERVICELISTREADER_H
-#define QUETZALYOKE_CORE_INTERNAL_SERVICELISTREADER_H
+#ifndef QUETZALYOKE_CORE_CONFIGURATION_INTERNAL_SERVICELISTREADER_H
+#define QUETZALYOKE_CORE_CONFIGURATION_INTERNAL_SERVICELISTREADER_H
 
-#include "Core/EntryReader.h"
-#include "Core/ServiceList.h"
+#include "Core/Configuration/EntryReader.h"
+#include "Core/Configuration/ServiceList.h"
 
 #include <string>
 
--- a/src/Core/EngineKeeper.cpp
+++ b/src/Core/Placement/EngineKeeper.cpp
@@ -1,4 +1,4 @@
-#include "Core/EngineKeeper.h"
+#include "Core/Placement/EngineKeeper.h"
 
 #include <algorithm>
 
--- a/src/Core/EngineKeeper.h
+++ b/src/Core/Placement/EngineKeeper.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_ENGINEKEEPER_H
-#define QUETZALYOKE_CORE_ENGINEKEEPER_H
+#ifndef QUETZALYOKE_CORE_PLACEMENT_ENGINEKEEPER_H
+#define QUETZALYOKE_CORE_PLACEMENT_ENGINEKEEPER_H
 
-#include "Core/MemoryLedger.h"
+#include "Core/Placement/MemoryLedger.h"
 
 #include <functional>
 #include <optional>
--- a/src/Core/FencingRow.cpp
+++ b/src/Core/Placement/FencingRow.cpp
@@ -1,4 +1,4 @@
-#include "Core/FencingRow.h"
+#include "Core/Placement/FencingRow.h"
 
 #include "Core/Error.h"
 
--- a/src/Core/FloorPlan.cpp
+++ b/src/Core/Placement/FloorPlan.cpp
@@ -1,4 +1,4 @@
-#include "Core/FloorPlan.h"
+#include "Core/Placement/FloorPlan.h"
 
 #include <algorithm>
 
--- a/src/Core/FloorPlan.h
+++ b/src/Core/Placement/FloorPlan.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_FLOORPLAN_H
-#define QUETZALYOKE_CORE_FLOORPLAN_H
+#ifndef QUETZALYOKE_CORE_PLACEMENT_FLOORPLAN_H
+#define QUETZALYOKE_CORE_PLACEMENT_FLOORPLAN_H
 
-#include "Core/ServiceList.h"
+#include "Core/Configuration/ServiceList.h"
 
 #include <map>
 #include <vector>
--- a/src/Core/MemoryLedger.cpp
+++ b/src/Core/Placement/MemoryLedger.cpp
@@ -1,4 +1,4 @@
-#include "Core/MemoryLedger.h"
+#include "Core/Placement/MemoryLedger.h"
 
 #include <algorithm>
 
--- a/src/Core/MemoryLedger.h
+++ b/src/Core/Placement/MemoryLedger.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_MEMORYLEDGER_H
-#define QUETZALYOKE_CORE_MEMORYLEDGER_H
+#ifndef QUETZALYOKE_CORE_PLACEMENT_MEMORYLEDGER_H
+#define QUETZALYOKE_CORE_PLACEMENT_MEMORYLEDGER_H
 
-#include "Core/EngineOrder.h"
+#include "Core/Placement/EngineOrder.h"
 
 #include <optional>
 #include <vector>
--- a/src/Core/PlacementPlan.cpp
+++ b/src/Core/Placement/PlacementPlan.cpp
@@ -1,4 +1,4 @@
-#include "Core/PlacementPlan.h"
+#include "Core/Placement/PlacementPlan.h"
 
 #include "Core/Error.h"
 
--- a/src/Core/PlacementPlan.h
+++ b/src/Core/Placement/PlacementPlan.h
@@ -1,8 +1,8 @@
-#ifndef QUETZALYOKE_CORE_PLACEMENTPLAN_H
-#define QUETZALYOKE_CORE_PLACEMENTPLAN_H
+#ifndef QUETZALYOKE_CORE_PLACEMENT_PLACEMENTPLAN_H
+#define QUETZALYOKE_CORE_PLACEMENT_PLACEMENTPLAN_H
 
-#include "Core/EngineOrder.h"
-#include "Core/ServiceList.h"
+#include "Core/Configuration/ServiceList.h"
+#include "Core/Placement/EngineOrder.h"
 
 #include <map>
 #include <string>
--- a/src/Core/PlacementPlanner.cpp
+++ b/src/Core/Placement/PlacementPlanner.cpp
@@ -1,4 +1,4 @@
-#include "Core/PlacementPlanner.h"
+#include "Core/Placement/PlacementPlanner.h"
 
 #include <algorithm>
 
--- a/src/Core/PlacementPlanner.h
+++ b/src/Core/Placement/PlacementPlanner.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_PLACEMENTPLANNER_H
-#define QUETZALYOKE_CORE_PLACEMENTPLANNER_H
+#ifndef QUETZALYOKE_CORE_PLACEMENT_PLACEMENTPLANNER_H
+#define QUETZALYOKE_CORE_PLACEMENT_PLACEMENTPLANNER_H
 
-#include "Core/PlacementPlan.h"
+#include "Core/Placement/PlacementPlan.h"
 
 #include <cstddef>
 #include <functional>
--- a/src/Core/PlacementView.cpp
+++ b/src/Core/Placement/PlacementView.cpp
@@ -1,4 +1,4 @@
-#include "Core/PlacementView.h"
+#include "Core/Placement/PlacementView.h"
 
 #include <algorithm>
 
--- a/src/Core/PlacementView.h
+++ b/src/Core/Placement/PlacementView.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_PLACEMENTVIEW_H
-#define QUETZALYOKE_CORE_PLACEMENTVIEW_H
+#ifndef QUETZALYOKE_CORE_PLACEMENT_PLACEMENTVIEW_H
+#define QUETZALYOKE_CORE_PLACEMENT_PLACEMENTVIEW_H
 
-#include "Core/PlacementPlanner.h"
+#include "Core/Placement/PlacementPlanner.h"
 
 #include <map>
 #include <set>
--- a/src/Core/CrashLedger.cpp
+++ b/src/Core/Requests/CrashLedger.cpp
@@ -1,4 +1,4 @@
-#include "Core/CrashLedger.h"
+#include "Core/Requests/CrashLedger.h"
 
 #include <algorithm>
 
--- a/src/Core/FairQueue.cpp
+++ b/src/Core/Requests/FairQueue.cpp
@@ -1,4 +1,4 @@
-#include "Core/FairQueue.h"
+#include "Core/Requests/FairQueue.h"
 
 #include <algorithm>
 
--- a/src/Core/FairQueue.h
+++ b/src/Core/Requests/FairQueue.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_FAIRQUEUE_H
-#define QUETZALYOKE_CORE_FAIRQUEUE_H
+#ifndef QUETZALYOKE_CORE_REQUESTS_FAIRQUEUE_H
+#define QUETZALYOKE_CORE_REQUESTS_FAIRQUEUE_H
 
-#include "Core/RequestQueue.h"
+#include "Core/Requests/RequestQueue.h"
 
 #include <map>
 #include <set>
--- a/src/Core/IdempotencyRecord.cpp
+++ b/src/Core/Requests/IdempotencyRecord.cpp
@@ -1,4 +1,4 @@
-#include "Core/IdempotencyRecord.h"
+#include "Core/Requests/IdempotencyRecord.h"
 
 #include "Core/Error.h"
 
--- a/src/Core/Refusal.cpp
+++ b/src/Core/Requests/Refusal.cpp
@@ -1,4 +1,4 @@
-#include "Core/Refusal.h"
+#include "Core/Requests/Refusal.h"
 
 namespace quetzalyoke {
 
--- a/src/Core/RequestFlow.cpp
+++ b/src/Core/Requests/RequestFlow.cpp
@@ -1,4 +1,4 @@
-#include "Core/RequestFlow.h"
+#include "Core/Requests/RequestFlow.h"
 
 #include <utility>
 
--- a/src/Core/RequestFlow.h
+++ b/src/Core/Requests/RequestFlow.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_REQUESTFLOW_H
-#define QUETZALYOKE_CORE_REQUESTFLOW_H
+#ifndef QUETZALYOKE_CORE_REQUESTS_REQUESTFLOW_H
+#define QUETZALYOKE_CORE_REQUESTS_REQUESTFLOW_H
 
-#include "Core/Refusal.h"
+#include "Core/Requests/Refusal.h"
 #include "Core/StrongTypes.h"
 
 #include <functional>
--- a/src/Core/RequestQueue.cpp
+++ b/src/Core/Requests/RequestQueue.cpp
@@ -1,7 +1,7 @@
-#include "Core/RequestQueue.h"
+#include "Core/Requests/RequestQueue.h"
 
 #include "Core/Error.h"
-#include "Core/FairQueue.h"
+#include "Core/Requests/FairQueue.h"
 
 #include <deque>
 
--- a/src/Core/Timeline.cpp
+++ b/src/Core/Requests/Timeline.cpp
@@ -1,4 +1,4 @@
-#include "Core/Timeline.h"
+#include "Core/Requests/Timeline.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/Core/Timeline.h
+++ b/src/Core/Requests/Timeline.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_TIMELINE_H
-#define QUETZALYOKE_CORE_TIMELINE_H
+#ifndef QUETZALYOKE_CORE_REQUESTS_TIMELINE_H
+#define QUETZALYOKE_CORE_REQUESTS_TIMELINE_H
 
-#include "Core/HybridClock.h"
+#include "Core/State/HybridClock.h"
 #include "Core/StrongTypes.h"
 
 #include <deque>
--- a/src/Core/AgentDirectory.cpp
+++ b/src/Core/Routing/AgentDirectory.cpp
@@ -1,4 +1,4 @@
-#include "Core/AgentDirectory.h"
+#include "Core/Routing/AgentDirectory.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/Core/Router.cpp
+++ b/src/Core/Routing/Router.cpp
@@ -1,4 +1,4 @@
-#include "Core/Router.h"
+#include "Core/Routing/Router.h"
 
 #include "Core/Error.h"
 
--- a/src/Core/Router.h
+++ b/src/Core/Routing/Router.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_ROUTER_H
-#define QUETZALYOKE_CORE_ROUTER_H
+#ifndef QUETZALYOKE_CORE_ROUTING_ROUTER_H
+#define QUETZALYOKE_CORE_ROUTING_ROUTER_H
 
-#include "Core/AgentDirectory.h"
+#include "Core/Routing/AgentDirectory.h"
 
 #include <functional>
 #include <random>
--- a/src/Core/GatewaySync.cpp
+++ b/src/Core/State/GatewaySync.cpp
@@ -1,4 +1,4 @@
-#include "Core/GatewaySync.h"
+#include "Core/State/GatewaySync.h"
 
 #include <algorithm>
 
--- a/src/Core/GatewaySync.h
+++ b/src/Core/State/GatewaySync.h
@@ -1,10 +1,10 @@
-#ifndef QUETZALYOKE_CORE_GATEWAYSYNC_H
-#define QUETZALYOKE_CORE_GATEWAYSYNC_H
+#ifndef QUETZALYOKE_CORE_STATE_GATEWAYSYNC_H
+#define QUETZALYOKE_CORE_STATE_GATEWAYSYNC_H
 
-#include "Core/MemberRow.h"
-#include "Core/PeerStatus.h"
-#include "Core/ShareRow.h"
-#include "Core/StateCache.h"
+#include "Core/Accounts/ShareRow.h"
+#include "Core/State/MemberRow.h"
+#include "Core/State/PeerStatus.h"
+#include "Core/State/StateCache.h"
 #include "Ports/TableStore.h"
 
 #include <map>
--- a/src/Core/HybridClock.cpp
+++ b/src/Core/State/HybridClock.cpp
@@ -1,4 +1,4 @@
-#include "Core/HybridClock.h"
+#include "Core/State/HybridClock.h"
 
 #include <algorithm>
 
--- a/src/Core/MemberRow.cpp
+++ b/src/Core/State/MemberRow.cpp
@@ -1,4 +1,4 @@
-#include "Core/MemberRow.h"
+#include "Core/State/MemberRow.h"
 
 #include "Core/Error.h"
 
--- a/src/Core/PeerStatus.h
+++ b/src/Core/State/PeerStatus.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_CORE_PEERSTATUS_H
-#define QUETZALYOKE_CORE_PEERSTATUS_H
+#ifndef QUETZALYOKE_CORE_STATE_PEERSTATUS_H
+#define QUETZALYOKE_CORE_STATE_PEERSTATUS_H
 
-#include "Core/ShareRow.h"
+#include "Core/Accounts/ShareRow.h"
 #include "Core/StrongTypes.h"
 
 #include <optional>
--- a/src/Core/StateCache.cpp
+++ b/src/Core/State/StateCache.cpp
@@ -1,4 +1,4 @@
-#include "Core/StateCache.h"
+#include "Core/State/StateCache.h"
 
 #include "Core/Error.h"
 
--- a/src/Ports/AccountLimits.h
+++ b/src/Ports/AccountLimits.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_PORTS_ACCOUNTLIMITS_H
 #define QUETZALYOKE_PORTS_ACCOUNTLIMITS_H
 
-#include "Core/Refusal.h"
+#include "Core/Requests/Refusal.h"
 #include "Core/StrongTypes.h"
 
 #include <optional>
--- a/src/Serving/PlacementLease.h
+++ b/src/Serving/PlacementLease.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_SERVING_PLACEMENTLEASE_H
 #define QUETZALYOKE_SERVING_PLACEMENTLEASE_H
 
-#include "Core/EngineOrder.h"
+#include "Core/Placement/EngineOrder.h"
 #include "Core/StrongTypes.h"
 
 #include <optional>
--- a/src/StandIns/Engine/EngineSettings.h
+++ b/src/StandIns/Engine/EngineSettings.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_STANDINS_ENGINE_ENGINESETTINGS_H
 
 #include "Adapters/Address.h"
-#include "Core/EntryReader.h"
+#include "Core/Configuration/EntryReader.h"
 #include "Core/StrongTypes.h"
 
 #include <chrono>
--- a/src/StandIns/Platform/PlatformApi.h
+++ b/src/StandIns/Platform/PlatformApi.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_STANDINS_PLATFORM_PLATFORMAPI_H
 #define QUETZALYOKE_STANDINS_PLATFORM_PLATFORMAPI_H
 
-#include "Core/TokenBucket.h"
+#include "Core/Accounts/TokenBucket.h"
 #include "StandIns/Platform/Faults.h"
 #include "StandIns/Platform/PlatformSettings.h"
 #include "StandIns/Platform/Table.h"
--- a/src/StandIns/Platform/PlatformSettings.h
+++ b/src/StandIns/Platform/PlatformSettings.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_STANDINS_PLATFORM_PLATFORMSETTINGS_H
 #define QUETZALYOKE_STANDINS_PLATFORM_PLATFORMSETTINGS_H
 
-#include "Core/EntryReader.h"
+#include "Core/Configuration/EntryReader.h"
 
 #include <chrono>
 #include <cstdint>
--- a/test/ChargingPolicyTest.cpp
+++ b/test/ChargingPolicyTest.cpp
@@ -1,6 +1,6 @@
 // Charging tokens as they are received against reserving the most and refunding the rest.
-#include "Core/AccountShares.h"
-#include "Core/TokenBucket.h"
+#include "Core/Accounts/AccountShares.h"
+#include "Core/Accounts/TokenBucket.h"
 
 #include <gtest/gtest.h>
 
--- a/test/FakeEngine.h
+++ b/test/FakeEngine.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_TEST_FAKEENGINE_H
 #define QUETZALYOKE_TEST_FAKEENGINE_H
 
-#include "Core/EngineOrder.h"
+#include "Core/Placement/EngineOrder.h"
 
 #include <algorithm>
 #include <functional>
--- a/test/MemoryLedgerScheduleTest.cpp
+++ b/test/MemoryLedgerScheduleTest.cpp
@@ -4,7 +4,7 @@
 // order reaches the engine that its memory can't take, no order of the newest agent takes away a
 // model under one of its requests, and once faults end the engine holds what the plan wants.
 
-#include "Core/EngineKeeper.h"
+#include "Core/Placement/EngineKeeper.h"
 #include "FakeEngine.h"
 
 #include <gtest/gtest.h>
--- a/test/PlacementScheduleTest.cpp
+++ b/test/PlacementScheduleTest.cpp
@@ -3,8 +3,8 @@
 // engine's memory is overcommitted, and a model that could answer can always answer, unless a
 // server with a copy of it was lost within the time that placing it anew takes.
 
-#include "Core/EngineKeeper.h"
-#include "Core/PlacementPlanner.h"
+#include "Core/Placement/EngineKeeper.h"
+#include "Core/Placement/PlacementPlanner.h"
 #include "FakeEngine.h"
 
 #include <gtest/gtest.h>
--- a/test/ServiceListCheckTest.cpp
+++ b/test/ServiceListCheckTest.cpp
@@ -1,4 +1,4 @@
-#include "Core/ServiceListCheck.h"
+#include "Core/Configuration/ServiceListCheck.h"
 
 #include <gtest/gtest.h>
 
--- a/test/ServiceListDiffTest.cpp
+++ b/test/ServiceListDiffTest.cpp
@@ -1,5 +1,5 @@
-#include "Core/ServiceListDiff.h"
-#include "Core/VersionLine.h"
+#include "Core/Configuration/ServiceListDiff.h"
+#include "Core/Configuration/VersionLine.h"
 
 #include <gtest/gtest.h>
 
--- a/test/ServiceListTest.cpp
+++ b/test/ServiceListTest.cpp
@@ -1,4 +1,4 @@
-#include "Core/ServiceList.h"
+#include "Core/Configuration/ServiceList.h"
 
 #include <gtest/gtest.h>
 
--- a/test/TokenBucketTest.cpp
+++ b/test/TokenBucketTest.cpp
@@ -1,4 +1,4 @@
-#include "Core/TokenBucket.h"
+#include "Core/Accounts/TokenBucket.h"
 
 #include <gtest/gtest.h>
 
