Tell crashes a few times in small news; load what engines have at hand first

From 17 s on the news of the 22 gateways with links of 10 Mbit/s reached nobody (525 `peer_silent`, none heard again): placing went on blind. Ruled out: the order of placement (lease held throughout), quotas (the refused lie beyond the limits), loads (as many in good plays).

Engines say which models they have on their own disks (`at_hand`); such a load takes a fifth, costs the weight store nothing and is not counted. The planner takes weights at hand before room before work, goes on with them while the store's rate is used up, and loads a lost model that is at hand after 0.3 s (2 s).

--- a/src/Apps/Entry/CrashSuspicions.cpp
+++ b/src/Apps/Entry/CrashSuspicions.cpp
@@ -43,6 +43,7 @@
 {
     const std::string incident = cut.server.text() + "/" + std::to_string(cut.incarnation.count());
     m_ledger.add({cut.fingerprint, {incident}}, now);
+    m_news.add(cut.fingerprint, incident);
 }
 
 bool CrashSuspicions::mustRefuse(const Fingerprint &fingerprint, Instant now) const
--- a/src/Apps/Entry/CrashSuspicions.h
+++ b/src/Apps/Entry/CrashSuspicions.h
@@ -3,6 +3,7 @@
 
 #include "Core/Requests/CrashLedger.h"
 #include "Serving/BackendServer.h"
+#include "Serving/CrashNews.h"
 
 namespace quetzalyoke {
 
@@ -24,7 +25,10 @@
     void add(const Suspicion &suspicion, Instant now) { m_ledger.add(suspicion, now); }
 
     bool mustRefuse(const Fingerprint &fingerprint, Instant now) const;
+    /// All that is known, found here or told by others.
     std::vector<Suspicion> suspicions(Instant now) const { return m_ledger.suspicions(now); }
+    /// What the next news to peers tell of.
+    CrashNews &news() { return m_news; }
     void expire(Instant now);
 
 private:
@@ -45,6 +49,7 @@
     void count(const Cut &cut, Instant now);
 
     CrashLedger m_ledger;
+    CrashNews m_news{CrashNews::Settings()}; // of what was found here
     std::vector<Cut> m_cuts;
     std::vector<Loss> m_losses;
 };
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -220,7 +220,7 @@
     return news;
 }
 
-void PeerNetwork::addFacts(wire::PeerNews &news) const
+void PeerNetwork::addFacts(wire::PeerNews &news)
 {
     news.leaving = m_state.isStopping;
     news.http = m_state.settings.peers.text();
@@ -251,7 +251,12 @@
         entry.asked = spending.asked;
         news.spent.push_back(std::move(entry));
     }
-    for (const Suspicion &suspicion : m_state.suspicions.suspicions(loopNow())) {
+    addCrashes(m_state.suspicions.news().next(), news);
+}
+
+void PeerNetwork::addCrashes(const std::vector<Suspicion> &suspicions, wire::PeerNews &news)
+{
+    for (const Suspicion &suspicion : suspicions) {
         for (const std::string &incident : suspicion.incidents) {
             wire::PeerCrash crash;
             crash.fingerprint = suspicion.fingerprint.text();
@@ -261,6 +266,23 @@
     }
 }
 
+// A gateway that has just started, or was cut off, missed what was told; one of the others tells it
+// all.
+void PeerNetwork::tellCrashes(const InstanceId &instance, const Address &address)
+{
+    for (const auto &[id, peer] : m_peers) {
+        const bool isOlder = peer.isHeard && id != instance;
+        if (isOlder && id < m_state.settings.instance)
+            return;
+    }
+    const auto known = m_state.suspicions.suspicions(loopNow());
+    for (const auto &part : m_state.suspicions.news().split(known)) {
+        wire::PeerNews news = makeHead(true);
+        addCrashes(part, news);
+        m_socket.send(PeerSocket::encode(news), address);
+    }
+}
+
 void PeerNetwork::addEvents(wire::PeerNews &news)
 {
     for (const auto &[model, tokens] : std::exchange(m_state.demandNews, {})) {
@@ -318,6 +340,7 @@
     if (isNew || !peer.isHeard || incarnation != peer.incarnation) {
         logNotable("peer_heard",
                    {{"peer", instance}, {"incarnation", incarnation}, {"address", from.text()}});
+        tellCrashes(instance, from);
     }
     peer.incarnation = incarnation;
     peer.sequence = news.sequence;
@@ -347,8 +370,6 @@
     for (const wire::PeerSpent &entry : news.spent)
         spending[AccountId(entry.account)] = {entry.spent, entry.asked};
     m_state.quotas.takePeerSpending(from, Incarnation(news.incarnation), spending, now);
-    for (const wire::PeerCrash &entry : news.crashes)
-        m_state.suspicions.add({Fingerprint(entry.fingerprint), {entry.incident}}, now);
     if (news.leaseFencing <= 0)
         return;
     m_holder = from;
@@ -367,6 +388,8 @@
         m_state.director.noteUse(ServerName(entry.server), ModelName(entry.model),
                                  AdapterName(entry.adapter), now);
     }
+    for (const wire::PeerCrash &entry : news.crashes)
+        m_state.suspicions.add({Fingerprint(entry.fingerprint), {entry.incident}}, now);
     for (const wire::PeerNotice &entry : news.notices) {
         OrderNotice notice;
         notice.server = ServerName(entry.server);
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -66,7 +66,9 @@
     Duration silence() const;
     const Peer *holder() const;
     wire::PeerNews makeHead(bool isUrgent);
-    void addFacts(wire::PeerNews &news) const;
+    void addFacts(wire::PeerNews &news);
+    static void addCrashes(const std::vector<Suspicion> &suspicions, wire::PeerNews &news);
+    void tellCrashes(const InstanceId &instance, const Address &address);
     void addEvents(wire::PeerNews &news);
     void addNotices(wire::PeerNews &news) const;
     void onNews(const wire::PeerNews &news, const Address &from);
--- a/src/Serving/BackendServer.h
+++ b/src/Serving/BackendServer.h
@@ -24,6 +24,7 @@
     int slots = 1; ///< Requests that run at once.
     bool isLeaving = false; ///< Takes no new work.
     Holdings holdings;
+    std::set<ModelName> atHand; ///< Models that it loads without the weight store.
 
     bool operator==(const ListedServer &) const = default;
 };
@@ -35,6 +36,7 @@
     std::set<std::pair<ModelName, AdapterName>> loadingAdapters;
     bool isBusy = false; ///< Carries out an order.
     std::int64_t orders = 0; ///< Accepted in this incarnation.
+    std::set<ModelName> atHand; ///< Models that it loads without the weight store.
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/CopyPlanner.cpp
+++ b/src/Serving/CopyPlanner.cpp
@@ -1,5 +1,7 @@
 #include "Serving/CopyPlanner.h"
 
+#include <tuple>
+
 namespace quetzalyoke {
 
 namespace {
@@ -76,12 +78,22 @@
                                              const std::map<ModelName, Counts> &counts) const
 {
     std::optional<CopyChange> best;
-    double bestCost = 0;
+    // Weights at hand go before room, room before the work that the engine has already.
+    std::tuple<bool, bool, double> bestCost;
+    const auto offer = [&](const CopyChange &change, bool isFetch, double workThere) {
+        const std::tuple<bool, bool, double> cost(isFetch, !change.unload.isEmpty(), workThere);
+        if (best && cost >= bestCost)
+            return;
+        best = change;
+        bestCost = cost;
+    };
     for (const auto &[id, book] : input.books) {
         if (book.listed().isLeaving || !book.isFree(input.now) || book.holds(model, {})
             || input.planned.count(id) > 0)
             continue;
-        // Work that the engine has already.
+        const bool isFetch = !book.isAtHand(model);
+        if (isFetch && !input.mayFetch)
+            continue;
         double engineWork = 0;
         for (const auto &[held, adapters] : book.holdings()) {
             const auto n = counts.find(held);
@@ -89,14 +101,9 @@
                 engineWork += valueOr(input.demand, held) / n->second.held;
         }
         if (book.fits(model, {})) {
-            if (!best || !best->unload.isEmpty() || engineWork < bestCost) {
-                best = CopyChange{id, model, {}};
-                bestCost = engineWork;
-            }
+            offer({id, model, {}}, isFetch, engineWork);
             continue;
         }
-        if (best && best->unload.isEmpty())
-            continue;
         for (const auto &[held, adapters] : book.holdings()) {
             const auto n = counts.find(held);
             const bool isKnown = n != counts.end();
@@ -105,11 +112,7 @@
             const double left = isKnown ? valueOr(input.demand, held) / (n->second.held - 1) : 0;
             if (left > work * m_settings.victimShare)
                 continue;
-            const double cost = left + engineWork;
-            if (best && cost >= bestCost)
-                continue;
-            best = CopyChange{id, model, held};
-            bestCost = cost;
+            offer({id, model, held}, isFetch, left + engineWork);
         }
     }
     return best;
--- a/src/Serving/CopyPlanner.h
+++ b/src/Serving/CopyPlanner.h
@@ -18,6 +18,8 @@
 /// Answers demand that moves to other models: every model keeps one copy; the rest of the memory
 /// follows the prompt work per copy, one change at a time, and only where the model that gains is
 /// clearly busier per copy than the one that loses, so that a wavering demand moves nothing.
+/// Answers engines that come back empty: they keep what they held on their own disks, which loads
+/// several times as fast and leaves the weight store to others.
 class CopyPlanner
 {
 public:
@@ -40,6 +42,7 @@
         Demand demand;
         std::map<ServerName, ModelName> planned; ///< Loads that wait for an unload.
         std::set<ModelName> missing; ///< Models without a copy that need one.
+        bool mayFetch = true; ///< From the weight store; else only what engines have at hand.
         Instant now;
     };
 
--- a/src/Serving/EngineBook.cpp
+++ b/src/Serving/EngineBook.cpp
@@ -54,7 +54,8 @@
 }
 
 EngineBook::EngineBook(const ListedServer &listed, std::shared_ptr<const EngineSpec> spec)
-    : m_listed(listed), m_spec(std::move(spec)), m_holdings(listed.holdings)
+    : m_listed(listed), m_spec(std::move(spec)), m_holdings(listed.holdings),
+      m_atHand(listed.atHand)
 { }
 
 void EngineBook::takeListed(const ListedServer &listed)
@@ -65,6 +66,7 @@
     if (m_isOrdersKnown || m_open || m_running)
         return;
     m_holdings = listed.holdings;
+    m_atHand = listed.atHand;
 }
 
 void EngineBook::forgetOrders()
@@ -85,6 +87,7 @@
         m_askAt = now + statusPause;
         return;
     }
+    m_atHand = status.atHand;
     if (!m_isOrdersKnown)
         m_orders = status.orders;
     m_isOrdersKnown = true;
@@ -187,7 +190,6 @@
     m_orders = command.expectedOrders + 1;
     m_changedAt = now;
     m_running = command;
-    const auto model = m_spec->models.find(command.model);
     const bool isLoad = command.kind == EngineCommand::Kind::Load;
     if (!command.adapter.isEmpty()) {
         // Requests for an adapter that is on its way would be turned down.
@@ -197,8 +199,7 @@
         return;
     }
     if (isLoad) {
-        m_runningUntil
-            = now + (model == m_spec->models.end() ? Milliseconds(0) : model->second.loadTime);
+        m_runningUntil = now + loadTimeOf(command.model);
     } else {
         m_runningUntil = now + unloadTime;
         m_holdings.erase(command.model);
@@ -274,6 +275,14 @@
     m_mustAsk = false;
 }
 
+Duration EngineBook::loadTimeOf(const ModelName &model) const
+{
+    const auto it = m_spec->models.find(model);
+    if (it == m_spec->models.end())
+        return Duration(0);
+    return isAtHand(model) ? it->second.atHandLoadTime : it->second.loadTime;
+}
+
 double EngineBook::megabytesOf(const ModelName &model) const
 {
     const auto it = m_spec->models.find(model);
--- a/src/Serving/EngineBook.h
+++ b/src/Serving/EngineBook.h
@@ -66,6 +66,10 @@
     /// The model that is being loaded, or ordered to be.
     std::optional<ModelName> loadingModel() const;
 
+    /// Whether the engine loads \a model without the weight store, as it said last.
+    bool isAtHand(const ModelName &model) const { return m_atHand.count(model) > 0; }
+    const std::set<ModelName> &atHand() const { return m_atHand; }
+
     const ListedServer &listed() const { return m_listed; }
     const Holdings &holdings() const { return m_holdings; }
     std::int64_t orders() const { return m_orders; }
@@ -75,12 +79,14 @@
 private:
     void applyAccepted(const EngineCommand &command, Instant now);
     void settle(const Holdings &holdings, bool isBusy, Instant now);
+    Duration loadTimeOf(const ModelName &model) const;
     double megabytesOf(const ModelName &model) const;
     double adapterMegabytesOf(const ModelName &model) const;
 
     ListedServer m_listed;
     std::shared_ptr<const EngineSpec> m_spec; // one for all engines of a service
     Holdings m_holdings;
+    std::set<ModelName> m_atHand;
     std::int64_t m_orders = 0;
     bool m_isOrdersKnown = false;
     std::optional<EngineCommand> m_open; // sent, its outcome not known
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -227,6 +227,12 @@
             it = m_planned.erase(it);
             continue;
         }
+        // The engine may have dropped it from its disk since.
+        if (m_unpaced.count(it->first) > 0 && !book->isAtHand(it->second)
+            && !m_pacers[service].take(now)) {
+            ++it;
+            continue;
+        }
         send(*book, book->makeLoad(it->second, {}), step, now);
         it = m_planned.erase(it);
     }
@@ -240,16 +246,24 @@
     const CopyPlanner::Demand work = workOf(spec, now);
     const std::set<ModelName> missing = missingModels(spec, books, now);
     for (int i = 0; i < changesPerPlan; ++i) {
-        const auto change = m_planner.next({spec, books, work, m_planned, missing, now});
-        // Room is made only for a load that may begin at once.
-        if (!change || !pacer.take(now))
+        const auto change
+            = m_planner.next({spec, books, work, m_planned, missing, pacer.has(now), now});
+        if (!change)
             return;
+        // Room is made only for a load that may begin at once.
         EngineBook *book = findBook(change->server);
+        const bool isAtHand = book->isAtHand(change->load);
+        if (!isAtHand && !pacer.take(now))
+            return;
         if (change->unload.isEmpty()) {
             send(*book, book->makeLoad(change->load, {}), step, now);
             continue;
         }
         m_planned[change->server] = change->load;
+        if (isAtHand)
+            m_unpaced.insert(change->server);
+        else
+            m_unpaced.erase(change->server);
         send(*book, book->makeUnload(change->unload, {}), step, now);
     }
 }
@@ -276,9 +290,11 @@
                                                   const CopyPlanner::Books &books, Instant now)
 {
     std::set<ModelName> held;
+    std::set<ModelName> atHand;
     for (const auto &[id, book] : books) {
         if (book.listed().isLeaving)
             continue;
+        atHand.insert(book.atHand().begin(), book.atHand().end());
         for (const auto &[model, adapters] : book.holdings())
             held.insert(model);
         if (const auto loading = book.loadingModel())
@@ -295,7 +311,9 @@
         const bool isWanted = std::any_of(m_needs.begin(), m_needs.end(), [&](const auto &need) {
             return need.first.first == model;
         });
-        if (isWanted || now - since >= m_settings.missingTolerance)
+        const Duration tolerance = atHand.count(model) > 0 ? m_settings.missingAtHandTolerance
+                                                           : m_settings.missingTolerance;
+        if (isWanted || now - since >= tolerance)
             missing.insert(model);
     }
     return missing;
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/EngineDirector.h
@@ -30,6 +30,8 @@
         /// A model that no request waits for has lost its last copy for this long before it is
         /// loaded again: servers that have just started are listed one after the other.
         Duration missingTolerance{2'000'000};
+        /// The same where an engine has the model at hand: a load costs little.
+        Duration missingAtHandTolerance{300'000};
     };
 
     explicit EngineDirector(const Settings &settings);
@@ -89,6 +91,7 @@
     std::map<std::pair<ServerName, AdapterKey>, Instant> m_uses;
     std::map<std::pair<ServerName, AdapterKey>, Instant> m_impossible;
     std::map<ServerName, ModelName> m_planned; // to be loaded once an unload has made room
+    std::set<ServerName> m_unpaced; // of those, the ones planned as loads of what is at hand
     std::map<ModelName, Instant> m_missingSince;
     std::vector<OrderNotice> m_notices;
     Instant m_planAt;
--- a/src/Serving/LoadPacer.cpp
+++ b/src/Serving/LoadPacer.cpp
@@ -21,10 +21,15 @@
     m_at = std::max(m_at, now);
 }
 
-bool LoadPacer::take(Instant now)
+bool LoadPacer::has(Instant now)
 {
     refill(now);
-    if (m_level < 1)
+    return m_level >= 1;
+}
+
+bool LoadPacer::take(Instant now)
+{
+    if (!has(now))
         return false;
     m_level -= 1;
     return true;
--- a/src/Serving/LoadPacer.h
+++ b/src/Serving/LoadPacer.h
@@ -11,6 +11,8 @@
 public:
     /// Starts empty: a predecessor may have spent what was saved up.
     void setRate(double loadsPerSecond, double saved, Instant now);
+    /// Whether a load may begin.
+    bool has(Instant now);
     /// Takes the right to begin one load. May be kept and used later.
     bool take(Instant now);
 
--- a/src/Serving/ServingConfig.h
+++ b/src/Serving/ServingConfig.h
@@ -51,6 +51,7 @@
     double adapterMegabytes = 0;
     int adapters = 0;
     Milliseconds loadTime{0}; ///< From the weight store, while few loads run.
+    Milliseconds atHandLoadTime{0}; ///< From the engine's own disk.
 };
 
 /// \brief What the model engines of a service have room for.
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -58,7 +58,7 @@
     17: string zone,
     20: double processorShare,    // of a core
     18: bool followsStore,        // the sender reads changes from the store, which answers it
-    19: bool isUrgent,            // only wanted, used, demand and notices are filled in
+    19: bool isUrgent,            // only wanted, used, demand, notices and crashes are filled in
     9: list<PeerWork> work,
     10: list<PeerSpent> spent,
     11: list<PeerDemand> demand,
--- a/test/CopyPlannerTest.cpp
+++ b/test/CopyPlannerTest.cpp
@@ -29,7 +29,8 @@
         spec.engine->adapterSlots = 5;
         spec.engine->loadsPerSecond = 1.1;
         for (int i = 0; i < models; ++i)
-            spec.engine->models[model(i)] = {model(i), 70'000, 66, 29, Milliseconds(1200)};
+            spec.engine->models[model(i)]
+                = {model(i), 70'000, 66, 29, Milliseconds(1200), Milliseconds(240)};
         config->services[service] = spec;
         m_director.setConfig(config);
         for (int i = 0; i < engines; ++i) {
@@ -46,6 +47,25 @@
         m_director.setServers(m_book);
     }
 
+    // The engine has the model on its own disk.
+    void putAtHand(int engine, int i)
+    {
+        const ServerName id("engine-" + std::to_string(engine));
+        m_engines[id].atHand.insert(model(i));
+    }
+    // The engine comes back under its id, holding nothing.
+    void crash(int engine, Instant now)
+    {
+        const ServerName id("engine-" + std::to_string(engine));
+        ListedServer server = m_book.find(id)->listed;
+        server.incarnation += Incarnation(1);
+        server.holdings.clear();
+        m_engines[id].holdings.clear();
+        m_engines[id].orders = 0;
+        m_book.put(server, now);
+        m_director.setServers(m_book);
+    }
+
     void ask(int i, std::int64_t tokensPerStep) { m_demand[i] = tokensPerStep; }
     void wantAdapter(int i, const AdapterName &adapter, Instant now)
     {
@@ -70,6 +90,11 @@
             n += static_cast<int>(engine.holdings.count(model(i)));
         return n;
     }
+    bool holds(int engine, int i) const
+    {
+        return m_engines.at(ServerName("engine-" + std::to_string(engine))).holdings.count(model(i))
+            > 0;
+    }
     bool hasAdapter(int i, const AdapterName &adapter) const
     {
         for (const auto &[id, engine] : m_engines) {
@@ -171,6 +196,43 @@
     EXPECT_FALSE(fleet.overfull);
 }
 
+// Load pattern: half of the engines crash and come back empty. What they held is on their disks.
+TEST(CopyPlannerTest, fillsEnginesThatComeBackFromTheirOwnDisks)
+{
+    Fleet fleet(6, 17);
+    Instant now = start;
+    for (; now < start + 3s; now += tick)
+        fleet.step(now);
+    for (int engine = 0; engine < 3; ++engine) {
+        for (int k = 0; k < 3; ++k)
+            fleet.putAtHand(engine, engine * 3 + k);
+        fleet.crash(engine, now);
+    }
+    // The weight store alone would give two of the nine models by then.
+    const Instant back = now;
+    for (; now < back + 2500ms; now += tick)
+        fleet.step(now);
+    for (int i = 0; i < 9; ++i)
+        EXPECT_EQ(fleet.copies(i), 1) << i;
+    EXPECT_FALSE(fleet.overfull);
+}
+
+// Load pattern: demand comes back to a model that engines have given up before.
+TEST(CopyPlannerTest, copiesABusyModelWhereItIsAtHandFirst)
+{
+    Fleet fleet(9, 17);
+    Instant now = start;
+    fleet.putAtHand(7, 5);
+    for (; now < start + 3s; now += tick)
+        fleet.step(now);
+    const int before = fleet.copies(5);
+    fleet.ask(5, 3000);
+    for (; fleet.loads.empty() && now < start + 5s; now += tick)
+        fleet.step(now);
+    EXPECT_EQ(fleet.copies(5), before + 1);
+    EXPECT_TRUE(fleet.holds(7, 5));
+}
+
 // Load pattern: more adapters in use than one engine has slots for.
 TEST(CopyPlannerTest, loadsAdaptersThatAreWaitedForWithinTheSlots)
 {
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -16,7 +16,7 @@
 {"name":"r2","host":"h.example","prefix":"/a/b/","kind":"never-heard-of","timeout_ms":1000,
 "traffic_split":[{"service":"llm","weight":90},{"service":"app","weight":10}],"public":true}],
 "services":[{"name":"llm","max_conns":360,"engine":{"slots":64,"kv_capacity":234138,
-"models":[{"name":"m","mb":72700.0,"load_s":1.2,"adapters":29,"adapter_mb":66.0}],
+"models":[{"name":"m","mb":72700.0,"load_s":1.2,"disk_s":0.24,"adapters":29,"adapter_mb":66.0}],
 "mb":220000.0,"adapter_slots":5,"loads_per_s":1.1}},{"name":"app","max_conns":100}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
 "idle_timeout_ms":15000},
@@ -56,7 +56,10 @@
     ASSERT_NE(config->findAccount("k2"), nullptr);
     EXPECT_EQ(config->findAccount("k2")->name, AccountId("t"));
     EXPECT_EQ(config->findAccount(""), nullptr);
-    EXPECT_EQ(config->findService(ServiceName("llm"))->engine->models.size(), 1U);
+    const auto &models = config->findService(ServiceName("llm"))->engine->models;
+    ASSERT_EQ(models.size(), 1U);
+    EXPECT_EQ(models.begin()->second.loadTime, Milliseconds(1200));
+    EXPECT_EQ(models.begin()->second.atHandLoadTime, Milliseconds(240));
     EXPECT_FALSE(config->findService(ServiceName("app"))->engine);
 }
 
@@ -99,6 +102,12 @@
     EXPECT_TRUE(status->isBusy);
     EXPECT_EQ(status->orders, 2);
     EXPECT_EQ(status->loadingAdapters.count({ModelName("m"), AdapterName("a3")}), 1U);
+    EXPECT_TRUE(status->atHand.empty());
+    const auto keeping = decodeStatus(
+        R"({"models":[],"seq":2,"at_hand":{"in_memory":["m"],"on_disk":["m","n"]}})");
+    ASSERT_TRUE(keeping);
+    EXPECT_EQ(keeping->atHand, (std::set<ModelName>{ModelName("m"), ModelName("n")}));
+    EXPECT_FALSE(decodeStatus(R"({"models":[],"seq":2,"at_hand":{"on_disk":7}})"));
     EXPECT_FALSE(decodeStatus("{}"));
     EXPECT_FALSE(decodeStatus("<html>"));
 }
