Idle models give up their last copy to pressing ones; an open unload takes its copy off the count

And twice two unloads of one pass took both copies of a model, since a copy under an open unload still counted. Change: a model that requests wait for may take the place of one with less than a quarter of its work, a model whose copies are half busy or more that of one that nobody has asked for in some seconds; in both cases only where the engine keeps the model that goes on its own disk. Copies under an open unload don't count. The entry gateway's settings check names two equal addresses. Tests: CopyPlannerTest.servesAWantedModelInThePlaceOfOneThatNobodyAsksFor, copiesAPressingModelInThePlacesOfIdleOnes, keepsACopyWhereTwoPlacesAreTakenAtOnce (red with the guard taken out), SettingsTest.namesTheLineOfAWrongSettingOfTheEntryGateway.

--- a/src/Apps/Entry/EntrySettings.cpp
+++ b/src/Apps/Entry/EntrySettings.cpp
@@ -26,6 +26,21 @@
     return least;
 }
 
+// Mistakes that only show in several settings together.
+void checkTogether(const EntrySettings &settings, EntryReader &reader)
+{
+    const Address &callers = settings.callers;
+    const Address &readiness = settings.readiness;
+    const Address &peers = settings.peers;
+    const auto isSame
+        = [](const Address &a, const Address &b) { return a.port != 0 && a.text() == b.text(); };
+    if (isSame(callers, readiness) || isSame(callers, peers) || isSame(readiness, peers)) {
+        reader.complain("listen_callers",
+                        "two of listen_callers, listen_readiness and listen_peers are the same",
+                        "give each a port of its own");
+    }
+}
+
 std::chrono::milliseconds seconds(double count)
 {
     return std::chrono::milliseconds(static_cast<std::int64_t>(count * 1000));
@@ -54,6 +69,7 @@
         settings.processorShare = readFraction(reader, "processor_share", 0.001, 1024, "1");
         settings.prefillTokensPerMs
             = readFraction(reader, "prefill_tokens_per_ms", 0.1, 10'000, "38");
+        checkTogether(settings, reader);
     });
     return settings;
 }
--- a/src/Serving/CopyPlanner.cpp
+++ b/src/Serving/CopyPlanner.cpp
@@ -24,7 +24,7 @@
             continue;
         for (const auto &[model, adapters] : book.holdings()) {
             const auto n = counts.find(model);
-            if (n != counts.end())
+            if (n != counts.end() && !book.isUnloading(model))
                 ++n->second.held;
         }
         const auto loading = book.loadingModel();
@@ -53,8 +53,11 @@
             missing = &model;
     }
     if (missing) {
-        const double work = std::max(valueOr(input.demand, *missing), 1.0);
-        if (const auto change = place(*missing, work, input, counts))
+        const double asked = valueOr(input.demand, *missing);
+        const double mostOfLastCopy
+            = input.wanted.count(*missing) > 0 ? asked * m_settings.lastCopyShare : 0;
+        if (const auto change
+            = place(*missing, std::max(asked, 1.0), mostOfLastCopy, input, counts))
             return change;
     }
     const ModelName *busiest = nullptr;
@@ -70,23 +73,28 @@
     }
     if (!busiest)
         return {};
-    return place(*busiest, most, input, counts);
+    const double mostOfLastCopy = most >= m_settings.pressingShare ? m_settings.idleShare : 0;
+    return place(*busiest, most, mostOfLastCopy, input, counts);
 }
 
+// A last copy goes only where its model's work is below mostOfLastCopy.
 std::optional<CopyChange> CopyPlanner::place(const ModelName &model, double work,
-                                             const Input &input,
+                                             double mostOfLastCopy, const Input &input,
                                              const std::map<ModelName, Counts> &counts) const
 {
     std::optional<CopyChange> best;
-    // Weights at hand go before room, room before the work that the engine has already.
-    std::tuple<bool, bool, double> bestCost;
-    const auto offer = [&](const CopyChange &change, bool isFetch, double workThere) {
-        const std::tuple<bool, bool, double> cost(isFetch, !change.unload.isEmpty(), workThere);
-        if (best && cost >= bestCost)
-            return;
-        best = change;
-        bestCost = cost;
-    };
+    // Other models' last copies stay if they can; weights at hand go before room, room before the
+    // work that the engine has already.
+    using Cost = std::tuple<bool, bool, bool, double>;
+    Cost bestCost;
+    const auto offer
+        = [&](const CopyChange &change, bool takesLastCopy, bool isFetch, double workThere) {
+              const Cost cost(takesLastCopy, isFetch, !change.unload.isEmpty(), workThere);
+              if (best && cost >= bestCost)
+                  return;
+              best = change;
+              bestCost = cost;
+          };
     for (const auto &[id, book] : input.books) {
         if (book.listed().isLeaving || !book.isFree(input.now) || book.holds(model, {})
             || input.planned.count(id) > 0)
@@ -101,18 +109,22 @@
                 engineWork += valueOr(input.demand, held) / n->second.held;
         }
         if (book.fits(model, {})) {
-            offer({id, model, {}}, isFetch, engineWork);
+            offer({id, model, {}}, false, isFetch, engineWork);
             continue;
         }
         for (const auto &[held, adapters] : book.holdings()) {
             const auto n = counts.find(held);
             const bool isKnown = n != counts.end();
-            if (isKnown && n->second.held < 2)
+            if (isKnown && n->second.held < 2) {
+                const double lost = valueOr(input.demand, held);
+                if (lost < mostOfLastCopy && book.isAtHand(held))
+                    offer({id, model, held}, true, isFetch, lost + engineWork);
                 continue;
+            }
             const double left = isKnown ? valueOr(input.demand, held) / (n->second.held - 1) : 0;
             if (left > work * m_settings.victimShare)
                 continue;
-            offer({id, model, held}, isFetch, left + engineWork);
+            offer({id, model, held}, false, isFetch, left + engineWork);
         }
     }
     return best;
--- a/src/Serving/CopyPlanner.h
+++ b/src/Serving/CopyPlanner.h
@@ -20,6 +20,9 @@
 /// clearly busier per copy than the one that loses, so that a wavering demand moves nothing.
 /// Answers engines that come back empty: they keep what they held on their own disks, which loads
 /// several times as fast and leaves the weight store to others.
+/// Answers more models than places, or models in need of more copies than there is room for: a
+/// model that nobody asks for gives up its last copy while some engine keeps it at hand, and is
+/// loaded again when it is asked for.
 class CopyPlanner
 {
 public:
@@ -29,6 +32,13 @@
         double busyShare = 0.15;
         /// A copy is given up only where its model stays below this share of the gainer's work.
         double victimShare = 0.5;
+        /// Work per copy from which on a model may take the place of an idle model's last copy.
+        double pressingShare = 0.5;
+        /// Below this share of an engine's time a model is idle: no request for some seconds.
+        double idleShare = 0.002;
+        /// A model that requests wait for may take the place of a last copy whose work is below
+        /// this share of its own.
+        double lastCopyShare = 0.25;
     };
 
     using Books = std::map<ServerName, EngineBook>;
@@ -42,6 +52,7 @@
         Demand demand;
         std::map<ServerName, ModelName> planned; ///< Loads that wait for an unload.
         std::set<ModelName> missing; ///< Models without a copy that need one.
+        std::set<ModelName> wanted; ///< Models that requests wait for.
         bool mayFetch = true; ///< From the weight store; else only what engines have at hand.
         Instant now;
     };
@@ -62,7 +73,8 @@
     };
 
     std::map<ModelName, Counts> count(const Input &input) const;
-    std::optional<CopyChange> place(const ModelName &model, double work, const Input &input,
+    std::optional<CopyChange> place(const ModelName &model, double work, double mostOfLastCopy,
+                                    const Input &input,
                                     const std::map<ModelName, Counts> &counts) const;
 
     const Settings m_settings;
--- a/src/Serving/EngineBook.cpp
+++ b/src/Serving/EngineBook.cpp
@@ -343,6 +343,12 @@
     return adapter.isEmpty() || it->second.count(adapter) > 0;
 }
 
+bool EngineBook::isUnloading(const ModelName &model) const
+{
+    return m_open && m_open->kind == EngineCommand::Kind::Unload && m_open->adapter.isEmpty()
+        && m_open->model == model;
+}
+
 std::optional<ModelName> EngineBook::loadingModel() const
 {
     for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
--- a/src/Serving/EngineBook.h
+++ b/src/Serving/EngineBook.h
@@ -58,11 +58,13 @@
 
     /// Whether a load can't exceed the engine's memory or slots, whatever came of open orders.
     bool fits(const ModelName &model, const AdapterName &adapter) const;
-    /// Held, and no open order takes it away.
+    /// Held, as far as is known.
     bool holds(const ModelName &model, const AdapterName &adapter) const;
     /// Being loaded, or ordered to be.
     bool isLoading(const ModelName &model, const AdapterName &adapter) const;
 
+    /// Held, but an open order takes it away.
+    bool isUnloading(const ModelName &model) const;
     /// The model that is being loaded, or ordered to be.
     std::optional<ModelName> loadingModel() const;
 
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -245,9 +245,12 @@
     auto &pacer = m_pacers[service];
     const CopyPlanner::Demand work = workOf(spec, now);
     const std::set<ModelName> missing = missingModels(spec, books, now);
+    std::set<ModelName> wanted;
+    for (const auto &[need, at] : m_needs)
+        wanted.insert(need.first);
     for (int i = 0; i < changesPerPlan; ++i) {
         const auto change
-            = m_planner.next({spec, books, work, m_planned, missing, pacer.has(now), now});
+            = m_planner.next({spec, books, work, m_planned, missing, wanted, pacer.has(now), now});
         if (!change)
             return;
         // Room is made only for a load that may begin at once.
@@ -295,8 +298,10 @@
         if (book.listed().isLeaving)
             continue;
         atHand.insert(book.atHand().begin(), book.atHand().end());
-        for (const auto &[model, adapters] : book.holdings())
-            held.insert(model);
+        for (const auto &[model, adapters] : book.holdings()) {
+            if (!book.isUnloading(model))
+                held.insert(model);
+        }
         if (const auto loading = book.loadingModel())
             held.insert(*loading);
     }
--- a/test/CopyPlannerTest.cpp
+++ b/test/CopyPlannerTest.cpp
@@ -67,6 +67,7 @@
     }
 
     void ask(int i, std::int64_t tokensPerStep) { m_demand[i] = tokensPerStep; }
+    void want(int i, Instant now) { m_director.noteNeed(model(i), {}, now); }
     void wantAdapter(int i, const AdapterName &adapter, Instant now)
     {
         m_director.noteNeed(model(i), adapter, now);
@@ -233,6 +234,72 @@
     EXPECT_TRUE(fleet.holds(7, 5));
 }
 
+// Load pattern: engines are lost until fewer places are left than there are models.
+TEST(CopyPlannerTest, servesAWantedModelInThePlaceOfOneThatNobodyAsksFor)
+{
+    Fleet fleet(5, 17);
+    for (int engine = 0; engine < 5; ++engine) {
+        for (int k = 0; k < 3; ++k)
+            fleet.putAtHand(engine, engine * 3 + k);
+    }
+    Instant now = start;
+    for (; now < start + 3s; now += tick)
+        fleet.step(now);
+    ASSERT_EQ(fleet.copies(16), 0);
+    for (int i = 0; i < 14; ++i)
+        fleet.ask(i, 200);
+    fleet.ask(16, 200);
+    for (; now < start + 6s; now += tick) {
+        fleet.want(16, now);
+        fleet.step(now);
+    }
+    EXPECT_EQ(fleet.copies(16), 1);
+    for (int i = 0; i < 14; ++i)
+        EXPECT_GE(fleet.copies(i), 1) << i;
+    EXPECT_FALSE(fleet.overfull);
+}
+
+// Load pattern: nearly every place holds a model's only copy; one model gets most of the requests.
+TEST(CopyPlannerTest, copiesAPressingModelInThePlacesOfIdleOnes)
+{
+    Fleet fleet(6, 17);
+    for (int engine = 0; engine < 6; ++engine) {
+        for (int k = 0; k < 3; ++k)
+            fleet.putAtHand(engine, (engine * 3 + k) % 17);
+    }
+    Instant now = start;
+    for (; now < start + 3s; now += tick)
+        fleet.step(now);
+    for (int i = 1; i < 9; ++i)
+        fleet.ask(i, 40);
+    fleet.ask(0, 4000); // two engines' time
+    for (; now < start + 12s; now += tick)
+        fleet.step(now);
+    EXPECT_GE(fleet.copies(0), 4);
+    for (int i = 1; i < 9; ++i)
+        EXPECT_GE(fleet.copies(i), 1) << i;
+    EXPECT_FALSE(fleet.overfull);
+}
+
+// Load pattern: two models become busy at once, and both copies of a third are the cheapest places.
+TEST(CopyPlannerTest, keepsACopyWhereTwoPlacesAreTakenAtOnce)
+{
+    Fleet fleet(9, 17);
+    Instant now = start;
+    for (; now < start + 3s; now += tick) {
+        for (int i = 1; i < 17; ++i)
+            fleet.ask(i, 60);
+        fleet.step(now);
+    }
+    ASSERT_EQ(fleet.copies(0), 2);
+    fleet.ask(12, 4000);
+    fleet.ask(13, 4000);
+    for (; now < start + 10s; now += tick)
+        fleet.step(now);
+    EXPECT_FALSE(fleet.lostLastCopy);
+    EXPECT_GE(fleet.copies(0), 1);
+}
+
 // Load pattern: more adapters in use than one engine has slots for.
 TEST(CopyPlannerTest, loadsAdaptersThatAreWaitedForWithinTheSlots)
 {
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -1,5 +1,6 @@
 #include "Adapters/Process.h"
 #include "Apps/Agent/AgentSettings.h"
+#include "Apps/Entry/EntrySettings.h"
 #include "Apps/Gateway/GatewaySettings.h"
 
 #include <gtest/gtest.h>
@@ -123,6 +124,25 @@
                                   {"[gateway]", "unknown section"}});
 }
 
+TEST(SettingsTest, namesTheLineOfAWrongSettingOfTheEntryGateway)
+{
+    const std::string common
+        = "[entry]\ninstance = i-1\nzone = a\nlisten_callers = 127.0.0.1:7001\n"
+          "listen_readiness = 127.0.0.1:7002\nstore = 127.0.0.1:9\n";
+    expectRefused<EntrySettings>(common + "listen_peers = 127.0.0.1:7003\n",
+                                 {{"colour = red", "no setting named colour"},
+                                  {"retry_share = 2", "is not a number within its bounds"},
+                                  {"stop_grace_s = soon", "is not a number within its bounds"},
+                                  {"descriptors = 1", "is out of range"},
+                                  {"[gateway]", "unknown section"}});
+    for (const char *taken : {"127.0.0.1:7001", "127.0.0.1:7002"}) {
+        const Problems problems
+            = problemsOf<EntrySettings>(common + "listen_peers = " + taken + "\n");
+        ASSERT_EQ(problems.size(), 1U);
+        EXPECT_NE(problems[0].what.find("are the same"), std::string::npos);
+    }
+}
+
 TEST(SettingsTest, refusesWhatIsMissing)
 {
     for (const char *it : {"instance", "zone", "listen", "http_listen", "fleet_secret_file",
