--- a/test/SharedQuotaTest.cpp
+++ b/test/SharedQuotaTest.cpp
@@ -219,3 +219,56 @@
     }
     EXPECT_GE(fleet.total(), 0.99 * asked);
 }
+
+// Load pattern: an account uses nearly its whole rate, a few large requests a second over many
+// gateways.
+TEST(SharedQuotaTest, refusesLittleAtTheRateItselfAtManyGateways)
+{
+    constexpr int gateways = 30;
+    constexpr Duration rareNews = 480ms;
+    constexpr double cost = 30;
+    for (int seed = 1; seed <= 20; ++seed) {
+        std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+        Fleet fleet(gateways, 3 * rareNews + 150ms);
+        SharedQuota alone(rate, burst, start); // which sees every request
+        for (Duration t{0}; t < Duration(60s); t += 20ms) {
+            if (t % rareNews == Duration(0))
+                fleet.tell(start + t);
+            // 0.95 of the rate on average, once there is credit.
+            if (t < Duration(2s) || random() % 1000 >= 633)
+                continue;
+            fleet.ask(static_cast<int>(random() % gateways), cost, start + t);
+            alone.charge(cost, start + t);
+        }
+        EXPECT_GE(fleet.total(), 0.95 * alone.spent()) << "seed " << seed;
+    }
+}
+
+// Load pattern: an account at many gateways asks for somewhat more than its rate, without end.
+void askForMoreThanTheRate(int gateways)
+{
+    const Duration rareNews = gateways * 16ms;
+    constexpr double cost = 10;
+    for (int percent = 105; percent <= 400; percent += 15) {
+        std::mt19937_64 random(static_cast<std::uint64_t>(percent));
+        Fleet fleet(gateways, 3 * rareNews + 150ms);
+        for (Duration t{0}; t < Duration(40s); t += 20ms) {
+            if (t % rareNews == Duration(0))
+                fleet.tell(start + t);
+            double due = rate * percent / 100 * 0.02 / cost;
+            for (; due >= 1 || random() % 1000 < due * 1000; due -= 1)
+                fleet.ask(static_cast<int>(random() % gateways), cost, start + t);
+        }
+        EXPECT_LE(fleet.worst(window), (rate * 8 + burst) * 1.1) << percent << " %";
+    }
+}
+
+TEST(SharedQuotaTest, staysWithinTheRateAtThirtyGatewaysHoweverMuchIsAsked)
+{
+    askForMoreThanTheRate(30);
+}
+
+TEST(SharedQuotaTest, staysWithinTheRateAtThreeHundredGatewaysHoweverMuchIsAsked)
+{
+    askForMoreThanTheRate(300);
+}
