--- a/src/Serving/AdmissionPolicy.cpp
+++ b/src/Serving/AdmissionPolicy.cpp
@@ -9,6 +9,9 @@
 // A service without a usable server usually gets one back within a restart.
 constexpr Duration serverReturn = std::chrono::milliseconds(600);
 
+// Before a load that takes no longer: the order, and an unload where the engine is full.
+constexpr Duration makingRoom = std::chrono::milliseconds(400);
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
@@ -55,8 +58,9 @@
             decision.retryAfter = returnAfter(serverReturn, input, spread);
             return decision;
         }
-        return waitOrRefuse(input, scaled(objective, m_settings.slotPatience),
-                            model->second.loadTime, spread);
+        const Duration load = input.choice.isAtHand ? model->second.atHandLoadTime + makingRoom
+                                                    : Duration(model->second.loadTime);
+        return waitOrRefuse(input, scaled(objective, m_settings.slotPatience), load, spread);
     }
     case PlacementChoice::Outcome::NoAdapter:
         return waitOrRefuse(input, scaled(objective, m_settings.adapterPatience), objective,
--- a/src/Serving/ServerChooser.cpp
+++ b/src/Serving/ServerChooser.cpp
@@ -112,9 +112,12 @@
     if (std::none_of(all.begin(), all.end(),
                      [&](const ServerState *it) { return takesWork(request, *it); }))
         choice.outcome = PlacementChoice::Outcome::NoServer;
-    else if (needsModel && !anyModel)
+    else if (needsModel && !anyModel) {
         choice.outcome = PlacementChoice::Outcome::NoModel;
-    else if (needsModel && !anyAdapter)
+        choice.isAtHand = std::any_of(all.begin(), all.end(), [&](const ServerState *it) {
+            return takesWork(request, *it) && it->listed.atHand.count(request.call->model) > 0;
+        });
+    } else if (needsModel && !anyAdapter)
         choice.outcome = PlacementChoice::Outcome::NoAdapter;
     else
         choice.outcome = PlacementChoice::Outcome::Full;
--- a/src/Serving/ServerChooser.h
+++ b/src/Serving/ServerChooser.h
@@ -29,6 +29,7 @@
     };
 
     Outcome outcome = Outcome::NoServer;
+    bool isAtHand = false; ///< No server holds the model, one could load it from its own disk.
     ServerName server;
     Duration expectedFirst{0}; ///< Until the first byte of the answer.
     std::int64_t prefillTokens = 0; ///< That the server has to read.
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -173,3 +173,32 @@
     site.book.put(leaving, start);
     EXPECT_EQ(site.choose(call).server, ServerName("engine-2"));
 }
+
+// Load pattern: requests for a model that no engine holds. They come back when it can be there:
+// soon where an engine has it on its own disk.
+TEST(AdmissionPolicyTest, callsBackSoonWhereAnEngineHasTheModelAtHand)
+{
+    Site site;
+    site.service.engine->models[model]
+        = {model, 70'000, 66, 4, Milliseconds(4000), Milliseconds(800)};
+    site.route.timeout = Milliseconds(15'000);
+    ListedServer server;
+    server.id = ServerName("engine-1");
+    server.service = site.service.name;
+    server.zone = ZoneName("east");
+    server.address = "10.0.0.1:80";
+    server.slots = 64;
+    site.book.put(server, start);
+    const CallDescription call = site.call(100);
+    const auto decide = [&site, &call] {
+        const AdmissionInput input{&site.route, &site.service, &call, site.choose(call), 1s, 14s};
+        return site.policy.decide(input, 0);
+    };
+    EXPECT_EQ(decide().step, AdmissionDecision::Step::Refuse);
+    EXPECT_GE(decide().retryAfter, 4000ms);
+    server.atHand.insert(model);
+    site.book.put(server, start);
+    EXPECT_EQ(decide().step, AdmissionDecision::Step::Refuse);
+    EXPECT_LE(decide().retryAfter, 1500ms);
+    EXPECT_GE(decide().retryAfter, 800ms);
+}
