--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -101,7 +101,7 @@
         dropUnusedCallers();
 }
 
-// Only a holder keeps books of the engines.
+// Only a holder keeps its books of the engines up to date.
 void OrderSender::onServersChanged()
 {
     if (!m_lease.mayOrder(bootNow()))
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -266,13 +266,12 @@
     }
 }
 
-// A gateway that has just started, or was cut off, missed what was told; one of the others tells it
-// all.
+// A gateway that has just started, or was cut off, missed what was told. Of those that hear each
+// other the first by name tells it all.
 void PeerNetwork::tellCrashes(const InstanceId &instance, const Address &address)
 {
     for (const auto &[id, peer] : m_peers) {
-        const bool isOlder = peer.isHeard && id != instance;
-        if (isOlder && id < m_state.settings.instance)
+        if (peer.isHeard && id != instance && id < m_state.settings.instance)
             return;
     }
     const auto known = m_state.suspicions.suspicions(loopNow());
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -24,6 +24,8 @@
 {
     Version config;
     Version servers;
+
+    bool operator==(const StateVersions &) const = default;
 };
 
 /// \brief What the platform's store keeps for an entry gateway. All calls return at once; every
