--- a/test/SharedQuotaTest.cpp
+++ b/test/SharedQuotaTest.cpp
@@ -256,7 +256,7 @@
             if (t % rareNews == Duration(0))
                 fleet.tell(start + t);
             double due = rate * percent / 100 * 0.02 / cost;
-            for (; due >= 1 || random() % 1000 < due * 1000; due -= 1)
+            for (; due >= 1 || static_cast<double>(random() % 1000) < due * 1000; due -= 1)
                 fleet.ask(static_cast<int>(random() % gateways), cost, start + t);
         }
         EXPECT_LE(fleet.worst(window), (rate * 8 + burst) * 1.1) << percent << " %";
