One piece of code for base64, for waits for bytes, for unfinished orders

Read once more: base64 stood in platform/StoreClient.cpp and in the soak's store, both by a detail namespace of Beast; CallerSession and ClientConnection waited for their socket by twin code; EngineBook named its open and running order by the same expression in four loops; PlacementLease::onRead took a moment that it didn't use. Change: Adapters/Base64, Adapters/Async/ReadableWait, EngineBook::unfinished(), the parameter removed (its tests call without it, their assertions stay). No behaviour is meant to change.

--- a/src/Adapters/Async/CallerSession.cpp
+++ b/src/Adapters/Async/CallerSession.cpp
@@ -64,13 +64,11 @@
 {
     const bool mayRead
         = m_state != State::Closed && (m_state != State::Handling || m_in.size() < readAheadBytes);
-    if (m_waiting || !mayRead)
+    if (!mayRead)
         return;
-    m_waiting = true;
-    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const SystemError &ec) {
-        self->m_waiting = false;
-        if (!ec && self->m_state != State::Closed)
-            self->onReadable();
+    m_readable.start(m_socket, shared_from_this(), [this] {
+        if (m_state != State::Closed)
+            onReadable();
     });
 }
 
--- a/src/Adapters/Async/CallerSession.h
+++ b/src/Adapters/Async/CallerSession.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_ADAPTERS_ASYNC_CALLERSESSION_H
 
 #include "Adapters/Async/EventLoop.h"
+#include "Adapters/Async/ReadableWait.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -111,7 +112,7 @@
     std::string m_in;
     std::string m_out;
     std::string m_writing;
-    bool m_waiting = false;
+    ReadableWait m_readable;
     bool m_headerChecked = false;
     bool m_requestBegun = false;
     bool m_keepAlive = true;
--- a/src/Adapters/Async/ClientConnection.cpp
+++ b/src/Adapters/Async/ClientConnection.cpp
@@ -160,13 +160,11 @@
 
 void ClientConnection::awaitBytes()
 {
-    if (m_waiting || m_paused || m_state == State::Closed)
+    if (m_paused || m_state == State::Closed)
         return;
-    m_waiting = true;
-    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const SystemError &ec) {
-        self->m_waiting = false;
-        if (!ec && self->m_state != State::Closed)
-            self->onReadable();
+    m_readable.start(m_socket, shared_from_this(), [this] {
+        if (m_state != State::Closed)
+            onReadable();
     });
 }
 
--- a/src/Adapters/Async/ClientConnection.h
+++ b/src/Adapters/Async/ClientConnection.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/Address.h"
 #include "Adapters/Async/EventLoop.h"
+#include "Adapters/Async/ReadableWait.h"
 #include "Adapters/Async/internal/AnswerParser.h"
 
 #include <functional>
@@ -103,7 +104,7 @@
     bool m_answerEnded = false;
     bool m_sent = false;
     bool m_writing = false;
-    bool m_waiting = false;
+    ReadableWait m_readable;
     bool m_paused = false;
     bool m_keepAlive = false;
     std::chrono::milliseconds m_idleTime;
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -128,12 +128,12 @@
     case PlacementLease::Action::None:
         return;
     case PlacementLease::Action::Read:
-        m_relay.read([this, now](const auto &row) {
+        m_relay.read([this](const auto &row) {
             if (!row) {
                 m_lease.onFailed(bootNow());
                 return;
             }
-            m_lease.onRead(*row, now, bootNow());
+            m_lease.onRead(*row, bootNow());
         });
         return;
     case PlacementLease::Action::Write:
--- a/src/Serving/EngineBook.cpp
+++ b/src/Serving/EngineBook.cpp
@@ -296,12 +296,17 @@
     return it == m_spec->models.end() ? 0 : it->second.adapterMegabytes;
 }
 
+std::array<const EngineCommand *, 2> EngineBook::unfinished() const
+{
+    return {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr};
+}
+
 int EngineBook::adapterCount() const
 {
     std::size_t n = 0;
     for (const auto &[model, adapters] : m_holdings)
         n += adapters.size();
-    for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
+    for (const auto *command : unfinished()) {
         if (command && command->kind == EngineCommand::Kind::Load && !command->adapter.isEmpty())
             ++n;
     }
@@ -315,7 +320,7 @@
         used += megabytesOf(model)
             + adapterMegabytesOf(model) * static_cast<double>(adapters.size());
     // Loads that are open or under way, and unloads that aren't finished, still take memory.
-    for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
+    for (const auto *command : unfinished()) {
         if (!command)
             continue;
         if (!command->adapter.isEmpty()) {
@@ -351,7 +356,7 @@
 
 std::optional<ModelName> EngineBook::loadingModel() const
 {
-    for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
+    for (const auto *command : unfinished()) {
         if (command && command->kind == EngineCommand::Kind::Load && command->adapter.isEmpty())
             return command->model;
     }
@@ -360,7 +365,7 @@
 
 bool EngineBook::isLoading(const ModelName &model, const AdapterName &adapter) const
 {
-    for (const auto *command : {m_open ? &*m_open : nullptr, m_running ? &*m_running : nullptr}) {
+    for (const auto *command : unfinished()) {
         if (command && command->kind == EngineCommand::Kind::Load && command->model == model
             && command->adapter == adapter)
             return true;
--- a/src/Serving/EngineBook.h
+++ b/src/Serving/EngineBook.h
@@ -3,6 +3,7 @@
 
 #include "Ports/ServingDialect.h"
 
+#include <array>
 #include <memory>
 
 namespace quetzalyoke {
@@ -79,6 +80,7 @@
     double freeMegabytes() const;
 
 private:
+    std::array<const EngineCommand *, 2> unfinished() const; // open and running, null: none
     void applyAccepted(const EngineCommand &command, Instant now);
     void settle(const Holdings &holdings, bool isBusy, Instant now);
     Duration loadTimeOf(const ModelName &model) const;
--- a/src/Serving/PlacementLease.cpp
+++ b/src/Serving/PlacementLease.cpp
@@ -67,7 +67,7 @@
     return row;
 }
 
-void PlacementLease::onRead(const std::optional<LeaseRow> &row, Instant, Instant now)
+void PlacementLease::onRead(const std::optional<LeaseRow> &row, Instant now)
 {
     m_waiting = false;
     if (!m_firstReadAt)
--- a/src/Serving/PlacementLease.h
+++ b/src/Serving/PlacementLease.h
@@ -48,7 +48,7 @@
     /// Row to write for Action::Write, and the version that it replaces.
     LeaseRow proposal() const;
 
-    void onRead(const std::optional<LeaseRow> &row, Instant sentAt, Instant now);
+    void onRead(const std::optional<LeaseRow> &row, Instant now);
     /// Nothing: the condition failed. \a sentAt is when the write was sent.
     void onWritten(const std::optional<Version> &version, Instant sentAt);
     /// The call's outcome is unknown or the table refused it.
--- a/test/PlacementLeaseTest.cpp
+++ b/test/PlacementLeaseTest.cpp
@@ -65,7 +65,7 @@
 {
     PlacementLease lease(PlacementLease::Limits(), InstanceId("a"), Incarnation(1));
     ASSERT_EQ(lease.next(start), PlacementLease::Action::Read);
-    lease.onRead(std::nullopt, start, start);
+    lease.onRead(std::nullopt, start);
     ASSERT_EQ(lease.next(start + 1s), PlacementLease::Action::Write);
     EXPECT_EQ(lease.proposal().fencing.count(), 1);
     lease.onWritten(Version(4), start + 1s);
@@ -78,7 +78,7 @@
     const Instant lapsed = start + 1s + PlacementLease::Limits().validity + 100ms;
     PlacementLease lease(PlacementLease::Limits(), InstanceId("a"), Incarnation(1));
     lease.next(start);
-    lease.onRead(std::nullopt, start, start);
+    lease.onRead(std::nullopt, start);
     ASSERT_EQ(lease.next(start + 1s), PlacementLease::Action::Write);
     lease.onWritten(Version(1), start + 1s);
     ASSERT_EQ(lease.next(start + 2s), PlacementLease::Action::Write);
@@ -90,7 +90,7 @@
     row.holder = InstanceId("a");
     row.incarnation = Incarnation(1);
     row.version = Version(2);
-    lease.onRead(row, lapsed, lapsed);
+    lease.onRead(row, lapsed);
     EXPECT_FALSE(lease.mayOrder(lapsed));
     ASSERT_EQ(lease.next(lapsed), PlacementLease::Action::Write);
     lease.onWritten(Version(3), lapsed);
@@ -159,7 +159,7 @@
                     } else if (call.isWrite) {
                         gateway.lease->onWritten(call.result, call.sentAt);
                     } else {
-                        gateway.lease->onRead(call.read, call.sentAt, now);
+                        gateway.lease->onRead(call.read, now);
                     }
                     gateway.call.reset();
                 }
@@ -211,7 +211,7 @@
     const LeaseRow row{InstanceId("gone"), Incarnation(1), FencingNumber(4), Version(9)};
     PlacementLease lease(limits, InstanceId("a"), Incarnation(1));
     ASSERT_EQ(lease.next(start), PlacementLease::Action::Read);
-    lease.onRead(row, start, start);
+    lease.onRead(row, start);
     Instant now = start;
     for (; now < start + 6s; now += 100ms) {
         if (lease.next(now) != PlacementLease::Action::None)
@@ -219,7 +219,7 @@
     }
     while (lease.next(now) != PlacementLease::Action::Read)
         now += 50ms;
-    lease.onRead(row, now, now);
+    lease.onRead(row, now);
     while (lease.next(now) != PlacementLease::Action::Write) {
         now += 50ms;
         ASSERT_LT(now, start + 8s);
@@ -231,8 +231,7 @@
 {
     PlacementLease lease(PlacementLease::Limits(), InstanceId("a"), Incarnation(2));
     ASSERT_EQ(lease.next(start), PlacementLease::Action::Read);
-    lease.onRead(LeaseRow{InstanceId("a"), Incarnation(1), FencingNumber(4), Version(9)}, start,
-                 start);
+    lease.onRead(LeaseRow{InstanceId("a"), Incarnation(1), FencingNumber(4), Version(9)}, start);
     Instant now = start;
     while (lease.next(now) != PlacementLease::Action::Write) {
         now += 50ms;
--- a/test/soak/PlatformStoreStandIn.cpp
+++ b/test/soak/PlatformStoreStandIn.cpp
@@ -1,6 +1,6 @@
 #include "PlatformStoreStandIn.h"
 
-#include <boost/beast/core/detail/base64.hpp>
+#include "Adapters/Base64.h"
 
 #include <charconv>
 
@@ -9,21 +9,6 @@
 namespace {
 
 using Json = nlohmann::json;
-namespace base64 = boost::beast::detail::base64;
-
-std::string encode(const std::string &bytes)
-{
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
-std::string decode(const std::string &text)
-{
-    std::string bytes(base64::decoded_size(text.size()), '\0');
-    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
-    return bytes;
-}
 
 std::string parameter(const std::string &target, const std::string &name)
 {
@@ -97,7 +82,7 @@
         if (row.isDeleted)
             json["deleted"] = true;
         else
-            json["value"] = encode(row.value);
+            json["value"] = encodeBase64(row.value);
         rows.push_back(json);
     }
     std::sort(rows.begin(), rows.end(), [](const Json &a, const Json &b) {
@@ -142,7 +127,7 @@
     }
     ++m_version;
     for (const Json &row : json["set_keys"])
-        m_tables[row["table"]][row["key"]] = {decode(row["value"]), m_version, false};
+        m_tables[row["table"]][row["key"]] = {decodeBase64(row["value"]), m_version, false};
     wake();
     if (m_isLosingAnswers) {
         m_unanswered.push_back(session);
