Sums of spending by zone where gateways are hundreds

Cause: KNOWN-RED SharedQuotaTest.staysWithinTheRateAtThreeHundredGateways: news went from each gateway to all others, every 4.8 s at 300 gateways; an account asking for 2.1 times its rate got up to 17,920 of 9,900 tokens within 8 s. Ruled out: the part by demand alone (it is known only with the first news); extrapolating what peers spend between news (two tests at 30 gateways refused too much: reverted). Change: SpendingRelay. SharedQuota takes peers that speak for several gateways, caps its burst by the share of gateways heard of, and keeps to its part while most news are late.

--- a/src/Apps/Entry/AccountQuotas.cpp
+++ b/src/Apps/Entry/AccountQuotas.cpp
@@ -27,20 +27,26 @@
 }
 
 void AccountQuotas::takePeerSpending(const InstanceId &peer, Incarnation incarnation,
-                                     const std::map<AccountId, AccountSpending> &spending,
-                                     Instant now)
+                                     const SpendingByAccount &spending, Instant now,
+                                     std::size_t gateways)
 {
     for (auto &[id, quota] : m_quotas) {
         const auto it = spending.find(id);
         const AccountSpending told = it == spending.end() ? AccountSpending() : it->second;
-        quota.takePeerSpent(peer, incarnation, told.spent, told.asked, now);
+        quota.takePeerSpent(peer, incarnation, told.spent, told.asked, now, gateways);
     }
 }
 
-void AccountQuotas::forgetPeer(const InstanceId &peer)
+void AccountQuotas::replacePeer(const InstanceId &peer, Instant now)
 {
     for (auto &[id, quota] : m_quotas)
-        quota.forgetPeer(peer);
+        quota.replacePeer(peer, now);
+}
+
+void AccountQuotas::forgetPeers()
+{
+    for (auto &[id, quota] : m_quotas)
+        quota.forgetPeers();
 }
 
 void AccountQuotas::suspectPeers(Instant now)
@@ -55,11 +61,13 @@
     return it == m_quotas.end() ? nullptr : &it->second;
 }
 
-std::map<AccountId, AccountSpending> AccountQuotas::spending() const
+SpendingByAccount AccountQuotas::spending() const
 {
-    std::map<AccountId, AccountSpending> spending;
-    for (const auto &[id, quota] : m_quotas)
-        spending[id] = {quota.spent(), quota.asked()};
+    SpendingByAccount spending;
+    for (const auto &[id, quota] : m_quotas) {
+        if (quota.asked() > 0)
+            spending[id] = {quota.spent(), quota.asked()};
+    }
     return spending;
 }
 
--- a/src/Apps/Entry/AccountQuotas.h
+++ b/src/Apps/Entry/AccountQuotas.h
@@ -3,16 +3,10 @@
 
 #include "Serving/ServingConfig.h"
 #include "Serving/SharedQuota.h"
+#include "Serving/SpendingSums.h"
 
 namespace quetzalyoke {
 
-/// \brief What one gateway has handed out of an account's quota since its start.
-struct AccountSpending
-{
-    double spent = 0;
-    double asked = 0; ///< Refused requests included.
-};
-
 /// \brief The shared quotas of all accounts that have a limit.
 class AccountQuotas
 {
@@ -20,14 +14,18 @@
     void setConfig(const ServingConfig &config, Instant now);
     /// \sa SharedQuota::setGateways
     void setGateways(std::size_t gateways, Duration silence);
+    /// \a peer tells what it has spent, or what as many gateways as \a gateways have together.
     void takePeerSpending(const InstanceId &peer, Incarnation incarnation,
-                          const std::map<AccountId, AccountSpending> &spending, Instant now);
-    void forgetPeer(const InstanceId &peer);
+                          const SpendingByAccount &spending, Instant now, std::size_t gateways = 1);
+    /// \sa SharedQuota::replacePeer
+    void replacePeer(const InstanceId &peer, Instant now);
+    void forgetPeers();
     void suspectPeers(Instant now);
 
     /// The quota of \a account; nullptr: it has no limit.
     SharedQuota *find(const AccountId &account);
-    std::map<AccountId, AccountSpending> spending() const;
+    /// Of this gateway since its start, of accounts that have asked for anything.
+    SpendingByAccount spending() const;
 
 private:
     std::map<AccountId, SharedQuota> m_quotas;
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -4,6 +4,7 @@
 #include "Adapters/Async/PeerSocket.h"
 #include "Apps/Entry/EntryState.h"
 #include "Apps/Entry/StateExchange.h"
+#include "Serving/SpendingRelay.h"
 
 namespace quetzalyoke {
 
@@ -60,6 +61,11 @@
     void updateCount();
     void tick();
     void tellAll();
+    bool isRelaying() const;
+    void relayTick();
+    void relay();
+    void onSpending(const wire::PeerNews &news);
+    ReaderCandidate candidate(const InstanceId &id, const Peer &peer) const;
     void tellUrgent();
     void scheduleUrgent();
     std::chrono::milliseconds interval() const;
@@ -81,6 +87,9 @@
     asio::steady_timer m_tick;
     asio::steady_timer m_joinTimer;
     asio::steady_timer m_urgentTimer;
+    asio::steady_timer m_relayTimer;
+    SpendingRelay m_relay;
+    bool m_wasRelaying = false;
     bool m_isUrgentScheduled = false;
     bool m_hasNewNotices = false;
     bool m_hasJoined = false;
--- a/src/Serving/ReaderElection.cpp
+++ b/src/Serving/ReaderElection.cpp
@@ -1,5 +1,7 @@
 #include "Serving/ReaderElection.h"
 
+#include <utility>
+
 namespace quetzalyoke {
 
 namespace {
@@ -13,6 +15,32 @@
 
 } // namespace
 
+std::map<ZoneName, InstanceId> speakersOfZones(const std::vector<ReaderCandidate> &gateways)
+{
+    struct Largest
+    {
+        const ReaderCandidate *first = nullptr;
+        const ReaderCandidate *second = nullptr;
+    };
+    const auto isBefore = [](const ReaderCandidate &a, const ReaderCandidate *b) {
+        return !b || comesBefore(a.processorShare, a.instance, b->processorShare, b->instance);
+    };
+    std::map<ZoneName, Largest> zones;
+    for (const ReaderCandidate &gateway : gateways) {
+        if (!gateway.isAlive)
+            continue;
+        Largest &zone = zones[gateway.zone];
+        if (isBefore(gateway, zone.first))
+            zone.second = std::exchange(zone.first, &gateway);
+        else if (isBefore(gateway, zone.second))
+            zone.second = &gateway;
+    }
+    std::map<ZoneName, InstanceId> speakers;
+    for (const auto &[name, zone] : zones)
+        speakers[name] = zone.second ? zone.second->instance : zone.first->instance;
+    return speakers;
+}
+
 ReaderElection::ReaderElection(const Settings &settings, InstanceId self, ZoneName zone,
                                double processorShare)
     : m_settings(settings), m_self(std::move(self)), m_zone(std::move(zone)),
--- a/src/Serving/ReaderElection.h
+++ b/src/Serving/ReaderElection.h
@@ -19,6 +19,10 @@
     double processorShare = 0; ///< The largest instance reads first.
 };
 
+/// The gateways that speak for their zones: of each the second largest instance that is alive,
+/// since the largest reads the store, or the only one.
+std::map<ZoneName, InstanceId> speakersOfZones(const std::vector<ReaderCandidate> &gateways);
+
 /// \brief Chooses which gateway of an availability zone reads the store for the others.
 ///
 /// The store's calls would otherwise grow with the gateways. Every gateway decides by itself from
--- a/src/Serving/SharedQuota.cpp
+++ b/src/Serving/SharedQuota.cpp
@@ -18,6 +18,9 @@
 // Of the burst: credit above it covers what all spend between two news.
 constexpr double comfortableShare = 0.6;
 
+// Of the silence limit: a message or two have been lost, or the gateways that sent them.
+constexpr double lateShareOfSilence = 0.6;
+
 // Of the rate, divided evenly over the gateways whatever is asked of them, so that one that was
 // idle can begin.
 constexpr double evenShare = 0.2;
@@ -49,20 +52,25 @@
     const double elapsed = seconds(now - m_at);
     double taken = 0;
     const double equalPart = m_rate / static_cast<double>(std::max<std::size_t>(1, m_gateways));
-    std::size_t heard = 0;
+    std::size_t known = 1;
+    std::size_t heard = 1;
     for (auto &[id, peer] : m_peers) {
+        known += peer.gateways;
         if (now - peer.heardAt <= m_silence) {
-            ++heard;
+            heard += peer.gateways;
             continue;
         }
-        peer.assumed += equalPart * elapsed;
-        taken += equalPart * elapsed;
+        const double assumed = equalPart * elapsed * static_cast<double>(peer.gateways);
+        peer.assumed += assumed;
+        taken += assumed;
     }
-    // Gateways that are known to exist and have never been heard of.
-    const std::size_t others = m_gateways > 0 ? m_gateways - 1 : 0;
-    if (others > m_peers.size())
-        taken += equalPart * elapsed * static_cast<double>(others - m_peers.size());
-    m_level = std::min(m_burst, m_level + m_rate * elapsed - taken);
+    // Gateways that are known to exist and not heard of.
+    if (m_gateways > known)
+        taken += equalPart * elapsed * static_cast<double>(m_gateways - known);
+    // Those who are not heard of may spend their parts of the burst, too.
+    const double heardShare
+        = std::min(1.0, static_cast<double>(heard) / static_cast<double>(m_gateways));
+    m_level = std::min(m_burst * heardShare, m_level + m_rate * elapsed - taken);
     const double weight = std::min(1.0, elapsed / demandWindowSeconds);
     m_askedPerSecond += ((m_asked - m_askedBefore) / elapsed - m_askedPerSecond) * weight;
     m_askedBefore = m_asked;
@@ -87,10 +95,23 @@
     return all;
 }
 
+// Whether most other gateways should have been heard of again by now.
+bool SharedQuota::isNewsLate() const
+{
+    std::size_t heard = 1;
+    for (const auto &[id, peer] : m_peers) {
+        if (seconds(m_at - peer.heardAt) <= lateShareOfSilence * seconds(m_silence))
+            heard += peer.gateways;
+    }
+    return heard * 2 < m_gateways;
+}
+
 bool SharedQuota::keepsToItsPart() const
 {
-    return m_gateways > gatewaysWithFrequentNews && m_level < comfortableShare * m_burst
-        && askedByAll() >= pressingShare * m_rate;
+    if (m_gateways <= gatewaysWithFrequentNews || askedByAll() < pressingShare * m_rate)
+        return false;
+    // Credit that seems to be there may have been spent by those who are not heard of.
+    return m_level < comfortableShare * m_burst || isNewsLate();
 }
 
 bool SharedQuota::charge(double cost, Instant now)
@@ -125,7 +146,7 @@
 }
 
 void SharedQuota::takePeerSpent(const InstanceId &peer, Incarnation incarnation, double spent,
-                                double asked, Instant now)
+                                double asked, Instant now, std::size_t gateways)
 {
     advance(now);
     auto [it, isNew] = m_peers.try_emplace(peer);
@@ -144,14 +165,28 @@
         const double perSecond = (isRestart ? asked : asked - known.asked) / elapsed;
         const double weight = std::min(1.0, elapsed / demandWindowSeconds);
         known.askedPerSecond += (perSecond - known.askedPerSecond) * weight;
+        known.spentPerSecond += (fresh / elapsed - known.spentPerSecond) * weight;
     }
     known.incarnation = incarnation;
+    known.gateways = gateways;
     known.spent = spent;
     known.asked = asked;
     known.heardAt = now;
     known.assumed = 0;
 }
 
+void SharedQuota::replacePeer(const InstanceId &peer, Instant now)
+{
+    advance(now);
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end())
+        return;
+    // After the silence it has been counted at its equal part.
+    const Duration uncounted = std::min(now - it->second.heardAt, m_silence);
+    m_level -= std::max(0.0, it->second.spentPerSecond) * seconds(uncounted);
+    m_peers.erase(it);
+}
+
 void SharedQuota::setGateways(std::size_t gateways, Duration silence)
 {
     m_gateways = std::max<std::size_t>(1, gateways);
--- a/src/Serving/SharedQuota.h
+++ b/src/Serving/SharedQuota.h
@@ -35,12 +35,15 @@
     double spent() const { return m_spent; }
     /// Sum of what has been asked of it, refused or not.
     double asked() const { return m_asked; }
-    /// \a peer tells its own spent() and asked().
+    /// \a peer tells its own spent() and asked(), or the sums of as many gateways as \a gateways.
     void takePeerSpent(const InstanceId &peer, Incarnation incarnation, double spent, double asked,
-                       Instant now);
+                       Instant now, std::size_t gateways = 1);
     /// Gateways in all, this one included; a peer is silent after \a silence without news.
     void setGateways(std::size_t gateways, Duration silence);
-    void forgetPeer(const InstanceId &peer) { m_peers.erase(peer); }
+    /// Another one speaks for \a peer's gateways from now on. What they spent since its last news
+    /// is taken to have gone on as before.
+    void replacePeer(const InstanceId &peer, Instant now);
+    void forgetPeers() { m_peers.clear(); }
     /// Treats all peers as silent from \a now on, after this gateway has stood still.
     void suspectPeers(Instant now);
 
@@ -50,15 +53,18 @@
     struct Peer
     {
         Incarnation incarnation;
+        std::size_t gateways = 1; // that it speaks for
         double spent = 0;
         Instant heardAt;
         double asked = 0;
         double askedPerSecond = 0;
+        double spentPerSecond = 0;
         double assumed = 0; // counted for its silence, set off against its next news
     };
 
     void advance(Instant now);
     double askedByAll() const;
+    bool isNewsLate() const;
     double ownShare() const;
     bool keepsToItsPart() const;
 
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -45,6 +45,20 @@
     2: string incident,
 }
 
+// Where gateways are many: see SpendingRelay.
+enum PeerSpendingKind {
+    MEMBER = 0,
+    MEMBERS = 1,
+    OTHERS = 2,
+}
+
+struct PeerSpending {
+    1: PeerSpendingKind kind,
+    2: list<PeerSpent> accounts,
+    3: i32 gateways,              // whose spending is in it
+    4: bool isAllFresh,           // spent within the last second, as the sender has just started
+}
+
 struct PeerNews {
     1: string instance,
     2: i64 incarnation,
@@ -66,4 +80,5 @@
     13: list<PeerAdapter> used,
     14: list<PeerNotice> notices,
     15: list<PeerCrash> crashes,
+    21: optional PeerSpending spending,   // then the message holds nothing else
 }
--- a/test/SharedQuotaTest.cpp
+++ b/test/SharedQuotaTest.cpp
@@ -245,9 +245,11 @@
 }
 
 // Load pattern: an account at many gateways asks for somewhat more than its rate, without end.
-void askForMoreThanTheRate(int gateways)
+// For hundreds of gateways see SpendingRelayTest.
+TEST(SharedQuotaTest, staysWithinTheRateAtThirtyGatewaysHoweverMuchIsAsked)
 {
-    const Duration rareNews = gateways * 16ms;
+    constexpr int gateways = 30;
+    constexpr Duration rareNews = gateways * 16ms;
     constexpr double cost = 10;
     for (int percent = 105; percent <= 400; percent += 15) {
         std::mt19937_64 random(static_cast<std::uint64_t>(percent));
@@ -262,13 +264,3 @@
         EXPECT_LE(fleet.worst(window), (rate * 8 + burst) * 1.1) << percent << " %";
     }
 }
-
-TEST(SharedQuotaTest, staysWithinTheRateAtThirtyGatewaysHoweverMuchIsAsked)
-{
-    askForMoreThanTheRate(30);
-}
-
-TEST(SharedQuotaTest, staysWithinTheRateAtThreeHundredGatewaysHoweverMuchIsAsked)
-{
-    askForMoreThanTheRate(300);
-}
