Further copies of an adapter whose engines are busy

Cause: an adapter was loaded only where no engine held it. Change: ServerChooser names the engine that lacks only the adapter and would answer 100 ms sooner; the holder loads it there, one copy each 250 ms, in a place unused for 0.7 s. Tests: ServerChooserTest.namesAnIdleServerThatLacksOnlyTheAdapter, EngineDirectorTest (two load patterns).

--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -67,7 +67,15 @@
 void EntryState::noteNeed(const ModelName &model, const AdapterName &adapter)
 {
     director.noteNeed(model, adapter, loopNow());
-    if (wantedNews.emplace(model, adapter).second && onNeed)
+    if (wantedNews.emplace(ServerName(), model, adapter).second && onNeed)
+        onNeed();
+}
+
+void EntryState::noteRelief(const ServerName &server, const ModelName &model,
+                            const AdapterName &adapter)
+{
+    director.noteRelief(server, model, adapter, loopNow());
+    if (wantedNews.emplace(server, model, adapter).second && onNeed)
         onNeed();
 }
 
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -52,11 +52,13 @@
 
     /// Prompt tokens asked, adapters wanted and used since the last news to peers.
     std::map<ModelName, std::int64_t> demandNews;
-    std::set<std::pair<ModelName, AdapterName>> wantedNews;
+    std::set<std::tuple<ServerName, ModelName, AdapterName>>
+        wantedNews; ///< Or no server: anywhere.
     std::set<std::tuple<ServerName, ModelName, AdapterName>> usedNews;
 
     void noteDemand(const ModelName &model, std::int64_t tokens);
     void noteNeed(const ModelName &model, const AdapterName &adapter);
+    void noteRelief(const ServerName &server, const ModelName &model, const AdapterName &adapter);
     void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter);
 
     /// Called when requests wait for something that another gateway may have to order.
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -222,6 +222,8 @@
     if (input.choice.outcome == PlacementChoice::Outcome::NoModel
         || input.choice.outcome == PlacementChoice::Outcome::NoAdapter)
         m_state.noteNeed(m_call.model, m_call.adapter);
+    if (!input.choice.relief.isEmpty())
+        m_state.noteRelief(input.choice.relief, m_call.model, m_call.adapter);
     const AdmissionDecision decision = m_state.admission.decide(input, m_state.random());
     switch (decision.step) {
     case AdmissionDecision::Step::Send:
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -409,8 +409,9 @@
         demand.tokens = tokens;
         news.demand.push_back(std::move(demand));
     }
-    for (const auto &[model, adapter] : std::exchange(m_state.wantedNews, {})) {
+    for (const auto &[server, model, adapter] : std::exchange(m_state.wantedNews, {})) {
         wire::PeerAdapter wanted;
+        wanted.server = server.text();
         wanted.model = model.text();
         wanted.adapter = adapter.text();
         news.wanted.push_back(std::move(wanted));
@@ -504,8 +505,14 @@
     const Instant now = loopNow();
     for (const wire::PeerDemand &entry : news.demand)
         m_state.director.noteDemand(ModelName(entry.model), entry.tokens, now);
-    for (const wire::PeerAdapter &entry : news.wanted)
-        m_state.director.noteNeed(ModelName(entry.model), AdapterName(entry.adapter), now);
+    for (const wire::PeerAdapter &entry : news.wanted) {
+        const ModelName model(entry.model);
+        const AdapterName adapter(entry.adapter);
+        if (entry.server.empty())
+            m_state.director.noteNeed(model, adapter, now);
+        else
+            m_state.director.noteRelief(ServerName(entry.server), model, adapter, now);
+    }
     for (const wire::PeerAdapter &entry : news.used) {
         m_state.director.noteUse(ServerName(entry.server), ModelName(entry.model),
                                  AdapterName(entry.adapter), now);
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -13,6 +13,9 @@
 // An order that the engine called impossible is not tried again before.
 constexpr Duration impossiblePause = std::chrono::seconds(5);
 
+// Between two further copies of one adapter: by then requests go to the first of them.
+constexpr Duration reliefPause = std::chrono::milliseconds(250);
+
 // Loads that may begin at once after a pause; the engines' rules allow three beyond the rate.
 constexpr double savedLoads = 2;
 
@@ -86,6 +89,12 @@
     m_needs[{model, adapter}] = now;
 }
 
+void EngineDirector::noteRelief(const ServerName &server, const ModelName &model,
+                                const AdapterName &adapter, Instant now)
+{
+    m_reliefs[{model, adapter}] = {server, now};
+}
+
 void EngineDirector::noteUse(const ServerName &server, const ModelName &model,
                              const AdapterName &adapter, Instant now)
 {
@@ -98,6 +107,9 @@
     if (!m_config)
         return step;
     std::erase_if(m_needs, [now](const auto &need) { return now - need.second > needLifetime; });
+    std::erase_if(m_reliefs,
+                  [now](const auto &it) { return now - it.second.second > needLifetime; });
+    std::erase_if(m_relievedAt, [now](const auto &it) { return now - it.second > reliefPause; });
     std::erase_if(m_uses,
                   [&](const auto &use) { return now - use.second > 4 * m_settings.adapterIdle; });
     for (const auto &[name, service] : m_config->services) {
@@ -129,6 +141,7 @@
             step.commands.push_back(*repeat);
         }
         planAdapters(name, spec, step, now);
+        planReliefs(name, step, now);
         startPlannedLoads(name, step, now);
         if (now >= m_planAt)
             planCopies(name, spec, step, now);
@@ -184,20 +197,12 @@
         }
         if (bestHasRoom)
             continue;
-        // The adapter that has been unused for longest makes way.
-        for (const auto &[model, adapters] : book.holdings()) {
-            for (const AdapterName &adapter : adapters) {
-                const auto use = m_uses.find({id, {model, adapter}});
-                const Instant usedAt = use == m_uses.end() ? Instant() : use->second;
-                if (now - usedAt < m_settings.adapterIdle)
-                    continue;
-                if (!bestServer.isEmpty() && usedAt >= bestUse)
-                    continue;
-                bestServer = id;
-                bestVictim = {model, adapter};
-                bestUse = usedAt;
-            }
-        }
+        const auto victim = longestUnused(book, now);
+        if (!victim || (!bestServer.isEmpty() && victim->second >= bestUse))
+            continue;
+        bestServer = id;
+        bestVictim = victim->first;
+        bestUse = victim->second;
     }
     EngineBook *book = findBook(bestServer);
     if (!book)
@@ -208,6 +213,43 @@
         send(*book, book->makeUnload(bestVictim.first, bestVictim.second), step, now);
 }
 
+// The adapter that has been unused for longest, and since when; nothing if all are in use.
+std::optional<std::pair<EngineDirector::AdapterKey, Instant>>
+EngineDirector::longestUnused(const EngineBook &book, Instant now) const
+{
+    std::optional<std::pair<AdapterKey, Instant>> longest;
+    for (const auto &[model, adapters] : book.holdings()) {
+        for (const AdapterName &adapter : adapters) {
+            const auto use = m_uses.find({book.listed().id, {model, adapter}});
+            const Instant usedAt = use == m_uses.end() ? Instant() : use->second;
+            if (now - usedAt < m_settings.adapterIdle || (longest && usedAt >= longest->second))
+                continue;
+            longest = {{model, adapter}, usedAt};
+        }
+    }
+    return longest;
+}
+
+// Further copies of adapters whose engines are busy.
+void EngineDirector::planReliefs(const ServiceName &service, Step &step, Instant now)
+{
+    for (const auto &[key, relief] : m_reliefs) {
+        const ServerName &server = relief.first;
+        EngineBook *book = findBook(server);
+        if (!book || m_services[server] != service || m_relievedAt.count(key) > 0
+            || book->listed().isLeaving || !book->isFree(now) || !book->holds(key.first, {})
+            || book->holds(key.first, key.second))
+            continue;
+        if (book->fits(key.first, key.second)) {
+            send(*book, book->makeLoad(key.first, key.second), step, now);
+            m_relievedAt[key] = now;
+            continue;
+        }
+        if (const auto victim = longestUnused(*book, now))
+            send(*book, book->makeUnload(victim->first.first, victim->first.second), step, now);
+    }
+}
+
 // Loads whose room has just been made.
 void EngineDirector::startPlannedLoads(const ServiceName &service, Step &step, Instant now)
 {
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/EngineDirector.h
@@ -44,6 +44,9 @@
     void noteDemand(const ModelName &model, std::int64_t tokens, Instant now);
     /// Requests wait for \a adapter of \a model, or for the model itself.
     void noteNeed(const ModelName &model, const AdapterName &adapter, Instant now);
+    /// The engines that hold \a adapter are busy; \a server holds its model and has time.
+    void noteRelief(const ServerName &server, const ModelName &model, const AdapterName &adapter,
+                    Instant now);
     void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter,
                  Instant now);
 
@@ -68,6 +71,9 @@
     void planAdapters(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
     void planAdapter(const AdapterKey &key, const CopyPlanner::Books &books, Step &step,
                      Instant now);
+    std::optional<std::pair<AdapterKey, Instant>> longestUnused(const EngineBook &book,
+                                                                Instant now) const;
+    void planReliefs(const ServiceName &service, Step &step, Instant now);
     void startPlannedLoads(const ServiceName &service, Step &step, Instant now);
     void planCopies(const ServiceName &service, const EngineSpec &spec, Step &step, Instant now);
     void send(EngineBook &book, const EngineCommand &command, Step &step, Instant now);
@@ -88,6 +94,8 @@
     std::map<ServiceName, LoadPacer> m_pacers;
     std::map<ModelName, Demand> m_demand;
     std::map<AdapterKey, Instant> m_needs;
+    std::map<AdapterKey, std::pair<ServerName, Instant>> m_reliefs; // the latest one of each
+    std::map<AdapterKey, Instant> m_relievedAt;
     std::map<std::pair<ServerName, AdapterKey>, Instant> m_uses;
     std::map<std::pair<ServerName, AdapterKey>, Instant> m_impossible;
     std::map<ServerName, ModelName> m_planned; // to be loaded once an unload has made room
--- a/src/Serving/ServerChooser.cpp
+++ b/src/Serving/ServerChooser.cpp
@@ -100,6 +100,9 @@
         bestRank = rank;
     }
     PlacementChoice choice;
+    const bool isPressed = !best.state || best.expected > m_settings.reliefGain;
+    if (anyAdapter && needsModel && !request.call->adapter.isEmpty() && isPressed)
+        choice.relief = reliefFor(request, group, best, now);
     if (best.state) {
         choice.outcome = PlacementChoice::Outcome::Chosen;
         choice.server = best.state->listed.id;
@@ -124,6 +127,26 @@
     return choice;
 }
 
+// \a best is the fastest server that holds the adapter, if one has room.
+ServerName ServerChooser::reliefFor(const PlacementRequest &request, const ServerBook::Group &group,
+                                    const Candidate &best, Instant now) const
+{
+    Candidate fastest;
+    for (const ServerState *state : group) {
+        if (!takesWork(request, *state) || state->health.isAvoided(now)
+            || state->holds(request.call->model, request.call->adapter))
+            continue;
+        const Candidate candidate = weigh(request, *state);
+        if (isFull(request, *state, candidate))
+            continue;
+        if (!fastest.state || candidate.expected < fastest.expected)
+            fastest = candidate;
+    }
+    if (!fastest.state || (best.state && fastest.expected + m_settings.reliefGain > best.expected))
+        return {};
+    return fastest.state->listed.id;
+}
+
 ServerChooser::Candidate ServerChooser::weigh(const PlacementRequest &request,
                                               const ServerState &state) const
 {
--- a/src/Serving/ServerChooser.h
+++ b/src/Serving/ServerChooser.h
@@ -34,6 +34,8 @@
     Duration expectedFirst{0}; ///< Until the first byte of the answer.
     std::int64_t prefillTokens = 0; ///< That the server has to read.
     std::int64_t memoryTokens = 0;
+    /// A server that holds the model and would answer much sooner if it held the adapter, too.
+    ServerName relief;
 };
 
 const char *outcomeText(PlacementChoice::Outcome outcome);
@@ -43,6 +45,7 @@
 /// Answers bursts on few models: prompt reading dominates, so the queue of unread prompt tokens at
 /// a server, what it has cached of this prompt and its measured pace decide. Keeps requests out of
 /// servers whose batch or memory is full, where they would displace running ones.
+/// Answers bursts on one adapter: names a server with less to do that lacks only the adapter.
 class ServerChooser
 {
 public:
@@ -53,6 +56,9 @@
         Duration plainWork{20'000}; ///< Of one call of a plain service, until measured.
         double memoryShare = 0.9; ///< Of an engine's memory that running requests may fill.
         int queuedPerServer = 1; ///< Calls beyond a plain server's slots.
+        /// Of the first byte, by which a server without the adapter must be faster to be worth a
+        /// load of the adapter, which takes a tenth of it.
+        Duration reliefGain{100'000};
         double failureMargin = 0.25; ///< Failure share above the service's mean that counts.
     };
 
@@ -82,6 +88,8 @@
     };
 
     Candidate weigh(const PlacementRequest &request, const ServerState &state) const;
+    ServerName reliefFor(const PlacementRequest &request, const ServerBook::Group &group,
+                         const Candidate &best, Instant now) const;
     bool isFull(const PlacementRequest &request, const ServerState &state,
                 const Candidate &candidate) const;
     double meanFailureShare(const ServiceName &service, const ServerBook &book, Instant now);
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -25,7 +25,7 @@
 
 // An adapter that requests wait for, or that one has just used at a server.
 struct PeerAdapter {
-    1: string server,     // empty: wanted, wherever
+    1: string server,     // of what is wanted: empty: anywhere; else here, too
     2: string model,
     3: string adapter,    // empty: the model itself
 }
--- a/test/CopyPlannerTest.cpp
+++ b/test/CopyPlannerTest.cpp
@@ -73,6 +73,16 @@
         m_director.noteNeed(model(i), adapter, now);
     }
 
+    void relieve(int engine, int i, const AdapterName &adapter, Instant now)
+    {
+        m_director.noteRelief(ServerName("engine-" + std::to_string(engine)), model(i), adapter,
+                              now);
+    }
+    void use(int engine, int i, const AdapterName &adapter, Instant now)
+    {
+        m_director.noteUse(ServerName("engine-" + std::to_string(engine)), model(i), adapter, now);
+    }
+
     void step(Instant now)
     {
         for (const auto &[i, tokens] : m_demand)
@@ -106,6 +116,14 @@
         return false;
     }
 
+    bool engineHasAdapter(int engine, int i, const AdapterName &adapter) const
+    {
+        const auto &holdings
+            = m_engines.at(ServerName("engine-" + std::to_string(engine))).holdings;
+        const auto it = holdings.find(model(i));
+        return it != holdings.end() && it->second.count(adapter) > 0;
+    }
+
     std::vector<Instant> loads;
     bool overfull = false;
     bool lostLastCopy = false;
@@ -318,3 +336,56 @@
     EXPECT_TRUE(fleet.hasAdapter(2, AdapterName("a19")));
     EXPECT_FALSE(fleet.overfull);
 }
+
+// Load pattern: nearly all requests of a model with several copies name one adapter, which one
+// engine holds.
+TEST(EngineDirectorTest, loadsABusyAdapterAtTheEngineThatHasTime)
+{
+    Fleet fleet(2, 3);
+    const AdapterName busy("a1");
+    Instant now = start;
+    for (; now < start + 1s; now += 10ms) {
+        fleet.wantAdapter(0, busy, now);
+        fleet.step(now);
+    }
+    const int holder = fleet.engineHasAdapter(0, 0, busy) ? 0 : 1;
+    const int idle = 1 - holder;
+    ASSERT_TRUE(fleet.engineHasAdapter(holder, 0, busy));
+    ASSERT_FALSE(fleet.engineHasAdapter(idle, 0, busy));
+    for (const Instant until = now + 200ms; now < until; now += 10ms) {
+        fleet.relieve(idle, 0, busy, now);
+        fleet.step(now);
+    }
+    EXPECT_TRUE(fleet.engineHasAdapter(idle, 0, busy));
+    EXPECT_FALSE(fleet.overfull);
+}
+
+// A further copy of an adapter takes no place that requests have used lately.
+TEST(EngineDirectorTest, relievesAnAdapterOnlyInPlacesThatAreNotInUse)
+{
+    Fleet fleet(1, 3);
+    const AdapterName pressing("a9");
+    const auto adapter = [](int i) { return AdapterName("a" + std::to_string(i)); };
+    Instant now = start;
+    for (int i = 0; i < 5; ++i) {
+        for (const Instant until = now + 100ms; now < until; now += 10ms) {
+            fleet.wantAdapter(0, adapter(i), now);
+            fleet.step(now);
+        }
+        ASSERT_TRUE(fleet.engineHasAdapter(0, 0, adapter(i)));
+    }
+    const auto press = [&](Duration length, int firstUsed) {
+        for (const Instant until = now + length; now < until; now += 10ms) {
+            for (int i = firstUsed; i < 5; ++i)
+                fleet.use(0, 0, adapter(i), now);
+            fleet.relieve(0, 0, pressing, now);
+            fleet.step(now);
+        }
+    };
+    press(2s, 0);
+    EXPECT_FALSE(fleet.engineHasAdapter(0, 0, pressing));
+    press(2s, 1);
+    EXPECT_TRUE(fleet.engineHasAdapter(0, 0, pressing));
+    EXPECT_FALSE(fleet.engineHasAdapter(0, 0, adapter(0)));
+    EXPECT_FALSE(fleet.overfull);
+}
--- a/test/ServerChooserTest.cpp
+++ b/test/ServerChooserTest.cpp
@@ -110,3 +110,27 @@
     // 20 us a choice is the target.
     EXPECT_LT(seconds, choices * 20e-6);
 }
+
+// Load pattern: one adapter of a model with two copies is asked for faster than its engine reads.
+TEST(ServerChooserTest, namesAnIdleServerThatLacksOnlyTheAdapter)
+{
+    Fleet fleet;
+    fleet.call.adapter = adapter;
+    ListedServer busy = fleet.engine("busy");
+    busy.holdings[model].insert(adapter);
+    fleet.book.put(busy, start);
+    ListedServer idle = fleet.engine("idle");
+    idle.holdings[model];
+    fleet.book.put(idle, start);
+    EXPECT_TRUE(fleet.choose().relief.isEmpty());
+    fleet.book.find(busy.id)->own.prefillTokens = 8000;
+    EXPECT_EQ(fleet.choose().server, busy.id);
+    EXPECT_EQ(fleet.choose().relief, idle.id);
+    fleet.book.find(busy.id)->own.running = busy.slots;
+    EXPECT_EQ(fleet.choose().outcome, PlacementChoice::Outcome::Full);
+    EXPECT_EQ(fleet.choose().relief, idle.id);
+    fleet.book.find(idle.id)->own.running = idle.slots;
+    EXPECT_TRUE(fleet.choose().relief.isEmpty());
+    fleet.call.adapter = AdapterName();
+    EXPECT_TRUE(fleet.choose().relief.isEmpty());
+}
