Adapters make way once their last request has run

Cause: an adapter counted as unused 0.7 s after a request had been sent with it. Change: a use is told with its expected length (first byte and 6 ms a token); an adapter makes way 100 ms after the end of its last one. Test: EngineDirectorTest.leavesAdaptersWhoseRequestsStillRun (load pattern: long answers, all places taken).

--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -80,10 +80,11 @@
 }
 
 void EntryState::noteUse(const ServerName &server, const ModelName &model,
-                         const AdapterName &adapter)
+                         const AdapterName &adapter, Duration busy)
 {
-    director.noteUse(server, model, adapter, loopNow());
-    usedNews.emplace(server, model, adapter);
+    director.noteUse(server, model, adapter, loopNow() + busy);
+    Duration &longest = usedNews[{server, model, adapter}];
+    longest = std::max(longest, busy);
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -54,12 +54,15 @@
     std::map<ModelName, std::int64_t> demandNews;
     std::set<std::tuple<ServerName, ModelName, AdapterName>>
         wantedNews; ///< Or no server: anywhere.
-    std::set<std::tuple<ServerName, ModelName, AdapterName>> usedNews;
+    std::map<std::tuple<ServerName, ModelName, AdapterName>, Duration>
+        usedNews; ///< And for how long.
 
     void noteDemand(const ModelName &model, std::int64_t tokens);
     void noteNeed(const ModelName &model, const AdapterName &adapter);
     void noteRelief(const ServerName &server, const ModelName &model, const AdapterName &adapter);
-    void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter);
+    /// A request with \a adapter runs at \a server for about \a busy from now on.
+    void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter,
+                 Duration busy);
 
     /// Called when requests wait for something that another gateway may have to order.
     std::function<void()> onNeed;
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -24,6 +24,9 @@
 // Given to a repeat so that it can still be in time.
 constexpr Duration leastTimeToRepeat = std::chrono::milliseconds(30);
 
+// Of an answer, in a batch that is partly filled; answers mostly stay below their stated length.
+constexpr Duration timePerToken = std::chrono::milliseconds(6);
+
 // Before a server that has turned a request down is asked again.
 constexpr Duration turnDownPause = std::chrono::milliseconds(20);
 
@@ -303,7 +306,8 @@
     const PlacementRequest request{m_service, &m_call, &m_chain, {}};
     m_state.chooser.noteSent(choice.server, request);
     if (!m_call.adapter.isEmpty())
-        m_state.noteUse(choice.server, m_call.model, m_call.adapter);
+        m_state.noteUse(choice.server, m_call.model, m_call.adapter,
+                        choice.expectedFirst + timePerToken * m_call.outputTokens.count());
     logRoutine("sent",
                {{"id", m_call.id},
                 {"route", m_route->name},
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -416,8 +416,11 @@
         wanted.adapter = adapter.text();
         news.wanted.push_back(std::move(wanted));
     }
-    for (const auto &[server, model, adapter] : std::exchange(m_state.usedNews, {})) {
+    for (const auto &[place, busy] : std::exchange(m_state.usedNews, {})) {
+        const auto &[server, model, adapter] = place;
         wire::PeerAdapter used;
+        used.busyMs = static_cast<std::int32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(busy).count());
         used.server = server.text();
         used.model = model.text();
         used.adapter = adapter.text();
@@ -515,7 +518,8 @@
     }
     for (const wire::PeerAdapter &entry : news.used) {
         m_state.director.noteUse(ServerName(entry.server), ModelName(entry.model),
-                                 AdapterName(entry.adapter), now);
+                                 AdapterName(entry.adapter),
+                                 now + std::chrono::milliseconds(entry.busyMs));
     }
     for (const wire::PeerCrash &entry : news.crashes)
         m_state.suspicions.add({Fingerprint(entry.fingerprint), {entry.incident}}, now);
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -16,6 +16,12 @@
 // Between two further copies of one adapter: by then requests go to the first of them.
 constexpr Duration reliefPause = std::chrono::milliseconds(250);
 
+// An adapter counts as asked for until this long after its last request.
+constexpr Duration useMemory = std::chrono::seconds(2);
+
+// From the load of an adapter to the end of the first request that waits for it, if that is short.
+constexpr Duration firstUse = std::chrono::milliseconds(600);
+
 // Loads that may begin at once after a pause; the engines' rules allow three beyond the rate.
 constexpr double savedLoads = 2;
 
@@ -96,9 +102,10 @@
 }
 
 void EngineDirector::noteUse(const ServerName &server, const ModelName &model,
-                             const AdapterName &adapter, Instant now)
+                             const AdapterName &adapter, Instant until)
 {
-    m_uses[{server, {model, adapter}}] = now;
+    Instant &end = m_uses[{server, {model, adapter}}];
+    end = std::max(end, until);
 }
 
 EngineDirector::Step EngineDirector::next(Instant now, bool isNew)
@@ -110,8 +117,7 @@
     std::erase_if(m_reliefs,
                   [now](const auto &it) { return now - it.second.second > needLifetime; });
     std::erase_if(m_relievedAt, [now](const auto &it) { return now - it.second > reliefPause; });
-    std::erase_if(m_uses,
-                  [&](const auto &use) { return now - use.second > 4 * m_settings.adapterIdle; });
+    std::erase_if(m_uses, [now](const auto &use) { return now - use.second > useMemory; });
     for (const auto &[name, service] : m_config->services) {
         if (!service.engine)
             continue;
@@ -383,7 +389,7 @@
     if (outcome == OrderOutcome::Impossible)
         m_impossible[{command.server, {command.model, command.adapter}}] = now;
     if (outcome == OrderOutcome::Accepted && command.kind == EngineCommand::Kind::Load)
-        m_uses[{command.server, {command.model, command.adapter}}] = now;
+        noteUse(command.server, command.model, command.adapter, now + firstUse);
 }
 
 void EngineDirector::takeStatus(const ServerName &server, const EngineStatus &status,
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/EngineDirector.h
@@ -26,7 +26,9 @@
         CopyPlanner::Settings copies;
         double prefillTokensPerMs = 38; ///< \sa ServerChooser::Settings
         Duration demandWindow{2'000'000}; ///< Over which demand is averaged.
-        Duration adapterIdle{700'000}; ///< Unused this long, an adapter may make way.
+        /// After the expected end of its last request an adapter may make way: it is loaded again
+        /// within a few milliseconds.
+        Duration adapterIdle{100'000};
         /// A model that no request waits for has lost its last copy for this long before it is
         /// loaded again: servers that have just started are listed one after the other.
         Duration missingTolerance{2'000'000};
@@ -47,8 +49,9 @@
     /// The engines that hold \a adapter are busy; \a server holds its model and has time.
     void noteRelief(const ServerName &server, const ModelName &model, const AdapterName &adapter,
                     Instant now);
+    /// A request with \a adapter has been sent to \a server and runs until about \a until.
     void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter,
-                 Instant now);
+                 Instant until);
 
     /// Orders and questions of a holder. \a isNew: it has just become one.
     Step next(Instant now, bool isNew);
@@ -96,7 +99,7 @@
     std::map<AdapterKey, Instant> m_needs;
     std::map<AdapterKey, std::pair<ServerName, Instant>> m_reliefs; // the latest one of each
     std::map<AdapterKey, Instant> m_relievedAt;
-    std::map<std::pair<ServerName, AdapterKey>, Instant> m_uses;
+    std::map<std::pair<ServerName, AdapterKey>, Instant> m_uses; // expected ends
     std::map<std::pair<ServerName, AdapterKey>, Instant> m_impossible;
     std::map<ServerName, ModelName> m_planned; // to be loaded once an unload has made room
     std::set<ServerName> m_unpaced; // of those, the ones planned as loads of what is at hand
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -28,6 +28,7 @@
     1: string server,     // of what is wanted: empty: anywhere; else here, too
     2: string model,
     3: string adapter,    // empty: the model itself
+    4: i32 busyMs,        // of one that is used: until the request has run
 }
 
 struct PeerNotice {
--- a/test/CopyPlannerTest.cpp
+++ b/test/CopyPlannerTest.cpp
@@ -360,6 +360,34 @@
     EXPECT_FALSE(fleet.overfull);
 }
 
+// Load pattern: long answers with as many adapters as places; a further adapter is asked for.
+TEST(EngineDirectorTest, leavesAdaptersWhoseRequestsStillRun)
+{
+    Fleet fleet(1, 3);
+    const AdapterName next("a9");
+    const auto adapter = [](int i) { return AdapterName("a" + std::to_string(i)); };
+    Instant now = start;
+    for (int i = 0; i < 5; ++i) {
+        for (const Instant until = now + 100ms; now < until; now += 10ms) {
+            fleet.wantAdapter(0, adapter(i), now);
+            fleet.step(now);
+        }
+        ASSERT_TRUE(fleet.engineHasAdapter(0, 0, adapter(i)));
+    }
+    // Requests of 3 s each, but for one that is short.
+    for (int i = 0; i < 5; ++i)
+        fleet.use(0, 0, adapter(i), now + (i == 2 ? Duration(200ms) : Duration(3s)));
+    const Instant sent = now;
+    for (; now < sent + 1500ms; now += 10ms) {
+        fleet.wantAdapter(0, next, now);
+        fleet.step(now);
+    }
+    EXPECT_TRUE(fleet.engineHasAdapter(0, 0, next));
+    EXPECT_FALSE(fleet.engineHasAdapter(0, 0, adapter(2)));
+    for (const int i : {0, 1, 3, 4})
+        EXPECT_TRUE(fleet.engineHasAdapter(0, 0, adapter(i))) << i;
+}
+
 // A further copy of an adapter takes no place that requests have used lately.
 TEST(EngineDirectorTest, relievesAnAdapterOnlyInPlacesThatAreNotInUse)
 {
