Soak: planned stops that overlap, no request that runs is lost

Change: each soak run ends with two gateways stopped 0.7 s apart while callers go on using kept and new connections until the processes are gone; a request that a server has run must end with a whole answer.

--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -40,6 +40,10 @@
 constexpr milliseconds calmBefore{3000};
 constexpr milliseconds calmAfter{9000};
 constexpr milliseconds measured{3000};
+// Two planned stops that overlap, as long as the gateways' grace, and the last answers.
+constexpr milliseconds plannedStops{5000};
+constexpr milliseconds stopsApart{700};
+constexpr milliseconds lastAnswers{2600};
 constexpr double leastServedShare = 0.9; // of what is sent once all is calm again
 constexpr int requestsPerTick = 1;
 constexpr std::size_t shownLogLines = 3;
@@ -165,6 +169,7 @@
                 sendRequests(now >= measureFrom);
         }
         const int served = m_checks.served - servedBefore;
+        stopSome();
         if (served < leastServedShare * m_sentMeasured)
             m_checks.fail("RECOVER: " + std::to_string(served) + " of "
                           + std::to_string(m_sentMeasured) + " served after the faults");
@@ -181,6 +186,26 @@
     }
 
 private:
+    // Callers go on using connections and opening new ones until the process is gone.
+    void stopSome()
+    {
+        m_checks.beginPlannedStops();
+        const Instant begin = loopNow();
+        std::size_t stopped = 0;
+        while (loopNow() < begin + plannedStops + lastAnswers) {
+            m_loop.restart();
+            m_loop.run_for(tickTime);
+            const Instant now = loopNow();
+            if (stopped < std::min<std::size_t>(2, m_gateways.size())
+                && now >= begin + stopsApart * (stopped + 1))
+                stop(*m_gateways[stopped++]);
+            tick(now);
+            if (now < begin + plannedStops)
+                sendRequests(false);
+        }
+        m_checks.checkAllEnded();
+    }
+
     static SoakChecks::Limits limits()
     {
         SoakChecks::Limits limits;
@@ -335,8 +360,10 @@
         };
         hooks.onBody = [answer](std::string_view data) { answer->body.append(data); };
         hooks.onEnd = [this, id, isStream, answer](ExchangeEnd end) {
-            if (end != ExchangeEnd::Complete)
+            if (end != ExchangeEnd::Complete) {
+                m_checks.onBroken(id);
                 return;
+            }
             if (answer->status == 503 || answer->status == 429)
                 m_checks.onRefused(id, answer->status);
             else
@@ -407,9 +434,7 @@
             gateway.process->signal(SIGKILL);
             return;
         case 2:
-            say("stop " + gateway.name);
-            gateway.isStopping = true;
-            gateway.process->signal(SIGTERM);
+            stop(gateway);
             return;
         case 3:
             cutFromStore(gateway);
@@ -448,6 +473,13 @@
         }
     }
 
+    void stop(Gateway &gateway)
+    {
+        say("stop " + gateway.name);
+        gateway.isStopping = true;
+        gateway.process->signal(SIGTERM);
+    }
+
     void freeze(Gateway &gateway)
     {
         if (gateway.isFrozen || gateway.isStopping)
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -47,6 +47,7 @@
 {
     ++refused;
     Request &request = m_requests[id];
+    request.isEnded = true;
     request.isRefused = true;
     if (request.runs > 0 && !request.mayRepeat)
         fail("REFUSED: " + id + " was answered " + std::to_string(status) + " and has run");
@@ -55,6 +56,7 @@
 void SoakChecks::onAnswered(const std::string &id, int status, const std::string &body,
                             bool isStream, bool isSigned)
 {
+    m_requests[id].isEnded = true;
     if (status != 200)
         return;
     ++served;
@@ -62,6 +64,28 @@
         fail("MIXED: " + id + " got another body: " + body.substr(0, 80));
 }
 
+void SoakChecks::onBroken(const std::string &id)
+{
+    Request &request = m_requests[id];
+    request.isEnded = true;
+    if (m_onlyPlannedSince && request.sentAt > *m_onlyPlannedSince && request.runs > 0)
+        fail("LOST: " + id + " has run and its connection to " + request.gateway + " was ended");
+}
+
+void SoakChecks::beginPlannedStops()
+{
+    m_onlyPlannedSince = loopNow();
+}
+
+void SoakChecks::checkAllEnded()
+{
+    for (const auto &[id, request] : m_requests) {
+        if (m_onlyPlannedSince && request.sentAt > *m_onlyPlannedSince && request.runs > 0
+            && !request.isEnded)
+            fail("LOST: " + id + " has run and got no answer from " + request.gateway);
+    }
+}
+
 void SoakChecks::onKeyWithdrawn(const std::string &key)
 {
     m_withdrawn[key] = loopNow();
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +39,12 @@
     void onRefused(const std::string &id, int status);
     void onAnswered(const std::string &id, int status, const std::string &body, bool isStream,
                     bool isSigned);
+    /// Its connection ended without a whole answer.
+    void onBroken(const std::string &id);
+    /// From now on nothing happens but planned stops, so no request that runs may be lost.
+    void beginPlannedStops();
+    /// Every request has had its time.
+    void checkAllEnded();
     // What the operators do.
     void onKeyWithdrawn(const std::string &key);
     // What backend servers see.
@@ -71,6 +78,7 @@
         int runs = 0;
         bool isRefused = false;
         Instant sentAt;
+        bool isEnded = false;
     };
     struct Orders
     {
@@ -88,6 +96,7 @@
     std::map<std::string, Instant> m_leaving;
     std::map<std::string, Instant> m_disturbed;
     Instant m_allDisturbedAt;
+    std::optional<Instant> m_onlyPlannedSince;
     std::deque<Instant> m_loads;
     std::map<std::string, std::deque<std::pair<Instant, double>>> m_spent;
     std::vector<std::string> m_failures;
