--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -32,56 +32,6 @@
 // informed; beyond, only the holder does.
 constexpr std::size_t peersToldEverything = 8;
 
-// Above, news of accounts' spending go by SpendingRelay, since news to all become too rare.
-constexpr std::size_t peersToldSpending = 48;
-
-wire::PeerSpendingKind::type wireKind(SpendingRelay::Kind kind)
-{
-    switch (kind) {
-    case SpendingRelay::Kind::Member:
-        return wire::PeerSpendingKind::MEMBER;
-    case SpendingRelay::Kind::Members:
-        return wire::PeerSpendingKind::MEMBERS;
-    case SpendingRelay::Kind::Others:
-        break;
-    }
-    return wire::PeerSpendingKind::OTHERS;
-}
-
-SpendingRelay::Kind kindOf(wire::PeerSpendingKind::type kind)
-{
-    switch (kind) {
-    case wire::PeerSpendingKind::MEMBER:
-        return SpendingRelay::Kind::Member;
-    case wire::PeerSpendingKind::MEMBERS:
-        return SpendingRelay::Kind::Members;
-    case wire::PeerSpendingKind::OTHERS:
-        break;
-    }
-    return SpendingRelay::Kind::Others;
-}
-
-std::vector<wire::PeerSpent> wireSpending(const SpendingByAccount &spending)
-{
-    std::vector<wire::PeerSpent> entries;
-    for (const auto &[account, amount] : spending) {
-        wire::PeerSpent entry;
-        entry.account = account.text();
-        entry.spent = amount.spent;
-        entry.asked = amount.asked;
-        entries.push_back(std::move(entry));
-    }
-    return entries;
-}
-
-SpendingByAccount spendingOf(const std::vector<wire::PeerSpent> &entries)
-{
-    SpendingByAccount spending;
-    for (const wire::PeerSpent &entry : entries)
-        spending[AccountId(entry.account)] = {entry.spent, entry.asked};
-    return spending;
-}
-
 // Until the members are known, this gateway takes no more than one of so many would.
 constexpr std::size_t gatewaysBeforeJoining = 16;
 
@@ -94,20 +44,11 @@
       m_socket(state.loop, state.settings.peers,
                [this](const wire::PeerNews &news, const Address &from) { onNews(news, from); }),
       m_tick(state.loop), m_joinTimer(state.loop), m_urgentTimer(state.loop),
-      m_relayTimer(state.loop),
-      m_relay(
-          SpendingRelay::Settings(),
-          {state.settings.instance, state.settings.zone, true, true, state.settings.processorShare},
-          {[this](const NewsOrigin &speaker, const SpendingSum &sum) {
-               if (isRelaying()) {
-                   m_state.quotas.takePeerSpending(speaker.instance, speaker.incarnation,
-                                                   sum.accounts, loopNow(), sum.gateways);
-               }
-           },
-           [this](const InstanceId &speaker) {
-               logNotable("speaker", {{"before", speaker}, {"now", m_relay.speaker()}});
-               m_state.quotas.replacePeer(speaker, loopNow());
-           }})
+      m_spending(state,
+                 {[this] { return candidates(); },
+                  [this](const InstanceId &to, const wire::PeerSpending &spending) {
+                      sendSpending(to, spending);
+                  }})
 { }
 
 void PeerNetwork::start()
@@ -115,7 +56,7 @@
     updateCount();
     join();
     tick();
-    relayTick();
+    m_spending.start();
 }
 
 std::chrono::milliseconds PeerNetwork::interval() const
@@ -174,11 +115,8 @@
     }
     if (!m_hasJoined)
         n = std::max(n, gatewaysBeforeJoining);
-    if (std::exchange(m_wasRelaying, isRelaying()) != isRelaying()) {
-        logNotable("spending_news", {{"by", isRelaying() ? "speakers" : "each to all"}});
-        m_state.quotas.forgetPeers();
-    }
-    m_state.setGateways(n, isRelaying() ? SpendingRelay::Settings().silence : silence());
+    m_spending.setPeers(m_peers.size());
+    m_state.setGateways(n, m_spending.isRelaying() ? SpendingRelay::Settings().silence : silence());
 }
 
 void PeerNetwork::tick()
@@ -199,57 +137,25 @@
     });
 }
 
-bool PeerNetwork::isRelaying() const
-{
-    return m_peers.size() > peersToldSpending;
-}
-
-void PeerNetwork::relayTick()
+void PeerNetwork::sendSpending(const InstanceId &to, const wire::PeerSpending &spending)
 {
-    if (isRelaying() || m_relay.hasMembers())
-        relay();
-    m_relayTimer.expires_after(SpendingRelay::Settings().interval);
-    m_relayTimer.async_wait([this](const SystemError &ec) {
-        if (!ec)
-            relayTick();
-    });
+    const auto peer = m_peers.find(to);
+    if (peer == m_peers.end())
+        return;
+    wire::PeerNews news = makeHead(true);
+    news.__set_spending(spending);
+    m_socket.send(PeerSocket::encode(news), peer->second.address);
 }
 
-void PeerNetwork::relay()
+std::vector<ReaderCandidate> PeerNetwork::candidates() const
 {
     std::vector<ReaderCandidate> candidates;
     for (const auto &[id, peer] : m_peers)
         candidates.push_back(candidate(id, peer));
-    const auto messages
-        = m_relay.tick(candidates, Process::incarnation(), m_state.quotas.spending(), loopNow());
-    for (const SpendingRelay::Outgoing &outgoing : messages) {
-        const auto peer = m_peers.find(outgoing.to);
-        if (peer == m_peers.end())
-            continue;
-        wire::PeerNews news = makeHead(true);
-        wire::PeerSpending spending;
-        spending.kind = wireKind(outgoing.message.kind);
-        spending.accounts = wireSpending(outgoing.message.sum.accounts);
-        spending.gateways = static_cast<std::int32_t>(outgoing.message.sum.gateways);
-        spending.isAllFresh = outgoing.message.sum.isAllFresh;
-        news.__set_spending(spending);
-        m_socket.send(PeerSocket::encode(news), peer->second.address);
-    }
-}
-
-void PeerNetwork::onSpending(const wire::PeerNews &news)
-{
-    const NewsOrigin origin{InstanceId(news.instance), Incarnation(news.incarnation),
-                            news.sequence};
-    SpendingRelay::Message message;
-    message.kind = kindOf(news.spending.kind);
-    message.sum.accounts = spendingOf(news.spending.accounts);
-    message.sum.gateways = static_cast<std::size_t>(std::max(0, news.spending.gateways));
-    message.sum.isAllFresh = news.spending.isAllFresh;
-    m_relay.take(origin, message, loopNow());
+    return candidates;
 }
 
-ReaderCandidate PeerNetwork::candidate(const InstanceId &id, const Peer &peer) const
+ReaderCandidate PeerNetwork::candidate(const InstanceId &id, const Peer &peer)
 {
     return {id, peer.zone, peer.isHeard && !peer.isLeaving, peer.followsStore, peer.processorShare};
 }
@@ -368,8 +274,8 @@
         work.memoryTokens = server.own.memoryTokens;
         news.work.push_back(work);
     }
-    if (!isRelaying())
-        news.spent = wireSpending(m_state.quotas.spending());
+    if (!m_spending.isRelaying())
+        news.spent = encodeSpending(m_state.quotas.spending());
     addCrashes(m_state.suspicions.news().next(), news);
 }
 
@@ -454,7 +360,7 @@
     if (incarnation < peer.incarnation)
         return;
     if (news.__isset.spending) {
-        onSpending(news);
+        m_spending.take(news);
         return;
     }
     if (news.isUrgent) {
@@ -492,9 +398,9 @@
     for (const wire::PeerWork &entry : news.work)
         work[entry.server] = {entry.running, entry.prefillTokens, entry.memoryTokens};
     m_state.book.setPeerWork(from, work);
-    if (!isRelaying()) {
-        m_state.quotas.takePeerSpending(from, Incarnation(news.incarnation), spendingOf(news.spent),
-                                        now);
+    if (!m_spending.isRelaying()) {
+        m_state.quotas.takePeerSpending(from, Incarnation(news.incarnation),
+                                        decodeSpending(news.spent), now);
     }
     if (news.leaseFencing <= 0)
         return;
@@ -553,7 +459,7 @@
     const Instant now = loopNow();
     for (auto &[id, peer] : m_peers)
         peer.heardAt = std::min(peer.heardAt, now - silence());
-    m_relay.onResumed(now);
+    m_spending.onResumed();
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -3,8 +3,8 @@
 
 #include "Adapters/Async/PeerSocket.h"
 #include "Apps/Entry/EntryState.h"
+#include "Apps/Entry/SpendingNews.h"
 #include "Apps/Entry/StateExchange.h"
-#include "Serving/SpendingRelay.h"
 
 namespace quetzalyoke {
 
@@ -61,11 +61,9 @@
     void updateCount();
     void tick();
     void tellAll();
-    bool isRelaying() const;
-    void relayTick();
-    void relay();
-    void onSpending(const wire::PeerNews &news);
-    ReaderCandidate candidate(const InstanceId &id, const Peer &peer) const;
+    void sendSpending(const InstanceId &to, const wire::PeerSpending &spending);
+    static ReaderCandidate candidate(const InstanceId &id, const Peer &peer);
+    std::vector<ReaderCandidate> candidates() const;
     void tellUrgent();
     void scheduleUrgent();
     std::chrono::milliseconds interval() const;
@@ -87,9 +85,7 @@
     asio::steady_timer m_tick;
     asio::steady_timer m_joinTimer;
     asio::steady_timer m_urgentTimer;
-    asio::steady_timer m_relayTimer;
-    SpendingRelay m_relay;
-    bool m_wasRelaying = false;
+    SpendingNews m_spending;
     bool m_isUrgentScheduled = false;
     bool m_hasNewNotices = false;
     bool m_hasJoined = false;
--- /dev/null
+++ b/src/Apps/Entry/SpendingNews.h
@@ -0,0 +1,48 @@
+#ifndef QUETZALYOKE_APPS_ENTRY_SPENDINGNEWS_H
+#define QUETZALYOKE_APPS_ENTRY_SPENDINGNEWS_H
+
+#include "Apps/Entry/EntryState.h"
+#include "Serving/SpendingRelay.h"
+#include "Wire/generated/peers_types.h"
+
+namespace quetzalyoke {
+
+std::vector<wire::PeerSpent> encodeSpending(const SpendingByAccount &spending);
+SpendingByAccount decodeSpending(const std::vector<wire::PeerSpent> &entries);
+
+/// \brief Tells and hears by speakers what accounts have spent, where gateways are many.
+class SpendingNews
+{
+public:
+    struct Hooks
+    {
+        std::function<std::vector<ReaderCandidate>()> peers;
+        std::function<void(const InstanceId &to, const wire::PeerSpending &spending)> send;
+    };
+
+    SpendingNews(EntryState &state, Hooks hooks);
+
+    void start();
+    /// Whether accounts' spending goes by speakers; else each gateway tells it to all others.
+    bool isRelaying() const { return m_isRelaying; }
+    void setPeers(std::size_t peers);
+    /// A message whose `spending` is set.
+    void take(const wire::PeerNews &news);
+    /// The instance has stood still.
+    void onResumed() { m_relay.onResumed(loopNow()); }
+
+private:
+    SpendingRelay::Hooks relayHooks();
+    void tick();
+    void tell();
+
+    EntryState &m_state;
+    const Hooks m_hooks;
+    SpendingRelay m_relay;
+    asio::steady_timer m_timer;
+    bool m_isRelaying = false;
+};
+
+} // namespace quetzalyoke
+
+#endif
