Read as a newcomer: expected ends, places of adapters, what an answer's stated length may be

The stated length of an answer bounds an adapter's use only up to the request's deadline (it may be anything that a caller writes). A gateway that hears directly from all ignores a change of speakers.

--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -50,15 +50,16 @@
     RetryBudget &retries(const ServiceName &service);
     double random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
-    /// Prompt tokens asked, adapters wanted and used since the last news to peers.
+    /// Prompt tokens asked, adapters wanted (at a server, or anywhere) and used (for how long)
+    /// since the last news to peers.
     std::map<ModelName, std::int64_t> demandNews;
-    std::set<std::tuple<ServerName, ModelName, AdapterName>>
-        wantedNews; ///< Or no server: anywhere.
-    std::map<std::tuple<ServerName, ModelName, AdapterName>, Duration>
-        usedNews; ///< And for how long.
+    using AdapterPlace = std::tuple<ServerName, ModelName, AdapterName>;
+    std::set<AdapterPlace> wantedNews;
+    std::map<AdapterPlace, Duration> usedNews;
 
     void noteDemand(const ModelName &model, std::int64_t tokens);
     void noteNeed(const ModelName &model, const AdapterName &adapter);
+    /// \sa EngineDirector::noteRelief
     void noteRelief(const ServerName &server, const ModelName &model, const AdapterName &adapter);
     /// A request with \a adapter runs at \a server for about \a busy from now on.
     void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter,
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -307,7 +307,7 @@
     m_state.chooser.noteSent(choice.server, request);
     if (!m_call.adapter.isEmpty())
         m_state.noteUse(choice.server, m_call.model, m_call.adapter,
-                        choice.expectedFirst + timePerToken * m_call.outputTokens.count());
+                        expectedRun(choice.expectedFirst, now));
     logRoutine("sent",
                {{"id", m_call.id},
                 {"route", m_route->name},
@@ -331,6 +331,14 @@
                                 std::move(hooks));
 }
 
+// The stated length of an answer may be anything; nobody waits longer than the deadline.
+Duration Exchange::expectedRun(Duration expectedFirst, Instant now) const
+{
+    const Duration longest = left(now);
+    const std::int64_t tokens = std::min(m_call.outputTokens.count(), longest / timePerToken);
+    return std::min(longest, expectedFirst + timePerToken * tokens);
+}
+
 ExchangeHooks::Head Exchange::onHead(int status, const boost::beast::http::fields &fields)
 {
     if (!m_attempt)
--- a/src/Apps/Entry/Exchange.h
+++ b/src/Apps/Entry/Exchange.h
@@ -46,6 +46,7 @@
     bool place();
     void waitInLine();
     void send(const PlacementChoice &choice);
+    Duration expectedRun(Duration expectedFirst, Instant now) const;
     std::string backendRequest(const ServerState &server, Duration left) const;
 
     ExchangeHooks::Head onHead(int status, const boost::beast::http::fields &fields);
--- a/src/Apps/Entry/SpendingNews.cpp
+++ b/src/Apps/Entry/SpendingNews.cpp
@@ -92,13 +92,15 @@
 {
     SpendingRelay::Hooks hooks;
     hooks.onOthers = [this](const NewsOrigin &speaker, const SpendingSum &sum) {
-        // A gateway that others took for a speaker may still hear directly from all.
+        // Close to the limit a gateway may speak for others that count more peers than it does.
         if (m_isRelaying) {
             m_state.quotas.takePeerSpending(speaker.instance, speaker.incarnation, sum.accounts,
                                             loopNow(), sum.gateways);
         }
     };
     hooks.onSpeakerLeft = [this](const InstanceId &speaker) {
+        if (!m_isRelaying)
+            return;
         logNotable("speaker", {{"before", speaker}, {"now", m_relay.speaker()}});
         m_state.quotas.replacePeer(speaker, loopNow());
     };
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/EngineDirector.cpp
@@ -219,7 +219,7 @@
         send(*book, book->makeUnload(bestVictim.first, bestVictim.second), step, now);
 }
 
-// The adapter that has been unused for longest, and since when; nothing if all are in use.
+// The adapter whose last request ended first, and when; nothing if all are in use.
 std::optional<std::pair<EngineDirector::AdapterKey, Instant>>
 EngineDirector::longestUnused(const EngineBook &book, Instant now) const
 {
@@ -227,10 +227,10 @@
     for (const auto &[model, adapters] : book.holdings()) {
         for (const AdapterName &adapter : adapters) {
             const auto use = m_uses.find({book.listed().id, {model, adapter}});
-            const Instant usedAt = use == m_uses.end() ? Instant() : use->second;
-            if (now - usedAt < m_settings.adapterIdle || (longest && usedAt >= longest->second))
+            const Instant endedAt = use == m_uses.end() ? Instant() : use->second;
+            if (now - endedAt < m_settings.adapterIdle || (longest && endedAt >= longest->second))
                 continue;
-            longest = {{model, adapter}, usedAt};
+            longest = {{model, adapter}, endedAt};
         }
     }
     return longest;
--- a/src/Serving/SharedQuota.h
+++ b/src/Serving/SharedQuota.h
@@ -16,7 +16,9 @@
 /// rate and burst also while gateways are cut off from each other; news that are late by d can
 /// exceed it once by what all spend within d, and that is paid back from what follows. Where many
 /// gateways make news too rare for that, each also keeps to its part of rate and burst, divided
-/// by what has lately been asked of them, while all together are asked for about the rate or more.
+/// by what has lately been asked of them, while all together are asked for about the rate or more
+/// and credit runs low or news are late. Credit beyond the burst's part of those who are heard of
+/// is not saved up, since the others may spend theirs.
 class SharedQuota
 {
 public:
