One piece of code for distrust of gateways, for what a test's fleet has spent, for full adapter places

Cause: SpendingRelay wrote the reader election's memory of failures again; two tests summed windows of spending, two filled an engine's places with adapters, each in its own copy. ReaderElection and SpendingRelay share Distrust now; SpendingRecord and fillAdapterPlaces serve the tests. Ruled out: one count of gateways heard of for SharedQuota's advance() and isNewsLate(): it would go through all peers once more at each charge. No behaviour meant to change; assertions, bounds, loads and seeds as they were.

--- a/src/Serving/ReaderElection.cpp
+++ b/src/Serving/ReaderElection.cpp
@@ -44,7 +44,7 @@
 ReaderElection::ReaderElection(const Settings &settings, InstanceId self, ZoneName zone,
                                double processorShare)
     : m_settings(settings), m_self(std::move(self)), m_zone(std::move(zone)),
-      m_processorShare(processorShare)
+      m_processorShare(processorShare), m_distrust(settings.distrust)
 { }
 
 std::optional<InstanceId> ReaderElection::reader(const std::vector<ReaderCandidate> &peers,
@@ -64,8 +64,7 @@
     if (gateways <= m_settings.smallZone || !first->followsStore
         || comesBefore(m_processorShare, m_self, first->processorShare, first->instance))
         return {};
-    const auto failure = m_failedAt.find(first->instance);
-    if (failure != m_failedAt.end() && now - failure->second < m_settings.distrust)
+    if (m_distrust.covers(first->instance, now))
         return {};
     return first->instance;
 }
--- a/src/Serving/ReaderElection.h
+++ b/src/Serving/ReaderElection.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_SERVING_READERELECTION_H
 #define QUETZALYOKE_SERVING_READERELECTION_H
 
-#include "Core/StrongTypes.h"
+#include "Serving/Distrust.h"
 
 #include <map>
 #include <optional>
@@ -41,14 +41,14 @@
 
     /// The gateway to read from; nothing: the store itself.
     std::optional<InstanceId> reader(const std::vector<ReaderCandidate> &peers, Instant now) const;
-    void noteFailure(const InstanceId &reader, Instant now) { m_failedAt[reader] = now; }
+    void noteFailure(const InstanceId &reader, Instant now) { m_distrust.noteFailure(reader, now); }
 
 private:
     const Settings m_settings;
     const InstanceId m_self;
     const ZoneName m_zone;
     const double m_processorShare;
-    std::map<InstanceId, Instant> m_failedAt;
+    Distrust m_distrust;
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/SpendingRelay.cpp
+++ b/src/Serving/SpendingRelay.cpp
@@ -6,7 +6,7 @@
 
 SpendingRelay::SpendingRelay(const Settings &settings, ReaderCandidate self, Hooks hooks)
     : m_settings(settings), m_self(std::move(self)), m_hooks(std::move(hooks)),
-      m_sums(settings.silence)
+      m_sums(settings.silence), m_distrust(settings.distrust)
 { }
 
 std::vector<ReaderCandidate> SpendingRelay::trusted(const std::vector<ReaderCandidate> &peers,
@@ -14,10 +14,7 @@
 {
     std::vector<ReaderCandidate> trusted{m_self};
     for (const ReaderCandidate &peer : peers) {
-        if (peer.instance == m_self.instance)
-            continue;
-        const auto failure = m_failedAt.find(peer.instance);
-        if (failure != m_failedAt.end() && now - failure->second < m_settings.distrust)
+        if (peer.instance == m_self.instance || m_distrust.covers(peer.instance, now))
             continue;
         trusted.push_back(peer);
     }
@@ -28,7 +25,7 @@
 {
     const bool isOther = !m_speaker.isEmpty() && m_speaker != m_self.instance;
     if (isOther && now - m_speakerHeardAt > m_settings.silence)
-        m_failedAt[m_speaker] = now;
+        m_distrust.noteFailure(m_speaker, now);
     m_speakers = speakersOfZones(trusted(peers, now));
     const InstanceId &speaker = m_speakers[m_self.zone];
     if (speaker == m_speaker)
--- a/src/Serving/SpendingRelay.h
+++ b/src/Serving/SpendingRelay.h
@@ -83,7 +83,7 @@
     InstanceId m_speaker; // of this gateway
     Instant m_speakerHeardAt; // or chosen
     NewsOrigin m_othersFrom; // the latest sum of all others
-    std::map<InstanceId, Instant> m_failedAt;
+    Distrust m_distrust; // of speakers
     std::int64_t m_ticks = 0;
 };
 
--- a/test/CopyPlannerTest.cpp
+++ b/test/CopyPlannerTest.cpp
@@ -360,13 +360,16 @@
     EXPECT_FALSE(fleet.overfull);
 }
 
-// Load pattern: long answers with as many adapters as places; a further adapter is asked for.
-TEST(EngineDirectorTest, leavesAdaptersWhoseRequestsStillRun)
+namespace {
+
+AdapterName adapter(int i)
+{
+    return AdapterName("a" + std::to_string(i));
+}
+
+// Loads an adapter into each of the five places of engine 0.
+void fillAdapterPlaces(Fleet &fleet, Instant &now)
 {
-    Fleet fleet(1, 3);
-    const AdapterName next("a9");
-    const auto adapter = [](int i) { return AdapterName("a" + std::to_string(i)); };
-    Instant now = start;
     for (int i = 0; i < 5; ++i) {
         for (const Instant until = now + 100ms; now < until; now += 10ms) {
             fleet.wantAdapter(0, adapter(i), now);
@@ -374,6 +377,17 @@
         }
         ASSERT_TRUE(fleet.engineHasAdapter(0, 0, adapter(i)));
     }
+}
+
+} // namespace
+
+// Load pattern: long answers with as many adapters as places; a further adapter is asked for.
+TEST(EngineDirectorTest, leavesAdaptersWhoseRequestsStillRun)
+{
+    Fleet fleet(1, 3);
+    const AdapterName next("a9");
+    Instant now = start;
+    ASSERT_NO_FATAL_FAILURE(fillAdapterPlaces(fleet, now));
     // Requests of 3 s each, but for one that is short.
     for (int i = 0; i < 5; ++i)
         fleet.use(0, 0, adapter(i), now + (i == 2 ? Duration(200ms) : Duration(3s)));
@@ -393,15 +407,8 @@
 {
     Fleet fleet(1, 3);
     const AdapterName pressing("a9");
-    const auto adapter = [](int i) { return AdapterName("a" + std::to_string(i)); };
     Instant now = start;
-    for (int i = 0; i < 5; ++i) {
-        for (const Instant until = now + 100ms; now < until; now += 10ms) {
-            fleet.wantAdapter(0, adapter(i), now);
-            fleet.step(now);
-        }
-        ASSERT_TRUE(fleet.engineHasAdapter(0, 0, adapter(i)));
-    }
+    ASSERT_NO_FATAL_FAILURE(fillAdapterPlaces(fleet, now));
     const auto press = [&](Duration length, int firstUsed) {
         for (const Instant until = now + length; now < until; now += 10ms) {
             for (int i = firstUsed; i < 5; ++i)
--- a/test/SharedQuotaTest.cpp
+++ b/test/SharedQuotaTest.cpp
@@ -1,4 +1,5 @@
 #include "Serving/SharedQuota.h"
+#include "SpendingRecord.h"
 
 #include <gtest/gtest.h>
 
@@ -55,7 +56,7 @@
     {
         if (m_frozen[i] || !m_quotas[i].charge(cost, now))
             return;
-        m_spent.emplace_back(now, cost);
+        m_record.add(now, cost);
     }
     void tell(Instant now)
     {
@@ -70,27 +71,7 @@
     }
     int size() const { return static_cast<int>(m_quotas.size()); }
 
-    // Most that any window of \a length has seen.
-    double worst(Duration length) const
-    {
-        double most = 0;
-        double sum = 0;
-        std::size_t first = 0;
-        for (const auto &[at, cost] : m_spent) {
-            sum += cost;
-            while (m_spent[first].first + length <= at)
-                sum -= m_spent[first++].second;
-            most = std::max(most, sum);
-        }
-        return most;
-    }
-    double total() const
-    {
-        double sum = 0;
-        for (const auto &[at, cost] : m_spent)
-            sum += cost;
-        return sum;
-    }
+    const SpendingRecord &record() const { return m_record; }
 
 private:
     const Duration m_silence;
@@ -99,7 +80,7 @@
     std::vector<bool> m_frozen;
     std::map<int, std::int64_t> m_incarnations;
     std::int64_t m_incarnation = 0;
-    std::vector<std::pair<Instant, double>> m_spent;
+    SpendingRecord m_record;
 };
 
 constexpr Duration window = 8s;
@@ -133,7 +114,7 @@
         if (t % newsInterval == Duration(0))
             fleet.tell(start + t);
     }
-    EXPECT_GE(fleet.total(), 0.95 * rate * 20);
+    EXPECT_GE(fleet.record().total(), 0.95 * rate * 20);
 }
 
 TEST(SharedQuotaTest, givesACutOffGatewayItsEqualPart)
@@ -146,7 +127,7 @@
         if (t % newsInterval == Duration(0))
             fleet.tell(start + t);
     }
-    EXPECT_LE(fleet.worst(window), allowed(4, 4 * costOfOne / 0.005));
+    EXPECT_LE(fleet.record().worst(window), allowed(4, 4 * costOfOne / 0.005));
 }
 
 // Random cuts, freezes and restarts under five times the allowed demand.
@@ -173,7 +154,7 @@
             if (t % Duration(96ms) == Duration(0))
                 fleet.tell(now);
         }
-        ASSERT_LE(fleet.worst(window), allowed(gateways, gateways * costOfOne / 0.016))
+        ASSERT_LE(fleet.record().worst(window), allowed(gateways, gateways * costOfOne / 0.016))
             << "seed " << seed;
     }
 }
@@ -195,8 +176,8 @@
             fleet.tell(start + t);
     }
     // Each gateway may be in debt by one request beyond its part.
-    EXPECT_LE(fleet.worst(window), (rate * 8 + burst) * 1.1 + gateways * 8);
-    EXPECT_GE(fleet.total(), 0.85 * rate * 20);
+    EXPECT_LE(fleet.record().worst(window), (rate * 8 + burst) * 1.1 + gateways * 8);
+    EXPECT_GE(fleet.record().total(), 0.85 * rate * 20);
 }
 
 // Load pattern: an account well within its rate, a few large requests a second over many gateways.
@@ -217,7 +198,7 @@
         asked += cost;
         fleet.ask(static_cast<int>(random() % gateways), cost, start + t);
     }
-    EXPECT_GE(fleet.total(), 0.99 * asked);
+    EXPECT_GE(fleet.record().total(), 0.99 * asked);
 }
 
 // Load pattern: an account uses nearly its whole rate, a few large requests a second over many
@@ -240,7 +221,7 @@
             fleet.ask(static_cast<int>(random() % gateways), cost, start + t);
             alone.charge(cost, start + t);
         }
-        EXPECT_GE(fleet.total(), 0.95 * alone.spent()) << "seed " << seed;
+        EXPECT_GE(fleet.record().total(), 0.95 * alone.spent()) << "seed " << seed;
     }
 }
 
@@ -261,6 +242,6 @@
             for (; due >= 1 || static_cast<double>(random() % 1000) < due * 1000; due -= 1)
                 fleet.ask(static_cast<int>(random() % gateways), cost, start + t);
         }
-        EXPECT_LE(fleet.worst(window), (rate * 8 + burst) * 1.1) << percent << " %";
+        EXPECT_LE(fleet.record().worst(window), (rate * 8 + burst) * 1.1) << percent << " %";
     }
 }
--- /dev/null
+++ b/test/SpendingRecord.h
@@ -0,0 +1,46 @@
+#ifndef QUETZALYOKE_TEST_SPENDINGRECORD_H
+#define QUETZALYOKE_TEST_SPENDINGRECORD_H
+
+#include "Core/StrongTypes.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace quetzalyoke {
+
+/// \brief What a fleet has spent of one account, in order of time.
+class SpendingRecord
+{
+public:
+    void add(Instant at, double cost) { m_spent.emplace_back(at, cost); }
+
+    /// Most that any window of \a length has seen.
+    double worst(Duration length) const
+    {
+        double most = 0;
+        double sum = 0;
+        std::size_t first = 0;
+        for (const auto &[at, cost] : m_spent) {
+            sum += cost;
+            while (m_spent[first].first + length <= at)
+                sum -= m_spent[first++].second;
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+    double total() const
+    {
+        double sum = 0;
+        for (const auto &[at, cost] : m_spent)
+            sum += cost;
+        return sum;
+    }
+
+private:
+    std::vector<std::pair<Instant, double>> m_spent;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/test/SpendingRelayTest.cpp
+++ b/test/SpendingRelayTest.cpp
@@ -1,5 +1,6 @@
 #include "Serving/SpendingRelay.h"
 #include "Serving/SharedQuota.h"
+#include "SpendingRecord.h"
 
 #include <gtest/gtest.h>
 
@@ -69,7 +70,7 @@
     {
         if (!m_nodes[static_cast<std::size_t>(i)].isUp || !quota(i).charge(cost, m_now))
             return false;
-        m_spent.emplace_back(m_now, cost);
+        m_record.add(m_now, cost);
         return true;
     }
     // Moves to \a now: delivers messages and lets the gateways whose turn it is tell.
@@ -90,26 +91,7 @@
         }
     }
 
-    double worst() const
-    {
-        double most = 0;
-        double sum = 0;
-        std::size_t first = 0;
-        for (const auto &[at, cost] : m_spent) {
-            sum += cost;
-            while (m_spent[first].first + window <= at)
-                sum -= m_spent[first++].second;
-            most = std::max(most, sum);
-        }
-        return most;
-    }
-    double total() const
-    {
-        double sum = 0;
-        for (const auto &[at, cost] : m_spent)
-            sum += cost;
-        return sum;
-    }
+    const SpendingRecord &record() const { return m_record; }
 
 private:
     struct Node
@@ -155,7 +137,7 @@
     std::vector<Node> m_nodes;
     std::vector<ReaderCandidate> m_candidates;
     std::deque<Flying> m_onTheirWay;
-    std::vector<std::pair<Instant, double>> m_spent;
+    SpendingRecord m_record;
     Instant m_now = start;
     std::int64_t m_lives = 0;
 };
@@ -180,8 +162,8 @@
             fleet.advance(start + t);
             askAtRandom(fleet, rate * percent / 100, random);
         }
-        EXPECT_LE(fleet.worst(), allowed) << percent << " %";
-        EXPECT_GE(fleet.total(), 0.85 * rate * 40) << percent << " %";
+        EXPECT_LE(fleet.record().worst(window), allowed) << percent << " %";
+        EXPECT_GE(fleet.record().total(), 0.85 * rate * 40) << percent << " %";
     }
 }
 
@@ -198,7 +180,7 @@
         asked += 20;
         fleet.ask(static_cast<int>(random() % 300), 20);
     }
-    EXPECT_GE(fleet.total(), 0.99 * asked);
+    EXPECT_GE(fleet.record().total(), 0.99 * asked);
 }
 
 // Speakers and others are cut off, killed and started again, under three times the rate.
@@ -224,7 +206,7 @@
                 fleet.begin(victim, start + t);
             askAtRandom(fleet, 3 * rate, random);
         }
-        EXPECT_LE(fleet.worst(), allowedUnderFaults) << "seed " << seed;
+        EXPECT_LE(fleet.record().worst(window), allowedUnderFaults) << "seed " << seed;
     }
 }
 
