Split Exchange by what happens to a request; group src/Serving by matter

Change: RequestAdmission (form, route, account, crashes, quota) with its RequestContext and Rejection, BackendAttempt, one scaled() in StrongTypes.h instead of two; src/Serving in Accounts, Placement, Requests, Servers and State as src/Core is. No behaviour changed.

--- a/src/Apps/Entry/AccountQuotas.h
+++ b/src/Apps/Entry/AccountQuotas.h
@@ -1,9 +1,9 @@
 #ifndef QUETZALYOKE_APPS_ENTRY_ACCOUNTQUOTAS_H
 #define QUETZALYOKE_APPS_ENTRY_ACCOUNTQUOTAS_H
 
-#include "Serving/ServingConfig.h"
-#include "Serving/SharedQuota.h"
-#include "Serving/SpendingSums.h"
+#include "Serving/Accounts/SharedQuota.h"
+#include "Serving/Accounts/SpendingSums.h"
+#include "Serving/State/ServingConfig.h"
 
 namespace quetzalyoke {
 
--- a/src/Apps/Entry/CrashSuspicions.h
+++ b/src/Apps/Entry/CrashSuspicions.h
@@ -2,8 +2,8 @@
 #define QUETZALYOKE_APPS_ENTRY_CRASHSUSPICIONS_H
 
 #include "Core/Requests/CrashLedger.h"
-#include "Serving/BackendServer.h"
-#include "Serving/CrashNews.h"
+#include "Serving/Requests/CrashNews.h"
+#include "Serving/Servers/BackendServer.h"
 
 namespace quetzalyoke {
 
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -9,9 +9,9 @@
 #include "Core/Requests/RetryBudget.h"
 #include "Ports/EntryPlatform.h"
 #include "Ports/ServingDialect.h"
-#include "Serving/AdmissionPolicy.h"
-#include "Serving/EngineDirector.h"
-#include "Serving/PlacementLease.h"
+#include "Serving/Placement/EngineDirector.h"
+#include "Serving/Placement/PlacementLease.h"
+#include "Serving/Requests/AdmissionPolicy.h"
 
 #include <random>
 
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -3,8 +3,6 @@
 #include "Adapters/DecisionLog.h"
 #include "Adapters/Metrics.h"
 
-#include <xxhash.h>
-
 namespace quetzalyoke {
 
 namespace {
@@ -30,46 +28,12 @@
 // Before a server that has turned a request down is asked again.
 constexpr Duration turnDownPause = std::chrono::milliseconds(20);
 
-// Of several requests that share a part of their prompts, one has it read.
-constexpr std::int64_t sharedPartsPerRead = 4;
-
-// Until a gateway that has just started knows the configuration.
-constexpr Duration startTime = std::chrono::milliseconds(500);
-
-// Priorities of accounts go before those of routes; both together span the servers' 0 to 9.
-constexpr int routePriorities = 3;
+// Of the servers' 0 to 9.
 constexpr int lowestPriority = 9;
 
 constexpr int httpOk = 200;
 constexpr int httpMultipleChoices = 300;
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
-Fingerprint fingerprintOf(const AccountId &account, const CallerRequest &request)
-{
-    XXH64_state_t *state = XXH64_createState();
-    XXH64_reset(state, 0);
-    for (const std::string *text : {&account.text(), &request.target, &request.body})
-        XXH64_update(state, text->data(), text->size());
-    const std::uint64_t digest = XXH64_digest(state);
-    XXH64_freeState(state);
-    std::array<char, 17> buf{};
-    std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(digest));
-    return Fingerprint(buf.data());
-}
-
-// Prompt tokens that an engine is likely to read: shared parts are mostly cached.
-std::int64_t demandOf(const CallDescription &call)
-{
-    if (call.promptParts.empty())
-        return call.promptTokens.count();
-    const std::int64_t own = call.promptParts.back().length.count();
-    return own + (call.promptTokens.count() - own) / sharedPartsPerRead;
-}
-
 const char *kindText(CallKind kind)
 {
     switch (kind) {
@@ -87,7 +51,7 @@
 
 Exchange::Exchange(EntryState &state, CallerSession::Pointer session, CallerRequest &&request)
     : m_state(state), m_session(std::move(session)), m_request(std::move(request)),
-      m_config(state.config), m_timer(state.loop)
+      m_timer(state.loop)
 { }
 
 void Exchange::start()
@@ -96,137 +60,32 @@
         if (const auto self = weak.lock())
             self->onCallerLeft();
     });
-    if (!admit())
+    if (const auto rejection = RequestAdmission(m_state, m_request).admit(m_context)) {
+        refuse(rejection->status, rejection->reason, rejection->retryAfter);
         return;
+    }
     setTimer();
     place();
 }
 
-bool Exchange::admit()
-{
-    std::string problem;
-    const auto call = m_state.dialect.describe(m_request.fields, problem);
-    if (!call) {
-        refuse(400, "bad_header", {});
-        return false;
-    }
-    m_call = *call;
-    if (!m_config || !m_state.platform.isLoaded()) {
-        refuse(503, "not_ready", startTime);
-        return false;
-    }
-    const std::string_view host(m_request.fields["Host"].data(), m_request.fields["Host"].size());
-    const std::string_view path
-        = std::string_view(m_request.target).substr(0, m_request.target.find_first_of("?#"));
-    m_route = m_config->findRoute(host.substr(0, host.rfind(':')), path);
-    if (!m_route) {
-        refuse(404, "no_route", {});
-        return false;
-    }
-    m_giveUpAt = m_request.arrivedAt + m_route->timeout;
-    if (m_call.timeLeft)
-        m_giveUpAt = std::min(m_giveUpAt, m_request.arrivedAt + Duration(*m_call.timeLeft));
-    if (!checkAccount())
-        return false;
-    pickService();
-    if (!m_service) {
-        refuse(503, "no_service", startTime);
-        return false;
-    }
-    if (!checkCrashes() || !checkQuota())
-        return false;
-    m_state.retries(m_service->name).onRequest();
-    m_chain = prefixChain(m_call);
-    const int routePriority = std::min(m_route->priority, routePriorities - 1);
-    m_priority = m_account && m_account->priority
-        ? *m_account->priority * routePriorities + routePriority
-        : routePriority;
-    if (m_service->engine && !m_call.model.isEmpty())
-        m_state.noteDemand(m_call.model, demandOf(m_call));
-    return true;
-}
-
-bool Exchange::checkAccount()
-{
-    m_account = m_config->findAccount(m_call.key);
-    if (m_account || m_route->isOpen)
-        return true;
-    refuse(401, "unknown_key", {});
-    return false;
-}
-
-bool Exchange::checkCrashes()
-{
-    if (m_request.body.empty())
-        return true;
-    m_fingerprint = fingerprintOf(m_account ? m_account->name : AccountId(), m_request);
-    if (!m_state.suspicions.mustRefuse(m_fingerprint, loopNow()))
-        return true;
-    refuse(503, "crashes_servers", {});
-    return false;
-}
-
-bool Exchange::checkQuota()
-{
-    if (!m_account)
-        return true;
-    SharedQuota *quota = m_state.quotas.find(m_account->name);
-    if (!quota)
-        return true;
-    const double tokens
-        = static_cast<double>(m_call.promptTokens.count() + m_call.outputTokens.count());
-    const double cost = quotaCost(*m_account, m_call.statesTokens, tokens);
-    const Instant now = loopNow();
-    if (quota->charge(cost, now)) {
-        m_charged = cost;
-        return true;
-    }
-    const Duration wait = scaled(quota->waitForCredit(now), 1 + m_state.random());
-    logNotable("over_quota",
-               {{"id", m_call.id},
-                {"account", m_account->name},
-                {"cost", static_cast<std::int64_t>(cost)},
-                {"level", static_cast<std::int64_t>(quota->level(now))},
-                {"rate", static_cast<std::int64_t>(m_account->ratePerSecond)},
-                {"burst", static_cast<std::int64_t>(m_account->burst)},
-                {"gateways", m_state.gateways()},
-                {"config", m_config->version}});
-    refuse(429, "over_quota", wait);
-    return false;
-}
-
-void Exchange::pickService()
-{
-    int sum = 0;
-    for (const RouteShare &share : m_route->shares)
-        sum += share.weight;
-    double point = m_state.random() * sum;
-    for (const RouteShare &share : m_route->shares) {
-        point -= share.weight;
-        if (point >= 0)
-            continue;
-        m_service = m_config->findService(share.service);
-        return;
-    }
-}
-
 // Whether the request has stopped waiting for a server.
 bool Exchange::place()
 {
     const Instant now = loopNow();
-    const PlacementRequest request{m_service, &m_call, &m_chain, blockedServers(now)};
+    const PlacementRequest request{m_context.service, &m_context.call, &m_context.chain,
+                                   blockedServers(now)};
     AdmissionInput input;
-    input.route = m_route;
-    input.service = m_service;
-    input.call = &m_call;
+    input.route = m_context.route;
+    input.service = m_context.service;
+    input.call = &m_context.call;
     input.choice = m_state.chooser.choose(request, m_state.book, now);
     input.waited = age();
     input.left = left(now);
     if (input.choice.outcome == PlacementChoice::Outcome::NoModel
         || input.choice.outcome == PlacementChoice::Outcome::NoAdapter)
-        m_state.noteNeed(m_call.model, m_call.adapter);
+        m_state.noteNeed(m_context.call.model, m_context.call.adapter);
     if (!input.choice.relief.isEmpty())
-        m_state.noteRelief(input.choice.relief, m_call.model, m_call.adapter);
+        m_state.noteRelief(input.choice.relief, m_context.call.model, m_context.call.adapter);
     const AdmissionDecision decision = m_state.admission.decide(input, m_state.random());
     switch (decision.step) {
     case AdmissionDecision::Step::Send:
@@ -247,11 +106,11 @@
     if (m_isWaiting)
         return;
     m_isWaiting = true;
-    m_state.waiting.add(m_priority, m_request.arrivedAt, shared_from_this());
+    m_state.waiting.add(m_context.priority, m_request.arrivedAt, shared_from_this());
     logRoutine("waiting",
-               {{"id", m_call.id},
-                {"model", m_call.model},
-                {"adapter", m_call.adapter},
+               {{"id", m_context.call.id},
+                {"model", m_context.call.model},
+                {"adapter", m_context.call.adapter},
                 {"age_ms", age()}});
 }
 
@@ -269,11 +128,11 @@
 {
     BackendCall call;
     call.server = server.listed.id;
-    if (m_account)
-        call.account = m_account->name;
+    if (m_context.account)
+        call.account = m_context.account->name;
     call.timeLeft = std::chrono::duration_cast<Milliseconds>(timeLeft);
-    if (m_service->engine)
-        call.priority = std::min(m_priority, lowestPriority);
+    if (m_context.service->engine)
+        call.priority = std::min(m_context.priority, lowestPriority);
     if (m_isStreaming)
         call.resumeAfter = m_events.lastId();
     std::string text = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
@@ -290,7 +149,7 @@
 {
     ServerState *server = m_state.book.find(choice.server);
     const Instant now = loopNow();
-    m_attempt = std::make_unique<Attempt>();
+    m_attempt = std::make_unique<BackendAttempt>();
     m_attempt->server = choice.server;
     m_attempt->incarnation = server->listed.incarnation;
     m_attempt->address = server->listed.address;
@@ -303,20 +162,20 @@
     m_blocked[choice.server] = Instant::max();
     m_patienceOver = false;
 
-    const PlacementRequest request{m_service, &m_call, &m_chain, {}};
+    const PlacementRequest request{m_context.service, &m_context.call, &m_context.chain, {}};
     m_state.chooser.noteSent(choice.server, request);
-    if (!m_call.adapter.isEmpty())
-        m_state.noteUse(choice.server, m_call.model, m_call.adapter,
+    if (!m_context.call.adapter.isEmpty())
+        m_state.noteUse(choice.server, m_context.call.model, m_context.call.adapter,
                         expectedRun(choice.expectedFirst, now));
     logRoutine("sent",
-               {{"id", m_call.id},
-                {"route", m_route->name},
+               {{"id", m_context.call.id},
+                {"route", m_context.route->name},
                 {"server", choice.server},
                 {"age_ms", age()},
                 {"expected_ms", choice.expectedFirst},
                 {"prefill", choice.prefillTokens},
                 {"running", server->total().running},
-                {"config", m_config->version},
+                {"config", m_context.config->version},
                 {"attempt", m_arrivals + 1}});
 
     ExchangeHooks hooks;
@@ -335,7 +194,8 @@
 Duration Exchange::expectedRun(Duration expectedFirst, Instant now) const
 {
     const Duration longest = left(now);
-    const std::int64_t tokens = std::min(m_call.outputTokens.count(), longest / timePerToken);
+    const std::int64_t tokens
+        = std::min(m_context.call.outputTokens.count(), longest / timePerToken);
     return std::min(longest, expectedFirst + timePerToken * tokens);
 }
 
@@ -343,7 +203,7 @@
 {
     if (!m_attempt)
         return ExchangeHooks::Head::Skip;
-    const BackendVerdict verdict = m_state.dialect.judge(status, fields, m_call.id);
+    const BackendVerdict verdict = m_state.dialect.judge(status, fields, m_context.call.id);
     if (verdict.isForeign) {
         Metrics::count("foreign_answers");
         return ExchangeHooks::Head::Skip;
@@ -353,7 +213,7 @@
     const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
     if (isSuccess && (!verdict.isSigned || verdict.isEncoded)) {
         logNotable("bad_answer",
-                   {{"id", m_call.id},
+                   {{"id", m_context.call.id},
                     {"server", m_attempt->server},
                     {"status", status},
                     {"signed", verdict.isSigned ? 1 : 0}});
@@ -362,7 +222,7 @@
         return ExchangeHooks::Head::Skip;
     }
     m_state.dialect.writeCallerFields(fields, m_attempt->fields);
-    m_attempt->isForwarding = isSuccess && m_route->kind == CallKind::Stream;
+    m_attempt->isForwarding = isSuccess && m_context.route->kind == CallKind::Stream;
     return ExchangeHooks::Head::Take;
 }
 
@@ -455,9 +315,11 @@
 void Exchange::onNotRun()
 {
     const int status = m_attempt->status;
-    logRoutine(
-        "turned_down",
-        {{"id", m_call.id}, {"server", m_attempt->server}, {"status", status}, {"age_ms", age()}});
+    logRoutine("turned_down",
+               {{"id", m_context.call.id},
+                {"server", m_attempt->server},
+                {"status", status},
+                {"age_ms", age()}});
     Metrics::count("turned_down", {{"status", std::to_string(status)}});
     // It has not run there: what was missing may have come a moment later.
     m_blocked[m_attempt->server] = loopNow() + turnDownPause;
@@ -466,8 +328,8 @@
         refuse(503, "turned_down", age());
         return;
     }
-    if (!m_state.retries(m_service->name).takeRetry()) {
-        refuse(503, "retry_budget", m_route->latencyObjective);
+    if (!m_state.retries(m_context.service->name).takeRetry()) {
+        refuse(503, "retry_budget", m_context.route->latencyObjective);
         return;
     }
     place();
@@ -487,7 +349,7 @@
         repeat("server_failed");
         return;
     }
-    const std::unique_ptr<Attempt> attempt = std::move(m_attempt);
+    const std::unique_ptr<BackendAttempt> attempt = std::move(m_attempt);
     m_attempt = nullptr;
     releaseWork(*attempt);
     if (attempt->isForwarding) {
@@ -499,7 +361,7 @@
         // A stream that was to go on elsewhere can't end with another answer's status.
         m_session->abort();
         logNotable("stream_broken",
-                   {{"id", m_call.id},
+                   {{"id", m_context.call.id},
                     {"server", attempt->server},
                     {"status", attempt->status},
                     {"last", m_events.lastId()}});
@@ -507,15 +369,15 @@
         m_session->answer(attempt->status, attempt->fields, attempt->body);
     }
     logRoutine("answered",
-               {{"id", m_call.id},
-                {"route", m_route->name},
-                {"kind", kindText(m_route->kind)},
+               {{"id", m_context.call.id},
+                {"route", m_context.route->name},
+                {"kind", kindText(m_context.route->kind)},
                 {"server", attempt->server},
                 {"status", attempt->status},
                 {"age_ms", age()},
                 {"events", m_events.events()}});
     Metrics::observe("request_seconds", std::chrono::duration<double>(age()).count(),
-                     {{"kind", kindText(m_route->kind)}});
+                     {{"kind", kindText(m_context.route->kind)}});
     finish("answered");
 }
 
@@ -536,7 +398,7 @@
         }
     }
     logNotable("attempt_broken",
-               {{"id", m_call.id},
+               {{"id", m_context.call.id},
                 {"server", name},
                 {"address", m_attempt->address},
                 {"end", exchangeEndText(end)},
@@ -554,8 +416,8 @@
         return;
     }
     ++m_runs;
-    if (!m_fingerprint.isEmpty())
-        m_state.suspicions.noteCut(m_fingerprint, name, m_attempt->incarnation, now);
+    if (!m_context.fingerprint.isEmpty())
+        m_state.suspicions.noteCut(m_context.fingerprint, name, m_attempt->incarnation, now);
     if (mayRepeat() && takeRepeat()) {
         m_events.dropRest();
         repeat("attempt_broken");
@@ -568,23 +430,23 @@
 // Whether another server may run the request although this one may have run it.
 bool Exchange::mayRepeat() const
 {
-    if (m_arrivals >= m_route->maxAttempts || left(loopNow()) < leastTimeToRepeat)
+    if (m_arrivals >= m_context.route->maxAttempts || left(loopNow()) < leastTimeToRepeat)
         return false;
-    switch (m_route->kind) {
+    switch (m_context.route->kind) {
     case CallKind::Idempotent:
         return true;
     case CallKind::NonIdempotent:
         return false;
     case CallKind::Stream:
         // Without an id to go on from, a caller that has events would get them twice.
-        return m_route->isResumable && (!m_isStreaming || !m_events.lastId().empty());
+        return m_context.route->isResumable && (!m_isStreaming || !m_events.lastId().empty());
     }
     return false;
 }
 
 bool Exchange::takeRepeat()
 {
-    if (m_state.retries(m_service->name).takeRetry())
+    if (m_state.retries(m_context.service->name).takeRetry())
         return true;
     Metrics::count("retry_budget_spent");
     return false;
@@ -593,7 +455,7 @@
 void Exchange::repeat(const char *reason)
 {
     logRoutine("repeated",
-               {{"id", m_call.id},
+               {{"id", m_context.call.id},
                 {"server", m_attempt->server},
                 {"reason", reason},
                 {"last", m_events.lastId()},
@@ -604,7 +466,7 @@
 }
 
 // What was counted at the server for the attempt.
-void Exchange::releaseWork(const Attempt &attempt)
+void Exchange::releaseWork(const BackendAttempt &attempt)
 {
     ServerState *server = m_state.book.find(attempt.server);
     if (!server)
@@ -624,11 +486,11 @@
 
 void Exchange::setTimer()
 {
-    Instant at = m_giveUpAt;
+    Instant at = m_context.giveUpAt;
     if (m_attempt && !m_patienceOver && !m_attempt->firstByteSeen) {
-        const Duration patience
-            = std::max({shortestPatience, scaled(m_route->latencyObjective, patienceObjectives),
-                        scaled(m_attempt->expected, patienceExpected)});
+        const Duration patience = std::max(
+            {shortestPatience, scaled(m_context.route->latencyObjective, patienceObjectives),
+             scaled(m_attempt->expected, patienceExpected)});
         at = std::min(at, m_attempt->sentAt + patience);
     }
     m_timer.expires_at(at);
@@ -644,7 +506,7 @@
     const Instant now = loopNow();
     if (m_isOver || now < std::chrono::time_point_cast<Duration>(m_timer.expiry()))
         return;
-    if (now >= m_giveUpAt) {
+    if (now >= m_context.giveUpAt) {
         onGiveUp();
         return;
     }
@@ -662,7 +524,7 @@
     if (ServerState *server = m_state.book.find(m_attempt->server))
         server->health.noteFailure(ServerHealth::Failure::Silent, now);
     logNotable("server_silent",
-               {{"id", m_call.id},
+               {{"id", m_context.call.id},
                 {"server", m_attempt->server},
                 {"expected_ms", m_attempt->expected},
                 {"took_ms", now - m_attempt->sentAt}});
@@ -683,7 +545,7 @@
         if (m_runs > 0)
             fail(504, "deadline");
         else
-            refuse(503, "deadline", m_route->latencyObjective);
+            refuse(503, "deadline", m_context.route->latencyObjective);
         return;
     }
     ++m_runs;
@@ -698,7 +560,7 @@
 void Exchange::onCallerLeft()
 {
     logRoutine("caller_left",
-               {{"id", m_call.id}, {"age_ms", age()}, {"events", m_events.events()}});
+               {{"id", m_context.call.id}, {"age_ms", age()}, {"events", m_events.events()}});
     Metrics::count("callers_left");
     if (m_attempt) {
         m_attempt->connection->close();
@@ -718,23 +580,23 @@
     if (retryAfter)
         wait = std::chrono::duration_cast<Milliseconds>(*retryAfter);
     logNotable("refused",
-               {{"id", m_call.id},
+               {{"id", m_context.call.id},
                 {"status", status},
                 {"reason", reason},
-                {"route", m_route ? m_route->name : std::string("none")},
-                {"account", m_account ? m_account->name : AccountId()},
-                {"model", m_call.model},
-                {"adapter", m_call.adapter},
+                {"route", m_context.route ? m_context.route->name : std::string("none")},
+                {"account", m_context.account ? m_context.account->name : AccountId()},
+                {"model", m_context.call.model},
+                {"adapter", m_context.call.adapter},
                 {"age_ms", age()},
                 {"retry_after_ms", wait ? wait->count() : 0},
-                {"config", m_config ? m_config->version : Version()},
+                {"config", m_context.config ? m_context.config->version : Version()},
                 {"arrivals", m_arrivals}});
     Metrics::count("refused", {{"reason", reason}, {"status", std::to_string(status)}});
     std::string fields;
-    m_state.dialect.writeOwnFields(m_call.id, wait, fields);
-    if (m_charged > 0) {
-        if (SharedQuota *quota = m_state.quotas.find(m_account->name))
-            quota->refund(m_charged);
+    m_state.dialect.writeOwnFields(m_context.call.id, wait, fields);
+    if (m_context.charged > 0) {
+        if (SharedQuota *quota = m_state.quotas.find(m_context.account->name))
+            quota->refund(m_context.charged);
     }
     m_session->answer(status, fields, reason);
     finish("refused");
@@ -744,20 +606,20 @@
 void Exchange::fail(int status, const char *reason)
 {
     logNotable("failed",
-               {{"id", m_call.id},
+               {{"id", m_context.call.id},
                 {"status", status},
                 {"reason", reason},
-                {"route", m_route->name},
+                {"route", m_context.route->name},
                 {"age_ms", age()},
                 {"events", m_events.events()},
                 {"arrivals", m_arrivals},
-                {"config", m_config->version}});
+                {"config", m_context.config->version}});
     Metrics::count("failed", {{"reason", reason}, {"status", std::to_string(status)}});
     if (m_isStreaming) {
         m_session->abort();
     } else {
         std::string fields;
-        m_state.dialect.writeOwnFields(m_call.id, {}, fields);
+        m_state.dialect.writeOwnFields(m_context.call.id, {}, fields);
         m_session->answer(status, fields, reason);
     }
     finish("failed");
--- a/src/Apps/Entry/Exchange.h
+++ b/src/Apps/Entry/Exchange.h
@@ -1,9 +1,9 @@
 #ifndef QUETZALYOKE_APPS_ENTRY_EXCHANGE_H
 #define QUETZALYOKE_APPS_ENTRY_EXCHANGE_H
 
-#include "Adapters/Async/CallerSession.h"
-#include "Apps/Entry/EntryState.h"
-#include "Serving/EventScanner.h"
+#include "Apps/Entry/BackendAttempt.h"
+#include "Apps/Entry/RequestAdmission.h"
+#include "Serving/Requests/EventScanner.h"
 
 namespace quetzalyoke {
 
@@ -21,28 +21,6 @@
     bool retry() override;
 
 private:
-    struct Attempt
-    {
-        ServerName server;
-        Incarnation incarnation;
-        std::string address;
-        std::shared_ptr<ClientConnection> connection;
-        Instant sentAt;
-        Duration expected{0};
-        ServerWork work; ///< Counted at the server for this attempt.
-        bool isForwarding = false; ///< The answer goes to the caller as it comes.
-        bool firstByteSeen = false;
-        int status = 0;
-        BackendVerdict verdict;
-        std::string fields;
-        std::string body;
-    };
-
-    bool admit();
-    bool checkAccount();
-    bool checkQuota();
-    bool checkCrashes();
-    void pickService();
     bool place();
     void waitInLine();
     void send(const PlacementChoice &choice);
@@ -61,7 +39,7 @@
     bool mayRepeat() const;
     bool takeRepeat();
     void repeat(const char *reason);
-    void releaseWork(const Attempt &attempt);
+    void releaseWork(const BackendAttempt &attempt);
     void releaseAttempt();
 
     void setTimer();
@@ -73,27 +51,18 @@
     void refuse(int status, const char *reason, std::optional<Duration> retryAfter);
     void fail(int status, const char *reason);
     void finish(const char *outcome);
-    Duration left(Instant now) const { return m_giveUpAt - now; }
+    Duration left(Instant now) const { return m_context.giveUpAt - now; }
     Duration age() const { return loopNow() - m_request.arrivedAt; }
 
     EntryState &m_state;
     CallerSession::Pointer m_session;
     CallerRequest m_request;
-    ServingConfigPtr m_config; // the version that governs this request
-    CallDescription m_call;
-    std::vector<std::uint64_t> m_chain;
-    const Route *m_route = nullptr;
-    const ClientAccount *m_account = nullptr;
-    const ServiceSpec *m_service = nullptr;
-    Fingerprint m_fingerprint; // empty: not watched for crashes
-    Instant m_giveUpAt;
+    RequestContext m_context;
     asio::steady_timer m_timer;
-    std::unique_ptr<Attempt> m_attempt;
+    std::unique_ptr<BackendAttempt> m_attempt;
     std::map<ServerName, Instant> m_blocked; // not to be tried before
     int m_arrivals = 0; // at servers
     int m_runs = 0; // that may have taken place
-    double m_charged = 0;
-    int m_priority = 0;
     bool m_isWaiting = false;
     bool m_isStreaming = false; // the caller has the head of a stream
     bool m_isOver = false;
--- a/src/Apps/Entry/SpendingNews.h
+++ b/src/Apps/Entry/SpendingNews.h
@@ -2,7 +2,7 @@
 #define QUETZALYOKE_APPS_ENTRY_SPENDINGNEWS_H
 
 #include "Apps/Entry/EntryState.h"
-#include "Serving/SpendingRelay.h"
+#include "Serving/Accounts/SpendingRelay.h"
 #include "Wire/generated/peers_types.h"
 
 namespace quetzalyoke {
--- a/src/Apps/Entry/StateExchange.h
+++ b/src/Apps/Entry/StateExchange.h
@@ -4,8 +4,8 @@
 #include "Adapters/Async/CallerSession.h"
 #include "Adapters/Async/HttpCaller.h"
 #include "Apps/Entry/EntryState.h"
-#include "Serving/ReaderElection.h"
-#include "Serving/VersionWatch.h"
+#include "Serving/State/ReaderElection.h"
+#include "Serving/State/VersionWatch.h"
 
 namespace quetzalyoke {
 
--- a/src/Core/StrongTypes.h
+++ b/src/Core/StrongTypes.h
@@ -77,6 +77,12 @@
 using Duration = std::chrono::microseconds;
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// \a duration times \a factor, rounded down.
+inline Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 } // namespace quetzalyoke
 
 template<typename Tag>
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -1,9 +1,9 @@
 #ifndef QUETZALYOKE_PORTS_ENTRYPLATFORM_H
 #define QUETZALYOKE_PORTS_ENTRYPLATFORM_H
 
-#include "Serving/BackendServer.h"
-#include "Serving/PlacementLease.h"
-#include "Serving/ServingConfig.h"
+#include "Serving/Placement/PlacementLease.h"
+#include "Serving/Servers/BackendServer.h"
+#include "Serving/State/ServingConfig.h"
 
 #include <functional>
 #include <optional>
--- a/src/Ports/ServingDialect.h
+++ b/src/Ports/ServingDialect.h
@@ -1,8 +1,8 @@
 #ifndef QUETZALYOKE_PORTS_SERVINGDIALECT_H
 #define QUETZALYOKE_PORTS_SERVINGDIALECT_H
 
-#include "Serving/BackendServer.h"
-#include "Serving/CallDescription.h"
+#include "Serving/Requests/CallDescription.h"
+#include "Serving/Servers/BackendServer.h"
 
 #include <boost/beast/http/fields.hpp>
 
--- a/src/Serving/SharedQuota.cpp
+++ b/src/Serving/Accounts/SharedQuota.cpp
@@ -1,4 +1,4 @@
-#include "Serving/SharedQuota.h"
+#include "Serving/Accounts/SharedQuota.h"
 
 #include <algorithm>
 
--- a/src/Serving/SpendingRelay.cpp
+++ b/src/Serving/Accounts/SpendingRelay.cpp
@@ -1,4 +1,4 @@
-#include "Serving/SpendingRelay.h"
+#include "Serving/Accounts/SpendingRelay.h"
 
 #include <set>
 
--- a/src/Serving/SpendingRelay.h
+++ b/src/Serving/Accounts/SpendingRelay.h
@@ -1,8 +1,8 @@
-#ifndef QUETZALYOKE_SERVING_SPENDINGRELAY_H
-#define QUETZALYOKE_SERVING_SPENDINGRELAY_H
+#ifndef QUETZALYOKE_SERVING_ACCOUNTS_SPENDINGRELAY_H
+#define QUETZALYOKE_SERVING_ACCOUNTS_SPENDINGRELAY_H
 
-#include "Serving/ReaderElection.h"
-#include "Serving/SpendingSums.h"
+#include "Serving/Accounts/SpendingSums.h"
+#include "Serving/State/ReaderElection.h"
 
 #include <functional>
 
--- a/src/Serving/SpendingSums.cpp
+++ b/src/Serving/Accounts/SpendingSums.cpp
@@ -1,4 +1,4 @@
-#include "Serving/SpendingSums.h"
+#include "Serving/Accounts/SpendingSums.h"
 
 namespace quetzalyoke {
 
--- a/src/Serving/CopyPlanner.cpp
+++ b/src/Serving/Placement/CopyPlanner.cpp
@@ -1,4 +1,4 @@
-#include "Serving/CopyPlanner.h"
+#include "Serving/Placement/CopyPlanner.h"
 
 #include <tuple>
 
--- a/src/Serving/CopyPlanner.h
+++ b/src/Serving/Placement/CopyPlanner.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_SERVING_COPYPLANNER_H
-#define QUETZALYOKE_SERVING_COPYPLANNER_H
+#ifndef QUETZALYOKE_SERVING_PLACEMENT_COPYPLANNER_H
+#define QUETZALYOKE_SERVING_PLACEMENT_COPYPLANNER_H
 
-#include "Serving/EngineBook.h"
+#include "Serving/Placement/EngineBook.h"
 
 namespace quetzalyoke {
 
--- a/src/Serving/EngineBook.cpp
+++ b/src/Serving/Placement/EngineBook.cpp
@@ -1,4 +1,4 @@
-#include "Serving/EngineBook.h"
+#include "Serving/Placement/EngineBook.h"
 
 #include <algorithm>
 
--- a/src/Serving/EngineDirector.cpp
+++ b/src/Serving/Placement/EngineDirector.cpp
@@ -1,4 +1,4 @@
-#include "Serving/EngineDirector.h"
+#include "Serving/Placement/EngineDirector.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/Serving/EngineDirector.h
+++ b/src/Serving/Placement/EngineDirector.h
@@ -1,9 +1,9 @@
-#ifndef QUETZALYOKE_SERVING_ENGINEDIRECTOR_H
-#define QUETZALYOKE_SERVING_ENGINEDIRECTOR_H
+#ifndef QUETZALYOKE_SERVING_PLACEMENT_ENGINEDIRECTOR_H
+#define QUETZALYOKE_SERVING_PLACEMENT_ENGINEDIRECTOR_H
 
-#include "Serving/CopyPlanner.h"
-#include "Serving/LoadPacer.h"
-#include "Serving/ServerBook.h"
+#include "Serving/Placement/CopyPlanner.h"
+#include "Serving/Placement/LoadPacer.h"
+#include "Serving/Servers/ServerBook.h"
 
 namespace quetzalyoke {
 
--- a/src/Serving/LoadPacer.cpp
+++ b/src/Serving/Placement/LoadPacer.cpp
@@ -1,4 +1,4 @@
-#include "Serving/LoadPacer.h"
+#include "Serving/Placement/LoadPacer.h"
 
 #include <algorithm>
 
--- a/src/Serving/PlacementLease.cpp
+++ b/src/Serving/Placement/PlacementLease.cpp
@@ -1,4 +1,4 @@
-#include "Serving/PlacementLease.h"
+#include "Serving/Placement/PlacementLease.h"
 
 #include <algorithm>
 
--- a/src/Serving/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -1,4 +1,4 @@
-#include "Serving/AdmissionPolicy.h"
+#include "Serving/Requests/AdmissionPolicy.h"
 
 #include <algorithm>
 
@@ -12,11 +12,6 @@
 // Before a load that takes no longer: the order, and an unload where the engine is full.
 constexpr Duration makingRoom = std::chrono::milliseconds(400);
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 Duration AdmissionPolicy::returnAfter(Duration wanted, const AdmissionInput &input,
--- a/src/Serving/AdmissionPolicy.h
+++ b/src/Serving/Requests/AdmissionPolicy.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_SERVING_ADMISSIONPOLICY_H
-#define QUETZALYOKE_SERVING_ADMISSIONPOLICY_H
+#ifndef QUETZALYOKE_SERVING_REQUESTS_ADMISSIONPOLICY_H
+#define QUETZALYOKE_SERVING_REQUESTS_ADMISSIONPOLICY_H
 
-#include "Serving/ServerChooser.h"
+#include "Serving/Servers/ServerChooser.h"
 
 namespace quetzalyoke {
 
--- a/src/Serving/CallDescription.h
+++ b/src/Serving/Requests/CallDescription.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_SERVING_CALLDESCRIPTION_H
-#define QUETZALYOKE_SERVING_CALLDESCRIPTION_H
+#ifndef QUETZALYOKE_SERVING_REQUESTS_CALLDESCRIPTION_H
+#define QUETZALYOKE_SERVING_REQUESTS_CALLDESCRIPTION_H
 
-#include "Serving/ServingConfig.h"
+#include "Serving/State/ServingConfig.h"
 
 #include <cstdint>
 #include <string>
--- a/src/Serving/EventScanner.cpp
+++ b/src/Serving/Requests/EventScanner.cpp
@@ -1,4 +1,4 @@
-#include "Serving/EventScanner.h"
+#include "Serving/Requests/EventScanner.h"
 
 namespace quetzalyoke {
 
--- a/src/Serving/PrefixBook.cpp
+++ b/src/Serving/Servers/PrefixBook.cpp
@@ -1,4 +1,4 @@
-#include "Serving/PrefixBook.h"
+#include "Serving/Servers/PrefixBook.h"
 
 #include <string_view>
 
--- a/src/Serving/PrefixBook.h
+++ b/src/Serving/Servers/PrefixBook.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_SERVING_PREFIXBOOK_H
-#define QUETZALYOKE_SERVING_PREFIXBOOK_H
+#ifndef QUETZALYOKE_SERVING_SERVERS_PREFIXBOOK_H
+#define QUETZALYOKE_SERVING_SERVERS_PREFIXBOOK_H
 
-#include "Serving/CallDescription.h"
+#include "Serving/Requests/CallDescription.h"
 
 #include <list>
 #include <unordered_map>
--- a/src/Serving/ServerBook.h
+++ b/src/Serving/Servers/ServerBook.h
@@ -1,8 +1,8 @@
-#ifndef QUETZALYOKE_SERVING_SERVERBOOK_H
-#define QUETZALYOKE_SERVING_SERVERBOOK_H
+#ifndef QUETZALYOKE_SERVING_SERVERS_SERVERBOOK_H
+#define QUETZALYOKE_SERVING_SERVERS_SERVERBOOK_H
 
-#include "Serving/BackendServer.h"
-#include "Serving/ServerHealth.h"
+#include "Serving/Servers/BackendServer.h"
+#include "Serving/Servers/ServerHealth.h"
 
 #include <map>
 #include <set>
--- a/src/Serving/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -1,4 +1,4 @@
-#include "Serving/ServerChooser.h"
+#include "Serving/Servers/ServerChooser.h"
 
 #include <algorithm>
 
--- a/src/Serving/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -1,8 +1,8 @@
-#ifndef QUETZALYOKE_SERVING_SERVERCHOOSER_H
-#define QUETZALYOKE_SERVING_SERVERCHOOSER_H
+#ifndef QUETZALYOKE_SERVING_SERVERS_SERVERCHOOSER_H
+#define QUETZALYOKE_SERVING_SERVERS_SERVERCHOOSER_H
 
-#include "Serving/PrefixBook.h"
-#include "Serving/ServerBook.h"
+#include "Serving/Servers/PrefixBook.h"
+#include "Serving/Servers/ServerBook.h"
 
 #include <set>
 
--- a/src/Serving/ServerHealth.cpp
+++ b/src/Serving/Servers/ServerHealth.cpp
@@ -1,4 +1,4 @@
-#include "Serving/ServerHealth.h"
+#include "Serving/Servers/ServerHealth.h"
 
 #include <algorithm>
 
--- a/src/Serving/ReaderElection.h
+++ b/src/Serving/State/ReaderElection.h
@@ -1,7 +1,7 @@
-#ifndef QUETZALYOKE_SERVING_READERELECTION_H
-#define QUETZALYOKE_SERVING_READERELECTION_H
+#ifndef QUETZALYOKE_SERVING_STATE_READERELECTION_H
+#define QUETZALYOKE_SERVING_STATE_READERELECTION_H
 
-#include "Serving/Distrust.h"
+#include "Serving/State/Distrust.h"
 
 #include <map>
 #include <optional>
--- a/src/Serving/ServingConfig.cpp
+++ b/src/Serving/State/ServingConfig.cpp
@@ -1,4 +1,4 @@
-#include "Serving/ServingConfig.h"
+#include "Serving/State/ServingConfig.h"
 
 namespace quetzalyoke {
 
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -1,4 +1,4 @@
-#include "Serving/AdmissionPolicy.h"
+#include "Serving/Requests/AdmissionPolicy.h"
 
 #include <gtest/gtest.h>
 
--- a/test/CrashNewsTest.cpp
+++ b/test/CrashNewsTest.cpp
@@ -1,4 +1,4 @@
-#include "Serving/CrashNews.h"
+#include "Serving/Requests/CrashNews.h"
 
 #include <gtest/gtest.h>
 
--- a/test/ReaderElectionTest.cpp
+++ b/test/ReaderElectionTest.cpp
@@ -1,4 +1,4 @@
-#include "Serving/ReaderElection.h"
+#include "Serving/State/ReaderElection.h"
 
 #include <gtest/gtest.h>
 
--- a/test/ServerBookTest.cpp
+++ b/test/ServerBookTest.cpp
@@ -1,4 +1,4 @@
-#include "Serving/ServerBook.h"
+#include "Serving/Servers/ServerBook.h"
 
 #include <gtest/gtest.h>
 
--- a/test/SharedQuotaTest.cpp
+++ b/test/SharedQuotaTest.cpp
@@ -1,4 +1,4 @@
-#include "Serving/SharedQuota.h"
+#include "Serving/Accounts/SharedQuota.h"
 #include "SpendingRecord.h"
 
 #include <gtest/gtest.h>
--- a/test/SpendingRelayTest.cpp
+++ b/test/SpendingRelayTest.cpp
@@ -1,5 +1,5 @@
-#include "Serving/SpendingRelay.h"
-#include "Serving/SharedQuota.h"
+#include "Serving/Accounts/SpendingRelay.h"
+#include "Serving/Accounts/SharedQuota.h"
 #include "SpendingRecord.h"
 
 #include <gtest/gtest.h>
--- a/test/VersionWatchTest.cpp
+++ b/test/VersionWatchTest.cpp
@@ -1,4 +1,4 @@
-#include "Serving/VersionWatch.h"
+#include "Serving/State/VersionWatch.h"
 
 #include <gtest/gtest.h>
 
