Believe servers that say they leave or want a pause

Cause: neither the mark of a leaving server in its answers nor the pause that it asks for with 503 was read anywhere; a server was used until the list showed it, and a pausing one was asked again after 20 ms. Ruled out: believing any answer. A mark counts only in an answer to this very request (its id comes back), not in a 421, which any server at the address gives, and only for the incarnation that was asked; a report counts if it names that incarnation. What doesn't count is logged. Change: ServerBook keeps departures beyond the entry, so that older rows, lapses and peers that lag don't undo them; a later incarnation does. Departures go to all peers at once and with the news until the list shows them. A paused server gets no request, order or status question of this gateway; peers hear of pauses and rank it lower. Where only paused servers are left, callers are told when the first is back, or wait if that is within a quarter of the objective. A request whose server leaves while its connection is made goes elsewhere.

--- a/src/Adapters/Async/ClientConnection.cpp
+++ b/src/Adapters/Async/ClientConnection.cpp
@@ -107,7 +107,7 @@
     if (m_state != State::Connecting)
         return;
     m_connectTimer.cancel();
-    if (ec) {
+    if (ec || (m_hooks.maySend && !m_hooks.maySend())) {
         fail(ExchangeEnd::NotSent);
         return;
     }
--- a/src/Adapters/Async/ClientConnection.h
+++ b/src/Adapters/Async/ClientConnection.h
@@ -32,6 +32,8 @@
         Skip, ///< Another answer; the one to the request is still to come.
     };
 
+    /// Asked once a new connection stands; false ends the exchange as NotSent. May be empty.
+    std::function<bool()> maySend;
     /// An answer's status and header.
     std::function<Head(int status, const boost::beast::http::fields &fields)> onHead;
     std::function<void(std::string_view)> onBody;
--- a/src/Adapters/Async/HttpCaller.cpp
+++ b/src/Adapters/Async/HttpCaller.cpp
@@ -51,8 +51,9 @@
     m_calls.push_back(call);
 
     ExchangeHooks hooks;
-    hooks.onHead = [call](int status, const boost::beast::http::fields &) {
+    hooks.onHead = [call](int status, const boost::beast::http::fields &fields) {
         call->outcome.status = status;
+        call->outcome.fields = fields;
         return ExchangeHooks::Head::Take;
     };
     hooks.onBody = [call](std::string_view data) {
--- a/src/Adapters/Async/HttpCaller.h
+++ b/src/Adapters/Async/HttpCaller.h
@@ -13,6 +13,7 @@
     ExchangeEnd end = ExchangeEnd::NotSent;
     bool timedOut = false; ///< Then \c end is Cut or NotSent.
     int status = 0; ///< 0 without a whole answer.
+    boost::beast::http::fields fields;
     std::string body;
     Instant sentAt;
 
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -5,6 +5,8 @@
 #include "Adapters/Process.h"
 #include "Apps/Entry/Exchange.h"
 
+#include <boost/asio/post.hpp>
+
 #include <csignal>
 
 namespace quetzalyoke {
@@ -78,6 +80,12 @@
         m_peers.tellNeeds();
         m_orders.wake();
     };
+    m_state.onServerWord = [this] {
+        m_orders.onServersChanged();
+        m_peers.tellDepartures();
+        // Its requests that wait may go elsewhere; those that run are not to be placed from here.
+        asio::post(m_loop, [this] { m_state.waiting.retryAll(); });
+    };
     m_steadySeen = loopNow();
     m_suspended = bootNow() - Instant(m_steadySeen.time_since_epoch());
     m_readiness.listen(m_state.settings.readiness);
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -1,5 +1,7 @@
 #include "Apps/Entry/EntryState.h"
 
+#include "Adapters/DecisionLog.h"
+#include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 
 namespace quetzalyoke {
@@ -79,6 +81,39 @@
         onNeed();
 }
 
+void EntryState::takeServerWord(const ServerName &server, Incarnation incarnation,
+                                const BackendVerdict &verdict)
+{
+    if (!verdict.isLeaving && !verdict.pause)
+        return;
+    const ServerState *known = book.find(server);
+    if (known && known->listed.incarnation != incarnation) {
+        logNotable("server_word_ignored",
+                   {{"server", server},
+                    {"asked", incarnation},
+                    {"listed", known->listed.incarnation},
+                    {"reason", "another incarnation is listed"}});
+        return;
+    }
+    const bool isDeparture = verdict.isLeaving && book.noteLeaving(server, incarnation);
+    const Duration pause = verdict.pause.value_or(Milliseconds(0));
+    const bool isPause
+        = pause.count() > 0 && book.notePause(server, incarnation, loopNow() + pause);
+    if (!isDeparture && !isPause)
+        return;
+    if (isDeparture)
+        departureNews.push_back({server, incarnation});
+    logNotable("server",
+               {{"server", server},
+                {"incarnation", incarnation},
+                {"state", isDeparture ? "leaving" : "paused"},
+                {"for_ms", pause},
+                {"source", "answer"}});
+    Metrics::count("server_words", {{"word", isDeparture ? "leaving" : "paused"}});
+    if (onServerWord)
+        onServerWord();
+}
+
 void EntryState::noteUse(const ServerName &server, const ModelName &model,
                          const AdapterName &adapter, Duration busy)
 {
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -65,6 +65,15 @@
     void noteUse(const ServerName &server, const ModelName &model, const AdapterName &adapter,
                  Duration busy);
 
+    /// Believes what \a server says of itself in an answer to a request that was sent to its
+    /// \a incarnation.
+    void takeServerWord(const ServerName &server, Incarnation incarnation,
+                        const BackendVerdict &verdict);
+    /// Departures that no peer has told of, since the last news to peers.
+    std::vector<Departure> departureNews;
+    /// Called when a server that was in use leaves or pauses.
+    std::function<void()> onServerWord;
+
     /// Called when requests wait for something that another gateway may have to order.
     std::function<void()> onNeed;
 
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -179,6 +179,7 @@
                 {"attempt", m_arrivals + 1}});
 
     ExchangeHooks hooks;
+    hooks.maySend = [self = shared_from_this()] { return self->mayStillSend(); };
     hooks.onHead = [self = shared_from_this()](int status, const auto &fields) {
         return self->onHead(status, fields);
     };
@@ -190,6 +191,14 @@
                                 std::move(hooks));
 }
 
+// A server may have left, or asked for a pause, while the connection to it was made.
+bool Exchange::mayStillSend() const
+{
+    const ServerState *server = m_attempt ? m_state.book.find(m_attempt->server) : nullptr;
+    return server && server->listed.incarnation == m_attempt->incarnation
+        && !server->listed.isLeaving && !server->isPaused(loopNow());
+}
+
 // The stated length of an answer may be anything; nobody waits longer than the deadline.
 Duration Exchange::expectedRun(Duration expectedFirst, Instant now) const
 {
@@ -210,6 +219,7 @@
     }
     m_attempt->status = status;
     m_attempt->verdict = verdict;
+    m_state.takeServerWord(m_attempt->server, m_attempt->incarnation, verdict);
     const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
     if (isSuccess && (!verdict.isSigned || verdict.isEncoded)) {
         logNotable("bad_answer",
@@ -386,7 +396,8 @@
 {
     const Instant now = loopNow();
     const ServerName name = m_attempt->server;
-    if (ServerState *server = m_state.book.find(name)) {
+    const bool isWithheld = end == ExchangeEnd::NotSent && !mayStillSend();
+    if (ServerState *server = m_state.book.find(name); server && !isWithheld) {
         server->health.noteFailure(end == ExchangeEnd::NotSent ? ServerHealth::Failure::Unreachable
                                                                : ServerHealth::Failure::Cut,
                                    now);
--- a/src/Apps/Entry/Exchange.h
+++ b/src/Apps/Entry/Exchange.h
@@ -24,6 +24,7 @@
     bool place();
     void waitInLine();
     void send(const PlacementChoice &choice);
+    bool mayStillSend() const;
     Duration expectedRun(Duration expectedFirst, Instant now) const;
     std::string backendRequest(const ServerState &server, Duration left) const;
 
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -18,6 +18,8 @@
 constexpr ClientConnection::Limits engineLimits{std::chrono::milliseconds(400),
                                                 std::chrono::milliseconds(800)};
 
+constexpr int statusOk = 200;
+
 // Planning for some dozens of engines takes a few hundredths of a core; instances that have little
 // more leave it to larger ones.
 constexpr double largeProcessorShare = 0.15;
@@ -196,7 +198,10 @@
     const std::string address = server->listed.address;
     callerOf(address).call(
         m_state.dialect.commandRequest(sent, address), orderTimeout,
-        [this, sent](const HttpOutcome &http) {
+        [this, sent, incarnation = server->listed.incarnation](const HttpOutcome &http) {
+            if (http.isAnswered())
+                m_state.takeServerWord(sent.server, incarnation,
+                                       m_state.dialect.judgeEngine(http.status, http.fields));
             const OrderOutcome outcome = outcomeOf(http);
             logNotable("order",
                        {{"server", sent.server},
@@ -222,17 +227,28 @@
     const std::string address = server->listed.address;
     Metrics::count("statuses_asked");
     callerOf(address).call(m_state.dialect.statusRequest(address), statusTimeout,
-                           [this, name](const HttpOutcome &http) {
-                               if (!http.isAnswered() || http.status != 200)
-                                   return;
-                               const auto status = m_state.dialect.readStatus(http.body);
-                               if (!status) {
-                                   logNotable("bad_status", {{"server", name}});
-                                   return;
-                               }
-                               m_state.director.takeStatus(name, *status, http.sentAt, loopNow());
-                               publishNotices();
-                           });
+                           [this, name, incarnation = server->listed.incarnation](
+                               const HttpOutcome &http) { onStatus(name, incarnation, http); });
+}
+
+void OrderSender::onStatus(const ServerName &name, Incarnation asked, const HttpOutcome &http)
+{
+    if (!http.isAnswered())
+        return;
+    BackendVerdict verdict = m_state.dialect.judgeEngine(http.status, http.fields);
+    const auto status = http.status == statusOk ? m_state.dialect.readStatus(http.body)
+                                                : std::optional<EngineStatus>();
+    // The request names no server, so only a report that does tells whose word this is.
+    verdict.isLeaving = verdict.isLeaving && status && status->incarnation == asked;
+    m_state.takeServerWord(name, asked, verdict);
+    if (http.status != statusOk)
+        return;
+    if (!status) {
+        logNotable("bad_status", {{"server", name}});
+        return;
+    }
+    m_state.director.takeStatus(name, *status, http.sentAt, loopNow());
+    publishNotices();
 }
 
 void OrderSender::publishNotices()
--- a/src/Apps/Entry/OrderSender.h
+++ b/src/Apps/Entry/OrderSender.h
@@ -41,6 +41,7 @@
     void giveOrders();
     void sendCommand(const EngineCommand &command);
     void askStatus(const ServerName &server);
+    void onStatus(const ServerName &server, Incarnation asked, const HttpOutcome &http);
     void publishNotices();
     HttpCaller &callerOf(const std::string &address);
     void dropUnusedCallers();
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -173,6 +173,12 @@
     scheduleUrgent();
 }
 
+void PeerNetwork::tellDepartures()
+{
+    if (!m_state.departureNews.empty())
+        scheduleUrgent();
+}
+
 void PeerNetwork::scheduleUrgent()
 {
     if (m_isUrgentScheduled)
@@ -230,9 +236,10 @@
     addEvents(news);
     if (std::exchange(m_hasNewNotices, false))
         addNotices(news);
+    addDepartures(std::exchange(m_state.departureNews, {}), news);
     const std::string bytes = PeerSocket::encode(news);
     const Peer *told = holder();
-    if (told && news.notices.empty()) {
+    if (told && news.notices.empty() && news.serverWords.empty()) {
         m_socket.send(bytes, told->address);
         return;
     }
@@ -277,6 +284,35 @@
     if (!m_spending.isRelaying())
         news.spent = encodeSpending(m_state.quotas.spending());
     addCrashes(m_state.suspicions.news().next(), news);
+    addDepartures(m_state.book.unlistedDepartures(), news);
+    addPauses(news);
+}
+
+void PeerNetwork::addDepartures(const std::vector<Departure> &departures, wire::PeerNews &news)
+{
+    for (const Departure &departure : departures) {
+        wire::PeerServerWord word;
+        word.server = departure.server.text();
+        word.incarnation = departure.incarnation.count();
+        word.leaving = true;
+        news.serverWords.push_back(std::move(word));
+    }
+}
+
+void PeerNetwork::addPauses(wire::PeerNews &news) const
+{
+    const Instant now = loopNow();
+    for (const auto &[id, server] : m_state.book.servers()) {
+        if (!server.isPaused(now))
+            continue;
+        wire::PeerServerWord word;
+        word.server = id.text();
+        word.incarnation = server.listed.incarnation.count();
+        word.pauseMs = static_cast<std::int32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(server.pausedUntil - now)
+                .count());
+        news.serverWords.push_back(std::move(word));
+    }
 }
 
 void PeerNetwork::addCrashes(const std::vector<Suspicion> &suspicions, wire::PeerNews &news)
@@ -363,6 +399,7 @@
         m_spending.take(news);
         return;
     }
+    applyServerWords(instance, news);
     if (news.isUrgent) {
         applyEvents(news);
         return;
@@ -409,6 +446,29 @@
                       Version(news.leaseRow)});
 }
 
+void PeerNetwork::applyServerWords(const InstanceId &from, const wire::PeerNews &news)
+{
+    bool isChanged = false;
+    for (const wire::PeerServerWord &word : news.serverWords) {
+        const ServerName server(word.server);
+        const Incarnation incarnation(word.incarnation);
+        if (word.pauseMs > 0) {
+            m_state.book.notePeerPause(server, incarnation,
+                                       loopNow() + std::chrono::milliseconds(word.pauseMs));
+        }
+        if (!word.leaving || !m_state.book.noteLeaving(server, incarnation))
+            continue;
+        isChanged = true;
+        logNotable("server",
+                   {{"server", server},
+                    {"incarnation", incarnation},
+                    {"state", "leaving"},
+                    {"source", from}});
+    }
+    if (isChanged && m_state.onServerWord)
+        m_state.onServerWord();
+}
+
 void PeerNetwork::applyEvents(const wire::PeerNews &news)
 {
     const Instant now = loopNow();
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -30,6 +30,8 @@
     void tellNeeds();
     /// Changes that orders of this gateway have brought: tells every peer.
     void tellNotices(const std::vector<OrderNotice> &notices);
+    /// Servers have said that they leave: tells every peer.
+    void tellDepartures();
     /// The instance has stood still.
     void onResumed();
     /// Peers as sources of state.
@@ -75,6 +77,9 @@
     void tellCrashes(const InstanceId &instance, const Address &address);
     void addEvents(wire::PeerNews &news);
     void addNotices(wire::PeerNews &news) const;
+    static void addDepartures(const std::vector<Departure> &departures, wire::PeerNews &news);
+    void addPauses(wire::PeerNews &news) const;
+    void applyServerWords(const InstanceId &from, const wire::PeerNews &news);
     void onNews(const wire::PeerNews &news, const Address &from);
     void applyFacts(const InstanceId &from, const wire::PeerNews &news);
     void applyEvents(const wire::PeerNews &news);
--- a/src/Ports/ServingDialect.h
+++ b/src/Ports/ServingDialect.h
@@ -30,6 +30,8 @@
     bool isSigned = false; ///< Carries the proof that a server made it.
     bool isEncoded = false; ///< The body is not what the server made.
     bool notRun = false; ///< The server states that it did not run the request.
+    bool isLeaving = false; ///< The server states that it takes no new work.
+    std::optional<Milliseconds> pause; ///< How long the server wants nothing from this instance.
 };
 
 /// \brief An order to an engine and what makes it unrepeatable.
@@ -60,6 +62,8 @@
                                     std::string &out) const = 0;
     virtual BackendVerdict judge(int status, const HeaderFields &fields,
                                  const RequestId &id) const = 0;
+    /// What an engine's answer to an order or a status request says of the engine itself.
+    virtual BackendVerdict judgeEngine(int status, const HeaderFields &fields) const = 0;
     /// Headers of a backend server's answer as the caller gets them, without framing.
     virtual void writeCallerFields(const HeaderFields &backend, std::string &out) const = 0;
     /// Headers of an answer of this system's own.
--- a/src/Serving/Placement/EngineBook.cpp
+++ b/src/Serving/Placement/EngineBook.cpp
@@ -231,19 +231,22 @@
 
 bool EngineBook::isFree(Instant now) const
 {
-    return m_isOrdersKnown && !m_open && !m_running && !m_mustAsk && now >= m_retryAt;
+    return m_isOrdersKnown && !m_open && !m_running && !m_mustAsk && now >= m_retryAt
+        && !wantsNothing(now);
 }
 
 std::optional<EngineCommand> EngineBook::repeat(Instant now) const
 {
-    if (!m_open || m_inFlight || now < m_retryAt || (m_mustAsk && now < m_retryAt + reportLag))
+    if (wantsNothing(now) || !m_open || m_inFlight || now < m_retryAt
+        || (m_mustAsk && now < m_retryAt + reportLag))
         return {};
     return m_open;
 }
 
 bool EngineBook::needsStatus(Instant now) const
 {
-    return m_mustAsk && now >= m_askAt && now - m_statusAskedAt >= statusPause;
+    return m_mustAsk && !wantsNothing(now) && now >= m_askAt
+        && now - m_statusAskedAt >= statusPause;
 }
 
 EngineCommand EngineBook::makeLoad(const ModelName &model, const AdapterName &adapter) const
--- a/src/Serving/Placement/EngineBook.h
+++ b/src/Serving/Placement/EngineBook.h
@@ -34,6 +34,8 @@
     /// The platform's list; it lags, so what it says of holdings counts only until the engine
     /// itself has been asked.
     void takeListed(const ListedServer &listed);
+    /// The engine wants nothing before \a until.
+    void setPausedUntil(Instant until) { m_pausedUntil = until; }
     void setSpec(std::shared_ptr<const EngineSpec> spec) { m_spec = std::move(spec); }
     /// A status that was asked for at \a askedAt.
     void takeStatus(const EngineStatus &status, Instant askedAt, Instant now);
@@ -83,6 +85,7 @@
     std::array<const EngineCommand *, 2> unfinished() const; // open and running, null: none
     void applyAccepted(const EngineCommand &command, Instant now);
     void settle(const Holdings &holdings, bool isBusy, Instant now);
+    bool wantsNothing(Instant now) const { return m_listed.isLeaving || now < m_pausedUntil; }
     Duration loadTimeOf(const ModelName &model) const;
     double megabytesOf(const ModelName &model) const;
     double adapterMegabytesOf(const ModelName &model) const;
@@ -104,6 +107,7 @@
     Instant m_statusAskedAt;
     Instant m_retryAt;
     Instant m_changedAt; // last accepted order
+    Instant m_pausedUntil;
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/Placement/EngineDirector.cpp
+++ b/src/Serving/Placement/EngineDirector.cpp
@@ -58,12 +58,14 @@
         if (isKnown) {
             it->second.takeListed(state.listed);
             it->second.setSpec(spec);
+            it->second.setPausedUntil(state.pausedUntil);
             continue;
         }
         if (it != books.end())
             books.erase(it);
         const auto added = books.emplace(id, EngineBook(state.listed, spec)).first;
         added->second.forgetOrders();
+        added->second.setPausedUntil(state.pausedUntil);
         m_services[id] = service->name;
         m_planned.erase(id);
     }
--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -60,6 +60,18 @@
     case PlacementChoice::Outcome::NoAdapter:
         return waitOrRefuse(input, scaled(objective, m_settings.adapterPatience), objective,
                             spread);
+    case PlacementChoice::Outcome::Paused: {
+        // Worth waiting for if the server is back while the answer can still be in time.
+        const Duration patience = scaled(objective, m_settings.slotPatience);
+        const bool isBackSoon = input.waited + input.choice.pause <= patience;
+        AdmissionDecision decision = waitOrRefuse(input, isBackSoon ? patience : Duration::zero(),
+                                                  input.choice.pause, spread);
+        // However long it is: nothing else could take the request sooner.
+        if (decision.step == AdmissionDecision::Step::Refuse)
+            decision.retryAfter
+                = std::max(m_settings.shortestReturn, scaled(input.choice.pause, 1 + spread / 2));
+        return decision;
+    }
     case PlacementChoice::Outcome::Full:
         return waitOrRefuse(input, scaled(objective, m_settings.slotPatience), objective, spread);
     }
--- a/src/Serving/Servers/BackendServer.h
+++ b/src/Serving/Servers/BackendServer.h
@@ -37,6 +37,7 @@
     bool isBusy = false; ///< Carries out an order.
     std::int64_t orders = 0; ///< Accepted in this incarnation.
     std::set<ModelName> atHand; ///< Models that it loads without the weight store.
+    std::optional<Incarnation> incarnation; ///< Of the engine that answered, if it says so.
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/Servers/ServerBook.cpp
+++ b/src/Serving/Servers/ServerBook.cpp
@@ -11,6 +11,10 @@
 // By then the platform's list shows what an order has changed: a heartbeat and its own lag.
 constexpr Duration noticeLifetime = std::chrono::seconds(4);
 
+// A departure is remembered this long after the server's entry has gone: sources that lag by more
+// have been asked anew by then.
+constexpr Duration departureMemory = std::chrono::minutes(5);
+
 void apply(const OrderNotice &notice, Holdings &holdings)
 {
     if (notice.adapter.isEmpty()) {
@@ -63,6 +67,8 @@
         state.health = ServerHealth();
         state.health.reset(now);
         state.own = own;
+        state.pausedUntil = Instant();
+        state.peerPausedUntil = Instant();
         forgetPeerWork(serverHash(server.id));
     }
     takeListed(state, server);
@@ -76,6 +82,12 @@
     if (!isNew)
         m_serving[state.listed.service].erase(&state);
     state.listed = server;
+    if (const auto it = m_departed.find(server.id);
+        it != m_departed.end() && it->second.incarnation == server.incarnation) {
+        it->second.isListedLeaving = server.isLeaving;
+        it->second.unlistedAt.reset();
+        state.listed.isLeaving = true;
+    }
     m_serving[server.service].insert(&state);
     if (!isNew)
         return;
@@ -111,8 +123,68 @@
     m_servers.erase(it);
 }
 
+bool ServerBook::noteLeaving(const ServerName &id, Incarnation incarnation)
+{
+    const auto server = m_servers.find(id);
+    const bool isListed = server != m_servers.end();
+    if (isListed && incarnation < server->second.listed.incarnation)
+        return false;
+    const auto [it, isNew] = m_departed.try_emplace(id);
+    if (!isNew && it->second.incarnation >= incarnation)
+        return false;
+    it->second = {incarnation, {}, false};
+    if (!isListed || server->second.listed.incarnation != incarnation)
+        return true;
+    const bool wasLeaving = std::exchange(server->second.listed.isLeaving, true);
+    it->second.isListedLeaving = wasLeaving;
+    return !wasLeaving;
+}
+
+bool ServerBook::notePause(const ServerName &id, Incarnation incarnation, Instant until)
+{
+    ServerState *server = find(id);
+    if (!server || server->listed.incarnation != incarnation || until <= server->pausedUntil)
+        return false;
+    server->pausedUntil = until;
+    return true;
+}
+
+void ServerBook::notePeerPause(const ServerName &id, Incarnation incarnation, Instant until)
+{
+    ServerState *server = find(id);
+    if (server && server->listed.incarnation == incarnation)
+        server->peerPausedUntil = std::max(server->peerPausedUntil, until);
+}
+
+std::vector<Departure> ServerBook::unlistedDepartures() const
+{
+    std::vector<Departure> departures;
+    for (const auto &[id, departed] : m_departed) {
+        const auto it = m_servers.find(id);
+        if (departed.isListedLeaving || it == m_servers.end()
+            || it->second.listed.incarnation != departed.incarnation)
+            continue;
+        departures.push_back({id, departed.incarnation});
+    }
+    return departures;
+}
+
+void ServerBook::expireDepartures(Instant now)
+{
+    for (auto it = m_departed.begin(); it != m_departed.end();) {
+        const auto server = m_servers.find(it->first);
+        const bool isListed = server != m_servers.end()
+            && server->second.listed.incarnation == it->second.incarnation;
+        if (!isListed && !it->second.unlistedAt)
+            it->second.unlistedAt = now;
+        const bool isOver = !isListed && now - *it->second.unlistedAt > departureMemory;
+        it = isOver ? m_departed.erase(it) : std::next(it);
+    }
+}
+
 std::vector<ServerName> ServerBook::expire(Instant now)
 {
+    expireDepartures(now);
     for (auto it = m_notices.begin(); it != m_notices.end();) {
         const auto server = m_servers.find(it->first);
         if (server != m_servers.end())
--- a/src/Serving/Servers/ServerBook.h
+++ b/src/Serving/Servers/ServerBook.h
@@ -40,10 +40,20 @@
     ServerWork peersTotal; ///< Of all other gateways.
     ServerHealth health;
     std::optional<Instant> missingSince; ///< Its entry lapsed while the list was out of reach.
+    Instant pausedUntil; ///< It wants nothing from this gateway before.
+    Instant peerPausedUntil; ///< It wants nothing from another gateway before.
 
     /// Of all gateways.
     ServerWork total() const;
     bool holds(const ModelName &model, const AdapterName &adapter) const;
+    bool isPaused(Instant now) const { return now < pausedUntil; }
+};
+
+/// \brief A server's own word that it leaves, which its entry in the list doesn't show yet.
+struct Departure
+{
+    ServerName server;
+    Incarnation incarnation;
 };
 
 /// A short stand-in for a server's id, the same at every gateway.
@@ -52,7 +62,8 @@
 /// \brief All backend servers that this gateway knows, by id; no I/O.
 ///
 /// An entry that lapses while the platform's list can't be read is kept for a grace, since
-/// servers that live enter themselves again when the list is back.
+/// servers that live enter themselves again when the list is back. A server's own word that it
+/// leaves holds for its incarnation, whatever older entries say.
 class ServerBook
 {
 public:
@@ -82,6 +93,15 @@
     /// Drops the servers that are still missing after the grace; returns them.
     std::vector<ServerName> expire(Instant now);
 
+    /// A server has said that it leaves. Whether that is news.
+    bool noteLeaving(const ServerName &id, Incarnation incarnation);
+    /// A server wants nothing before \a until. Whether that is news of the incarnation listed.
+    bool notePause(const ServerName &id, Incarnation incarnation, Instant until);
+    /// The same, said to another gateway.
+    void notePeerPause(const ServerName &id, Incarnation incarnation, Instant until);
+    /// Departures that the list doesn't show yet.
+    std::vector<Departure> unlistedDepartures() const;
+
     void addNotice(const OrderNotice &notice, Instant now);
     /// Replaces what \a peer has at all servers, by serverHash().
     void setPeerWork(const InstanceId &peer, const PeerWork &work);
@@ -100,10 +120,18 @@
         OrderNotice notice;
         Instant until;
     };
+    /// Kept beyond the entry, since an older one may come back from a source that lags.
+    struct Departed
+    {
+        Incarnation incarnation;
+        std::optional<Instant> unlistedAt;
+        bool isListedLeaving = false; ///< The list says so, too.
+    };
     using Holding = std::pair<ModelName, AdapterName>;
     using Notices = std::map<Holding, Noticed>;
 
     void takeListed(ServerState &state, const ListedServer &server);
+    void expireDepartures(Instant now);
     void erase(Servers::iterator it);
     void forgetPeerWork(std::int32_t hash);
     void applyNotices(ServerState &server, Instant now);
@@ -117,6 +145,7 @@
     std::unordered_multimap<std::int32_t, ServerState *> m_byHash;
     std::map<InstanceId, PeerWork> m_peerWork; // what each peer has now, none where it has nothing
     std::map<ServerName, Notices> m_notices;
+    std::map<ServerName, Departed> m_departed;
     std::optional<Instant> m_outageUntil;
 };
 
--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -59,6 +59,8 @@
         return "no_adapter";
     case PlacementChoice::Outcome::Full:
         return "full";
+    case PlacementChoice::Outcome::Paused:
+        return "paused";
     }
     return "unknown";
 }
@@ -75,6 +77,8 @@
     std::uint64_t bestRank = 0;
     bool anyModel = false;
     bool anyAdapter = false;
+    bool anyFull = false;
+    std::optional<Instant> pauseEnd;
     for (const ServerState *state : group) {
         if (!takesWork(request, *state))
             continue;
@@ -84,9 +88,17 @@
         anyAdapter = true;
         if (state->health.isAvoided(now))
             continue;
+        if (state->isPaused(now)) {
+            pauseEnd = std::min(pauseEnd.value_or(state->pausedUntil), state->pausedUntil);
+            continue;
+        }
         Candidate candidate = weigh(request, *state);
-        if (isFull(request, *state, candidate))
+        if (isFull(request, *state, candidate)) {
+            anyFull = true;
             continue;
+        }
+        if (now < state->peerPausedUntil)
+            candidate.expected += m_settings.peerPausePenalty;
         if (state->health.failureShare() > mean + m_settings.failureMargin)
             candidate.expected += failingPenalty;
         const std::uint64_t rank = rendezvous(state->listed.id, key);
@@ -122,7 +134,10 @@
         });
     } else if (needsModel && !anyAdapter)
         choice.outcome = PlacementChoice::Outcome::NoAdapter;
-    else
+    else if (pauseEnd && !anyFull) {
+        choice.outcome = PlacementChoice::Outcome::Paused;
+        choice.pause = *pauseEnd - now;
+    } else
         choice.outcome = PlacementChoice::Outcome::Full;
     return choice;
 }
@@ -133,7 +148,7 @@
 {
     Candidate fastest;
     for (const ServerState *state : group) {
-        if (!takesWork(request, *state) || state->health.isAvoided(now)
+        if (!takesWork(request, *state) || state->health.isAvoided(now) || state->isPaused(now)
             || state->holds(request.call->model, request.call->adapter))
             continue;
         const Candidate candidate = weigh(request, *state);
--- a/src/Serving/Servers/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -26,11 +26,13 @@
         NoModel, ///< No server holds the model.
         NoAdapter, ///< Servers hold the model, none of them the adapter.
         Full, ///< Every server that could run it is full.
+        Paused, ///< Every server that could run it wants nothing for a while.
     };
 
     Outcome outcome = Outcome::NoServer;
     bool isAtHand = false; ///< No server holds the model, one could load it from its own disk.
     ServerName server;
+    Duration pause{0}; ///< Until the first of the paused servers takes work again.
     Duration expectedFirst{0}; ///< Until the first byte of the answer.
     std::int64_t prefillTokens = 0; ///< That the server has to read.
     std::int64_t memoryTokens = 0;
@@ -59,6 +61,8 @@
         /// Of the first byte, by which a server without the adapter must be faster to be worth a
         /// load of the adapter, which takes a tenth of it.
         Duration reliefGain{100'000};
+        /// A server that asked another gateway for a pause must be faster by this much.
+        Duration peerPausePenalty{1'000'000};
         double failureMargin = 0.25; ///< Failure share above the service's mean that counts.
     };
 
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -60,6 +60,14 @@
     4: bool isAllFresh,           // spent within the last second, as the sender has just started
 }
 
+// What a server has said of itself that the servers' table doesn't show.
+struct PeerServerWord {
+    1: string server,
+    2: i64 incarnation,
+    3: bool leaving,
+    4: i32 pauseMs,               // that the server asked the sender for, what is left of it
+}
+
 struct PeerNews {
     1: string instance,
     2: i64 incarnation,
@@ -73,7 +81,8 @@
     17: string zone,
     20: double processorShare,    // of a core
     18: bool followsStore,        // the sender reads changes from the store, which answers it
-    19: bool isUrgent,            // only wanted, used, demand, notices and crashes are filled in
+    19: bool isUrgent,            // only wanted, used, demand, notices, crashes and
+                                  // departures are filled in
     9: list<PeerWork> work,
     10: list<PeerSpent> spent,
     11: list<PeerDemand> demand,
@@ -81,5 +90,6 @@
     13: list<PeerAdapter> used,
     14: list<PeerNotice> notices,
     15: list<PeerCrash> crashes,
+    22: list<PeerServerWord> serverWords,
     21: optional PeerSpending spending,   // then the message holds nothing else
 }
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -47,10 +47,11 @@
         return call;
     }
 
-    PlacementChoice choose(const CallDescription &call, std::set<ServerName> excluded = {})
+    PlacementChoice choose(const CallDescription &call, std::set<ServerName> excluded = {},
+                           Instant now = start)
     {
         chain = prefixChain(call);
-        return chooser.choose({&service, &call, &chain, std::move(excluded)}, book, start);
+        return chooser.choose({&service, &call, &chain, std::move(excluded)}, book, now);
     }
 
     AdmissionDecision decide(const CallDescription &call, Duration waited = Duration(0))
@@ -202,3 +203,46 @@
     EXPECT_LE(decide().retryAfter, 1500ms);
     EXPECT_GE(decide().retryAfter, 800ms);
 }
+
+// Load pattern: every server of the service asks for a pause at its first request, each for
+// another time, while requests keep coming.
+TEST(AdmissionPolicyTest, leavesPausingServersAloneAndTellsCallersWhenTheFirstIsBack)
+{
+    constexpr int servers = 6;
+    Site site;
+    std::map<ServerName, int> asked;
+    for (int i = 0; i < servers; ++i)
+        site.addServer("engine-" + std::to_string(i));
+    const Duration end = 4s;
+    const auto pauseOf = [](int n) { return Duration(1s) + 400ms * n; };
+    int waited = 0;
+    int refused = 0;
+    for (Duration at{0}; at < end; at += 2ms) {
+        const Instant now = start + at;
+        const CallDescription call = site.call(100);
+        const PlacementChoice choice = site.choose(call, {}, now);
+        const AdmissionInput input{&site.route, &site.service, &call, choice, Duration(0), 5s};
+        const AdmissionDecision decision = site.policy.decide(input, 0);
+        if (decision.step == AdmissionDecision::Step::Send) {
+            ServerState *server = site.book.find(choice.server);
+            ASSERT_FALSE(server->isPaused(now));
+            const int n = static_cast<int>(asked.size());
+            if (++asked[choice.server] == 1)
+                site.book.notePause(choice.server, Incarnation(), now + pauseOf(n));
+            continue;
+        }
+        ASSERT_EQ(choice.outcome, PlacementChoice::Outcome::Paused);
+        const Duration firstBack = start + 1s - now;
+        if (decision.step == AdmissionDecision::Step::Wait) {
+            ++waited;
+            EXPECT_LE(firstBack, 200ms + 10ms); // a quarter of the objective
+            continue;
+        }
+        ++refused;
+        EXPECT_GE(decision.retryAfter, firstBack);
+        EXPECT_LE(decision.retryAfter, firstBack + 110ms);
+    }
+    EXPECT_EQ(asked.size(), std::size_t(servers));
+    EXPECT_GT(refused, 0);
+    EXPECT_GT(waited, 0);
+}
--- a/test/EngineBookTest.cpp
+++ b/test/EngineBookTest.cpp
@@ -182,3 +182,37 @@
     EXPECT_TRUE(book.holds(large, {}));
     EXPECT_FALSE(book.fits(ModelName("third"), {}));
 }
+
+TEST(EngineBookTest, sendsNothingToAPausedEngine)
+{
+    EngineBook book = knownBook(3, {small});
+    book.setPausedUntil(start + 2s);
+    EXPECT_FALSE(book.isFree(start + 1s));
+    EXPECT_TRUE(book.isFree(start + 2s));
+    const EngineCommand load = book.makeLoad(large, {});
+    book.noteSent(load, start + 2s);
+    book.takeOutcome(load, OrderOutcome::Unknown, start + 2s);
+    ASSERT_TRUE(book.repeat(start + 4s));
+    book.setPausedUntil(start + 5s);
+    EXPECT_FALSE(book.repeat(start + 4s));
+    book.forgetOrders();
+    EXPECT_FALSE(book.needsStatus(start + 4s));
+    EXPECT_TRUE(book.needsStatus(start + 5s));
+}
+
+// An order without an answer is not sent again to an engine that has begun to leave.
+TEST(EngineBookTest, sendsNothingToALeavingEngine)
+{
+    EngineBook book = knownBook(3, {small});
+    const EngineCommand load = book.makeLoad(large, {});
+    book.noteSent(load, start);
+    book.takeOutcome(load, OrderOutcome::Unknown, start);
+    ASSERT_TRUE(book.repeat(start + 2s));
+    ListedServer leaving = listed({small});
+    leaving.isLeaving = true;
+    book.takeListed(leaving);
+    EXPECT_FALSE(book.repeat(start + 2s));
+    EXPECT_FALSE(book.isFree(start + 2s));
+    book.forgetOrders();
+    EXPECT_FALSE(book.needsStatus(start + 2s));
+}
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -184,3 +184,42 @@
     EXPECT_TRUE(dialect.judge(503, fields, id).notRun);
     EXPECT_FALSE(dialect.judge(200, HeaderFields(), id).isSigned);
 }
+
+TEST(PlatformDecoderTest, readsTheMarkOfALeavingServer)
+{
+    const HeaderDialect dialect;
+    HeaderFields fields;
+    fields.set("Attempt-Id", "id-1");
+    EXPECT_FALSE(dialect.judge(200, fields, RequestId("id-1")).isLeaving);
+    fields.set("Server-Leaving", "1");
+    EXPECT_TRUE(dialect.judge(200, fields, RequestId("id-1")).isLeaving);
+    EXPECT_TRUE(dialect.judge(503, fields, RequestId("id-1")).isLeaving);
+    // Another request's answer, and one that any server at this address may have given.
+    EXPECT_FALSE(dialect.judge(200, fields, RequestId("id-2")).isLeaving);
+    EXPECT_FALSE(dialect.judge(421, fields, RequestId("id-1")).isLeaving);
+    fields.erase("Attempt-Id");
+    EXPECT_FALSE(dialect.judge(200, fields, RequestId("id-1")).isLeaving);
+    fields.set("Attempt-Id", "id-1");
+    fields.set("Server-Leaving", "0");
+    EXPECT_FALSE(dialect.judge(200, fields, RequestId("id-1")).isLeaving);
+}
+
+TEST(PlatformDecoderTest, readsThePauseThatAServerAsksFor)
+{
+    const HeaderDialect dialect;
+    const auto pause = [&dialect](int status, const char *text) {
+        HeaderFields fields;
+        fields.set("Attempt-Id", "id-1");
+        fields.set("Retry-After", text);
+        return dialect.judge(status, fields, RequestId("id-1")).pause;
+    };
+    EXPECT_EQ(pause(503, "2"), Milliseconds(2000));
+    EXPECT_EQ(pause(503, "0.125"), Milliseconds(125));
+    EXPECT_FALSE(pause(429, "2"));
+    EXPECT_FALSE(pause(200, "2"));
+    for (const char *text : {"", "soon", "-1", "nan", "inf", "0x10", "1e3x", "Fri, 04 Dec 2026"})
+        EXPECT_FALSE(pause(503, text)) << text;
+    // A server that asks for longer is asked again after the longest pause.
+    EXPECT_EQ(pause(503, "1e9"), pause(503, "100000"));
+    EXPECT_GE(pause(503, "1e9"), Milliseconds(60'000));
+}
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -81,6 +81,8 @@
           gateway(loop, 16,
                   {[this](const CallerSession::Pointer &session, CallerRequest &&request) {
                        std::make_shared<Exchange>(state, session, std::move(request))->start();
+                       if (afterStart)
+                           afterStart();
                    },
                    [] { return SessionLimits(); }, [] { return false; }, [](int, const char *) {}})
     {
@@ -100,9 +102,11 @@
         addServer("a", first);
     }
 
-    void addServer(const std::string &id, const ScriptedServer &server)
+    void addServer(const std::string &id, const ScriptedServer &server,
+                   Incarnation incarnation = {})
     {
         ListedServer listed;
+        listed.incarnation = incarnation;
         listed.id = ServerName(id);
         listed.service = ServiceName("app");
         listed.zone = ZoneName(id == "a" ? "east" : "west"); // the nearer one is tried first
@@ -141,6 +145,7 @@
     EntryState state;
     CallerServer gateway;
     std::unique_ptr<RawCaller> caller;
+    std::function<void()> afterStart; ///< Called once a request has been placed.
 };
 
 } // namespace
@@ -275,3 +280,64 @@
     EXPECT_TRUE(
         runUntil(loop, [this] { return state.book.find(ServerName("a"))->own.running == 0; }));
 }
+
+const std::string fine = "Content-Length: 4\r\n\r\nfine";
+
+TEST_F(PlatformExchangeTest, sendsNothingMoreToAServerOnceItsStreamsHeadSaysThatItLeaves)
+{
+    addServer("b", second);
+    first.answer(signedHead + "Server-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 + chunk(event(1)));
+    ask("/s/x", "key", event(1));
+    const auto stream = std::move(caller);
+    const std::string before = first.received();
+    // A row of the platform's list that is older than the mark.
+    addServer("a", first);
+    second.answer(signedHead + fine);
+    EXPECT_TRUE(hasStatus(ask("/i/x", "key", "fine"), 200));
+    EXPECT_EQ(first.received(), before);
+    // The next life under the same id, at the same address.
+    addServer("a", first, Incarnation(1));
+    first.answer(signedHead + fine);
+    EXPECT_TRUE(hasStatus(ask("/i/x", "key", "fine"), 200));
+    EXPECT_NE(first.received(), before);
+}
+
+TEST_F(PlatformExchangeTest, takesARequestElsewhereWhoseServerLeftBeforeItWasSent)
+{
+    addServer("b", second);
+    second.answer(signedHead + fine);
+    afterStart = [this] { state.book.noteLeaving(ServerName("a"), Incarnation()); };
+    EXPECT_TRUE(hasStatus(ask("/n/x", "key", "fine"), 200));
+    EXPECT_TRUE(first.received().empty());
+    EXPECT_EQ(state.book.find(ServerName("a"))->health.failureShare(), 0);
+}
+
+TEST_F(PlatformExchangeTest, takesNoMarkFromAnAnswerToAnotherRequest)
+{
+    first.answer("HTTP/1.1 200 OK\r\nAttempt-Id: id-0\r\nResponse-Stamp: s\r\n"
+                 "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+                 + signedHead + fine);
+    EXPECT_TRUE(hasStatus(ask("/i/x", "key", "fine"), 200));
+    EXPECT_FALSE(state.book.find(ServerName("a"))->listed.isLeaving);
+}
+
+TEST_F(PlatformExchangeTest, leavesAServerAloneForThePauseThatItAsksFor)
+{
+    const std::string busy = "HTTP/1.1 503 Busy\r\nAttempt-Id: id-1\r\nNot-Executed: 1\r\n"
+                             "Retry-After: 1.25\r\nContent-Length: 0\r\n\r\n";
+    first.answer(busy);
+    asio::steady_timer tick(loop, 300ms);
+    tick.async_wait([this](const SystemError &) { state.waiting.retryAll(); });
+    const std::string answer = ask("/n/x");
+    EXPECT_TRUE(hasStatus(answer, 503));
+    const auto at = answer.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos);
+    const double seconds = std::stod(answer.substr(at + 13));
+    EXPECT_GT(seconds, 0.3);
+    const std::string before = first.received();
+    addServer("b", second);
+    second.answer(signedHead + fine);
+    EXPECT_TRUE(hasStatus(ask("/n/x", "key", "fine"), 200));
+    EXPECT_EQ(first.received(), before);
+}
--- a/test/ServerBookTest.cpp
+++ b/test/ServerBookTest.cpp
@@ -182,3 +182,63 @@
         }
     }
 }
+
+TEST(ServerBookTest, believesAServerThatSaysItLeavesWhateverOlderEntriesSay)
+{
+    ServerBook book(2s);
+    book.put(listed(1), start);
+    EXPECT_TRUE(book.noteLeaving(engine, Incarnation(1)));
+    EXPECT_FALSE(book.noteLeaving(engine, Incarnation(1)));
+    EXPECT_TRUE(book.find(engine)->listed.isLeaving);
+    EXPECT_EQ(book.unlistedDepartures().size(), 1U);
+    book.put(listed(1), start + 1s);
+    EXPECT_TRUE(book.find(engine)->listed.isLeaving);
+    // Its entry lapses with the list away and comes back from a peer that lags.
+    book.noteListOutage(start + 2s);
+    book.remove(engine, start + 2s);
+    book.expire(start + 3s);
+    book.put(listed(1), start + 60s);
+    EXPECT_TRUE(book.find(engine)->listed.isLeaving);
+    // Once the list says so, too, peers need not be told.
+    ListedServer leaving = listed(1);
+    leaving.isLeaving = true;
+    book.put(leaving, start + 61s);
+    EXPECT_TRUE(book.unlistedDepartures().empty());
+}
+
+TEST(ServerBookTest, usesTheNextLifeOfAServerThatLeft)
+{
+    ServerBook book(2s);
+    book.put(listed(1), start);
+    book.noteLeaving(engine, Incarnation(1));
+    book.put(listed(2), start + 1s);
+    EXPECT_FALSE(book.find(engine)->listed.isLeaving);
+    EXPECT_FALSE(book.noteLeaving(engine, Incarnation(1)));
+    EXPECT_FALSE(book.find(engine)->listed.isLeaving);
+    EXPECT_TRUE(book.noteLeaving(engine, Incarnation(2)));
+    EXPECT_TRUE(book.find(engine)->listed.isLeaving);
+}
+
+// A gateway that has just started hears of a departure before it reads the list.
+TEST(ServerBookTest, takesADepartureBeforeTheEntryOfItsServer)
+{
+    ServerBook book(2s);
+    EXPECT_TRUE(book.noteLeaving(engine, Incarnation(1)));
+    book.expire(start);
+    book.put(listed(1), start + 1s);
+    EXPECT_TRUE(book.find(engine)->listed.isLeaving);
+}
+
+TEST(ServerBookTest, keepsPausesOfTheIncarnationListedOnly)
+{
+    ServerBook book(2s);
+    book.put(listed(2), start);
+    EXPECT_FALSE(book.notePause(engine, Incarnation(1), start + 1s));
+    EXPECT_FALSE(book.find(engine)->isPaused(start));
+    EXPECT_TRUE(book.notePause(engine, Incarnation(2), start + 1s));
+    EXPECT_FALSE(book.notePause(engine, Incarnation(2), start + 500ms));
+    EXPECT_TRUE(book.find(engine)->isPaused(start + 900ms));
+    EXPECT_FALSE(book.find(engine)->isPaused(start + 1s));
+    book.put(listed(3), start);
+    EXPECT_FALSE(book.find(engine)->isPaused(start));
+}
--- a/test/ServerChooserTest.cpp
+++ b/test/ServerChooserTest.cpp
@@ -134,3 +134,42 @@
     fleet.call.adapter = AdapterName();
     EXPECT_TRUE(fleet.choose().relief.isEmpty());
 }
+
+TEST(ServerChooserTest, passesOverPausedServersAndTellsWhenTheFirstIsBack)
+{
+    Fleet fleet;
+    for (const char *id : {"engine-1", "engine-2"}) {
+        ListedServer server = fleet.engine(id);
+        server.holdings[model];
+        fleet.book.put(server, start);
+    }
+    const ServerName first("engine-1");
+    const ServerName second("engine-2");
+    fleet.book.notePause(first, Incarnation(1), start + 3s);
+    EXPECT_EQ(fleet.choose().server, second);
+    fleet.book.notePause(second, Incarnation(1), start + 2s);
+    EXPECT_EQ(fleet.choose().outcome, PlacementChoice::Outcome::Paused);
+    EXPECT_EQ(fleet.choose().pause, Duration(2s));
+    // A slot may come free any moment.
+    fleet.book.put(fleet.engine("engine-3"), start);
+    ListedServer full = fleet.engine("engine-3");
+    full.holdings[model];
+    fleet.book.put(full, start);
+    fleet.book.find(full.id)->own.running = full.slots;
+    EXPECT_EQ(fleet.choose().outcome, PlacementChoice::Outcome::Full);
+}
+
+TEST(ServerChooserTest, prefersServersThatPausedForNoPeer)
+{
+    Fleet fleet;
+    for (const char *id : {"engine-1", "engine-2"}) {
+        ListedServer server = fleet.engine(id);
+        server.holdings[model];
+        fleet.book.put(server, start);
+    }
+    const ServerName preferred = fleet.choose().server;
+    fleet.book.notePeerPause(preferred, Incarnation(1), start + 1s);
+    EXPECT_NE(fleet.choose().server, preferred);
+    fleet.book.notePeerPause(fleet.choose().server, Incarnation(1), start + 1s);
+    EXPECT_EQ(fleet.choose().server, preferred);
+}
