Bound every part of an answer and of a request that may go on without end

Cause, each seen red first: a server that never ends an event made EventScanner keep all of it and look through all of it at each piece; a chunk's line, its extension or a trailer without end was collected by ClientConnection (540 MB in the five seconds of the test) and by CallerSession, since the parser bounds only the head. A gateway has 160 to 512 MB, so one such server ended all its callers' requests. Ruled out by the same tests: a head or status line without end (the parser's bound holds), a body without length (8 MB, 502), bytes after a whole answer (the connection is closed). Change: an event is bounded at 1 MB and looked at once; unfinished lines at the size of a head. The connection is closed, a stream that may go on does so elsewhere, any other is shown to be broken, a caller gets 431.

--- a/src/Adapters/Async/CallerSession.cpp
+++ b/src/Adapters/Async/CallerSession.cpp
@@ -104,9 +104,11 @@
         SystemError ec;
         const std::size_t n = m_parser->put(asio::buffer(m_in), ec);
         m_in.erase(0, n);
-        if (ec == http::error::need_more)
-            ec = {};
-        else if (n == 0 && !ec)
+        if (ec == http::error::need_more) {
+            // The parser bounds neither a chunk's line nor a trailer.
+            const bool isOverlong = m_in.size() > m_hooks->limits().headerBytes;
+            ec = isOverlong ? http::error::header_limit : SystemError();
+        } else if (n == 0 && !ec)
             ec = http::error::bad_value;
         if (ec == http::error::header_limit) {
             reject(431, "the header is too large");
--- a/src/Adapters/Async/ClientConnection.cpp
+++ b/src/Adapters/Async/ClientConnection.cpp
@@ -18,6 +18,9 @@
 // Of an answer; servers send a few hundred bytes.
 constexpr std::uint32_t answerHeaderBytes = 65'536;
 
+// Of a chunk's line or a trailer, which the parser doesn't bound.
+constexpr std::size_t unfinishedBytes = answerHeaderBytes;
+
 // A server that doesn't say how long it keeps an idle connection may close it within a second.
 constexpr std::chrono::milliseconds unstatedIdleTime{400};
 
@@ -209,7 +212,7 @@
         m_unparsed.erase(0, n);
         if (m_state != State::Busy)
             return m_state == State::Idle;
-        if (ec == boost::beast::http::error::need_more)
+        if (ec == boost::beast::http::error::need_more && m_unparsed.size() <= unfinishedBytes)
             return true;
         if (ec) {
             fail(ExchangeEnd::Malformed);
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -276,6 +276,11 @@
 void Exchange::forward(std::string_view data)
 {
     const std::string events = m_events.take(data);
+    if (m_events.isOverlong()) {
+        m_attempt->connection->close();
+        onBroken(ExchangeEnd::Malformed);
+        return;
+    }
     if (events.empty())
         return;
     if (!m_isStreaming) {
--- a/src/Serving/Requests/EventScanner.cpp
+++ b/src/Serving/Requests/EventScanner.cpp
@@ -8,13 +8,15 @@
 constexpr std::string_view eventEndCrLf = "\r\n\r\n";
 constexpr std::string_view idField = "id:";
 
-std::size_t endOfLastEvent(std::string_view text)
+// Behind the last event that ends in \a text, 0 if none does; no event ends before \a searched.
+std::size_t endOfLastEvent(std::string_view text, std::size_t searched)
 {
     std::size_t end = 0;
-    if (const auto at = text.rfind(eventEnd); at != std::string_view::npos)
-        end = at + eventEnd.size();
-    if (const auto at = text.rfind(eventEndCrLf); at != std::string_view::npos)
-        end = std::max(end, at + eventEndCrLf.size());
+    for (const std::string_view mark : {eventEnd, eventEndCrLf}) {
+        const std::size_t from = searched - std::min(searched, mark.size() - 1);
+        if (const auto at = text.substr(from).rfind(mark); at != std::string_view::npos)
+            end = std::max(end, from + at + mark.size());
+    }
     return end;
 }
 
@@ -22,16 +24,27 @@
 
 std::string EventScanner::take(std::string_view data)
 {
-    m_buffer.append(data);
-    const std::size_t end = endOfLastEvent(m_buffer);
-    if (end == 0)
+    if (m_isOverlong)
         return {};
+    const std::size_t searched = m_buffer.size();
+    m_buffer.append(data);
+    const std::size_t end = endOfLastEvent(m_buffer, searched);
     std::string events = m_buffer.substr(0, end);
     m_buffer.erase(0, end);
+    if (m_buffer.size() > m_mostBytes) {
+        m_isOverlong = true;
+        std::string().swap(m_buffer);
+    }
     noteIds(events);
     return events;
 }
 
+void EventScanner::dropRest()
+{
+    m_buffer.clear();
+    m_isOverlong = false;
+}
+
 void EventScanner::noteIds(std::string_view events)
 {
     while (!events.empty()) {
--- a/test/CallerSessionTest.cpp
+++ b/test/CallerSessionTest.cpp
@@ -96,6 +96,22 @@
     EXPECT_EQ(rejections.size(), table.size());
 }
 
+// A caller that sends the lines between the parts of a body without end is cut at the bound of a
+// head, not at the end of the time for it.
+TEST_F(CallerSessionTest, boundsTheLinesOfABodyInChunks)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    limits.headerTimeout = 60s;
+    const std::string filler(100'000, 'x');
+    for (const std::string &begin : {head + "1;x=", head + "0\r\nX: "}) {
+        RawCaller caller(loop, server.port());
+        caller.send(begin);
+        caller.send(filler);
+        EXPECT_TRUE(caller.awaitText("HTTP/1.1 431")) << begin;
+    }
+    EXPECT_TRUE(requests.empty());
+}
+
 TEST_F(CallerSessionTest, answersPipelinedRequestsOneAfterTheOther)
 {
     RawCaller caller(loop, server.port());
--- a/test/ClientConnectionTest.cpp
+++ b/test/ClientConnectionTest.cpp
@@ -157,3 +157,41 @@
     EXPECT_FALSE(outcome->isAnswered());
     EXPECT_EQ(outcome->status, 0);
 }
+
+// Bytes that are no answer come without end, wherever an answer has room for them.
+TEST_F(ClientConnectionTest, endsAnAnswerWhosePartsNeverEnd)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1000, 'x');
+    const std::vector<std::pair<std::string, std::string>> floods = {
+        {"", filler}, // not even a status line
+        {"HTTP/1.1 200 OK\r\nX: ", filler}, // one field
+        {"HTTP/1.1 200 OK\r\n", "X: " + filler + "\r\n"}, // fields
+        {chunked + "1;x=", filler}, // a chunk's extension
+        {chunked, std::string(1000, '0')}, // a chunk's length
+        {chunked + "0\r\nX: ", filler}, // one field of the trailer
+        {chunked + "0\r\n", "X: " + filler + "\r\n"}, // fields of the trailer
+    };
+    // The largest head that is taken, and what sockets hold.
+    constexpr std::size_t most = 8'000'000;
+    for (const auto &[begin, unit] : floods) {
+        server.flood(begin, unit);
+        const std::size_t before = server.flooded();
+        Exchange exchange;
+        const auto connection = exchange.run(loop, pool, server.address(), "1");
+        EXPECT_EQ(exchange.end, ExchangeEnd::Malformed) << begin;
+        EXPECT_LT(server.flooded() - before, most) << begin;
+        connection->close();
+        EXPECT_TRUE(runUntil(loop, [this] { return !server.isFlooding(); })) << begin;
+    }
+}
+
+TEST_F(ClientConnectionTest, closesAConnectionOnWhichBytesFollowAnAnswerWithoutEnd)
+{
+    server.flood(whole("1", "fine"), std::string(1000, 'x'));
+    Exchange exchange;
+    exchange.run(loop, pool, server.address(), "1");
+    EXPECT_EQ(exchange.end, ExchangeEnd::Complete);
+    EXPECT_EQ(exchange.body, "fine");
+    EXPECT_TRUE(runUntil(loop, [this] { return !server.isFlooding(); }));
+}
--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -92,6 +92,15 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
     /// What the next request is answered with, on whichever connection it comes.
     void answer(std::string bytes, End end = End::KeepOpen) { m_script = {std::move(bytes), end}; }
+    /// The next request is answered with \a begin and then \a unit over and over, until the caller
+    /// closes the connection.
+    void flood(std::string begin, std::string unit)
+    {
+        m_script = {std::move(begin), End::KeepOpen};
+        m_unit = std::move(unit);
+    }
+    std::size_t flooded() const { return m_flooded; } ///< Bytes that connections have taken.
+    bool isFlooding() const { return m_isFlooding; }
     const std::string &received() const { return m_received; }
     int connections() const { return m_connections; }
 
@@ -139,11 +148,30 @@
             connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
         if (script.second != End::KeepOpen)
             connection->socket.close(ignored);
+        if (!m_unit.empty())
+            writeOn(connection, std::make_shared<const std::string>(std::exchange(m_unit, {})));
+    }
+
+    void writeOn(const std::shared_ptr<Connection> &connection,
+                 const std::shared_ptr<const std::string> &unit)
+    {
+        m_isFlooding = true;
+        asio::async_write(connection->socket, asio::buffer(*unit),
+                          [this, connection, unit](const SystemError &ec, std::size_t n) {
+                              m_flooded += n;
+                              if (ec)
+                                  m_isFlooding = false;
+                              else
+                                  writeOn(connection, unit);
+                          });
     }
 
     asio::io_context &m_loop;
     Tcp::acceptor m_acceptor;
     std::pair<std::string, End> m_script;
+    std::string m_unit;
+    std::size_t m_flooded = 0;
+    bool m_isFlooding = false;
     std::string m_received;
     int m_connections = 0;
 };
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -341,3 +341,32 @@
     EXPECT_TRUE(hasStatus(ask("/n/x", "key", "fine"), 200));
     EXPECT_EQ(first.received(), before);
 }
+
+// A resumable stream whose event never ends goes on elsewhere; one that can't is shown to be
+// broken.
+TEST_F(PlatformExchangeTest, endsAStreamWhoseEventNeverEnds)
+{
+    addServer("b", second);
+    const std::string endless = chunk(std::string(60'000, 'x'));
+    first.flood(streamHead + chunk(event(1)) + chunk("id: 2\ndata: "), endless);
+    second.answer(streamHead + chunk(event(2)) + lastChunk);
+    const std::string answer = ask("/r/x", "key", lastChunk);
+    EXPECT_NE(answer.find(event(1)), std::string::npos);
+    EXPECT_NE(answer.find(event(2)), std::string::npos);
+    EXPECT_LT(answer.size(), 10'000U);
+    EXPECT_TRUE(runUntil(loop, [this] { return !first.isFlooding(); }));
+    first.flood(streamHead + chunk(event(1)), endless);
+    ask("/s/x", "key", lastChunk);
+    EXPECT_TRUE(caller->isEnded());
+    EXPECT_EQ(caller->received().find(lastChunk), std::string::npos);
+    EXPECT_TRUE(runUntil(loop, [this] { return !first.isFlooding(); }));
+    EXPECT_LT(first.flooded(), 20'000'000U);
+}
+
+TEST_F(PlatformExchangeTest, collectsNoBodyWithoutEnd)
+{
+    first.flood(signedHead + "\r\n", std::string(60'000, 'x')); // ends with its connection
+    EXPECT_TRUE(hasStatus(ask("/n/x"), 502));
+    EXPECT_TRUE(runUntil(loop, [this] { return !first.isFlooding(); }));
+    EXPECT_LT(first.flooded(), 20'000'000U);
+}
