--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -44,7 +44,10 @@
       m_peers(m_state,
               {[this] { return m_orders.heldLease(); },
                [this](const LeaseRow &row) { m_orders.onHolderNews(row); },
-               [this] { return m_exchange.followsStore(); }}),
+               [this] { return m_exchange.followsStore(); },
+               [this](std::size_t rank, Duration newsInterval) {
+                   m_orders.setWatch(rank, newsInterval);
+               }}),
       m_exchange(m_state, [this] { return m_peers.statePeers(); }),
       m_callers(loop, settings.connections,
                 {[this](const CallerSession::Pointer &session, CallerRequest &&request) {
--- a/src/Apps/Entry/OrderSender.h
+++ b/src/Apps/Entry/OrderSender.h
@@ -20,6 +20,8 @@
     OrderSender(EntryState &state, NoticeHook onNotices, LeaseRelay::Peers peers);
 
     void tick();
+    /// \sa PlacementLease::setWatch()
+    void setWatch(std::size_t rank, Duration newsInterval) { m_lease.setWatch(rank, newsInterval); }
     /// Something is wanted: looks for orders at once.
     void wake();
     /// The servers' list has changed.
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -130,6 +130,7 @@
         m_state.book.setPeerWork(id, {});
         logNotable("peer_silent", {{"peer", id}, {"silent_ms", now - peer.heardAt}});
     }
+    m_hooks.onRank(rank(), interval());
     m_tick.expires_after(interval());
     m_tick.async_wait([this](const SystemError &ec) {
         if (!ec)
@@ -147,6 +148,14 @@
     m_socket.send(PeerSocket::encode(news), peer->second.address);
 }
 
+// Among those that may take over from the holder of the lease.
+std::size_t PeerNetwork::rank() const
+{
+    std::vector<ReaderCandidate> others = candidates();
+    std::erase_if(others, [this](const ReaderCandidate &it) { return it.instance == m_holder; });
+    return rankAmong(others, m_state.settings.processorShare, m_state.settings.instance);
+}
+
 std::vector<ReaderCandidate> PeerNetwork::candidates() const
 {
     std::vector<ReaderCandidate> candidates;
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -19,6 +19,8 @@
         /// A peer says that it holds the lease.
         std::function<void(const LeaseRow &)> onHolder;
         std::function<bool()> followsStore; ///< \sa StateExchange
+        /// \sa PlacementLease::setWatch()
+        std::function<void(std::size_t rank, Duration newsInterval)> onRank;
     };
 
     PeerNetwork(EntryState &state, Hooks hooks);
@@ -71,6 +73,7 @@
     std::chrono::milliseconds interval() const;
     Duration silence() const;
     const Peer *holder() const;
+    std::size_t rank() const;
     wire::PeerNews makeHead(bool isUrgent);
     void addFacts(wire::PeerNews &news);
     static void addCrashes(const std::vector<Suspicion> &suspicions, wire::PeerNews &news);
--- a/src/Serving/Placement/PlacementLease.cpp
+++ b/src/Serving/Placement/PlacementLease.cpp
@@ -9,6 +9,19 @@
 // After a call that failed.
 constexpr Duration retryPause = std::chrono::milliseconds(300);
 
+// Gateways that look at the row when the holder has been quiet; the others rely on them.
+constexpr std::size_t watchers = 3;
+
+// Between two looks of a watcher, however rare news are.
+constexpr Duration longestQuiet = std::chrono::seconds(2);
+
+// A vacant lease is left to a gateway for this long, a write and the news of it.
+constexpr Duration delayPerRank = std::chrono::milliseconds(400);
+
+// News that are this many intervals old have not just been late or lost once.
+constexpr double watchedIntervals = 1.5;
+constexpr double lostIntervals = 2.5;
+
 } // namespace
 
 PlacementLease::PlacementLease(const Limits &limits, InstanceId self, Incarnation incarnation)
@@ -29,8 +42,33 @@
         return true;
     if (m_row.version.count() == 0)
         return m_firstReadAt && now - *m_firstReadAt >= m_limits.reluctance;
-    return now - m_seenAt
-        >= m_limits.validity + m_limits.holderPause + m_limits.margin + m_limits.reluctance;
+    return now - m_seenAt >= vacantAfter();
+}
+
+void PlacementLease::setWatch(std::size_t rank, Duration newsInterval)
+{
+    m_rank = rank;
+    m_newsInterval = newsInterval;
+}
+
+Duration PlacementLease::vacantAfter() const
+{
+    const Duration vacant
+        = m_limits.validity + m_limits.holderPause + m_limits.margin + m_limits.reluctance;
+    const Duration byRank = delayPerRank * static_cast<int>(std::min(m_rank, watchers));
+    if (m_rank < watchers)
+        return vacant + byRank;
+    // A watcher may have seen the row's last version later, and tells with its next news.
+    return vacant + longestQuiet + byRank + scaled(m_newsInterval, lostIntervals);
+}
+
+// Only watchers look at a row that may still be in force.
+Duration PlacementLease::quiet() const
+{
+    if (m_rank >= watchers)
+        return vacantAfter();
+    return std::max(m_limits.quiet,
+                    std::min(scaled(m_newsInterval, watchedIntervals), longestQuiet));
 }
 
 PlacementLease::Action PlacementLease::next(Instant now)
@@ -44,13 +82,13 @@
         m_triedAt = now;
         return Action::Write;
     }
-    if (m_known && now - m_newsAt < m_limits.quiet)
+    if (m_known && now - m_newsAt < quiet())
         return Action::None;
     if (now - m_triedAt < retryPause)
         return Action::None;
     // A row that has not been read lately may have been renewed since.
     const bool takesOver = m_known && mayTakeOver(now);
-    if (m_known && !takesOver && now - m_triedAt < m_limits.quiet)
+    if (m_known && !takesOver && now - m_triedAt < quiet())
         return Action::None;
     m_waiting = true;
     m_triedAt = now;
--- a/src/Serving/Placement/PlacementLease.h
+++ b/src/Serving/Placement/PlacementLease.h
@@ -25,6 +25,9 @@
 /// the engines' minimum pause between holders and a margin, all by its own clock, which must go
 /// on while the instance is suspended. So no two gateways order within one pause of each other,
 /// whatever messages are lost, late or answered after a freeze.
+///
+/// Answers fleets of hundreds, in which news of the holder are seconds apart: a few gateways watch
+/// the row for all, so that the table's calls don't grow with the gateways.
 class PlacementLease
 {
 public:
@@ -43,6 +46,10 @@
 
     PlacementLease(const Limits &limits, InstanceId self, Incarnation incarnation);
 
+    /// \a rank counts the gateways that take over before this one; news of a holder come every
+    /// \a newsInterval. Until it is called, this gateway comes first and hears all the time.
+    void setWatch(std::size_t rank, Duration newsInterval);
+
     /// What to do now. Each answer must be followed by a result before the next one.
     Action next(Instant now);
     /// Row to write for Action::Write, and the version that it replaces.
@@ -65,10 +72,14 @@
 private:
     bool isOurs() const;
     bool mayTakeOver(Instant now) const;
+    Duration vacantAfter() const;
+    Duration quiet() const;
 
     const Limits m_limits;
     const InstanceId m_self;
     const Incarnation m_incarnation;
+    std::size_t m_rank = 0;
+    Duration m_newsInterval{0};
     LeaseRow m_row;
     bool m_known = false; // whether the row has been read
     bool m_waiting = false; // for a result
--- a/src/Serving/State/ReaderElection.cpp
+++ b/src/Serving/State/ReaderElection.cpp
@@ -1,5 +1,6 @@
 #include "Serving/State/ReaderElection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalyoke {
@@ -15,6 +16,16 @@
 
 } // namespace
 
+std::size_t rankAmong(const std::vector<ReaderCandidate> &gateways, double processorShare,
+                      const InstanceId &instance)
+{
+    return static_cast<std::size_t>(
+        std::count_if(gateways.begin(), gateways.end(), [&](const ReaderCandidate &it) {
+            return it.isAlive
+                && comesBefore(it.processorShare, it.instance, processorShare, instance);
+        }));
+}
+
 std::map<ZoneName, InstanceId> speakersOfZones(const std::vector<ReaderCandidate> &gateways)
 {
     struct Largest
--- a/src/Serving/State/ReaderElection.h
+++ b/src/Serving/State/ReaderElection.h
@@ -19,6 +19,11 @@
     double processorShare = 0; ///< The largest instance reads first.
 };
 
+/// How many of \a gateways that are alive come before one of \a processorShare: larger instances
+/// do, of the same size the first by name.
+std::size_t rankAmong(const std::vector<ReaderCandidate> &gateways, double processorShare,
+                      const InstanceId &instance);
+
 /// The gateways that speak for their zones: of each the second largest instance that is alive,
 /// since the largest reads the store, or the only one.
 std::map<ZoneName, InstanceId> speakersOfZones(const std::vector<ReaderCandidate> &gateways);
--- a/test/PlacementLeaseTest.cpp
+++ b/test/PlacementLeaseTest.cpp
@@ -239,3 +239,83 @@
     }
     EXPECT_EQ(lease.proposal().fencing, FencingNumber(5));
 }
+
+// Load pattern: hundreds of gateways that hear of the holder every second or less often. The
+// table's calls must not grow with them, nor a burst of calls follow the loss of a holder.
+TEST(PlacementLeaseTest, takesAFewCallsASecondHoweverManyGatewaysThereAre)
+{
+    constexpr Duration newsPerPeer = 16ms;
+    constexpr double mostCallsPerSecond = 6;
+    constexpr int mostCallsOfHandover = 30;
+    const PlacementLease::Limits limits;
+    for (const int gateways : {31, 68, 300, 470}) {
+        const Duration interval = newsPerPeer * (gateways - 1);
+        std::mt19937_64 random(7);
+        LeaseTable table;
+        std::vector<Gateway> fleet;
+        for (int i = 0; i < gateways; ++i) {
+            fleet.emplace_back(i);
+            // The first one takes the vacant lease; the others wait for it in their order.
+            fleet.back().lease->setWatch(static_cast<std::size_t>(std::max(0, i - 1)), interval);
+        }
+        int calls = 0;
+        Instant nextNews = start;
+        const auto holder = [&](Instant now) {
+            for (Gateway &gateway : fleet) {
+                if (!gateway.isFrozen && gateway.lease->mayOrder(now))
+                    return &gateway;
+            }
+            return static_cast<Gateway *>(nullptr);
+        };
+        const auto step = [&](Instant now) {
+            for (Gateway &gateway : fleet) {
+                if (gateway.isFrozen)
+                    continue;
+                switch (gateway.lease->next(now)) {
+                case PlacementLease::Action::None:
+                    break;
+                case PlacementLease::Action::Read:
+                    ++calls;
+                    gateway.lease->onRead(table.row, now);
+                    break;
+                case PlacementLease::Action::Write:
+                    ++calls;
+                    gateway.lease->onWritten(table.write(gateway.lease->proposal()), now);
+                    break;
+                }
+            }
+            if (now < nextNews)
+                return;
+            nextNews = now + interval;
+            const Gateway *told = holder(now);
+            for (Gateway &gateway : fleet) {
+                // One datagram in fifty is lost.
+                if (told && &gateway != told && random() % 50 != 0)
+                    gateway.lease->onHolderNews(told->lease->row(), now);
+            }
+        };
+        Instant now = start;
+        for (; now < start + 30s; now += 50ms)
+            step(now);
+        calls = 0;
+        for (; now < start + 90s; now += 50ms)
+            step(now);
+        EXPECT_LE(calls / 60.0, mostCallsPerSecond) << gateways << " gateways";
+        Gateway *lost = holder(now);
+        ASSERT_NE(lost, nullptr) << gateways;
+        lost->isFrozen = true;
+        calls = 0;
+        const Instant lostAt = now;
+        while (!holder(now) && now < lostAt + 30s) {
+            step(now);
+            now += 50ms;
+        }
+        // What keeps two holders apart, a look at the row, and a call or two.
+        EXPECT_LE(now - lostAt,
+                  limits.validity + limits.holderPause + limits.margin + Duration(2500ms))
+            << gateways;
+        for (const Instant end = now + 2s; now < end; now += 50ms)
+            step(now);
+        EXPECT_LE(calls, mostCallsOfHandover + 2 * gateways / 50) << gateways;
+    }
+}
