Place plain calls by the load that servers state in their answers

Cause: gateways placed calls of plain services by peers' news, half a second and more old, while a call takes 15 to 60 ms. Ruled out: too few servers. Change: Server-Load of an answer to this very request (rejections too) is kept with its age. PlatformDecoderTest reads the header, bad ones too.

--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -220,6 +220,7 @@
     m_attempt->status = status;
     m_attempt->verdict = verdict;
     m_state.takeServerWord(m_attempt->server, m_attempt->incarnation, verdict);
+    noteLoad(verdict);
     const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
     if (isSuccess && (!verdict.isSigned || verdict.isEncoded)) {
         logNotable("bad_answer",
@@ -236,6 +237,13 @@
     return ExchangeHooks::Head::Take;
 }
 
+void Exchange::noteLoad(const BackendVerdict &verdict)
+{
+    ServerState *server = m_state.book.find(m_attempt->server);
+    if (verdict.load && server && server->listed.incarnation == m_attempt->incarnation)
+        server->load.note(verdict.load->running, verdict.load->waiting, loopNow());
+}
+
 void Exchange::onBody(std::string_view data)
 {
     if (!m_attempt)
--- a/src/Apps/Entry/Exchange.h
+++ b/src/Apps/Entry/Exchange.h
@@ -29,6 +29,7 @@
     std::string backendRequest(const ServerState &server, Duration left) const;
 
     ExchangeHooks::Head onHead(int status, const boost::beast::http::fields &fields);
+    void noteLoad(const BackendVerdict &verdict);
     void onBody(std::string_view data);
     void onEnd(ExchangeEnd end);
     void onFirstByte();
--- a/src/Ports/ServingDialect.h
+++ b/src/Ports/ServingDialect.h
@@ -23,6 +23,15 @@
     std::string resumeAfter; ///< Id of the last event that the caller has; empty: from the start.
 };
 
+/// \brief Requests at a backend server when it answered.
+struct StatedLoad
+{
+    int running = 0;
+    int waiting = 0;
+
+    bool operator==(const StatedLoad &) const = default;
+};
+
 /// \brief What a backend server's answer says besides its status and body.
 struct BackendVerdict
 {
@@ -31,6 +40,7 @@
     bool isEncoded = false; ///< The body is not what the server made.
     bool notRun = false; ///< The server states that it did not run the request.
     bool isLeaving = false; ///< The server states that it takes no new work.
+    std::optional<StatedLoad> load;
     std::optional<Milliseconds> pause; ///< How long the server wants nothing from this instance.
 };
 
--- a/src/Serving/Servers/ServerBook.cpp
+++ b/src/Serving/Servers/ServerBook.cpp
@@ -46,6 +46,14 @@
             own.memoryTokens + peersTotal.memoryTokens};
 }
 
+double ServerState::plainLoad(Instant now) const
+{
+    const auto predicted = load.predicted(now);
+    if (!predicted)
+        return total().running;
+    return std::max(*predicted, static_cast<double>(own.running));
+}
+
 bool ServerState::holds(const ModelName &model, const AdapterName &adapter) const
 {
     const auto it = holdings.find(model);
@@ -67,6 +75,7 @@
         state.health = ServerHealth();
         state.health.reset(now);
         state.own = own;
+        state.load = ServerLoad();
         state.pausedUntil = Instant();
         state.peerPausedUntil = Instant();
         forgetPeerWork(serverHash(server.id));
--- a/src/Serving/Servers/ServerBook.h
+++ b/src/Serving/Servers/ServerBook.h
@@ -3,6 +3,7 @@
 
 #include "Serving/Servers/BackendServer.h"
 #include "Serving/Servers/ServerHealth.h"
+#include "Serving/Servers/ServerLoad.h"
 
 #include <map>
 #include <set>
@@ -39,6 +40,7 @@
     ServerWork own;
     ServerWork peersTotal; ///< Of all other gateways.
     ServerHealth health;
+    ServerLoad load; ///< As its answers state it; plain servers only.
     std::optional<Instant> missingSince; ///< Its entry lapsed while the list was out of reach.
     Instant pausedUntil; ///< It wants nothing from this gateway before.
     Instant peerPausedUntil; ///< It wants nothing from another gateway before.
@@ -46,6 +48,8 @@
     /// Of all gateways.
     ServerWork total() const;
     bool holds(const ModelName &model, const AdapterName &adapter) const;
+    /// Requests at a plain server, by what it states and what this gateway has there.
+    double plainLoad(Instant now) const;
     bool isPaused(Instant now) const { return now < pausedUntil; }
 };
 
--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -92,8 +92,8 @@
             pauseEnd = std::min(pauseEnd.value_or(state->pausedUntil), state->pausedUntil);
             continue;
         }
-        Candidate candidate = weigh(request, *state);
-        if (isFull(request, *state, candidate)) {
+        Candidate candidate = weigh(request, *state, now);
+        if (isFull(request, *state, candidate, now)) {
             anyFull = true;
             continue;
         }
@@ -151,8 +151,8 @@
         if (!takesWork(request, *state) || state->health.isAvoided(now) || state->isPaused(now)
             || state->holds(request.call->model, request.call->adapter))
             continue;
-        const Candidate candidate = weigh(request, *state);
-        if (isFull(request, *state, candidate))
+        const Candidate candidate = weigh(request, *state, now);
+        if (isFull(request, *state, candidate, now))
             continue;
         if (!fastest.state || candidate.expected < fastest.expected)
             fastest = candidate;
@@ -163,7 +163,7 @@
 }
 
 ServerChooser::Candidate ServerChooser::weigh(const PlacementRequest &request,
-                                              const ServerState &state) const
+                                              const ServerState &state, Instant now) const
 {
     Candidate candidate;
     candidate.state = &state;
@@ -178,7 +178,7 @@
         const double queued = static_cast<double>(work.prefillTokens + candidate.prefill);
         candidate.expected = milliseconds(queued / m_settings.prefillTokensPerMs);
     } else {
-        const double inLine = static_cast<double>(work.running) / state.listed.slots;
+        const double inLine = state.plainLoad(now) / state.listed.slots;
         candidate.expected
             = milliseconds(static_cast<double>(m_settings.plainWork.count()) / 1000 * (1 + inLine));
     }
@@ -190,11 +190,11 @@
 }
 
 bool ServerChooser::isFull(const PlacementRequest &request, const ServerState &state,
-                           const Candidate &candidate) const
+                           const Candidate &candidate, Instant now) const
 {
     const ServerWork work = state.total();
     if (!request.service->engine)
-        return work.running >= state.listed.slots + m_settings.queuedPerServer;
+        return state.plainLoad(now) >= state.listed.slots + m_settings.queuedPerServer;
     if (work.running >= state.listed.slots)
         return true;
     const double room
--- a/src/Serving/Servers/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -91,11 +91,11 @@
         Instant until; ///< Then it is taken anew.
     };
 
-    Candidate weigh(const PlacementRequest &request, const ServerState &state) const;
+    Candidate weigh(const PlacementRequest &request, const ServerState &state, Instant now) const;
     ServerName reliefFor(const PlacementRequest &request, const ServerBook::Group &group,
                          const Candidate &best, Instant now) const;
     bool isFull(const PlacementRequest &request, const ServerState &state,
-                const Candidate &candidate) const;
+                const Candidate &candidate, Instant now) const;
     double meanFailureShare(const ServiceName &service, const ServerBook &book, Instant now);
 
     const Settings m_settings;
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -223,3 +223,20 @@
     EXPECT_EQ(pause(503, "1e9"), pause(503, "100000"));
     EXPECT_GE(pause(503, "1e9"), Milliseconds(60'000));
 }
+
+TEST(PlatformDecoderTest, readsTheLoadThatAServerStates)
+{
+    const HeaderDialect dialect;
+    const auto load = [&dialect](int status, const char *text, const char *id) {
+        HeaderFields fields;
+        fields.set("Attempt-Id", id);
+        fields.set("Server-Load", text);
+        return dialect.judge(status, fields, RequestId("id-1")).load;
+    };
+    EXPECT_EQ(load(200, "3,0,8", "id-1"), (StatedLoad{3, 0}));
+    EXPECT_EQ(load(503, "8,4,8", "id-1"), (StatedLoad{8, 4}));
+    EXPECT_FALSE(load(200, "3,0,8", "id-2"));
+    EXPECT_FALSE(load(421, "3,0,8", "id-1"));
+    for (const char *text : {"", "3", "3,0", "x,0,8", "-1,0,8", "3,,8", "99999999999,0,8"})
+        EXPECT_FALSE(load(200, text, "id-1")) << text;
+}
