Hold requests for a slot or an adapter as long as coming back would take

Change: requests are held for 15% of the time they have, 1.2 s at most since callers give up a stream that hasn't begun after two seconds. New arrivals still try before those that wait, so what can be in time goes first.

--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -22,6 +22,12 @@
     return std::max(m_settings.shortestReturn, std::min(spaced, longest));
 }
 
+Duration AdmissionPolicy::holdTime(const AdmissionInput &input, Duration atLeast) const
+{
+    const Duration share = scaled(input.waited + input.left, m_settings.holdShare);
+    return std::max(atLeast, std::min(share, m_settings.longestHold));
+}
+
 AdmissionDecision AdmissionPolicy::waitOrRefuse(const AdmissionInput &input, Duration patience,
                                                 Duration retryAfter, double spread) const
 {
@@ -58,8 +64,8 @@
         return waitOrRefuse(input, scaled(objective, m_settings.slotPatience), load, spread);
     }
     case PlacementChoice::Outcome::NoAdapter:
-        return waitOrRefuse(input, scaled(objective, m_settings.adapterPatience), objective,
-                            spread);
+        return waitOrRefuse(input, holdTime(input, scaled(objective, m_settings.adapterPatience)),
+                            objective, spread);
     case PlacementChoice::Outcome::Paused: {
         // Worth waiting for if the server is back while the answer can still be in time.
         const Duration patience = scaled(objective, m_settings.slotPatience);
@@ -73,7 +79,8 @@
         return decision;
     }
     case PlacementChoice::Outcome::Full:
-        return waitOrRefuse(input, scaled(objective, m_settings.slotPatience), objective, spread);
+        return waitOrRefuse(input, holdTime(input, scaled(objective, m_settings.slotPatience)),
+                            objective, spread);
     }
     AdmissionDecision decision;
     const Duration firstAt = input.waited + input.choice.expectedFirst;
--- a/src/Serving/Requests/AdmissionPolicy.h
+++ b/src/Serving/Requests/AdmissionPolicy.h
@@ -35,8 +35,13 @@
 public:
     struct Settings
     {
-        /// Of the latency objective, for a slot at a full server.
+        /// Of the latency objective, for a server of any kind.
         double slotPatience = 0.25;
+        /// Of all the time that the request has, for a slot or an adapter at servers that are
+        /// there: a caller who is sent away comes back late, too, and only so often.
+        double holdShare = 0.15;
+        /// Callers give up a stream that has not begun within two seconds.
+        Duration longestHold{1'200'000};
         /// Of the latency objective, for an adapter, which loads within milliseconds.
         double adapterPatience = 0.5;
         /// Requests are sent while their expected first byte is within this many objectives.
@@ -52,6 +57,7 @@
     AdmissionDecision decide(const AdmissionInput &input, double spread) const;
 
 private:
+    Duration holdTime(const AdmissionInput &input, Duration atLeast) const;
     Duration returnAfter(Duration wanted, const AdmissionInput &input, double spread) const;
     AdmissionDecision waitOrRefuse(const AdmissionInput &input, Duration patience,
                                    Duration retryAfter, double spread) const;
