--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -97,8 +97,15 @@
     void flood(std::string begin, std::string unit)
     {
         m_script = {std::move(begin), End::KeepOpen};
+        m_pause = std::chrono::milliseconds(0);
         m_unit = std::move(unit);
     }
+    /// The same, one \a unit after each \a pause.
+    void drip(std::string begin, std::string unit, std::chrono::milliseconds pause)
+    {
+        flood(std::move(begin), std::move(unit));
+        m_pause = pause;
+    }
     std::size_t flooded() const { return m_flooded; } ///< Bytes that connections have taken.
     bool isFlooding() const { return m_isFlooding; }
     const std::string &received() const { return m_received; }
@@ -159,10 +166,15 @@
         asio::async_write(connection->socket, asio::buffer(*unit),
                           [this, connection, unit](const SystemError &ec, std::size_t n) {
                               m_flooded += n;
-                              if (ec)
+                              if (ec) {
                                   m_isFlooding = false;
-                              else
+                                  return;
+                              }
+                              const auto timer
+                                  = std::make_shared<asio::steady_timer>(m_loop, m_pause);
+                              timer->async_wait([this, connection, unit, timer](SystemError) {
                                   writeOn(connection, unit);
+                              });
                           });
     }
 
@@ -172,6 +184,7 @@
     std::string m_unit;
     std::size_t m_flooded = 0;
     bool m_isFlooding = false;
+    std::chrono::milliseconds m_pause{0};
     std::string m_received;
     int m_connections = 0;
 };
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -370,3 +370,24 @@
     EXPECT_TRUE(runUntil(loop, [this] { return !first.isFlooding(); }));
     EXPECT_LT(first.flooded(), 20'000'000U);
 }
+
+// A stalled stream that sends a byte now and then ends with its caller's time, 1.5 s here.
+TEST_F(PlatformExchangeTest, endsAStalledStreamWithItsCallersTime)
+{
+    first.drip(streamHead + chunk(event(1)), chunk("x"), 50ms);
+    const Instant begun = loopNow();
+    ask("/s/x", "key", lastChunk);
+    EXPECT_TRUE(caller->isEnded());
+    EXPECT_LT(loopNow() - begun, Duration(2s));
+    EXPECT_TRUE(runUntil(loop, [this] { return !first.isFlooding(); }));
+}
+
+TEST_F(PlatformExchangeTest, leavesASlowButSoundStreamWhereItIs)
+{
+    addServer("b", second);
+    first.drip(streamHead, chunk(event(1)), 400ms);
+    const Instant begun = loopNow();
+    ask("/r/x", "key", lastChunk);
+    EXPECT_GE(loopNow() - begun, Duration(1400ms));
+    EXPECT_EQ(second.connections(), 0);
+}
