--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -83,10 +83,10 @@
         m_peers.tellNeeds();
         m_orders.wake();
     };
-    m_state.onServerWord = [this] {
+    m_state.onServerSignal = [this] {
         m_orders.onServersChanged();
         m_peers.tellDepartures();
-        // Its requests that wait may go elsewhere; those that run are not to be placed from here.
+        // Posted, since the signal may come from within an exchange that is being answered.
         asio::post(m_loop, [this] { m_state.waiting.retryAll(); });
     };
     m_steadySeen = loopNow();
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -81,14 +81,18 @@
         onNeed();
 }
 
-void EntryState::takeServerWord(const ServerName &server, Incarnation incarnation,
-                                const BackendVerdict &verdict)
+void EntryState::takeServerSignal(const ServerName &server, Incarnation incarnation,
+                                  const BackendVerdict &verdict)
 {
+    if (verdict.hasBadPause) {
+        logNotable("server_signal_ignored",
+                   {{"server", server}, {"reason", "its pause is no number of seconds"}});
+    }
     if (!verdict.isLeaving && !verdict.pause)
         return;
     const ServerState *known = book.find(server);
     if (known && known->listed.incarnation != incarnation) {
-        logNotable("server_word_ignored",
+        logNotable("server_signal_ignored",
                    {{"server", server},
                     {"asked", incarnation},
                     {"listed", known->listed.incarnation},
@@ -109,9 +113,9 @@
                 {"state", isDeparture ? "leaving" : "paused"},
                 {"for_ms", pause},
                 {"source", "answer"}});
-    Metrics::count("server_words", {{"word", isDeparture ? "leaving" : "paused"}});
-    if (onServerWord)
-        onServerWord();
+    Metrics::count("server_signals", {{"signal", isDeparture ? "leaving" : "paused"}});
+    if (onServerSignal)
+        onServerSignal();
 }
 
 void EntryState::noteUse(const ServerName &server, const ModelName &model,
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -67,12 +67,12 @@
 
     /// Believes what \a server says of itself in an answer to a request that was sent to its
     /// \a incarnation.
-    void takeServerWord(const ServerName &server, Incarnation incarnation,
-                        const BackendVerdict &verdict);
+    void takeServerSignal(const ServerName &server, Incarnation incarnation,
+                          const BackendVerdict &verdict);
     /// Departures that no peer has told of, since the last news to peers.
     std::vector<Departure> departureNews;
     /// Called when a server that was in use leaves or pauses.
-    std::function<void()> onServerWord;
+    std::function<void()> onServerSignal;
 
     /// Called when requests wait for something that another gateway may have to order.
     std::function<void()> onNeed;
--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -219,7 +219,7 @@
     }
     m_attempt->status = status;
     m_attempt->verdict = verdict;
-    m_state.takeServerWord(m_attempt->server, m_attempt->incarnation, verdict);
+    m_state.takeServerSignal(m_attempt->server, m_attempt->incarnation, verdict);
     noteLoad(verdict);
     const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
     if (isSuccess && (!verdict.isSigned || verdict.isEncoded)) {
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -200,8 +200,8 @@
         m_state.dialect.commandRequest(sent, address), orderTimeout,
         [this, sent, incarnation = server->listed.incarnation](const HttpOutcome &http) {
             if (http.isAnswered())
-                m_state.takeServerWord(sent.server, incarnation,
-                                       m_state.dialect.judgeEngine(http.status, http.fields));
+                m_state.takeServerSignal(sent.server, incarnation,
+                                         m_state.dialect.judgeEngine(http.status, http.fields));
             const OrderOutcome outcome = outcomeOf(http);
             logNotable("order",
                        {{"server", sent.server},
@@ -238,9 +238,9 @@
     BackendVerdict verdict = m_state.dialect.judgeEngine(http.status, http.fields);
     const auto status = http.status == statusOk ? m_state.dialect.readStatus(http.body)
                                                 : std::optional<EngineStatus>();
-    // The request names no server, so only a report that does tells whose word this is.
+    // The request names no server, so only a report that does tells whose signal this is.
     verdict.isLeaving = verdict.isLeaving && status && status->incarnation == asked;
-    m_state.takeServerWord(name, asked, verdict);
+    m_state.takeServerSignal(name, asked, verdict);
     if (http.status != statusOk)
         return;
     if (!status) {
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -248,7 +248,7 @@
     addDepartures(std::exchange(m_state.departureNews, {}), news);
     const std::string bytes = PeerSocket::encode(news);
     const Peer *told = holder();
-    if (told && news.notices.empty() && news.serverWords.empty()) {
+    if (told && news.notices.empty() && news.serverSignals.empty()) {
         m_socket.send(bytes, told->address);
         return;
     }
@@ -300,11 +300,11 @@
 void PeerNetwork::addDepartures(const std::vector<Departure> &departures, wire::PeerNews &news)
 {
     for (const Departure &departure : departures) {
-        wire::PeerServerWord word;
-        word.server = departure.server.text();
-        word.incarnation = departure.incarnation.count();
-        word.leaving = true;
-        news.serverWords.push_back(std::move(word));
+        wire::PeerServerSignal signal;
+        signal.server = departure.server.text();
+        signal.incarnation = departure.incarnation.count();
+        signal.leaving = true;
+        news.serverSignals.push_back(std::move(signal));
     }
 }
 
@@ -314,13 +314,13 @@
     for (const auto &[id, server] : m_state.book.servers()) {
         if (!server.isPaused(now))
             continue;
-        wire::PeerServerWord word;
-        word.server = id.text();
-        word.incarnation = server.listed.incarnation.count();
-        word.pauseMs = static_cast<std::int32_t>(
+        wire::PeerServerSignal signal;
+        signal.server = id.text();
+        signal.incarnation = server.listed.incarnation.count();
+        signal.pauseMs = static_cast<std::int32_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(server.pausedUntil - now)
                 .count());
-        news.serverWords.push_back(std::move(word));
+        news.serverSignals.push_back(std::move(signal));
     }
 }
 
@@ -408,7 +408,7 @@
         m_spending.take(news);
         return;
     }
-    applyServerWords(instance, news);
+    applyServerSignals(instance, news);
     if (news.isUrgent) {
         applyEvents(news);
         return;
@@ -455,17 +455,17 @@
                       Version(news.leaseRow)});
 }
 
-void PeerNetwork::applyServerWords(const InstanceId &from, const wire::PeerNews &news)
+void PeerNetwork::applyServerSignals(const InstanceId &from, const wire::PeerNews &news)
 {
     bool isChanged = false;
-    for (const wire::PeerServerWord &word : news.serverWords) {
-        const ServerName server(word.server);
-        const Incarnation incarnation(word.incarnation);
-        if (word.pauseMs > 0) {
+    for (const wire::PeerServerSignal &signal : news.serverSignals) {
+        const ServerName server(signal.server);
+        const Incarnation incarnation(signal.incarnation);
+        if (signal.pauseMs > 0) {
             m_state.book.notePeerPause(server, incarnation,
-                                       loopNow() + std::chrono::milliseconds(word.pauseMs));
+                                       loopNow() + std::chrono::milliseconds(signal.pauseMs));
         }
-        if (!word.leaving || !m_state.book.noteLeaving(server, incarnation))
+        if (!signal.leaving || !m_state.book.noteLeaving(server, incarnation))
             continue;
         isChanged = true;
         logNotable("server",
@@ -474,8 +474,8 @@
                     {"state", "leaving"},
                     {"source", from}});
     }
-    if (isChanged && m_state.onServerWord)
-        m_state.onServerWord();
+    if (isChanged && m_state.onServerSignal)
+        m_state.onServerSignal();
 }
 
 void PeerNetwork::applyEvents(const wire::PeerNews &news)
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -82,7 +82,7 @@
     void addNotices(wire::PeerNews &news) const;
     static void addDepartures(const std::vector<Departure> &departures, wire::PeerNews &news);
     void addPauses(wire::PeerNews &news) const;
-    void applyServerWords(const InstanceId &from, const wire::PeerNews &news);
+    void applyServerSignals(const InstanceId &from, const wire::PeerNews &news);
     void onNews(const wire::PeerNews &news, const Address &from);
     void applyFacts(const InstanceId &from, const wire::PeerNews &news);
     void applyEvents(const wire::PeerNews &news);
--- a/src/Core/StrongTypes.h
+++ b/src/Core/StrongTypes.h
@@ -77,6 +77,11 @@
 using Duration = std::chrono::microseconds;
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+inline double inSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 /// \a duration times \a factor, rounded down.
 inline Duration scaled(Duration duration, double factor)
 {
--- a/src/Ports/ServingDialect.h
+++ b/src/Ports/ServingDialect.h
@@ -42,6 +42,7 @@
     bool isLeaving = false; ///< The server states that it takes no new work.
     std::optional<StatedLoad> load;
     std::optional<Milliseconds> pause; ///< How long the server wants nothing from this instance.
+    bool hasBadPause = false; ///< A pause is stated that can't be read.
 };
 
 /// \brief An order to an engine and what makes it unrepeatable.
--- a/src/Serving/Accounts/SharedQuota.cpp
+++ b/src/Serving/Accounts/SharedQuota.cpp
@@ -25,11 +25,6 @@
 // idle can begin.
 constexpr double evenShare = 0.2;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 SharedQuota::SharedQuota(double ratePerSecond, double burst, Instant now)
@@ -49,7 +44,7 @@
 {
     if (now <= m_at)
         return;
-    const double elapsed = seconds(now - m_at);
+    const double elapsed = inSeconds(now - m_at);
     double taken = 0;
     const double equalPart = m_rate / static_cast<double>(std::max<std::size_t>(1, m_gateways));
     std::size_t known = 1;
@@ -100,7 +95,7 @@
 {
     std::size_t heard = 1;
     for (const auto &[id, peer] : m_peers) {
-        if (seconds(m_at - peer.heardAt) <= lateShareOfSilence * seconds(m_silence))
+        if (inSeconds(m_at - peer.heardAt) <= lateShareOfSilence * inSeconds(m_silence))
             heard += peer.gateways;
     }
     return heard * 2 < m_gateways;
@@ -160,7 +155,7 @@
         fresh = spent;
     const double setOff = std::min(std::max(0.0, fresh), known.assumed);
     m_level -= fresh - setOff;
-    const double elapsed = isNew ? 0 : seconds(now - known.heardAt);
+    const double elapsed = isNew ? 0 : inSeconds(now - known.heardAt);
     if (elapsed > 0) {
         const double perSecond = (isRestart ? asked : asked - known.asked) / elapsed;
         const double weight = std::min(1.0, elapsed / demandWindowSeconds);
@@ -183,7 +178,7 @@
         return;
     // After the silence it has been counted at its equal part.
     const Duration uncounted = std::min(now - it->second.heardAt, m_silence);
-    m_level -= std::max(0.0, it->second.spentPerSecond) * seconds(uncounted);
+    m_level -= std::max(0.0, it->second.spentPerSecond) * inSeconds(uncounted);
     m_peers.erase(it);
 }
 
--- a/src/Serving/Servers/ServerBook.h
+++ b/src/Serving/Servers/ServerBook.h
@@ -53,7 +53,7 @@
     bool isPaused(Instant now) const { return now < pausedUntil; }
 };
 
-/// \brief A server's own word that it leaves, which its entry in the list doesn't show yet.
+/// \brief A server's own statement that it leaves, which its entry in the list doesn't show yet.
 struct Departure
 {
     ServerName server;
@@ -66,7 +66,7 @@
 /// \brief All backend servers that this gateway knows, by id; no I/O.
 ///
 /// An entry that lapses while the platform's list can't be read is kept for a grace, since
-/// servers that live enter themselves again when the list is back. A server's own word that it
+/// servers that live enter themselves again when the list is back. A server's own statement that it
 /// leaves holds for its incarnation, whatever older entries say.
 class ServerBook
 {
--- a/src/Serving/Servers/ServerLoad.cpp
+++ b/src/Serving/Servers/ServerLoad.cpp
@@ -16,17 +16,12 @@
 // A server that has answered nothing for this long is known from peers' news alone.
 constexpr double lifetimeSeconds = 5.0;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void ServerLoad::note(int running, int waiting, Instant now)
 {
     const double load = running + waiting;
-    const double elapsed = m_at ? std::max(0.0, seconds(now - *m_at)) : lifetimeSeconds;
+    const double elapsed = m_at ? std::max(0.0, inSeconds(now - *m_at)) : lifetimeSeconds;
     // At least a tenth, so that many answers at once count, too.
     const double weight = m_at ? std::max(0.1, 1 - std::exp(-elapsed / meanSeconds)) : 1.0;
     m_mean += (load - m_mean) * weight;
@@ -38,7 +33,7 @@
 {
     if (!m_at)
         return {};
-    const double age = std::max(0.0, seconds(now - *m_at));
+    const double age = std::max(0.0, inSeconds(now - *m_at));
     if (age > lifetimeSeconds)
         return {};
     return m_mean + (m_latest - m_mean) * std::exp(-age / correlationSeconds);
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -61,7 +61,7 @@
 }
 
 // What a server has said of itself that the servers' table doesn't show.
-struct PeerServerWord {
+struct PeerServerSignal {
     1: string server,
     2: i64 incarnation,
     3: bool leaving,
@@ -90,6 +90,6 @@
     13: list<PeerAdapter> used,
     14: list<PeerNotice> notices,
     15: list<PeerCrash> crashes,
-    22: list<PeerServerWord> serverWords,
+    22: list<PeerServerSignal> serverSignals,
     21: optional PeerSpending spending,   // then the message holds nothing else
 }
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -207,15 +207,21 @@
 TEST(PlatformDecoderTest, readsThePauseThatAServerAsksFor)
 {
     const HeaderDialect dialect;
-    const auto pause = [&dialect](int status, const char *text) {
+    const auto judge = [&dialect](int status, const char *text) {
         HeaderFields fields;
         fields.set("Attempt-Id", "id-1");
         fields.set("Retry-After", text);
-        return dialect.judge(status, fields, RequestId("id-1")).pause;
+        return dialect.judge(status, fields, RequestId("id-1"));
     };
+    const auto pause = [&](int status, const char *text) { return judge(status, text).pause; };
+    const auto hasBadPause
+        = [&](int status, const char *text) { return judge(status, text).hasBadPause; };
     EXPECT_EQ(pause(503, "2"), Milliseconds(2000));
     EXPECT_EQ(pause(503, "0.125"), Milliseconds(125));
     EXPECT_FALSE(pause(429, "2"));
+    EXPECT_FALSE(hasBadPause(503, "2"));
+    EXPECT_TRUE(hasBadPause(503, "soon"));
+    EXPECT_FALSE(hasBadPause(200, "soon"));
     EXPECT_FALSE(pause(200, "2"));
     for (const char *text : {"", "soon", "-1", "nan", "inf", "0x10", "1e3x", "Fri, 04 Dec 2026"})
         EXPECT_FALSE(pause(503, text)) << text;
