--- a/src/Apps/Entry/Exchange.cpp
+++ b/src/Apps/Entry/Exchange.cpp
@@ -272,7 +272,7 @@
     server->own.prefillTokens -= m_attempt->work.prefillTokens;
     m_attempt->work.prefillTokens = 0;
     const Duration took = loopNow() - m_attempt->sentAt;
-    Metrics::observe("first_byte_seconds", std::chrono::duration<double>(took).count());
+    Metrics::observe("first_byte_seconds", inSeconds(took));
     if (m_attempt->status >= httpMultipleChoices || m_attempt->expected.count() <= 0)
         return;
     server->health.notePace(static_cast<double>(took.count())
@@ -399,7 +399,7 @@
                 {"status", attempt->status},
                 {"age_ms", age()},
                 {"events", m_events.events()}});
-    Metrics::observe("request_seconds", std::chrono::duration<double>(age()).count(),
+    Metrics::observe("request_seconds", inSeconds(age()),
                      {{"kind", kindText(m_context.route->kind)}});
     finish("answered");
 }
--- a/src/Serving/Placement/EngineDirector.cpp
+++ b/src/Serving/Placement/EngineDirector.cpp
@@ -78,7 +78,7 @@
     auto &demand = m_demand[model];
     demand.tokensPerSecond = demandOf(model, now);
     demand.at = now;
-    const double window = std::chrono::duration<double>(m_settings.demandWindow).count();
+    const double window = inSeconds(m_settings.demandWindow);
     demand.tokensPerSecond += static_cast<double>(tokens) / window;
 }
 
@@ -87,8 +87,8 @@
     const auto it = m_demand.find(model);
     if (it == m_demand.end())
         return 0;
-    const double age = std::chrono::duration<double>(now - it->second.at).count();
-    const double window = std::chrono::duration<double>(m_settings.demandWindow).count();
+    const double age = inSeconds(now - it->second.at);
+    const double window = inSeconds(m_settings.demandWindow);
     return it->second.tokensPerSecond * std::exp(-std::max(0.0, age) / window);
 }
 
--- a/src/Serving/Placement/LoadPacer.cpp
+++ b/src/Serving/Placement/LoadPacer.cpp
@@ -15,7 +15,7 @@
 void LoadPacer::refill(Instant now)
 {
     if (m_at != Instant() && now > m_at) {
-        const double elapsed = std::chrono::duration<double>(now - m_at).count();
+        const double elapsed = inSeconds(now - m_at);
         m_level = std::min(m_saved, m_level + m_rate * elapsed);
     }
     m_at = std::max(m_at, now);
--- a/test/ServerChooserTest.cpp
+++ b/test/ServerChooserTest.cpp
@@ -37,6 +37,16 @@
         return server;
     }
 
+    // Engines that hold the model.
+    void putHolders(std::initializer_list<const char *> ids)
+    {
+        for (const char *id : ids) {
+            ListedServer server = engine(id);
+            server.holdings[model];
+            book.put(server, start);
+        }
+    }
+
     PlacementChoice choose(std::set<ServerName> excluded = {})
     {
         return chooser.choose({&service, &call, &chain, std::move(excluded)}, book, start);
@@ -76,11 +86,7 @@
 TEST(ServerChooserTest, choosesTheServerWithTheLeastWorkOfAllGateways)
 {
     Fleet fleet;
-    for (const char *id : {"engine-1", "engine-2", "engine-3"}) {
-        ListedServer server = fleet.engine(id);
-        server.holdings[model];
-        fleet.book.put(server, start);
-    }
+    fleet.putHolders({"engine-1", "engine-2", "engine-3"});
     fleet.book.find(ServerName("engine-1"))->own = {1, 20'000, 20'000};
     fleet.book.setPeerWork(InstanceId("gateway-2"),
                            {{serverHash(ServerName("engine-3")), {1, 30'000, 30'000}}});
@@ -138,11 +144,7 @@
 TEST(ServerChooserTest, passesOverPausedServersAndTellsWhenTheFirstIsBack)
 {
     Fleet fleet;
-    for (const char *id : {"engine-1", "engine-2"}) {
-        ListedServer server = fleet.engine(id);
-        server.holdings[model];
-        fleet.book.put(server, start);
-    }
+    fleet.putHolders({"engine-1", "engine-2"});
     const ServerName first("engine-1");
     const ServerName second("engine-2");
     fleet.book.notePause(first, Incarnation(1), start + 3s);
@@ -162,11 +164,7 @@
 TEST(ServerChooserTest, prefersServersThatPausedForNoPeer)
 {
     Fleet fleet;
-    for (const char *id : {"engine-1", "engine-2"}) {
-        ListedServer server = fleet.engine(id);
-        server.holdings[model];
-        fleet.book.put(server, start);
-    }
+    fleet.putHolders({"engine-1", "engine-2"});
     const ServerName preferred = fleet.choose().server;
     fleet.book.notePeerPause(preferred, Incarnation(1), start + 1s);
     EXPECT_NE(fleet.choose().server, preferred);
