Read and log the request limit that a server states

The logs couldn't tell the hypotheses apart, since nothing was logged when a server stated a limit. The header is decoded in platform/, recorded for each incarnation of a server, and each change is a line event=server state=limited|unlimited with the limit, its version and its source, and a count in server_signals. No request is routed differently.

A response without a limit ends it only if its request was sent after the limit was known, since responses overtake each other.

--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -86,16 +86,24 @@
 }
 
 void EntryState::applyServerSignal(const ServerName &server, Incarnation incarnation,
-                                   const BackendResponseInfo &responseInfo)
+                                   const BackendResponseInfo &responseInfo, Instant sentAt)
 {
     if (responseInfo.hasInvalidBackoff) {
         logNotable("server_signal_ignored",
                    {{"server", server}, {"reason", "its pause is not a number of seconds"}});
     }
-    if (!responseInfo.isLeaving && !responseInfo.backoff)
-        return;
+    if (responseInfo.hasInvalidRequestLimit) {
+        logNotable("server_signal_ignored",
+                   {{"server", server}, {"reason", "its limit is not a number of requests"}});
+    }
     const ServerState *known = servers.find(server);
-    if (known && known->listed.incarnation != incarnation) {
+    const bool isListed = known && known->listed.incarnation == incarnation;
+    if (isListed)
+        applyRequestLimit(server, responseInfo, sentAt);
+    if (!responseInfo.isLeaving && !responseInfo.backoff
+        && (isListed || !responseInfo.requestLimit))
+        return;
+    if (known && !isListed) {
         logNotable("server_signal_ignored",
                    {{"server", server},
                     {"asked", incarnation},
@@ -124,6 +132,32 @@
         onServerSignal();
 }
 
+void EntryState::applyRequestLimit(const ServerName &server,
+                                   const BackendResponseInfo &responseInfo, Instant sentAt)
+{
+    if (!responseInfo.requestLimit && !responseInfo.mayEndRequestLimit)
+        return;
+    ServerState *known = servers.find(server);
+    if (!known->requestLimit.recordResponse(responseInfo.requestLimit, sentAt, steadyNow()))
+        return;
+    logRequestLimit(*known, "answer");
+}
+
+void EntryState::logRequestLimit(const ServerState &server, const std::string &source)
+{
+    const auto &limit = server.requestLimit.limit();
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%g", limit ? limit->perSecond() : 0);
+    logNotable("server",
+               {{"server", server.listed.id},
+                {"incarnation", server.listed.incarnation},
+                {"state", limit ? "limited" : "unlimited"},
+                {"requests_per_s", text.data()},
+                {"limit_version", server.requestLimit.version()},
+                {"source", source}});
+    Metrics::incrementCounter("server_signals", {{"signal", limit ? "limited" : "unlimited"}});
+}
+
 void EntryState::recordAdapterUse(const ServerName &server, const ModelName &model,
                                   const AdapterName &adapter, Duration busy)
 {
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -67,10 +67,13 @@
     void recordAdapterUse(const ServerName &server, const ModelName &model,
                           const AdapterName &adapter, Duration busy);
 
-    /// Applies what \a server reports about itself (leaving, a pause) in its response to a request
-    /// that was sent to its \a incarnation.
+    /// Applies what \a server reports about itself (leaving, a pause, a limit) in its response to a
+    /// request that was sent to its \a incarnation at \a sentAt.
     void applyServerSignal(const ServerName &server, Incarnation incarnation,
-                           const BackendResponseInfo &responseInfo);
+                           const BackendResponseInfo &responseInfo, Instant sentAt);
+    /// Logs the limit of requests that \a server now has, and whether one of its responses or which
+    /// peer said so.
+    static void logRequestLimit(const ServerState &server, const std::string &source);
     /// Leaving servers found since the last message to peers and not reported by a peer.
     std::vector<LeavingServer> unsentLeavingServers;
     /// Called when a server that takes requests leaves or asks for a pause.
@@ -81,6 +84,8 @@
 
 private:
     double retryReserve() const;
+    void applyRequestLimit(const ServerName &server, const BackendResponseInfo &responseInfo,
+                           Instant sentAt);
 
     std::size_t m_gateways = 1;
     std::map<ServiceName, RetryBudget> m_retryBudgets;
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -204,7 +204,8 @@
             if (result.hasResponse())
                 m_state.applyServerSignal(
                     sent.server, incarnation,
-                    m_state.protocol.parseEngineResponseHeaders(result.status, result.fields));
+                    m_state.protocol.parseEngineResponseHeaders(result.status, result.fields),
+                    result.sentAt);
             const OrderOutcome outcome = outcomeOf(result);
             logNotable(
                 "order",
@@ -248,8 +249,11 @@
                                                   : std::optional<EngineStatus>();
     // The request does not name a server, so only the status shows whether the signal is from the
     // incarnation that was asked.
-    verdict.isLeaving = verdict.isLeaving && status && status->incarnation == incarnation;
-    m_state.applyServerSignal(name, incarnation, verdict);
+    const bool isSameIncarnation = status && status->incarnation == incarnation;
+    verdict.isLeaving = verdict.isLeaving && isSameIncarnation;
+    if (!isSameIncarnation)
+        verdict.requestLimit.reset();
+    m_state.applyServerSignal(name, incarnation, verdict, result.sentAt);
     if (result.status != statusOk)
         return;
     if (!status) {
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -226,7 +226,8 @@
     }
     m_attempt->status = status;
     m_attempt->responseInfo = responseInfo;
-    m_state.applyServerSignal(m_attempt->server, m_attempt->incarnation, responseInfo);
+    m_state.applyServerSignal(m_attempt->server, m_attempt->incarnation, responseInfo,
+                              m_attempt->sentAt);
     recordServerLoad(responseInfo);
     const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
     if (isSuccess && (!responseInfo.isSigned || responseInfo.isEncoded)) {
--- a/src/Ports/ServingProtocol.h
+++ b/src/Ports/ServingProtocol.h
@@ -3,6 +3,7 @@
 
 #include "Serving/Requests/RequestMetadata.h"
 #include "Serving/Servers/BackendServer.h"
+#include "Serving/Servers/RequestRate.h"
 
 #include <boost/beast/http/fields.hpp>
 
@@ -44,6 +45,12 @@
     std::optional<ReportedLoad> load;
     std::optional<Milliseconds> backoff; ///< For how long this instance must send no requests.
     bool hasInvalidBackoff = false; ///< The response states a backoff that can't be parsed.
+    /// Requests that the server accepts from all gateways together, for as long as it states this.
+    std::optional<RequestRate> requestLimit;
+    bool hasInvalidRequestLimit = false; ///< The response states a limit that can't be parsed.
+    /// The server that the request names sent this response to it, so a limit that it doesn't
+    /// state is in force no more.
+    bool mayEndRequestLimit = false;
 };
 
 /// \brief An order to an engine with the conditions that prevent its execution a second time.
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -80,6 +80,7 @@
         state.loadEstimator = ServerLoadEstimator();
         state.pausedUntil = Instant();
         state.peerPausedUntil = Instant();
+        state.requestLimit = StatedRequestLimit();
         clearPeerWork(serverHash(server.id));
     }
     setListed(state, server);
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -4,6 +4,7 @@
 #include "Serving/Servers/BackendServer.h"
 #include "Serving/Servers/ServerHealth.h"
 #include "Serving/Servers/ServerLoadEstimator.h"
+#include "Serving/Servers/StatedRequestLimit.h"
 
 #include <map>
 #include <set>
@@ -47,6 +48,7 @@
         unlistedSince; ///< Set if its entry was removed during an outage of the list.
     Instant pausedUntil; ///< End of the pause that it asked this gateway for.
     Instant peerPausedUntil; ///< End of the pause that it asked other gateways for.
+    StatedRequestLimit requestLimit;
 
     /// Returns the work of all gateways.
     ServerWork totalWork() const;
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -232,6 +232,40 @@
     EXPECT_GE(pause(503, "1e9"), Milliseconds(60'000));
 }
 
+TEST(PlatformDecoderTest, readsTheRequestLimitThatAServerStates)
+{
+    const PlatformProtocol protocol;
+    const auto parse = [&protocol](int status, const char *text, const char *id) {
+        HeaderFields fields;
+        fields.set("Attempt-Id", id);
+        fields.set("Server-Limit", text);
+        return protocol.parseResponseHeaders(status, fields, RequestId("id-1"));
+    };
+    EXPECT_EQ(parse(200, "1.25", "id-1").requestLimit, RequestRate(1.25));
+    EXPECT_EQ(parse(503, "0.05", "id-1").requestLimit, RequestRate(0.05));
+    EXPECT_EQ(parse(200, "0", "id-1").requestLimit, RequestRate(0));
+    // A response to another request, and one that any server at this address may have sent.
+    EXPECT_FALSE(parse(200, "1", "id-2").requestLimit);
+    EXPECT_FALSE(parse(421, "1", "id-1").requestLimit);
+    for (const char *text : {"", "few", "-1", "nan", "inf", "1/s"}) {
+        EXPECT_FALSE(parse(200, text, "id-1").requestLimit) << text;
+        EXPECT_TRUE(parse(200, text, "id-1").hasInvalidRequestLimit) << text;
+        EXPECT_FALSE(parse(200, text, "id-1").mayEndRequestLimit) << text;
+    }
+}
+
+TEST(PlatformDecoderTest, endsARequestLimitOnlyByTheServersOwnResponse)
+{
+    const PlatformProtocol protocol;
+    HeaderFields fields;
+    fields.set("Attempt-Id", "id-1");
+    EXPECT_TRUE(protocol.parseResponseHeaders(200, fields, RequestId("id-1")).mayEndRequestLimit);
+    EXPECT_TRUE(protocol.parseResponseHeaders(503, fields, RequestId("id-1")).mayEndRequestLimit);
+    EXPECT_FALSE(protocol.parseResponseHeaders(421, fields, RequestId("id-1")).mayEndRequestLimit);
+    EXPECT_FALSE(protocol.parseResponseHeaders(200, fields, RequestId("id-2")).mayEndRequestLimit);
+    EXPECT_FALSE(protocol.parseEngineResponseHeaders(200, fields).mayEndRequestLimit);
+}
+
 TEST(PlatformDecoderTest, readsTheLoadThatAServerStates)
 {
     const PlatformProtocol protocol;
