Soak and exchange test check the request limit that a server states; red

The check follows the users' rule: from 3 s after the first statement, in any 4 s at most 1.5 x 4 times the limit and 5 requests from gateways that passed a statement on to a caller half a second before or earlier; a restart, freeze or cut of a gateway excuses that gateway until it passes one on again.

--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -398,3 +398,24 @@
     EXPECT_GE(steadyNow() - startedAt, Duration(1400ms));
     EXPECT_EQ(secondServer.connections(), 0);
 }
+
+// The platform allows one and a half times the stated limit and 5 requests in any 4 seconds.
+TEST_F(PlatformExchangeTest, sendsAServerNoMoreRequestsThanItsStatedLimitAllows)
+{
+    constexpr int maxRequestsIn4s = static_cast<int>(1.5 * 4 * 1) + 5;
+    const std::string limited = signedHeader + "Server-Limit: 1\r\n" + fineResponse;
+    const Instant startedAt = steadyNow();
+    int served = 0;
+    for (int i = 0; i < 40; ++i) {
+        firstServer.setResponse(limited);
+        const std::string response = sendRequest("/i/x");
+        served += hasStatus(response, 200) ? 1 : 0;
+        if (hasStatus(response, 200))
+            continue;
+        EXPECT_TRUE(hasStatus(response, 503));
+        EXPECT_NE(response.find("Retry-After: "), std::string::npos);
+    }
+    ASSERT_LT(steadyNow() - startedAt, Duration(4s));
+    EXPECT_GE(served, 1);
+    EXPECT_LE(served, maxRequestsIn4s);
+}
--- a/test/soak/PlatformServerStandIn.cpp
+++ b/test/soak/PlatformServerStandIn.cpp
@@ -83,6 +83,7 @@
     m_orderCount = 0;
     m_isLoading = false;
     m_isLeaving = false;
+    m_requestLimit.reset();
     m_isUp = true;
     m_checks.onServerRestarted(m_settings.id);
     listen();
@@ -109,10 +110,22 @@
     timer->async_wait([timer, action = std::move(action)](const SystemErrorCode &) { action(); });
 }
 
-std::string PlatformServerStandIn::responseHeaders(const std::string &id) const
+void PlatformServerStandIn::setRequestLimit(std::optional<double> perSecond)
 {
-    return "Attempt-Id: " + id + "\r\nResponse-Stamp: " + m_settings.id
+    m_requestLimit = perSecond;
+    if (!perSecond)
+        m_checks.onRequestLimitEnded(m_settings.id);
+}
+
+std::string PlatformServerStandIn::responseHeaders(const std::string &id)
+{
+    std::string headers = "Attempt-Id: " + id + "\r\nResponse-Stamp: " + m_settings.id
         + "\r\nKeep-Alive: timeout=5\r\nServer-Load: " + std::to_string(m_running) + ",0,64\r\n";
+    if (m_requestLimit) {
+        m_checks.onRequestLimitStated(m_settings.id, *m_requestLimit);
+        headers += "Server-Limit: " + std::to_string(*m_requestLimit) + "\r\n";
+    }
+    return headers;
 }
 
 std::string PlatformServerStandIn::report() const
--- a/test/soak/PlatformServerStandIn.h
+++ b/test/soak/PlatformServerStandIn.h
@@ -6,6 +6,7 @@
 #include "SoakChecks.h"
 
 #include <functional>
+#include <optional>
 
 namespace quetzalyoke::soak {
 
@@ -43,6 +44,9 @@
     const std::string &id() const { return m_settings.id; }
     /// While set, requests run but get no response.
     void setDroppingResponses(bool isDropping) { m_isDroppingResponses = isDropping; }
+    /// States in all responses from now on that it accepts this many requests per second; nothing:
+    /// any number.
+    void setRequestLimit(std::optional<double> perSecond);
     /// While set, orders are executed but get no response.
     void setDroppingOrderResponses(bool isDropping) { m_isDroppingOrderResponses = isDropping; }
 
@@ -54,7 +58,7 @@
     void streamEvent(const HttpServerConnection::Pointer &session, const std::string &id, int event,
                      int generation);
     void writeServerRow();
-    std::string responseHeaders(const std::string &id) const;
+    std::string responseHeaders(const std::string &id);
     std::string report() const;
     void scheduleAfter(std::chrono::milliseconds time, std::function<void()> action);
 
@@ -78,6 +82,7 @@
     bool m_isLeaving = false;
     bool m_isDroppingResponses = false;
     bool m_isDroppingOrderResponses = false;
+    std::optional<double> m_requestLimit;
 };
 
 } // namespace quetzalyoke::soak
--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -47,6 +47,11 @@
 constexpr milliseconds lastResponseTime{2600};
 constexpr double minimumServedFraction = 0.9; // of the requests sent after recovery
 constexpr int requestsPerTick = 1;
+// Limits of requests that servers state during the faults, in requests a second. Each lasts longer
+// than the check's grace time.
+constexpr std::array requestLimits{0.3, 1.0, 2.5, 6.0};
+constexpr milliseconds minRequestLimitTime{4000};
+constexpr milliseconds maxRequestLimitTime{9000};
 constexpr std::size_t shownLogLines = 3;
 
 // Returns a loopback address of this run alone, so that concurrent runs can't take each other's
@@ -124,7 +129,8 @@
 {
 public:
     Soak(const std::string &programs, std::uint64_t seed, int gateways, milliseconds faultTime)
-        : m_program(programs + "/quetzalyoke-entry"), m_random(seed), m_faultTime(faultTime),
+        : m_program(programs + "/quetzalyoke-entry"), m_random(seed), m_limitRandom(seed),
+          m_faultTime(faultTime),
           m_folder(std::filesystem::temp_directory_path()
                    / ("quetzalyoke-soak-" + std::to_string(seed) + "-" + std::to_string(getpid()))),
           m_store(m_loop), m_checks(limits())
@@ -159,6 +165,8 @@
                 injectFault(now);
                 nextFault = now + milliseconds(randomNumber(150, 900));
             }
+            if (now >= faultsBegin && now >= m_nextRequestLimitAt && now < faultsEnd)
+                changeRequestLimit(now);
             if (now >= faultsEnd && !areFaultsEnded) {
                 endAllFaults(now);
                 areFaultsEnded = true;
@@ -218,6 +226,28 @@
         return limits;
     }
 
+    int randomLimitNumber(int least, int most)
+    {
+        return std::uniform_int_distribution<int>(least, most)(m_limitRandom);
+    }
+
+    // Servers state a limit one after the other and at the same time; a limit may change.
+    void changeRequestLimit(Instant now)
+    {
+        m_nextRequestLimitAt = now + milliseconds(randomLimitNumber(500, 3000));
+        ServerWithLink &server = *m_servers[static_cast<std::size_t>(
+            randomLimitNumber(0, static_cast<int>(m_servers.size()) - 1))];
+        const double perSecond = requestLimits[static_cast<std::size_t>(
+            randomLimitNumber(0, static_cast<int>(requestLimits.size()) - 1))];
+        printAction("limit " + server.standIn->id() + " to " + std::to_string(perSecond)
+                    + " requests a second");
+        server.standIn->setRequestLimit(perSecond);
+        const milliseconds duration(
+            randomLimitNumber(static_cast<int>(minRequestLimitTime.count()),
+                              static_cast<int>(maxRequestLimitTime.count())));
+        scheduleFaultEnd(duration, [&server] { server.standIn->setRequestLimit({}); });
+    }
+
     int randomNumber(int least, int most)
     {
         return std::uniform_int_distribution<int>(least, most)(m_random);
@@ -358,9 +388,12 @@
         m_checks.onSent(id, gateway.name, account, key, mayRetry, tokens);
         const auto response = std::make_shared<Response>();
         ExchangeHooks hooks;
-        hooks.onHeader = [response](int status, const boost::beast::http::fields &fields) {
+        hooks.onHeader = [this, response, gatewayName = gateway.name](
+                             int status, const boost::beast::http::fields &fields) {
             response->status = status;
             response->isSigned = !fields["Response-Stamp"].empty();
+            if (fields.count("Server-Limit") > 0)
+                m_checks.onRequestLimitPassedOn(std::string(fields["Response-Stamp"]), gatewayName);
             return ExchangeHooks::HeaderDecision::Accept;
         };
         hooks.onBody = [response](std::string_view data) { response->body.append(data); };
@@ -563,6 +596,7 @@
         m_checks.onFleetFault();
         scheduleFaultEnd(milliseconds(randomNumber(300, 2500)), [this, &server] {
             m_checks.onFleetFault();
+            m_checks.onServerLinkFault(server.standIn->id());
             server.link.setState(LinkState::Open);
         });
     }
@@ -589,6 +623,8 @@
     asio::io_context m_loop;
     const std::string m_program;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_limitRandom; // its own, so that the other faults of a seed stay the same
+    Instant m_nextRequestLimitAt;
     const milliseconds m_faultTime;
     const std::filesystem::path m_folder;
     PlatformStoreStandIn m_store;
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -12,6 +12,9 @@
 constexpr Duration loadWindow = std::chrono::seconds(5);
 constexpr double toleranceFactor = 1.1;
 constexpr double loadSlack = 3;
+constexpr Duration requestLimitWindow = std::chrono::seconds(4);
+constexpr double requestLimitTolerance = 1.5;
+constexpr double requestLimitSlack = 5;
 
 } // namespace
 
@@ -111,6 +114,7 @@
     }
     Request &request = it->second;
     ++request.runs;
+    checkRequestLimit(server, request.gateway);
     if (request.runs > 1 && !request.mayRetry)
         fail("TWICE: " + id + " runs a second time at " + server);
     if (request.isRefused && !request.mayRetry)
@@ -139,6 +143,68 @@
         fail("QUOTA: " + request.account + " got " + std::to_string(sum) + " tokens in a window");
 }
 
+void SoakChecks::onRequestLimitStated(const std::string &server, double perSecond)
+{
+    const Instant now = steadyNow();
+    RequestLimit &limit
+        = m_requestLimits.try_emplace(server, RequestLimit{now, {}, {}, {}}).first->second;
+    limit.statements.emplace_back(now, perSecond);
+}
+
+void SoakChecks::onRequestLimitEnded(const std::string &server)
+{
+    m_requestLimits.erase(server);
+}
+
+void SoakChecks::onServerLinkFault(const std::string &server)
+{
+    const auto it = m_requestLimits.find(server);
+    if (it == m_requestLimits.end())
+        return;
+    it->second.statedSince = steadyNow();
+    it->second.arrivals.clear();
+}
+
+void SoakChecks::onRequestLimitPassedOn(const std::string &server, const std::string &gateway)
+{
+    const auto it = m_requestLimits.find(server);
+    if (it != m_requestLimits.end())
+        it->second.passedOnAt.try_emplace(gateway, steadyNow());
+}
+
+void SoakChecks::checkRequestLimit(const std::string &server, const std::string &gateway)
+{
+    const auto it = m_requestLimits.find(server);
+    if (it == m_requestLimits.end())
+        return;
+    RequestLimit &limit = it->second;
+    const Instant now = steadyNow();
+    limit.arrivals.emplace_back(now, gateway);
+    while (limit.arrivals.front().first + requestLimitWindow <= now)
+        limit.arrivals.pop_front();
+    // The latest statement before the window is in force at its beginning.
+    while (limit.statements.size() > 1 && limit.statements[1].first + requestLimitWindow <= now)
+        limit.statements.pop_front();
+    if (now - limit.statedSince < m_limits.requestLimitGrace || limit.statements.empty())
+        return;
+    double perSecond = 0;
+    for (const auto &[at, stated] : limit.statements)
+        perSecond = std::max(perSecond, stated);
+    int arrivals = 0;
+    for (const auto &[at, from] : limit.arrivals) {
+        const auto passedOn = limit.passedOnAt.find(from);
+        if (passedOn != limit.passedOnAt.end()
+            && now - passedOn->second >= m_limits.requestLimitNotice)
+            ++arrivals;
+    }
+    const double window = std::chrono::duration<double>(requestLimitWindow).count();
+    if (arrivals <= requestLimitTolerance * perSecond * window + requestLimitSlack)
+        return;
+    fail("LIMIT: " + server + " states a limit of " + std::to_string(perSecond)
+         + " requests a second and got " + std::to_string(arrivals) + " in a window");
+    limit.arrivals.clear(); // reports each excess once
+}
+
 void SoakChecks::onOrder(const std::string &server, const std::string &holder, std::int64_t fencing)
 {
     const Instant now = steadyNow();
@@ -179,6 +245,7 @@
 {
     m_lastOrders.erase(server);
     m_leavingSince.erase(server);
+    m_requestLimits.erase(server);
 }
 
 void SoakChecks::onLeaving(const std::string &server)
@@ -189,6 +256,8 @@
 void SoakChecks::onGatewayFault(const std::string &gateway)
 {
     m_gatewayFaultAt[gateway] = steadyNow();
+    for (auto &[server, limit] : m_requestLimits)
+        limit.passedOnAt.erase(gateway);
 }
 
 void SoakChecks::onFleetFault()
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -31,6 +31,10 @@
         double tokensPerSecond = 0; ///< The rate of each account.
         double tokensBurst = 0;
         double tokensSlack = 0;
+        /// Time from the first statement of a request limit until it is checked.
+        Duration requestLimitGrace = std::chrono::milliseconds(3000);
+        /// Time from passing a stated limit on to a caller until the gateway must keep to it.
+        Duration requestLimitNotice = std::chrono::milliseconds(500);
     };
 
     explicit SoakChecks(const Limits &limits) : m_limits(limits) { }
@@ -38,6 +42,8 @@
     // Reported by callers.
     void onSent(const std::string &id, const std::string &gateway, const std::string &account,
                 const std::string &key, bool mayRetry, double tokens);
+    /// The caller got a response in which \a server states a request limit from \a gateway.
+    void onRequestLimitPassedOn(const std::string &server, const std::string &gateway);
     void onRefused(const std::string &id, int status);
     void onResponse(const std::string &id, int status, const std::string &body, bool isStream,
                     bool isSigned);
@@ -59,6 +65,10 @@
                            std::size_t adapters, int adapterSlots);
     void onServerRestarted(const std::string &server);
     void onLeaving(const std::string &server);
+    void onRequestLimitStated(const std::string &server, double perSecond);
+    void onRequestLimitEnded(const std::string &server);
+    /// Requests to \a server were delayed on their way; suspends the check of its request limit.
+    void onServerLinkFault(const std::string &server);
     /// Suspends the checks of time limits at \a gateway for a while.
     void onGatewayFault(const std::string &gateway);
     /// Suspends the checks of time limits at all gateways for a while.
@@ -91,6 +101,15 @@
         Instant at;
     };
 
+    struct RequestLimit
+    {
+        Instant statedSince;
+        std::deque<std::pair<Instant, double>> statements; // of the last window, per second
+        std::deque<std::pair<Instant, std::string>> arrivals; // of the last window, by gateway
+        std::map<std::string, Instant> passedOnAt; // first by each gateway since its last fault
+    };
+
+    void checkRequestLimit(const std::string &server, const std::string &gateway);
     bool hadRecentFault(const std::string &gateway, Duration window) const;
 
     const Limits m_limits;
@@ -99,6 +118,7 @@
     std::map<std::string, LastOrder> m_lastOrders;
     std::map<std::string, Instant> m_leavingSince;
     std::map<std::string, Instant> m_gatewayFaultAt;
+    std::map<std::string, RequestLimit> m_requestLimits; // of the servers that state one
     Instant m_fleetFaultAt;
     std::optional<Instant> m_plannedStopsSince;
     std::deque<Instant> m_loads;
