Permits from the lease holder keep all gateways within a server's request limit

Cause: a bound on the sum over all gateways that no gateway knew of. Each chose servers by load alone, and so did the lease holder with orders and status requests, which count, too: in the window before 17.831 s i-3f50b46229 got at most six requests and four orders, and 15 calls were counted.

Ruled out: requests in flight or gateways that had not been told (the gateways go on for 100 s), retries (no engine rejected any). A limit kept by each gateway alone would be the next fault: N gateways, N times the limit.

Change: the lease holder issues a permit for each request to a server that states a limit, from one token bucket, on which its own orders and status requests draw, too. It is the only one: it stops before its successor can take over (PlacementLeaseTest, 2,000 schedules). Without a response a gateway uses 0.3 of the limit divided by the number of gateways, so permits and all these parts stay within the tolerated one and a half times the limit. A denied request goes to another server or is refused at once with the time until the next permit. Replicas on a server that left requests without a permit count as missing, so they are loaded elsewhere, too. Limits are told to peers, with versions; permits end with the limit.

--- a/src/Apps/Entry/BackendAttempt.h
+++ b/src/Apps/Entry/BackendAttempt.h
@@ -15,6 +15,7 @@
     std::string address;
     std::shared_ptr<HttpClientConnection> connection;
     Instant sentAt;
+    Instant permitUntil; ///< End of its permit, if the server has a request limit.
     Duration expectedFirstByteDelay{0}; ///< Predicted time to first byte.
     ServerWork serverWork; ///< Work counted at the server for this attempt.
     bool isForwarding = false; ///< The response is streamed to the caller as it arrives.
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -46,6 +46,7 @@
       m_peers(m_state,
               {[this] { return m_orderSender.heldLease(); },
                [this](const LeaseRow &row) { m_orderSender.onHolderRenewal(row); },
+               [this] { return m_orderSender.issuesPermits(); },
                [this] { return m_stateReplicator.followsStore(); },
                [this](std::size_t rank, Duration messageInterval) {
                    m_orderSender.setTakeoverRank(rank, messageInterval);
@@ -89,7 +90,7 @@
     };
     m_state.onServerSignal = [this] {
         m_orderSender.onServersChanged();
-        m_peers.announceLeavingServers();
+        m_peers.announceServerSignals();
         // Posted, because the signal may come from within a callback of an exchange.
         asio::post(m_loop, [this] { m_state.waitQueue.retryDispatches(); });
     };
@@ -261,11 +262,13 @@
     const Instant now = steadyNow();
     m_orderSender.tick();
     m_stateReplicator.tick();
+    m_peers.repeatPermitRequests();
     m_state.waitQueue.retryDispatches();
     if (now - m_lastHousekeepingAt >= housekeepingInterval) {
         m_lastHousekeepingAt = now;
         m_state.pool.closeExpiredConnections(now);
         m_state.crashDetector.expire(now);
+        m_state.permitIssuer.removeUnused(now);
         for (const ServerName &id : m_state.servers.removeExpired(now)) {
             m_state.chooser.clearPrefixCache(id);
             logNotable("server_gone",
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -138,9 +138,43 @@
     if (!responseInfo.requestLimit && !responseInfo.mayEndRequestLimit)
         return;
     ServerState *known = servers.find(server);
+    const bool wasLimited = known->isLimited();
     if (!known->requestLimit.recordResponse(responseInfo.requestLimit, sentAt, steadyNow()))
         return;
     logRequestLimit(*known, "answer");
+    // Peers learn a changed limit from the next regular message.
+    if (wasLimited == known->isLimited())
+        return;
+    unsentLimitChanges.insert(server);
+    if (onServerSignal)
+        onServerSignal();
+}
+
+void EntryState::applyPeerRequestLimit(const ServerName &server, Incarnation incarnation,
+                                       std::optional<RequestRate> limit, std::int64_t version,
+                                       const std::string &peer)
+{
+    ServerState *known = servers.find(server);
+    if (!known || known->listed.incarnation != incarnation
+        || !known->requestLimit.applyPeerLimit(limit, version, steadyNow()))
+        return;
+    logRequestLimit(*known, peer);
+}
+
+RequestPermits::Number EntryState::requestPermit(const ServerName &server)
+{
+    if (onPermitNeeded)
+        return onPermitNeeded(server);
+    useOwnShare(*servers.find(server), "no_issuer");
+    return 0;
+}
+
+void EntryState::useOwnShare(ServerState &server, const char *reason)
+{
+    server.permits.useOwnShare(*server.requestLimit.limit(), m_gateways, random(), steadyNow());
+    logNotable("permit_own_share",
+               {{"server", server.listed.id}, {"reason", reason}, {"gateways", m_gateways}});
+    Metrics::incrementCounter("permits", {{"outcome", "own_share"}});
 }
 
 void EntryState::logRequestLimit(const ServerState &server, const std::string &source)
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -12,6 +12,7 @@
 #include "Serving/Placement/PlacementLease.h"
 #include "Serving/Placement/ReplicaController.h"
 #include "Serving/Requests/AdmissionPolicy.h"
+#include "Serving/Servers/RequestPermitIssuer.h"
 
 #include <random>
 
@@ -38,6 +39,7 @@
     AccountQuotas quotas;
     CrashingRequestDetector crashDetector;
     WaitQueue waitQueue;
+    RequestPermitIssuer permitIssuer; ///< Used while this gateway holds the lease.
 
     /// Whether this gateway is shutting down. It accepts connections until the platform has
     /// noticed.
@@ -71,9 +73,17 @@
     /// request that was sent to its \a incarnation at \a sentAt.
     void applyServerSignal(const ServerName &server, Incarnation incarnation,
                            const BackendResponseInfo &responseInfo, Instant sentAt);
-    /// Logs the limit of requests that \a server now has, and whether one of its responses or which
-    /// peer said so.
-    static void logRequestLimit(const ServerState &server, const std::string &source);
+    /// Applies the request limit that \a peer knows of \a server; nothing: the limit has ended.
+    void applyPeerRequestLimit(const ServerName &server, Incarnation incarnation,
+                               std::optional<RequestRate> limit, std::int64_t version,
+                               const std::string &peer);
+    /// Requests a permit for a server with a request limit; see PermitExchange.
+    RequestPermits::Number requestPermit(const ServerName &server);
+    std::function<RequestPermits::Number(const ServerName &server)> onPermitNeeded;
+    /// Lets this gateway use its own share of the limit of \a server for a while.
+    void useOwnShare(ServerState &server, const char *reason);
+    /// Servers whose request limit has begun or ended since the last message to peers.
+    std::set<ServerName> unsentLimitChanges;
     /// Leaving servers found since the last message to peers and not reported by a peer.
     std::vector<LeavingServer> unsentLeavingServers;
     /// Called when a server that takes requests leaves or asks for a pause.
@@ -86,6 +96,7 @@
     double retryReserve() const;
     void applyRequestLimit(const ServerName &server, const BackendResponseInfo &responseInfo,
                            Instant sentAt);
+    static void logRequestLimit(const ServerState &server, const std::string &source);
 
     std::size_t m_gateways = 1;
     std::map<ServiceName, RetryBudget> m_retryBudgets;
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -86,6 +86,11 @@
     return m_lease.row();
 }
 
+bool OrderSender::issuesPermits() const
+{
+    return m_lease.isSoleHolder(bootTimeNow());
+}
+
 void OrderSender::onHolderRenewal(const LeaseRow &row)
 {
     m_lease.onHolderRenewal(row, bootTimeNow());
@@ -100,6 +105,8 @@
 {
     maintainLease();
     runStep();
+    if (!issuesPermits())
+        m_state.permitIssuer.clear();
     if (m_clients.size() > 2 * m_state.servers.servers().size())
         removeUnusedClients();
 }
@@ -171,6 +178,7 @@
         return;
     if (isNew)
         m_state.replicaController.setServers(m_state.servers);
+    pauseLimitedEngines();
     const ReplicaController::Actions step
         = m_state.replicaController.nextActions(steadyNow(), isNew);
     for (const ConditionalEngineOrder &order : step.orders)
@@ -187,6 +195,22 @@
     });
 }
 
+// Orders and status requests count towards an engine's request limit, too.
+void OrderSender::pauseLimitedEngines()
+{
+    const Instant now = steadyNow();
+    for (const auto &[id, server] : m_state.servers.servers()) {
+        if (server.requestLimit.version() == 0)
+            continue;
+        Instant until = server.pausedUntil;
+        if (server.isLimited())
+            until = std::max(until,
+                             m_state.permitIssuer.callableAt(id, server.listed.incarnation,
+                                                             *server.requestLimit.limit(), now));
+        m_state.replicaController.setPausedUntil(id, until);
+    }
+}
+
 void OrderSender::sendOrder(const ConditionalEngineOrder &order)
 {
     const ServerState *server = m_state.servers.find(order.server);
@@ -198,6 +222,7 @@
         return;
     }
     const std::string address = server->listed.address;
+    m_state.permitIssuer.recordCall(order.server, server->listed.incarnation, steadyNow());
     clientFor(address).call(
         m_state.protocol.engineOrderRequest(sent, address), orderTimeout,
         [this, sent, incarnation = server->listed.incarnation](const HttpCallResult &result) {
@@ -231,6 +256,7 @@
         return;
     const std::string address = server->listed.address;
     Metrics::incrementCounter("statuses_asked");
+    m_state.permitIssuer.recordCall(name, server->listed.incarnation, steadyNow());
     clientFor(address).call(
         m_state.protocol.engineStatusRequest(address), statusTimeout,
         [this, name, incarnation = server->listed.incarnation](const HttpCallResult &result) {
--- a/src/Apps/Entry/OrderSender.h
+++ b/src/Apps/Entry/OrderSender.h
@@ -40,12 +40,16 @@
     {
         m_leaseClient.handleLeaseRequest(connection, request);
     }
+    /// Returns whether this gateway, and no other, may issue permits for servers with a request
+    /// limit.
+    bool issuesPermits() const;
     /// Returns the fencing token; 0 unless this gateway may order engines.
     std::int64_t fencingToken() const;
 
 private:
     void maintainLease();
     void runStep();
+    void pauseLimitedEngines();
     void sendOrder(const ConditionalEngineOrder &order);
     void requestEngineStatus(const ServerName &server);
     void onStatus(const ServerName &server, Incarnation incarnation, const HttpCallResult &result);
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -52,8 +52,36 @@
                  {[this] { return candidates(); },
                   [this](const InstanceId &to, const wire::PeerSpending &spending) {
                       sendSpending(to, spending);
-                  }})
-{ }
+                  }}),
+      m_permits(state, permitHooks())
+{
+    state.onPermitNeeded
+        = [this](const ServerName &server) { return m_permits.requestPermit(server); };
+}
+
+PermitExchange::Hooks PeerNetwork::permitHooks()
+{
+    PermitExchange::Hooks hooks;
+    hooks.isIssuer = m_hooks.issuesPermits;
+    hooks.sendRequest = [this](const wire::PeerPermitRequest &request) {
+        const Peer *holder = leaseHolder();
+        if (!holder)
+            return false;
+        wire::PeerNews message = makeMessage(true);
+        message.__set_permitRequest(request);
+        m_socket.send(PeerSocket::encode(message), holder->address);
+        return true;
+    };
+    hooks.sendReply = [this](const InstanceId &to, const wire::PeerPermitReply &reply) {
+        const auto peer = m_peers.find(to);
+        if (peer == m_peers.end())
+            return;
+        wire::PeerNews message = makeMessage(true);
+        message.__set_permitReply(reply);
+        m_socket.send(PeerSocket::encode(message), peer->second.address);
+    };
+    return hooks;
+}
 
 void PeerNetwork::start()
 {
@@ -188,9 +216,9 @@
     scheduleUrgentMessage();
 }
 
-void PeerNetwork::announceLeavingServers()
+void PeerNetwork::announceServerSignals()
 {
-    if (!m_state.unsentLeavingServers.empty())
+    if (!m_state.unsentLeavingServers.empty() || !m_state.unsentLimitChanges.empty())
         scheduleUrgentMessage();
 }
 
@@ -252,6 +280,10 @@
     if (std::exchange(m_hasNewChanges, false))
         addLoadedModelChanges(message);
     addLeavingServers(std::exchange(m_state.unsentLeavingServers, {}), message);
+    for (const ServerName &name : std::exchange(m_state.unsentLimitChanges, {})) {
+        if (const ServerState *server = m_state.servers.find(name))
+            addRequestLimit(*server, message);
+    }
     const std::string bytes = PeerSocket::encode(message);
     const Peer *holderPeer = leaseHolder();
     if (holderPeer && message.notices.empty() && message.serverSignals.empty()) {
@@ -301,6 +333,21 @@
     addCrashSuspicions(m_state.crashDetector.broadcastQueue().nextBatch(), message);
     addLeavingServers(m_state.servers.unlistedLeavingServers(), message);
     addPauses(message);
+    for (const auto &[id, server] : m_state.servers.servers()) {
+        if (server.requestLimit.version() > 0)
+            addRequestLimit(server, message);
+    }
+}
+
+void PeerNetwork::addRequestLimit(const ServerState &server, wire::PeerNews &message)
+{
+    wire::PeerServerSignal signal;
+    signal.server = server.listed.id.text();
+    signal.incarnation = server.listed.incarnation.count();
+    signal.limitVersion = server.requestLimit.version();
+    if (server.isLimited())
+        signal.__set_requestsPerSecond(server.requestLimit.limit()->perSecond());
+    message.serverSignals.push_back(std::move(signal));
 }
 
 void PeerNetwork::addLeavingServers(const std::vector<LeavingServer> &leavingServers,
@@ -416,6 +463,14 @@
         m_spending.onPeerMessage(message);
         return;
     }
+    if (message.__isset.permitRequest) {
+        m_permits.onRequest(instance, message.permitRequest);
+        return;
+    }
+    if (message.__isset.permitReply) {
+        m_permits.onReply(message.permitReply);
+        return;
+    }
     applyServerSignals(instance, message);
     if (message.isUrgent) {
         applyEvents(message);
@@ -473,6 +528,13 @@
             m_state.servers.recordPeerPause(
                 server, incarnation, steadyNow() + std::chrono::milliseconds(signal.pauseMs));
         }
+        if (signal.limitVersion > 0) {
+            std::optional<RequestRate> limit;
+            if (signal.__isset.requestsPerSecond)
+                limit = RequestRate(signal.requestsPerSecond);
+            m_state.applyPeerRequestLimit(server, incarnation, limit, signal.limitVersion,
+                                          from.text());
+        }
         if (!signal.leaving || !m_state.servers.recordLeaving(server, incarnation))
             continue;
         isChanged = true;
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/Async/PeerSocket.h"
 #include "Apps/Entry/EntryState.h"
+#include "Apps/Entry/PermitExchange.h"
 #include "Apps/Entry/SpendingExchange.h"
 #include "Apps/Entry/StateReplicator.h"
 
@@ -18,6 +19,8 @@
         std::function<std::optional<LeaseRow>()> heldLease;
         /// Called when a peer reports that it holds the lease.
         std::function<void(const LeaseRow &)> onHolderRenewal;
+        /// Returns whether this gateway issues the permits for servers with a request limit.
+        std::function<bool()> issuesPermits;
         std::function<bool()> followsStore; ///< \sa StateReplicator
         /// \sa PlacementLease::setTakeoverRank()
         std::function<void(std::size_t rank, Duration messageInterval)> onTakeoverRank;
@@ -32,8 +35,11 @@
     void announceNeeds();
     /// Announces to every peer the changes of loaded models that this gateway's orders have caused.
     void announceLoadedModelChanges(const std::vector<LoadedModelChange> &changes);
-    /// Announces to every peer the servers that have reported that they leave.
-    void announceLeavingServers();
+    /// Announces to every peer the servers that have reported that they leave, and those whose
+    /// request limit has begun or ended.
+    void announceServerSignals();
+    /// Repeats requests for permits that had no response.
+    void repeatPermitRequests() { m_permits.tick(); }
     /// Called after a stall or suspension of the instance.
     void onResumed();
     /// Returns the peers as sources of state for StateReplicator.
@@ -84,6 +90,8 @@
     static void addLeavingServers(const std::vector<LeavingServer> &leavingServers,
                                   wire::PeerNews &message);
     void addPauses(wire::PeerNews &message) const;
+    static void addRequestLimit(const ServerState &server, wire::PeerNews &message);
+    PermitExchange::Hooks permitHooks();
     void applyServerSignals(const InstanceId &from, const wire::PeerNews &message);
     void onPeerMessage(const wire::PeerNews &message, const Address &from);
     void applyState(const InstanceId &from, const wire::PeerNews &message);
@@ -96,6 +104,7 @@
     asio::steady_timer m_joinTimer;
     asio::steady_timer m_urgentTimer;
     SpendingExchange m_spending;
+    PermitExchange m_permits;
     bool m_isUrgentScheduled = false;
     bool m_hasNewChanges = false;
     bool m_hasJoined = false;
--- /dev/null
+++ b/src/Apps/Entry/PermitExchange.cpp
@@ -0,0 +1,121 @@
+#include "Apps/Entry/PermitExchange.h"
+
+#include "Adapters/Metrics.h"
+#include "Adapters/StructuredLog.h"
+
+namespace quetzalyoke {
+
+PermitExchange::PermitExchange(EntryState &state, Hooks hooks)
+    : m_state(state), m_hooks(std::move(hooks))
+{ }
+
+RequestPermitIssuer::Decision PermitExchange::decide(const ServerName &server,
+                                                     Incarnation incarnation, RequestRate limit,
+                                                     Instant now)
+{
+    const RequestPermitIssuer::Decision decision
+        = m_state.permitIssuer.decide(server, incarnation, limit, now);
+    if (!decision.isGranted)
+        m_state.replicaController.recordOverDemand(server, now);
+    return decision;
+}
+
+RequestPermits::Number PermitExchange::requestPermit(const ServerName &name)
+{
+    ServerState &server = *m_state.servers.find(name);
+    const Instant now = steadyNow();
+    const RequestPermits::Number number = ++m_lastNumber;
+    server.permits.recordRequest(number, now);
+    if (m_hooks.isIssuer()) {
+        const auto decision
+            = decide(name, server.listed.incarnation, *server.requestLimit.limit(), now);
+        applyDecision(server, number, decision.isGranted, decision.retryAfter);
+    } else if (send(server, number)) {
+        m_pendingServers.insert(name);
+    } else {
+        m_state.useOwnShare(server, "no_issuer");
+    }
+    return number;
+}
+
+bool PermitExchange::send(const ServerState &server, RequestPermits::Number number)
+{
+    wire::PeerPermitRequest request;
+    request.server = server.listed.id.text();
+    request.incarnation = server.listed.incarnation.count();
+    request.number = number;
+    request.requestsPerSecond = server.requestLimit.limit()->perSecond();
+    request.limitVersion = server.requestLimit.version();
+    return m_hooks.sendRequest(request);
+}
+
+void PermitExchange::onRequest(const InstanceId &from, const wire::PeerPermitRequest &request)
+{
+    // The sender uses its own share if it gets no response.
+    if (!m_hooks.isIssuer()) {
+        Metrics::incrementCounter("permits", {{"outcome", "not_issuer"}});
+        return;
+    }
+    const ServerName name(request.server);
+    const Incarnation incarnation(request.incarnation);
+    RequestRate limit(request.requestsPerSecond);
+    m_state.applyPeerRequestLimit(name, incarnation, limit, request.limitVersion, from.text());
+    const ServerState *server = m_state.servers.find(name);
+    const bool isListed = server && server->listed.incarnation == incarnation;
+    // A limit that has ended is still in force for the sender until it hears of that.
+    if (isListed && server->requestLimit.limit())
+        limit = *server->requestLimit.limit();
+    const auto decision = decide(name, incarnation, limit, steadyNow());
+    Metrics::incrementCounter("permits", {{"outcome", decision.isGranted ? "issued" : "refused"}});
+    wire::PeerPermitReply reply;
+    reply.server = request.server;
+    reply.number = request.number;
+    reply.isGranted = decision.isGranted;
+    reply.retryAfterMs = static_cast<std::int32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter).count());
+    m_hooks.sendReply(from, reply);
+}
+
+void PermitExchange::onReply(const wire::PeerPermitReply &reply)
+{
+    ServerState *server = m_state.servers.find(ServerName(reply.server));
+    if (!server || !server->permits.isPending(reply.number)) {
+        Metrics::incrementCounter("permits", {{"outcome", "late"}});
+        return;
+    }
+    applyDecision(*server, reply.number, reply.isGranted,
+                  std::chrono::milliseconds(std::max(0, reply.retryAfterMs)));
+    m_state.waitQueue.retryDispatches();
+}
+
+void PermitExchange::applyDecision(ServerState &server, RequestPermits::Number number,
+                                   bool isGranted, Duration retryAfter)
+{
+    const Instant now = steadyNow();
+    Metrics::incrementCounter("permits", {{"outcome", isGranted ? "granted" : "denied"}});
+    if (isGranted) {
+        server.permits.onGranted(number, now);
+        return;
+    }
+    server.permits.onDenied(number, retryAfter, now);
+    logRoutine("permit_denied", {{"server", server.listed.id}, {"retry_after_ms", retryAfter}});
+}
+
+void PermitExchange::tick()
+{
+    const Instant now = steadyNow();
+    for (auto it = m_pendingServers.begin(); it != m_pendingServers.end();) {
+        ServerState *server = m_state.servers.find(*it);
+        if (!server || !server->requestLimit.limit() || !server->permits.hasPending()) {
+            it = m_pendingServers.erase(it);
+            continue;
+        }
+        if (server->permits.isIssuerSilent(now))
+            m_state.useOwnShare(*server, "issuer_silent");
+        for (const RequestPermits::Number number : server->permits.requestsToResend(now))
+            send(*server, number);
+        ++it;
+    }
+}
+
+} // namespace quetzalyoke
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -70,21 +70,39 @@
     dispatch();
 }
 
+// Requests a permit for the best server if it needs one. If none is granted at once, the choice is
+// either another server or this one, whose permit is on its way.
+ServerChoice RequestHandler::chooseServer(Instant now)
+{
+    const ServerChoiceInput request{m_context.service, &m_context.metadata, &m_context.prefixHashes,
+                                    excludedServers(now)};
+    while (true) {
+        ServerChoice choice = m_state.chooser.choose(request, m_state.servers, now);
+        if (!choice.needsPermit)
+            return choice;
+        const RequestPermits &permits = m_state.servers.find(choice.server)->permits;
+        if (permits.isPending(m_permitNumber))
+            return choice;
+        m_permitNumber = m_state.requestPermit(choice.server);
+    }
+}
+
 // Returns whether the request has stopped waiting for a server.
 bool RequestHandler::dispatch()
 {
     const Instant now = steadyNow();
-    const ServerChoiceInput request{m_context.service, &m_context.metadata, &m_context.prefixHashes,
-                                    excludedServers(now)};
     AdmissionInput input;
     input.route = m_context.route;
     input.service = m_context.service;
     input.metadata = &m_context.metadata;
-    input.serverChoice = m_state.chooser.choose(request, m_state.servers, now);
+    input.serverChoice = chooseServer(now);
     input.waited = age();
     input.timeLeft = remainingTime(now);
-    if (input.serverChoice.outcome == ServerChoice::Outcome::NoModel
-        || input.serverChoice.outcome == ServerChoice::Outcome::NoAdapter)
+    const ServerChoice::Outcome outcome = input.serverChoice.outcome;
+    const bool lacksReplica = outcome == ServerChoice::Outcome::NoModel
+        || outcome == ServerChoice::Outcome::NoAdapter
+        || (outcome == ServerChoice::Outcome::AllLimited && m_context.service->engine);
+    if (lacksReplica)
         m_state.recordWaitingRequest(m_context.metadata.model, m_context.metadata.adapter);
     if (!input.serverChoice.adapterReplicaServer.isEmpty())
         m_state.proposeAdapterReplica(input.serverChoice.adapterReplicaServer,
@@ -92,6 +110,10 @@
     const AdmissionDecision decision = m_state.admissionPolicy.decide(input, m_state.random());
     switch (decision.action) {
     case AdmissionDecision::Action::Send:
+        if (input.serverChoice.needsPermit) {
+            enqueue();
+            return false;
+        }
         send(input.serverChoice);
         return true;
     case AdmissionDecision::Action::Wait:
@@ -162,6 +184,8 @@
     server->ownWork.requestsInFlight += 1;
     server->ownWork.prefillTokens += choice.prefillTokens;
     server->ownWork.kvCacheTokens += choice.kvCacheTokens;
+    if (server->isLimited())
+        m_attempt->permitUntil = server->permits.take(now);
     m_excludedUntil[choice.server] = Instant::max();
     m_firstByteTimedOut = false;
 
@@ -180,6 +204,7 @@
                 {"expected_ms", choice.expectedTimeToFirstByte},
                 {"prefill", choice.prefillTokens},
                 {"running", server->totalWork().requestsInFlight},
+                {"limited", server->isLimited() ? 1 : 0},
                 {"config", m_context.config->version},
                 {"attempt", m_sentAttempts + 1}});
 
@@ -196,12 +221,15 @@
                                 m_request.method == "HEAD", std::move(hooks));
 }
 
-// The server may have left, or asked for a pause, while the connection was being established.
+// The server may have left, asked for a pause or stated a limit while the connection was being
+// established, or that took longer than the permit is valid.
 bool RequestHandler::mayStillSend() const
 {
     const ServerState *server = m_attempt ? m_state.servers.find(m_attempt->server) : nullptr;
+    const Instant now = steadyNow();
     return server && server->listed.incarnation == m_attempt->incarnation
-        && !server->listed.isLeaving && !server->isPaused(steadyNow());
+        && !server->listed.isLeaving && !server->isPaused(now)
+        && (!server->isLimited() || now < m_attempt->permitUntil);
 }
 
 // The stated length of a response may be any number, but nobody waits longer than the deadline.
@@ -444,6 +472,8 @@
                 {"age_ms", age()}});
     Metrics::incrementCounter("attempts_broken", {{"end", exchangeOutcomeText(outcome)}});
     if (outcome == ExchangeOutcome::NotSent) {
+        if (wasWithheld)
+            m_excludedUntil.erase(name);
         releaseAttempt();
         if (remainingTime(now) < minTimeForRetry)
             refuse(503, "unreachable", age());
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -24,6 +24,7 @@
 
 private:
     bool dispatch();
+    ServerChoice chooseServer(Instant now);
     void enqueue();
     void send(const ServerChoice &choice);
     bool mayStillSend() const;
@@ -67,6 +68,7 @@
     std::map<ServerName, Instant> m_excludedUntil; // servers not to be tried before that time
     int m_sentAttempts = 0; // attempts that reached a server
     int m_possibleRuns = 0; // attempts that a server may have executed
+    RequestPermits::Number m_permitNumber = 0; // of the latest permit requested for this request
     bool m_isWaiting = false;
     bool m_isStreaming = false; // the header of a stream was sent to the caller
     bool m_isFinished = false;
--- a/src/Serving/Placement/EngineTracker.cpp
+++ b/src/Serving/Placement/EngineTracker.cpp
@@ -31,6 +31,9 @@
 // A running order is given up this long after its expected end, whatever status reports say.
 constexpr Duration maxOverrun = std::chrono::seconds(8);
 
+// After a request without a permit, an engine's limit counts as insufficient for this long.
+constexpr Duration overDemandRetention = std::chrono::seconds(3);
+
 } // namespace
 
 const char *orderOutcomeText(OrderOutcome outcome)
@@ -54,6 +57,12 @@
     return "unknown";
 }
 
+bool EngineTracker::servesDemand(Instant now) const
+{
+    return !m_listed.isLeaving
+        && (!m_overDemandedAt || now - *m_overDemandedAt >= overDemandRetention);
+}
+
 EngineTracker::EngineTracker(const ListedServer &listed, std::shared_ptr<const EngineSpec> spec)
     : m_listed(listed), m_spec(std::move(spec)), m_loadedModels(listed.loadedModels),
       m_locallyStoredModels(listed.locallyStoredModels)
--- a/src/Serving/Placement/EngineTracker.h
+++ b/src/Serving/Placement/EngineTracker.h
@@ -37,6 +37,11 @@
     void updateListed(const ListedServer &listed);
     /// Sends nothing to the engine before \a until, as it has asked for a pause.
     void setPausedUntil(Instant until) { m_pausedUntil = until; }
+    /// Records that the engine's request limit left requests without a permit.
+    void recordOverDemand(Instant now) { m_overDemandedAt = now; }
+    /// Returns whether replicas on this engine serve all requests for them: it isn't leaving, and
+    /// its request limit has lately been sufficient.
+    bool servesDemand(Instant now) const;
     void setSpec(std::shared_ptr<const EngineSpec> spec) { m_spec = std::move(spec); }
     /// Applies a status that was requested at \a askedAt.
     void onStatus(const EngineStatus &status, Instant askedAt, Instant now);
@@ -117,6 +122,7 @@
     Instant m_retryAt;
     Instant m_orderAcceptedAt; // of the last order
     Instant m_pausedUntil;
+    std::optional<Instant> m_overDemandedAt;
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/Placement/PlacementLease.cpp
+++ b/src/Serving/Placement/PlacementLease.cpp
@@ -161,6 +161,12 @@
     m_confirmedRenewalSentAt.reset();
 }
 
+bool PlacementLease::isSoleHolder(Instant now) const
+{
+    return !m_resigned && m_confirmedRenewalSentAt
+        && now - *m_confirmedRenewalSentAt < m_settings.validity + m_settings.holderChangeInterval;
+}
+
 bool PlacementLease::mayOrderEngines(Instant now) const
 {
     return !m_resigned && m_confirmedRenewalSentAt
--- a/src/Serving/Placement/PlacementLease.h
+++ b/src/Serving/Placement/PlacementLease.h
@@ -71,6 +71,9 @@
     void onHolderRenewal(const LeaseRow &row, Instant now);
 
     bool mayOrderEngines(Instant now) const;
+    /// Returns whether no other gateway can have taken over the lease yet, although this one may
+    /// send no more orders.
+    bool isSoleHolder(Instant now) const;
     FencingToken fencingToken() const { return m_row.fencingToken; }
     const LeaseRow &row() const { return m_row; }
     /// Gives up the lease: sends no more orders and lets the row expire.
--- a/src/Serving/Placement/ReplicaController.cpp
+++ b/src/Serving/Placement/ReplicaController.cpp
@@ -111,6 +111,18 @@
     end = std::max(end, until);
 }
 
+void ReplicaController::setPausedUntil(const ServerName &server, Instant until)
+{
+    if (EngineTracker *engine = findEngine(server))
+        engine->setPausedUntil(until);
+}
+
+void ReplicaController::recordOverDemand(const ServerName &server, Instant now)
+{
+    if (EngineTracker *engine = findEngine(server))
+        engine->recordOverDemand(now);
+}
+
 ReplicaController::Actions ReplicaController::nextActions(Instant now, bool isNewHolder)
 {
     Actions actions;
@@ -132,7 +144,7 @@
         const EngineSpec &spec = *service.engine;
         auto &loadLimiter = m_loadRateLimiters[name];
         if (isNewHolder) {
-            loadLimiter = LoadRateLimiter();
+            loadLimiter = RateLimiter();
             for (auto &[id, engine] : enginesOf(name))
                 engine.resetOrderState();
         }
@@ -178,20 +190,33 @@
         const AdapterKey &key = waiting.first;
         if (key.second.isEmpty() || spec.models.count(key.first) == 0)
             continue;
-        const bool isAvailable
-            = std::any_of(engines.begin(), engines.end(), [&](const auto &entry) {
-                  return entry.second.isLoading(key.first, key.second)
-                      || (entry.second.hasLoaded(key.first, key.second)
-                          && !entry.second.listed().isLeaving);
-              });
+        const auto countEngines = [&engines](const auto &matches) {
+            return std::count_if(engines.begin(), engines.end(),
+                                 [&](const auto &entry) { return matches(entry.second); });
+        };
+        // An engine whose request limit is used up is sufficient only if no other has the model.
+        const bool hasSufficientEngine
+            = countEngines([&](const EngineTracker &engine) {
+                  return engine.servesDemand(now) && engine.hasLoaded(key.first, {});
+              })
+            > 0;
+        const auto isUsable = [&](const EngineTracker &engine) {
+            return hasSufficientEngine ? engine.servesDemand(now) : !engine.listed().isLeaving;
+        };
+        const bool isAvailable = countEngines([&](const EngineTracker &engine) {
+                                     return isUsable(engine)
+                                         && (engine.isLoading(key.first, key.second)
+                                             || engine.hasLoaded(key.first, key.second));
+                                 })
+            > 0;
         if (!isAvailable)
-            planAdapterLoad(key, engines, actions, now);
+            planAdapterLoad(key, engines, isUsable, actions, now);
     }
 }
 
 void ReplicaController::planAdapterLoad(const AdapterKey &key,
                                         const ReplicaPlanner::EngineTrackers &engines,
-                                        Actions &actions, Instant now)
+                                        const EngineFilter &isUsable, Actions &actions, Instant now)
 {
     ServerName bestServer;
     AdapterKey bestVictim;
@@ -199,8 +224,7 @@
     int bestCount = 0;
     Instant bestUse;
     for (const auto &[id, engine] : engines) {
-        if (engine.listed().isLeaving || !engine.isReadyForOrder(now)
-            || !engine.hasLoaded(key.first, {}))
+        if (!isUsable(engine) || !engine.isReadyForOrder(now) || !engine.hasLoaded(key.first, {}))
             continue;
         const auto invalid = m_invalidOrders.find({id, key});
         if (invalid != m_invalidOrders.end() && now - invalid->second < invalidOrderRetryDelay)
@@ -316,7 +340,7 @@
     for (int i = 0; i < maxChangesPerPlan; ++i) {
         const auto change
             = m_planner.planNextChange({spec, engines, demand, m_pendingLoads, missing,
-                                        withWaitingRequests, loadLimiter.canStartLoad(now), now});
+                                        withWaitingRequests, loadLimiter.canAcquire(now), now});
         if (!change)
             return;
         // A model is unloaded only for a load that may start at once.
@@ -365,7 +389,7 @@
     std::set<ModelName> replicated;
     std::set<ModelName> storedLocally;
     for (const auto &[id, engine] : engines) {
-        if (engine.listed().isLeaving)
+        if (!engine.servesDemand(now))
             continue;
         storedLocally.insert(engine.locallyStoredModels().begin(),
                              engine.locallyStoredModels().end());
--- a/src/Serving/Placement/ReplicaController.h
+++ b/src/Serving/Placement/ReplicaController.h
@@ -1,10 +1,12 @@
 #ifndef QUETZALYOKE_SERVING_PLACEMENT_REPLICACONTROLLER_H
 #define QUETZALYOKE_SERVING_PLACEMENT_REPLICACONTROLLER_H
 
-#include "Serving/Placement/LoadRateLimiter.h"
 #include "Serving/Placement/ReplicaPlanner.h"
+#include "Serving/Requests/RateLimiter.h"
 #include "Serving/Servers/ServerDirectory.h"
 
+#include <functional>
+
 namespace quetzalyoke {
 
 /// \brief Decides which orders engines get: replicas of models by demand, adapters by request.
@@ -59,6 +61,12 @@
     void recordAdapterUse(const ServerName &server, const ModelName &model,
                           const AdapterName &adapter, Instant until);
 
+    /// Sends nothing to the engine \a server before \a until.
+    void setPausedUntil(const ServerName &server, Instant until);
+    /// Records that the request limit of \a server left requests without a permit. Its replicas are
+    /// then not sufficient.
+    void recordOverDemand(const ServerName &server, Instant now);
+
     /// Returns the orders and status requests that the lease holder is to send now.
     /// \a isNewHolder says that this gateway has just become the holder.
     Actions nextActions(Instant now, bool isNewHolder);
@@ -81,8 +89,9 @@
 
     void planMissingAdapters(const ServiceName &service, const EngineSpec &spec, Actions &actions,
                              Instant now);
+    using EngineFilter = std::function<bool(const EngineTracker &)>;
     void planAdapterLoad(const AdapterKey &key, const ReplicaPlanner::EngineTrackers &engines,
-                         Actions &actions, Instant now);
+                         const EngineFilter &isUsable, Actions &actions, Instant now);
     std::optional<std::pair<AdapterKey, Instant>>
     leastRecentlyUsedAdapter(const EngineTracker &engine, Instant now) const;
     void planAdapterReplicas(const ServiceName &service, Actions &actions, Instant now);
@@ -109,7 +118,7 @@
     ServingConfigPtr m_config;
     std::map<ServiceName, ReplicaPlanner::EngineTrackers> m_engines;
     std::map<ServerName, ServiceName> m_serviceByServer;
-    std::map<ServiceName, LoadRateLimiter> m_loadRateLimiters;
+    std::map<ServiceName, RateLimiter> m_loadRateLimiters;
     std::map<ModelName, PromptTokenRate> m_promptTokenRates;
     std::map<AdapterKey, Instant> m_waitingRequests;
     std::map<AdapterKey, std::pair<ServerName, Instant>>
--- a/src/Serving/Placement/ReplicaPlanner.cpp
+++ b/src/Serving/Placement/ReplicaPlanner.cpp
@@ -21,7 +21,7 @@
     for (const auto &[model, entry] : input.spec.models)
         counts[model];
     for (const auto &[id, engine] : input.engines) {
-        if (engine.listed().isLeaving)
+        if (!engine.servesDemand(input.now))
             continue;
         for (const auto &[model, adapters] : engine.loadedModels()) {
             const auto n = counts.find(model);
@@ -101,7 +101,7 @@
         bestCost = cost;
     };
     for (const auto &[id, engine] : input.engines) {
-        if (engine.listed().isLeaving || !engine.isReadyForOrder(input.now)
+        if (!engine.servesDemand(input.now) || !engine.isReadyForOrder(input.now)
             || engine.hasLoaded(model, {}) || input.pendingLoads.count(id) > 0)
             continue;
         const bool isFetch = !engine.isStoredLocally(model);
--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -71,7 +71,13 @@
         return waitOrRefuse(
             input, maxWaitTime(input, scaled(objective, m_settings.adapterWaitShareOfObjective)),
             objective, spread);
-    case ServerChoice::Outcome::AllPaused: {
+    case ServerChoice::Outcome::AllPaused:
+    case ServerChoice::Outcome::AllLimited: {
+        // An adapter is loaded on another server within milliseconds.
+        if (!input.serverChoice.adapterReplicaServer.isEmpty()
+            && input.waited < scaled(objective, m_settings.adapterWaitShareOfObjective))
+            return waitOrRefuse(input, scaled(objective, m_settings.adapterWaitShareOfObjective),
+                                objective, spread);
         // Waiting is useful only if a server resumes while the response can still be in time.
         const Duration maxWait = scaled(objective, m_settings.serverWaitShareOfObjective);
         const bool resumesInTime = input.waited + input.serverChoice.timeUntilResume <= maxWait;
--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -62,6 +62,8 @@
         return "full";
     case ServerChoice::Outcome::AllPaused:
         return "paused";
+    case ServerChoice::Outcome::AllLimited:
+        return "limited";
     }
     return "unknown";
 }
@@ -80,7 +82,10 @@
     bool anyModel = false;
     bool anyAdapter = false;
     bool anyFull = false;
-    std::optional<Instant> pauseEnd;
+    bool anyLimited = false;
+    std::optional<Instant> resumeAt;
+    const auto addResumeTime
+        = [&resumeAt](Instant at) { resumeAt = std::min(resumeAt.value_or(at), at); };
     for (const ServerState *state : servers) {
         if (!acceptsRequest(request, *state))
             continue;
@@ -91,10 +96,18 @@
         if (state->health.isAvoided(now))
             continue;
         if (state->isPaused(now)) {
-            pauseEnd = std::min(pauseEnd.value_or(state->pausedUntil), state->pausedUntil);
+            addResumeTime(state->pausedUntil);
+            continue;
+        }
+        const auto permits = state->isLimited() ? state->permits.availability(now)
+                                                : RequestPermits::Availability::Available;
+        if (permits == RequestPermits::Availability::Exhausted) {
+            anyLimited = true;
+            addResumeTime(state->permits.exhaustedUntil());
             continue;
         }
         Candidate candidate = evaluate(request, *state, now);
+        candidate.needsPermit = permits == RequestPermits::Availability::Requestable;
         if (isFull(request, *state, candidate, now)) {
             anyFull = true;
             continue;
@@ -125,6 +138,7 @@
         choice.expectedTimeToFirstByte = best.expectedTimeToFirstByte;
         choice.prefillTokens = best.prefillTokens;
         choice.kvCacheTokens = best.kvCacheTokens;
+        choice.needsPermit = best.needsPermit;
         return choice;
     }
     const ServerDirectory::ServerSet &all = directory.serversOfService(request.service->name);
@@ -140,9 +154,10 @@
               });
     } else if (needsModel && !anyAdapter)
         choice.outcome = ServerChoice::Outcome::NoAdapter;
-    else if (pauseEnd && !anyFull) {
-        choice.outcome = ServerChoice::Outcome::AllPaused;
-        choice.timeUntilResume = *pauseEnd - now;
+    else if (resumeAt && !anyFull) {
+        choice.outcome
+            = anyLimited ? ServerChoice::Outcome::AllLimited : ServerChoice::Outcome::AllPaused;
+        choice.timeUntilResume = *resumeAt - now;
     } else
         choice.outcome = ServerChoice::Outcome::AllFull;
     return choice;
@@ -156,6 +171,7 @@
     Candidate fastest;
     for (const ServerState *state : servers) {
         if (!acceptsRequest(request, *state) || state->health.isAvoided(now) || state->isPaused(now)
+            || state->isLimited()
             || state->hasLoaded(request.metadata->model, request.metadata->adapter))
             continue;
         const Candidate candidate = evaluate(request, *state, now);
--- a/src/Serving/Servers/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -28,13 +28,16 @@
         NoAdapter, ///< Servers have the model loaded, but none has the adapter.
         AllFull, ///< Every server that could run the request is full.
         AllPaused, ///< Every server that could run the request asked for a pause.
+        AllLimited, ///< The request limit of every server that could run the request is used up.
     };
 
     Outcome outcome = Outcome::NoServer;
     bool isModelStoredLocally
         = false; ///< With NoModel: a server could load the model from its own disk.
     ServerName server;
-    Duration timeUntilResume{0}; ///< Time until the first paused server accepts requests again.
+    bool needsPermit = false; ///< The server may get the request only with a permit.
+    /// Time until the first paused or limited server may accept requests again.
+    Duration timeUntilResume{0};
     Duration expectedTimeToFirstByte{0}; ///< Until the first byte of the response.
     std::int64_t prefillTokens = 0; ///< Prompt tokens that the server has to process.
     std::int64_t kvCacheTokens = 0;
@@ -92,6 +95,7 @@
         Duration expectedTimeToFirstByte{0};
         std::int64_t prefillTokens = 0;
         std::int64_t kvCacheTokens = 0;
+        bool needsPermit = false;
     };
 
     struct MeanFailureShare
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -81,6 +81,7 @@
         state.pausedUntil = Instant();
         state.peerPausedUntil = Instant();
         state.requestLimit = StatedRequestLimit();
+        state.permits = RequestPermits();
         clearPeerWork(serverHash(server.id));
     }
     setListed(state, server);
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_SERVING_SERVERS_SERVERDIRECTORY_H
 
 #include "Serving/Servers/BackendServer.h"
+#include "Serving/Servers/RequestPermits.h"
 #include "Serving/Servers/ServerHealth.h"
 #include "Serving/Servers/ServerLoadEstimator.h"
 #include "Serving/Servers/StatedRequestLimit.h"
@@ -49,6 +50,7 @@
     Instant pausedUntil; ///< End of the pause that it asked this gateway for.
     Instant peerPausedUntil; ///< End of the pause that it asked other gateways for.
     StatedRequestLimit requestLimit;
+    RequestPermits permits; ///< Needed while there is a request limit.
 
     /// Returns the work of all gateways.
     ServerWork totalWork() const;
@@ -57,6 +59,7 @@
     /// and the requests of this gateway.
     double estimatedRequests(Instant now) const;
     bool isPaused(Instant now) const { return now < pausedUntil; }
+    bool isLimited() const { return requestLimit.limit().has_value(); }
 };
 
 /// \brief A server that said it is leaving, which its entry in the list doesn't show yet.
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -66,6 +66,25 @@
     2: i64 incarnation,
     3: bool leaving,
     4: i32 pauseMs,               // that the server asked the sender for, what is left of it
+    5: i64 limitVersion,          // above zero: the server has stated a request limit; see
+                                  // StatedRequestLimit
+    6: optional double requestsPerSecond, // the limit; absent: it has ended
+}
+
+// Asks the lease holder for a permit to send one request to a server with a request limit.
+struct PeerPermitRequest {
+    1: string server,
+    2: i64 incarnation,
+    3: i64 number,                // of the sender's requests; repeated by the reply
+    4: double requestsPerSecond,  // the limit that the sender knows
+    5: i64 limitVersion,
+}
+
+struct PeerPermitReply {
+    1: string server,
+    2: i64 number,
+    3: bool isGranted,
+    4: i32 retryAfterMs,          // if it is not granted
 }
 
 struct PeerNews {
@@ -92,4 +111,6 @@
     15: list<PeerCrash> crashes,
     22: list<PeerServerSignal> serverSignals,
     21: optional PeerSpending spending,   // then the message holds nothing else
+    23: optional PeerPermitRequest permitRequest, // then the message holds nothing else
+    24: optional PeerPermitReply permitReply,     // then the message holds nothing else
 }
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -358,3 +358,28 @@
     EXPECT_GT(refused, 0);
     EXPECT_GT(waited, 0);
 }
+
+// Load pattern: the only server that has the model states a request limit, which is used up for a
+// time.
+TEST(AdmissionPolicyTest, refusesAtOnceIfARequestLimitIsUsedUpForLong)
+{
+    Site site;
+    site.addServer("engine-0");
+    const RequestMetadata metadata = site.makeRequest(100);
+    const auto decide = [&](Duration untilPermit) {
+        ServerState &server = *site.directory.find(ServerName("engine-0"));
+        server.requestLimit.recordResponse(RequestRate(0.2), start, start);
+        server.permits = RequestPermits();
+        server.permits.recordRequest(1, start);
+        server.permits.onDenied(1, untilPermit, start);
+        const AdmissionInput input{&site.route, &site.service,
+                                   &metadata,   site.choose(metadata, {}, start),
+                                   Duration(0), 5s};
+        return site.policy.decide(input, 0);
+    };
+    const AdmissionDecision refusal = decide(4s);
+    EXPECT_EQ(refusal.action, AdmissionDecision::Action::Refuse);
+    EXPECT_STREQ(refusal.reason, "limited");
+    EXPECT_GE(refusal.retryAfter, Duration(4s));
+    EXPECT_EQ(decide(50ms).action, AdmissionDecision::Action::Wait);
+}
--- a/test/PlacementLeaseTest.cpp
+++ b/test/PlacementLeaseTest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <random>
@@ -181,6 +182,13 @@
                         gateway.call = call;
                     }
                 }
+                if (gateway.lease->isSoleHolder(now)) {
+                    const auto soleHolders
+                        = std::count_if(fleet.begin(), fleet.end(), [now](const Gateway &it) {
+                              return it.lease->isSoleHolder(now);
+                          });
+                    ASSERT_EQ(soleHolders, 1) << "seed " << seed;
+                }
                 if (!gateway.lease->mayOrderEngines(now))
                     continue;
                 const FencingToken fencing = gateway.lease->fencingToken();
--- a/test/ReplicaPlannerTest.cpp
+++ b/test/ReplicaPlannerTest.cpp
@@ -67,6 +67,11 @@
         m_controller.setServers(m_directory);
     }
 
+    void recordOverDemand(int engine, Instant now)
+    {
+        m_controller.recordOverDemand(ServerName("engine-" + std::to_string(engine)), now);
+    }
+
     void setDemand(int i, std::int64_t tokensPerStep) { m_demand[i] = tokensPerStep; }
     void addWaitingRequest(int i, Instant now)
     {
@@ -369,6 +374,47 @@
     EXPECT_FALSE(fleet.overfull);
 }
 
+// Load pattern: an engine states a request limit that is far below the requests for its models, of
+// which it has the only replicas.
+TEST(ReplicaControllerTest, replacesTheReplicasOfAnEngineWhoseRequestLimitIsUsedUp)
+{
+    Fleet fleet(4, 9);
+    Instant now = start;
+    for (; now < start + 8s; now += stepInterval) {
+        fleet.recordOverDemand(1, now);
+        for (int i = 3; i < 6; ++i)
+            fleet.addWaitingRequest(i, now);
+        fleet.step(now);
+    }
+    for (int i = 3; i < 6; ++i) {
+        EXPECT_TRUE(fleet.engineHasModel(1, i)) << i;
+        EXPECT_GE(fleet.replicas(i), 2) << i;
+    }
+    EXPECT_FALSE(fleet.overfull);
+    EXPECT_FALSE(fleet.lostLastReplica);
+}
+
+// Load pattern: requests for an adapter that only an engine whose request limit is used up has
+// loaded, while another engine has the model.
+TEST(ReplicaControllerTest, loadsAnAdapterBesideAnEngineWhoseRequestLimitIsUsedUp)
+{
+    Fleet fleet(2, 3);
+    const AdapterName wanted("a1");
+    Instant now = start;
+    for (; now < start + 1s; now += 10ms) {
+        fleet.addWaitingRequestForAdapter(0, wanted, now);
+        fleet.step(now);
+    }
+    const int limited = fleet.engineHasAdapter(0, 0, wanted) ? 0 : 1;
+    ASSERT_FALSE(fleet.engineHasAdapter(1 - limited, 0, wanted));
+    for (const Instant until = now + 200ms; now < until; now += 10ms) {
+        fleet.recordOverDemand(limited, now);
+        fleet.addWaitingRequestForAdapter(0, wanted, now);
+        fleet.step(now);
+    }
+    EXPECT_TRUE(fleet.engineHasAdapter(1 - limited, 0, wanted));
+}
+
 namespace {
 
 AdapterName adapter(int i)
--- a/test/ServerChooserTest.cpp
+++ b/test/ServerChooserTest.cpp
@@ -94,6 +94,34 @@
     EXPECT_EQ(fleet.choose().server, ServerName("engine-2"));
 }
 
+TEST(ServerChooserTest, choosesAnotherServerOrNoneWhileARequestLimitIsUsedUp)
+{
+    Fleet fleet;
+    fleet.addEngines({"engine-1", "engine-2"});
+    fleet.directory.find(ServerName("engine-2"))->ownWork = {1, 20'000, 20'000};
+    ServerState &limited = *fleet.directory.find(ServerName("engine-1"));
+    limited.requestLimit.recordResponse(RequestRate(1), start, start);
+    ServerChoice choice = fleet.choose();
+    EXPECT_EQ(choice.server, ServerName("engine-1"));
+    EXPECT_TRUE(choice.needsPermit);
+    limited.permits.recordRequest(1, start);
+    limited.permits.onGranted(1, start);
+    choice = fleet.choose();
+    EXPECT_EQ(choice.server, ServerName("engine-1"));
+    EXPECT_FALSE(choice.needsPermit);
+    limited.permits.take(start);
+    limited.permits.recordRequest(2, start);
+    limited.permits.onDenied(2, 800ms, start);
+    choice = fleet.choose();
+    EXPECT_EQ(choice.server, ServerName("engine-2"));
+    EXPECT_FALSE(choice.needsPermit);
+    choice = fleet.choose({ServerName("engine-2")});
+    EXPECT_EQ(choice.outcome, ServerChoice::Outcome::AllLimited);
+    EXPECT_EQ(choice.timeUntilResume, Duration(800ms));
+    limited.requestLimit.recordResponse({}, start + 1ms, start + 2ms);
+    EXPECT_EQ(fleet.choose().server, ServerName("engine-1"));
+}
+
 // The servers of a model must be found without a search through all servers.
 TEST(ServerChooserTest, takesMicrosecondsAtElevenThousandServers)
 {
--- a/test/soak/PlatformServerStandIn.cpp
+++ b/test/soak/PlatformServerStandIn.cpp
@@ -143,6 +143,7 @@
     m_sessions.push_back(session);
     std::erase_if(m_sessions, [](const auto &other) { return !other->isHandlingRequest(); });
     if (request.target == "/report") {
+        m_checks.onStatusRequest(m_settings.id);
         session->sendResponse(200, "", report());
         return;
     }
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -208,6 +208,7 @@
 void SoakChecks::onOrder(const std::string &server, const std::string &holder, std::int64_t fencing)
 {
     const Instant now = steadyNow();
+    checkRequestLimit(server, holder);
     const auto it = m_lastOrders.find(server);
     if (it != m_lastOrders.end()) {
         const LastOrder &last = it->second;
@@ -220,6 +221,14 @@
     m_lastOrders[server] = {holder, fencing, now};
 }
 
+// Only the gateway that sends a server its orders asks for its status.
+void SoakChecks::onStatusRequest(const std::string &server)
+{
+    const auto last = m_lastOrders.find(server);
+    if (last != m_lastOrders.end())
+        checkRequestLimit(server, last->second.holder);
+}
+
 void SoakChecks::onModelLoad()
 {
     const Instant now = steadyNow();
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -60,6 +60,7 @@
     void onRun(const std::string &server, const std::string &id, const std::string &account,
                const std::string &key, const std::string &body);
     void onOrder(const std::string &server, const std::string &holder, std::int64_t fencing);
+    void onStatusRequest(const std::string &server);
     void onModelLoad();
     void onMemoryAllocated(const std::string &server, std::size_t models, int modelSlots,
                            std::size_t adapters, int adapterSlots);
