Retry budgets of all gateways stay within the bound when they restart, and allow retries at hundreds

Now a budget starts empty, and less than one retry is taken as a whole with that probability. The product's own gateway keeps its reserve, which is its own and not a part of a sum.

--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -390,7 +390,7 @@
         refuse(503, "turned_down", age());
         return;
     }
-    if (!m_state.retryBudget(m_context.service->name).tryConsumeRetry()) {
+    if (!m_state.retryBudget(m_context.service->name).tryConsumeRetry(m_state.random())) {
         refuse(503, "retry_budget", m_context.route->latencyObjective);
         return;
     }
@@ -514,7 +514,7 @@
 
 bool RequestHandler::tryConsumeRetry()
 {
-    if (m_state.retryBudget(m_context.service->name).tryConsumeRetry())
+    if (m_state.retryBudget(m_context.service->name).tryConsumeRetry(m_state.random()))
         return true;
     Metrics::incrementCounter("retry_budget_spent");
     return false;
--- a/src/Apps/Gateway/RequestForwarder.cpp
+++ b/src/Apps/Gateway/RequestForwarder.cpp
@@ -15,6 +15,8 @@
 constexpr int attemptIdBytes = 12;
 constexpr double retriesPerRequest = 0.1;
 constexpr double retryReserve = 20;
+// Takes a retry only if a whole one is left; the reserve is this gateway's own.
+constexpr double wholeRetry = 0.99;
 
 RunState runStateFrom(wire::RunState::type state)
 {
@@ -211,7 +213,7 @@
 RequestForwarder::RequestForwarder(const GatewaySettings &settings, AgentRegistry &agentRegistry,
                                    SharedCrashingRequestTracker &crashes)
     : m_settings(settings), m_agentRegistry(agentRegistry), m_crashes(crashes),
-      m_retryBudget(retriesPerRequest, retryReserve)
+      m_retryBudget(retriesPerRequest, retryReserve, retryReserve)
 { }
 
 AttemptId RequestForwarder::newAttemptId() const
@@ -240,7 +242,7 @@
 bool RequestForwarder::consumeRetry()
 {
     const std::lock_guard lock(m_mutex);
-    const bool consumed = m_retryBudget.tryConsumeRetry();
+    const bool consumed = m_retryBudget.tryConsumeRetry(wholeRetry);
     Metrics::incrementCounter(consumed ? "retries_total" : "retries_denied_total");
     return consumed;
 }
--- a/src/Core/Requests/RetryBudget.h
+++ b/src/Core/Requests/RetryBudget.h
@@ -9,10 +9,11 @@
 class RetryBudget
 {
 public:
-    /// Each request adds \a retriesPerRequest to the budget, which holds at most \a reserve retries
-    /// and starts full.
-    RetryBudget(double retriesPerRequest, double reserve)
-        : m_retriesPerRequest(retriesPerRequest), m_reserve(reserve), m_available(reserve)
+    /// Each request adds \a retriesPerRequest to the budget, which holds at most \a reserve
+    /// retries. It starts with \a available retries: none if an earlier incarnation may have just
+    /// used the reserve.
+    RetryBudget(double retriesPerRequest, double reserve, double available = 0)
+        : m_retriesPerRequest(retriesPerRequest), m_reserve(reserve), m_available(available)
     { }
 
     /// Changes the maximum number of retries in the budget.
@@ -21,13 +22,14 @@
         m_reserve = reserve;
         m_available = std::min(m_available, reserve);
     }
-    /// Adds one request's part to the budget.
-    void onRequest() { m_available = std::min(m_reserve, m_available + m_retriesPerRequest); }
+    /// Adds one request's part to the budget. It is kept even if the reserve is smaller.
+    void onRequest() { m_available = std::min(m_reserve, m_available) + m_retriesPerRequest; }
 
-    /// Takes one retry from the budget. Returns false if less than one is left.
-    bool tryConsumeRetry()
+    /// Takes one retry from the budget. Less than one retry is taken as a whole with that
+    /// probability, by a \a random number in [0, 1): one of hundreds of gateways never holds more.
+    bool tryConsumeRetry(double random)
     {
-        if (m_available < 1)
+        if (random >= m_available)
             return false;
         m_available -= 1;
         return true;
@@ -36,7 +38,7 @@
 private:
     double m_retriesPerRequest;
     double m_reserve;
-    double m_available;
+    double m_available; // negative after a retry that was more than the rest
 };
 
 } // namespace quetzalyoke
--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -186,6 +186,7 @@
                           + " requests served after the faults");
         std::cout << "served " << m_checks.served << ", refused " << m_checks.refused << ", runs "
                   << m_checks.runs << ", after recovery " << served << " of " << m_measuredRequests
+                  << ", used share of request limits " << m_checks.usedShareOfRequestLimits()
                   << std::endl;
         for (const auto &gateway : m_gateways)
             gateway->process->sendSignal(SIGKILL);
@@ -650,7 +651,7 @@
     int seconds = 12;
     app.add_option("--programs", programs, "folder of the programs")->required();
     app.add_option("--seed", seed, "seed of the random choices; 0: a random seed");
-    app.add_option("--gateways", gateways, "number of entry gateways")->check(CLI::Range(1, 100));
+    app.add_option("--gateways", gateways, "number of entry gateways")->check(CLI::Range(1, 300));
     app.add_option("--seconds", seconds, "duration of the fault phase")->check(CLI::Range(1, 3600));
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -147,13 +147,24 @@
 {
     const Instant now = steadyNow();
     RequestLimit &limit
-        = m_requestLimits.try_emplace(server, RequestLimit{now, {}, {}, {}}).first->second;
+        = m_requestLimits.try_emplace(server, RequestLimit{now, {}, {}, {}, 0, 0, now})
+              .first->second;
+    const double last = limit.statements.empty() ? perSecond : limit.statements.back().second;
+    limit.allowedRequests += last * toSeconds(now - limit.allowedUntil);
+    limit.allowedUntil = now;
     limit.statements.emplace_back(now, perSecond);
 }
 
 void SoakChecks::onRequestLimitEnded(const std::string &server)
 {
-    m_requestLimits.erase(server);
+    const auto it = m_requestLimits.find(server);
+    if (it == m_requestLimits.end())
+        return;
+    const RequestLimit &limit = it->second;
+    m_limitedRequests += limit.requests;
+    m_allowedRequests += limit.allowedRequests
+        + limit.statements.back().second * toSeconds(steadyNow() - limit.allowedUntil);
+    m_requestLimits.erase(it);
 }
 
 void SoakChecks::onServerLinkFault(const std::string &server)
@@ -180,6 +191,7 @@
     RequestLimit &limit = it->second;
     const Instant now = steadyNow();
     limit.arrivals.emplace_back(now, gateway);
+    ++limit.requests;
     while (limit.arrivals.front().first + requestLimitWindow <= now)
         limit.arrivals.pop_front();
     // The latest statement before the window is in force at its beginning.
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -78,6 +78,9 @@
     void fail(const std::string &what);
     const std::vector<std::string> &failures() const { return m_failures; }
 
+    /// Returns how much of the stated request limits was used, for limits that have ended.
+    double usedShareOfRequestLimits() const { return m_limitedRequests / m_allowedRequests; }
+
     int served = 0;
     int refused = 0;
     int runs = 0;
@@ -104,10 +107,13 @@
 
     struct RequestLimit
     {
-        Instant statedSince;
+        Instant statedSince; // or the end of the last fault of the server's link
         std::deque<std::pair<Instant, double>> statements; // of the last window, per second
         std::deque<std::pair<Instant, std::string>> arrivals; // of the last window, by gateway
         std::map<std::string, Instant> passedOnAt; // first by each gateway since its last fault
+        int requests = 0; // since the first statement
+        double allowedRequests = 0; // until allowedUntil
+        Instant allowedUntil;
     };
 
     void checkRequestLimit(const std::string &server, const std::string &gateway);
@@ -120,6 +126,8 @@
     std::map<std::string, Instant> m_leavingSince;
     std::map<std::string, Instant> m_gatewayFaultAt;
     std::map<std::string, RequestLimit> m_requestLimits; // of the servers that state one
+    double m_limitedRequests = 0;
+    double m_allowedRequests = 0;
     Instant m_fleetFaultAt;
     std::optional<Instant> m_plannedStopsSince;
     std::deque<Instant> m_loads;
