Requests from just before a server's limit began count towards it

Each gateway keeps the times of its latest requests to a server, reports those of the last 1.2 s when it learns of a limit, and the issuer pays back what exceeds 2.5 s at the limit and 3 requests before it issues permits. Tried first: a part of the limit for three seconds, which idles servers that were not overrun and is too much for others. Reports with permit requests alone were not enough: of 300 gateways few ask again within three seconds.

Only a success ends a limit now: an error response may come from elsewhere than the part of the server that states limits.

--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -141,7 +141,7 @@
     const bool wasLimited = known->isLimited();
     if (!known->requestLimit.recordResponse(responseInfo.requestLimit, sentAt, steadyNow()))
         return;
-    logRequestLimit(*known, "answer");
+    onRequestLimitChanged(*known, "answer");
     // Peers learn a changed limit from the next regular message.
     if (wasLimited == known->isLimited())
         return;
@@ -158,7 +158,7 @@
     if (!known || known->listed.incarnation != incarnation
         || !known->requestLimit.applyPeerLimit(limit, version, steadyNow()))
         return;
-    logRequestLimit(*known, peer);
+    onRequestLimitChanged(*known, peer);
 }
 
 RequestPermits::Number EntryState::requestPermit(const ServerName &server)
@@ -171,13 +171,14 @@
 
 void EntryState::useOwnShare(ServerState &server, const char *reason)
 {
-    server.permits.useOwnShare(*server.requestLimit.limit(), m_gateways, random(), steadyNow());
+    const Instant now = steadyNow();
+    server.permits.useOwnShare(*server.requestLimit.limit(), m_gateways, random(), now);
     logNotable("permit_own_share",
                {{"server", server.listed.id}, {"reason", reason}, {"gateways", m_gateways}});
     Metrics::incrementCounter("permits", {{"outcome", "own_share"}});
 }
 
-void EntryState::logRequestLimit(const ServerState &server, const std::string &source)
+void EntryState::onRequestLimitChanged(const ServerState &server, const std::string &source)
 {
     const auto &limit = server.requestLimit.limit();
     std::array<char, 32> text{};
@@ -190,6 +191,8 @@
                 {"limit_version", server.requestLimit.version()},
                 {"source", source}});
     Metrics::incrementCounter("server_signals", {{"signal", limit ? "limited" : "unlimited"}});
+    if (limit && onRequestLimitBegun)
+        onRequestLimitBegun(server.listed.id);
 }
 
 void EntryState::recordAdapterUse(const ServerName &server, const ModelName &model,
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -80,6 +80,8 @@
     /// Requests a permit for a server with a request limit; see PermitExchange.
     RequestPermits::Number requestPermit(const ServerName &server);
     std::function<RequestPermits::Number(const ServerName &server)> onPermitNeeded;
+    /// Called when a server's request limit begins or changes.
+    std::function<void(const ServerName &server)> onRequestLimitBegun;
     /// Lets this gateway use its own share of the limit of \a server for a while.
     void useOwnShare(ServerState &server, const char *reason);
     /// Servers whose request limit has begun or ended since the last message to peers.
@@ -96,7 +98,7 @@
     double retryReserve() const;
     void applyRequestLimit(const ServerName &server, const BackendResponseInfo &responseInfo,
                            Instant sentAt);
-    static void logRequestLimit(const ServerState &server, const std::string &source);
+    void onRequestLimitChanged(const ServerState &server, const std::string &source);
 
     std::size_t m_gateways = 1;
     std::map<ServiceName, RetryBudget> m_retryBudgets;
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -204,9 +204,7 @@
             continue;
         Instant until = server.pausedUntil;
         if (server.isLimited())
-            until = std::max(until,
-                             m_state.permitIssuer.callableAt(id, server.listed.incarnation,
-                                                             *server.requestLimit.limit(), now));
+            until = std::max(until, m_state.permitIssuer.callableAt(server.limitedServer(), now));
         m_state.replicaController.setPausedUntil(id, until);
     }
 }
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -57,6 +57,8 @@
 {
     state.onPermitNeeded
         = [this](const ServerName &server) { return m_permits.requestPermit(server); };
+    state.onRequestLimitBegun
+        = [this](const ServerName &server) { m_permits.reportRecentRequests(server); };
 }
 
 PermitExchange::Hooks PeerNetwork::permitHooks()
--- a/src/Apps/Entry/PermitExchange.cpp
+++ b/src/Apps/Entry/PermitExchange.cpp
@@ -5,18 +5,25 @@
 
 namespace quetzalyoke {
 
+namespace {
+
+// Number of a message that only reports recent requests.
+constexpr RequestPermits::Number reportNumber = 0;
+
+} // namespace
+
 PermitExchange::PermitExchange(EntryState &state, Hooks hooks)
     : m_state(state), m_hooks(std::move(hooks))
 { }
 
-RequestPermitIssuer::Decision PermitExchange::decide(const ServerName &server,
-                                                     Incarnation incarnation, RequestRate limit,
-                                                     Instant now)
+RequestPermitIssuer::Decision
+PermitExchange::decide(const RequestPermitIssuer::LimitedServer &server, const InstanceId &gateway,
+                       int recentRequests, Instant now)
 {
     const RequestPermitIssuer::Decision decision
-        = m_state.permitIssuer.decide(server, incarnation, limit, now);
+        = m_state.permitIssuer.decide(server, gateway, recentRequests, now);
     if (!decision.isGranted)
-        m_state.replicaController.recordOverDemand(server, now);
+        m_state.replicaController.recordOverDemand(server.name, now);
     return decision;
 }
 
@@ -27,8 +34,10 @@
     const RequestPermits::Number number = ++m_lastNumber;
     server.permits.recordRequest(number, now);
     if (m_hooks.isIssuer()) {
+        const int recentRequests
+            = server.permits.recentRequests(server.requestLimit.beganAt(), now);
         const auto decision
-            = decide(name, server.listed.incarnation, *server.requestLimit.limit(), now);
+            = decide(server.limitedServer(), m_state.settings.instance, recentRequests, now);
         applyDecision(server, number, decision.isGranted, decision.retryAfter);
     } else if (send(server, number)) {
         m_pendingServers.insert(name);
@@ -38,6 +47,20 @@
     return number;
 }
 
+void PermitExchange::reportRecentRequests(const ServerName &name)
+{
+    const ServerState &server = *m_state.servers.find(name);
+    const Instant now = steadyNow();
+    const int recentRequests = server.permits.recentRequests(server.requestLimit.beganAt(), now);
+    if (recentRequests == 0)
+        return;
+    if (m_hooks.isIssuer())
+        m_state.permitIssuer.recordRecentRequests(server.limitedServer(), m_state.settings.instance,
+                                                  recentRequests, now);
+    else
+        send(server, reportNumber);
+}
+
 bool PermitExchange::send(const ServerState &server, RequestPermits::Number number)
 {
     wire::PeerPermitRequest request;
@@ -46,6 +69,8 @@
     request.number = number;
     request.requestsPerSecond = server.requestLimit.limit()->perSecond();
     request.limitVersion = server.requestLimit.version();
+    request.recentRequests
+        = server.permits.recentRequests(server.requestLimit.beganAt(), steadyNow());
     return m_hooks.sendRequest(request);
 }
 
@@ -56,16 +81,22 @@
         Metrics::incrementCounter("permits", {{"outcome", "not_issuer"}});
         return;
     }
-    const ServerName name(request.server);
-    const Incarnation incarnation(request.incarnation);
-    RequestRate limit(request.requestsPerSecond);
-    m_state.applyPeerRequestLimit(name, incarnation, limit, request.limitVersion, from.text());
-    const ServerState *server = m_state.servers.find(name);
-    const bool isListed = server && server->listed.incarnation == incarnation;
+    RequestPermitIssuer::LimitedServer limited{ServerName(request.server),
+                                               Incarnation(request.incarnation),
+                                               RequestRate(request.requestsPerSecond),
+                                               {}};
+    m_state.applyPeerRequestLimit(limited.name, limited.incarnation, limited.limit,
+                                  request.limitVersion, from.text());
+    const ServerState *server = m_state.servers.find(limited.name);
     // A limit that has ended is still in force for the sender until it hears of that.
-    if (isListed && server->requestLimit.limit())
-        limit = *server->requestLimit.limit();
-    const auto decision = decide(name, incarnation, limit, steadyNow());
+    if (server && server->listed.incarnation == limited.incarnation && server->isLimited())
+        limited = server->limitedServer();
+    const Instant now = steadyNow();
+    if (request.number == reportNumber) {
+        m_state.permitIssuer.recordRecentRequests(limited, from, request.recentRequests, now);
+        return;
+    }
+    const auto decision = decide(limited, from, request.recentRequests, now);
     Metrics::incrementCounter("permits", {{"outcome", decision.isGranted ? "issued" : "refused"}});
     wire::PeerPermitReply reply;
     reply.server = request.server;
--- a/src/Apps/Entry/PermitExchange.h
+++ b/src/Apps/Entry/PermitExchange.h
@@ -25,14 +25,17 @@
     /// Requests a permit for \a server, which states a limit. The result is shown by the server's
     /// RequestPermits: at once if this gateway issues the permits, later otherwise.
     RequestPermits::Number requestPermit(const ServerName &server);
+    /// Tells the issuer how many requests were sent to \a server just before its limit began.
+    void reportRecentRequests(const ServerName &server);
     void onRequest(const InstanceId &from, const wire::PeerPermitRequest &request);
     void onReply(const wire::PeerPermitReply &reply);
     /// Repeats requests without a response.
     void tick();
 
 private:
-    RequestPermitIssuer::Decision decide(const ServerName &server, Incarnation incarnation,
-                                         RequestRate limit, Instant now);
+    RequestPermitIssuer::Decision decide(const RequestPermitIssuer::LimitedServer &server,
+                                         const InstanceId &gateway, int recentRequests,
+                                         Instant now);
     bool send(const ServerState &server, RequestPermits::Number number);
     void applyDecision(ServerState &server, RequestPermits::Number number, bool isGranted,
                        Duration retryAfter);
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -186,6 +186,7 @@
     server->ownWork.kvCacheTokens += choice.kvCacheTokens;
     if (server->isLimited())
         m_attempt->permitUntil = server->permits.take(now);
+    server->permits.recordSent(now);
     m_excludedUntil[choice.server] = Instant::max();
     m_firstByteTimedOut = false;
 
--- a/src/Ports/ServingProtocol.h
+++ b/src/Ports/ServingProtocol.h
@@ -48,8 +48,8 @@
     /// Requests that the server accepts from all gateways together, for as long as it states this.
     std::optional<RequestRate> requestLimit;
     bool hasInvalidRequestLimit = false; ///< The response states a limit that can't be parsed.
-    /// The server that the request names sent this response to it, so a limit that it doesn't
-    /// state is in force no more.
+    /// A successful response of the server that the request names: a limit that it doesn't state is
+    /// in force no more.
     bool mayEndRequestLimit = false;
 };
 
--- a/src/Serving/Servers/RequestPermitIssuer.cpp
+++ b/src/Serving/Servers/RequestPermitIssuer.cpp
@@ -13,6 +13,11 @@
 // its responses show that the limit has ended.
 constexpr RequestRate minimumRate(0.05);
 
+// Requests from just before a limit began that are tolerated: a number, and a time at the limit.
+// Together with the permits of the first three seconds they are within what the platform allows.
+constexpr int toleratedRecentRequests = 3;
+constexpr double toleratedRecentSeconds = 2.5;
+
 // A gateway that asks for a server's former incarnation has read the new one's entry by then.
 constexpr Duration formerIncarnationRetry = std::chrono::seconds(1);
 
@@ -21,35 +26,55 @@
 
 } // namespace
 
-RequestPermitIssuer::Server &RequestPermitIssuer::update(const ServerName &name,
-                                                         Incarnation incarnation, RequestRate limit,
-                                                         Instant now)
+RequestPermitIssuer::Server &RequestPermitIssuer::update(const LimitedServer &limited, Instant now)
 {
-    Server &server = m_servers[name];
-    if (incarnation > server.incarnation)
-        server = Server{incarnation, {}, {}};
-    const double perSecond = std::max(limit, minimumRate).perSecond();
+    Server &server = m_servers[limited.name];
+    if (limited.incarnation < server.incarnation)
+        return server;
+    if (limited.incarnation > server.incarnation || limited.limitBeganAt != server.limitBeganAt) {
+        server = Server();
+        server.incarnation = limited.incarnation;
+        server.limitBeganAt = limited.limitBeganAt;
+    }
+    const double perSecond = std::max(limited.limit, minimumRate).perSecond();
     server.limiter.setRate(perSecond, std::max(1.0, perSecond * burstSeconds), now);
     server.usedAt = now;
     return server;
 }
 
-RequestPermitIssuer::Decision RequestPermitIssuer::decide(const ServerName &name,
-                                                          Incarnation incarnation,
-                                                          RequestRate limit, Instant now)
+// Requests from just before the limit began count in the same windows as the first permits. What
+// they exceed is paid back before there are permits.
+void RequestPermitIssuer::recordRecentRequests(const LimitedServer &limited,
+                                               const InstanceId &gateway, int recentRequests,
+                                               Instant now)
+{
+    Server &server = update(limited, now);
+    if (recentRequests == 0 || limited.incarnation < server.incarnation
+        || !server.reporters.insert(gateway).second)
+        return;
+    server.recentRequests += recentRequests;
+    const int tolerated = toleratedRecentRequests
+        + static_cast<int>(toleratedRecentSeconds * limited.limit.perSecond());
+    for (; server.paidBack < server.recentRequests - tolerated; ++server.paidBack)
+        server.limiter.forceAcquire(now);
+}
+
+RequestPermitIssuer::Decision RequestPermitIssuer::decide(const LimitedServer &limited,
+                                                          const InstanceId &gateway,
+                                                          int recentRequests, Instant now)
 {
-    Server &server = update(name, incarnation, limit, now);
-    if (incarnation < server.incarnation)
+    recordRecentRequests(limited, gateway, recentRequests, now);
+    Server &server = m_servers[limited.name];
+    if (limited.incarnation < server.incarnation)
         return {false, formerIncarnationRetry};
     if (server.limiter.tryAcquire(now))
         return {true, {}};
     return {false, server.limiter.timeUntilAvailable(now)};
 }
 
-Instant RequestPermitIssuer::callableAt(const ServerName &name, Incarnation incarnation,
-                                        RequestRate limit, Instant now)
+Instant RequestPermitIssuer::callableAt(const LimitedServer &limited, Instant now)
 {
-    return now + update(name, incarnation, limit, now).limiter.timeUntilAvailable(now);
+    return now + update(limited, now).limiter.timeUntilAvailable(now);
 }
 
 void RequestPermitIssuer::recordCall(const ServerName &name, Incarnation incarnation, Instant now)
--- a/src/Serving/Servers/RequestPermitIssuer.h
+++ b/src/Serving/Servers/RequestPermitIssuer.h
@@ -5,6 +5,7 @@
 #include "Serving/Servers/RequestRate.h"
 
 #include <map>
+#include <set>
 
 namespace quetzalyoke {
 
@@ -15,18 +16,29 @@
 class RequestPermitIssuer
 {
 public:
+    /// A server with its limit, as the issuer or the requesting gateway knows it.
+    struct LimitedServer
+    {
+        ServerName name;
+        Incarnation incarnation;
+        RequestRate limit;
+        Instant limitBeganAt; ///< \sa StatedRequestLimit::beganAt()
+    };
     struct Decision
     {
         bool isGranted = false;
         Duration retryAfter{0}; ///< If not granted: the time until there is a permit.
     };
 
-    /// Decides on a gateway's request for one permit to send to \a server, which states \a limit.
-    Decision decide(const ServerName &server, Incarnation incarnation, RequestRate limit,
+    /// Counts the requests that \a gateway sent to \a server just before the limit began.
+    void recordRecentRequests(const LimitedServer &server, const InstanceId &gateway,
+                              int recentRequests, Instant now);
+    /// Decides on the request of \a gateway for one permit. \a recentRequests is how many requests
+    /// it sent to the server just before the limit began.
+    Decision decide(const LimitedServer &server, const InstanceId &gateway, int recentRequests,
                     Instant now);
     /// Returns when the issuer's own calls to \a server, which count like requests, may go on.
-    Instant callableAt(const ServerName &server, Incarnation incarnation, RequestRate limit,
-                       Instant now);
+    Instant callableAt(const LimitedServer &server, Instant now);
     /// Counts a call of the issuer itself to \a server, such as an order.
     void recordCall(const ServerName &server, Incarnation incarnation, Instant now);
     /// Forgets the servers for which no permit was requested for a long time.
@@ -38,12 +50,15 @@
     struct Server
     {
         Incarnation incarnation;
+        Instant limitBeganAt;
         RateLimiter limiter;
         Instant usedAt;
+        std::set<InstanceId> reporters; // gateways whose recent requests are counted
+        int recentRequests = 0;
+        int paidBack = 0; // recent requests that the limiter has counted
     };
 
-    Server &update(const ServerName &server, Incarnation incarnation, RequestRate limit,
-                   Instant now);
+    Server &update(const LimitedServer &limited, Instant now);
 
     std::map<ServerName, Server> m_servers;
 };
--- a/src/Serving/Servers/RequestPermits.cpp
+++ b/src/Serving/Servers/RequestPermits.cpp
@@ -23,6 +23,13 @@
 // Credit of the own share that may be saved, as a time at its rate.
 constexpr double ownShareBurstSeconds = 0.25;
 
+// Time before a limit's begin in which requests count as recent. The platform checks limits from
+// three seconds after their begin in windows of four; the rest covers the way of the statement.
+constexpr Duration recentTime = std::chrono::milliseconds(1200);
+
+// Requests from before the limit's begin matter until they are out of every window.
+constexpr Duration recentRelevance = std::chrono::seconds(3);
+
 // A denial is in force at least this long, so that a gateway doesn't ask all the time.
 constexpr Duration minDenialTime = std::chrono::milliseconds(20);
 
@@ -55,6 +62,23 @@
     return std::max(m_ownShareUntil, m_deniedUntil);
 }
 
+void RequestPermits::recordSent(Instant now)
+{
+    m_recentlySent.push_back(now);
+    while (m_recentlySent.front() < now - recentTime - recentRelevance)
+        m_recentlySent.pop_front();
+}
+
+int RequestPermits::recentRequests(Instant beganAt, Instant now) const
+{
+    if (now - beganAt > recentRelevance)
+        return 0;
+    return static_cast<int>(
+        std::count_if(m_recentlySent.begin(), m_recentlySent.end(), [beganAt](Instant it) {
+            return it > beganAt - recentTime && it <= beganAt;
+        }));
+}
+
 Instant RequestPermits::take(Instant now)
 {
     std::erase_if(m_permits, [now](Instant it) { return it <= now; });
--- a/src/Serving/Servers/RequestPermits.h
+++ b/src/Serving/Servers/RequestPermits.h
@@ -4,8 +4,8 @@
 #include "Core/StrongTypes.h"
 #include "Serving/Servers/RequestRate.h"
 
+#include <deque>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace quetzalyoke {
@@ -31,6 +31,11 @@
     /// Returns when permits may be available again, if there are none now.
     Instant exhaustedUntil() const;
 
+    /// Records that a request was sent, with a permit or without.
+    void recordSent(Instant now);
+    /// Returns the requests that were sent within a second before the limit began at \a beganAt, as
+    /// long as they matter.
+    int recentRequests(Instant beganAt, Instant now) const;
     /// Takes a permit, which must be available. Returns the time until which it may be used.
     Instant take(Instant now);
     /// Records that the issuer is asked for a permit.
@@ -62,6 +67,7 @@
     double ownShareLevel(Instant now) const;
     std::size_t validPermits(Instant now) const;
 
+    std::deque<Instant> m_recentlySent; // times, oldest first
     std::map<Number, Pending> m_pending;
     std::vector<Instant> m_permits; // the time until which each may be used, in order
     Instant m_deniedUntil;
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_SERVING_SERVERS_SERVERDIRECTORY_H
 
 #include "Serving/Servers/BackendServer.h"
+#include "Serving/Servers/RequestPermitIssuer.h"
 #include "Serving/Servers/RequestPermits.h"
 #include "Serving/Servers/ServerHealth.h"
 #include "Serving/Servers/ServerLoadEstimator.h"
@@ -60,6 +61,11 @@
     double estimatedRequests(Instant now) const;
     bool isPaused(Instant now) const { return now < pausedUntil; }
     bool isLimited() const { return requestLimit.limit().has_value(); }
+    /// Returns the server with its request limit, which it must have.
+    RequestPermitIssuer::LimitedServer limitedServer() const
+    {
+        return {listed.id, listed.incarnation, *requestLimit.limit(), requestLimit.beganAt()};
+    }
 };
 
 /// \brief A server that said it is leaving, which its entry in the list doesn't show yet.
--- a/src/Serving/Servers/StatedRequestLimit.cpp
+++ b/src/Serving/Servers/StatedRequestLimit.cpp
@@ -2,6 +2,13 @@
 
 namespace quetzalyoke {
 
+namespace {
+
+// A limit that falls below this share of the last one is like one that begins.
+constexpr double muchLowerShare = 0.5;
+
+} // namespace
+
 bool StatedRequestLimit::isStricter(const std::optional<RequestRate> &limit) const
 {
     return limit && (!m_limit || *limit < *m_limit);
@@ -12,8 +19,7 @@
 {
     if (stated == m_limit || (!isStricter(stated) && sentAt < m_changedAt))
         return false;
-    m_limit = stated;
-    m_changedAt = now;
+    setLimit(stated, now);
     ++m_version;
     return true;
 }
@@ -26,9 +32,18 @@
     m_version = version;
     if (limit == m_limit)
         return false;
+    setLimit(limit, now);
+    return true;
+}
+
+void StatedRequestLimit::setLimit(std::optional<RequestRate> limit, Instant now)
+{
+    const bool isMuchLower
+        = limit && (!m_limit || limit->perSecond() < m_limit->perSecond() * muchLowerShare);
+    if (isMuchLower)
+        m_beganAt = now;
     m_limit = limit;
     m_changedAt = now;
-    return true;
 }
 
 } // namespace quetzalyoke
--- a/src/Serving/Servers/StatedRequestLimit.h
+++ b/src/Serving/Servers/StatedRequestLimit.h
@@ -26,15 +26,19 @@
 
     /// Returns nothing if the server accepts any number of requests.
     const std::optional<RequestRate> &limit() const { return m_limit; }
+    /// Returns when the limit was first known here, or became much lower.
+    Instant beganAt() const { return m_beganAt; }
     /// Returns 0 if no response has stated a limit yet.
     std::int64_t version() const { return m_version; }
 
 private:
     bool isStricter(const std::optional<RequestRate> &limit) const;
+    void setLimit(std::optional<RequestRate> limit, Instant now);
 
     std::optional<RequestRate> m_limit;
     std::int64_t m_version = 0;
     Instant m_changedAt;
+    Instant m_beganAt;
 };
 
 } // namespace quetzalyoke
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -75,9 +75,11 @@
 struct PeerPermitRequest {
     1: string server,
     2: i64 incarnation,
-    3: i64 number,                // of the sender's requests; repeated by the reply
+    3: i64 number,                // of the sender's requests; repeated by the reply; 0: no permit
+                                  // is requested
     4: double requestsPerSecond,  // the limit that the sender knows
     5: i64 limitVersion,
+    6: i32 recentRequests,        // sent to the server just before the limit began
 }
 
 struct PeerPermitReply {
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -259,8 +259,10 @@
     const PlatformProtocol protocol;
     HeaderFields fields;
     fields.set("Attempt-Id", "id-1");
+    EXPECT_FALSE(protocol.parseResponseHeaders(200, fields, RequestId("id-1")).mayEndRequestLimit);
+    fields.set("Response-Stamp", "s");
     EXPECT_TRUE(protocol.parseResponseHeaders(200, fields, RequestId("id-1")).mayEndRequestLimit);
-    EXPECT_TRUE(protocol.parseResponseHeaders(503, fields, RequestId("id-1")).mayEndRequestLimit);
+    EXPECT_FALSE(protocol.parseResponseHeaders(503, fields, RequestId("id-1")).mayEndRequestLimit);
     EXPECT_FALSE(protocol.parseResponseHeaders(421, fields, RequestId("id-1")).mayEndRequestLimit);
     EXPECT_FALSE(protocol.parseResponseHeaders(200, fields, RequestId("id-2")).mayEndRequestLimit);
     EXPECT_FALSE(protocol.parseEngineResponseHeaders(200, fields).mayEndRequestLimit);
--- a/test/RequestPermitsTest.cpp
+++ b/test/RequestPermitsTest.cpp
@@ -22,6 +22,8 @@
 constexpr Duration window = 4s;
 constexpr double toleratedRatio = 1.5;
 constexpr int toleratedSlack = 5;
+// From this time after a limit has begun.
+constexpr Duration graceTime = 3s;
 
 // Gateways with requests for one limited server, on a virtual clock. Their messages are late or
 // lost, and the issuer may be missing or out of reach.
@@ -36,13 +38,20 @@
         double messageLoss = 0;
         double unreachableShare = 0; ///< Part of the gateways that can't reach the issuer.
         double callsPerSecond = 0; ///< Orders and status requests that the issuer would send.
+        Duration limitBegin{0}; ///< Before this time requests need no permit.
+        Duration notice{0}; ///< Longest time until a gateway knows that the limit has begun.
         std::function<bool(Duration sinceStart)> hasIssuer = [](Duration) { return true; };
         Duration duration = 40s;
     };
 
     LimitedServerFleet(const Settings &settings, std::uint64_t seed)
         : m_settings(settings), m_random(seed), m_gateways(settings.gateways)
-    { }
+    {
+        for (Gateway &gateway : m_gateways) {
+            const Duration notice = scaled(settings.notice, uniform());
+            gateway.knowsLimitAt = start + settings.limitBegin + notice;
+        }
+    }
 
     void run()
     {
@@ -62,7 +71,7 @@
         }
     }
 
-    /// Returns the most arrivals at the server within any window from \a from on.
+    /// Returns the most arrivals at the server within any window that ends after the grace time.
     int maxArrivals() const
     {
         int most = 0;
@@ -71,6 +80,8 @@
             recent.push_back(at);
             while (recent.front() <= at - window)
                 recent.pop_front();
+            if (at < start + m_settings.limitBegin + graceTime)
+                continue;
             most = std::max(most, static_cast<int>(recent.size()));
         }
         return most;
@@ -95,6 +106,8 @@
     struct Gateway
     {
         RequestPermits permits;
+        Instant knowsLimitAt;
+        bool hasReported = false; // the requests sent just before the limit began
         int waiting = 0;
         std::vector<RequestPermits::Number> numbers;
     };
@@ -145,16 +158,28 @@
             }
             if (!hasIssuer || !reachesIssuer(message.gateway))
                 continue;
-            message.decision = m_issuer.decide(server, incarnation, m_settings.limit, m_now);
+            const int recentRequests = gateway.permits.recentRequests(gateway.knowsLimitAt, m_now);
+            const InstanceId name(std::to_string(message.gateway));
+            if (message.number == 0)
+                m_issuer.recordRecentRequests(limitedServer(), name, recentRequests, m_now);
+            else
+                message.decision = m_issuer.decide(limitedServer(), name, recentRequests, m_now);
             message.isReply = true;
-            send(message);
+            if (message.number != 0)
+                send(message);
         }
     }
 
+    // The first gateway is the issuer.
+    RequestPermitIssuer::LimitedServer limitedServer() const
+    {
+        return {server, incarnation, m_settings.limit, m_gateways.front().knowsLimitAt};
+    }
+
     void callAsIssuer()
     {
         if (m_settings.callsPerSecond == 0 || !occurs(m_settings.callsPerSecond)
-            || m_issuer.callableAt(server, incarnation, m_settings.limit, m_now) > m_now)
+            || m_issuer.callableAt(limitedServer(), m_now) > m_now)
             return;
         m_issuer.recordCall(server, incarnation, m_now);
         m_arrivals.push_back(m_now);
@@ -171,6 +196,12 @@
     void dispatch(std::size_t index)
     {
         Gateway &gateway = m_gateways[index];
+        if (m_now < gateway.knowsLimitAt) {
+            for (; gateway.waiting > 0; --gateway.waiting) {
+                gateway.permits.recordSent(m_now);
+                m_arrivals.push_back(m_now);
+            }
+        }
         while (gateway.waiting > 0) {
             switch (gateway.permits.availability(m_now)) {
             case RequestPermits::Availability::Available:
@@ -199,6 +230,11 @@
     void tick(std::size_t index)
     {
         Gateway &gateway = m_gateways[index];
+        if (m_now >= gateway.knowsLimitAt && !gateway.hasReported) {
+            gateway.hasReported = true;
+            if (gateway.permits.recentRequests(gateway.knowsLimitAt, m_now) > 0)
+                send({{}, index, 0, false, {}});
+        }
         if (!gateway.permits.hasPending())
             return;
         if (gateway.permits.isIssuerSilent(m_now)) {
@@ -302,6 +338,27 @@
         [](const LimitedServerFleet &) {});
 }
 
+// A server in need states a quarter of what it gets. Requests from before the statement count, too.
+TEST(RequestPermitsTest, staysWithinTheLimitSoonAfterItBegins)
+{
+    for (const int gateways : fleetSizes) {
+        for (const double limit : {0.5, 1.0, 2.5, 5.0, 8.0}) {
+            for (int seed = 1; seed <= 10; ++seed) {
+                SCOPED_TRACE("gateways " + std::to_string(gateways) + ", limit "
+                             + std::to_string(limit) + ", seed " + std::to_string(seed));
+                auto settings = settingsFor(gateways, limit);
+                settings.requestsPerSecond = 4 * limit;
+                settings.limitBegin = 5s;
+                settings.notice = 200ms;
+                settings.duration = 15s;
+                LimitedServerFleet fleet(settings, static_cast<std::uint64_t>(seed));
+                fleet.run();
+                EXPECT_LE(fleet.maxArrivals(), fleet.allowedArrivals());
+            }
+        }
+    }
+}
+
 // Without an issuer, a server with a limit of several requests a second is still not idle.
 TEST(RequestPermitsTest, servesAPartOfTheLimitWithoutAnIssuer)
 {
@@ -341,9 +398,10 @@
 TEST(RequestPermitsTest, probesAServerThatStatesALimitOfZero)
 {
     RequestPermitIssuer issuer;
-    const auto denied = issuer.decide(server, incarnation, RequestRate(0), start);
+    const RequestPermitIssuer::LimitedServer stopped{server, incarnation, RequestRate(0), start};
+    const InstanceId gateway("gateway");
+    const auto denied = issuer.decide(stopped, gateway, 0, start);
     ASSERT_FALSE(denied.isGranted);
     EXPECT_LE(denied.retryAfter, Duration(30s));
-    EXPECT_TRUE(
-        issuer.decide(server, incarnation, RequestRate(0), start + denied.retryAfter).isGranted);
+    EXPECT_TRUE(issuer.decide(stopped, gateway, 0, start + denied.retryAfter).isGranted);
 }
