--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -297,6 +297,7 @@
     Metrics::incrementCounter("standstills");
     m_state.pool.closeAllIdleConnections();
     m_state.quotas.markPeersSilent(now);
+    m_state.servers.dropGrantedPermits();
     m_peers.onResumed();
     m_state.platform.refresh();
     m_stateReplicator.onResumed();
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -191,8 +191,8 @@
                 {"limit_version", server.requestLimit.version()},
                 {"source", source}});
     Metrics::incrementCounter("server_signals", {{"signal", limit ? "limited" : "unlimited"}});
-    if (limit && onRequestLimitBegun)
-        onRequestLimitBegun(server.listed.id);
+    if (limit && onRequestLimitStated)
+        onRequestLimitStated(server.listed.id);
 }
 
 void EntryState::recordAdapterUse(const ServerName &server, const ModelName &model,
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -81,7 +81,7 @@
     RequestPermits::Number requestPermit(const ServerName &server);
     std::function<RequestPermits::Number(const ServerName &server)> onPermitNeeded;
     /// Called when a server's request limit begins or changes.
-    std::function<void(const ServerName &server)> onRequestLimitBegun;
+    std::function<void(const ServerName &server)> onRequestLimitStated;
     /// Lets this gateway use its own share of the limit of \a server for a while.
     void useOwnShare(ServerState &server, const char *reason);
     /// Servers whose request limit has begun or ended since the last message to peers.
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -57,7 +57,7 @@
 {
     state.onPermitNeeded
         = [this](const ServerName &server) { return m_permits.requestPermit(server); };
-    state.onRequestLimitBegun
+    state.onRequestLimitStated
         = [this](const ServerName &server) { m_permits.reportRecentRequests(server); };
 }
 
--- a/src/Serving/Servers/RequestPermits.h
+++ b/src/Serving/Servers/RequestPermits.h
@@ -38,6 +38,8 @@
     int recentRequests(Instant beganAt, Instant now) const;
     /// Takes a permit, which must be available. Returns the time until which it may be used.
     Instant take(Instant now);
+    /// Drops the granted permits, which are older than they seem after a suspension.
+    void dropGranted() { m_permits.clear(); }
     /// Records that the issuer is asked for a permit.
     void recordRequest(Number number, Instant now);
     bool hasPending() const { return !m_pending.empty(); }
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -169,6 +169,12 @@
         server->peerPausedUntil = std::max(server->peerPausedUntil, until);
 }
 
+void ServerDirectory::dropGrantedPermits()
+{
+    for (auto &[id, server] : m_servers)
+        server.permits.dropGranted();
+}
+
 std::vector<LeavingServer> ServerDirectory::unlistedLeavingServers() const
 {
     std::vector<LeavingServer> leavingServers;
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -119,6 +119,8 @@
     bool recordPause(const ServerName &id, Incarnation incarnation, Instant until);
     /// Records that a server asked another gateway for a pause until \a until.
     void recordPeerPause(const ServerName &id, Incarnation incarnation, Instant until);
+    /// Drops the granted permits for all servers, after this gateway was suspended.
+    void dropGrantedPermits();
     /// Returns the leaving servers that the list doesn't show as leaving yet.
     std::vector<LeavingServer> unlistedLeavingServers() const;
 
--- a/test/RequestPermitsTest.cpp
+++ b/test/RequestPermitsTest.cpp
@@ -392,6 +392,10 @@
     EXPECT_EQ(permits.availability(start + 100ms), RequestPermits::Availability::Available);
     EXPECT_EQ(permits.availability(start + 1s), RequestPermits::Availability::Requestable);
     EXPECT_FALSE(permits.onGranted(1, start + 2s));
+    permits.recordRequest(2, start + 2s);
+    permits.onGranted(2, start + 2s);
+    permits.dropGranted();
+    EXPECT_EQ(permits.availability(start + 2s), RequestPermits::Availability::Requestable);
 }
 
 // Only its responses show that a server with a limit of zero accepts requests again.
