Requests from before a server's limit are paid back for three seconds at most

Both plain servers had stated low limits after they got some 12 requests a second each; the issuer paid back 12 to 27 requests at 0.3 and 1 a second, so neither server got a request for 12 s, and only a response could have ended the limits. The lease was held by one gateway throughout and no own share was used.

After three seconds the requests from before the limit are out of every window, so no more is paid back than the limit allows in that time.

--- a/src/Serving/Servers/RequestPermitIssuer.cpp
+++ b/src/Serving/Servers/RequestPermitIssuer.cpp
@@ -18,6 +18,10 @@
 constexpr int toleratedRecentRequests = 3;
 constexpr double toleratedRecentSeconds = 2.5;
 
+// Longest time without permits while recent requests are paid back. By then they are out of every
+// window that the platform checks.
+constexpr double maxPaybackSeconds = 3;
+
 // A gateway that asks for a server's former incarnation has read the new one's entry by then.
 constexpr Duration formerIncarnationRetry = std::chrono::seconds(1);
 
@@ -55,7 +59,9 @@
     server.recentRequests += recentRequests;
     const int tolerated = toleratedRecentRequests
         + static_cast<int>(toleratedRecentSeconds * limited.limit.perSecond());
-    for (; server.paidBack < server.recentRequests - tolerated; ++server.paidBack)
+    const int due = std::min(server.recentRequests - tolerated,
+                             static_cast<int>(maxPaybackSeconds * limited.limit.perSecond()));
+    for (; server.paidBack < due; ++server.paidBack)
         server.limiter.forceAcquire(now);
 }
 
--- a/test/RequestPermitsTest.cpp
+++ b/test/RequestPermitsTest.cpp
@@ -398,6 +398,20 @@
     EXPECT_EQ(permits.availability(start + 2s), RequestPermits::Availability::Requestable);
 }
 
+// However many requests a server got before, it is not idle for long.
+TEST(RequestPermitsTest, paysBackRecentRequestsWithinSeconds)
+{
+    for (const double limit : limits) {
+        RequestPermitIssuer issuer;
+        const RequestPermitIssuer::LimitedServer limited{server, incarnation, RequestRate(limit),
+                                                         start};
+        for (int i = 0; i < 300; ++i)
+            issuer.recordRecentRequests(limited, InstanceId(std::to_string(i)), 30, start);
+        const Duration untilNextPermit(static_cast<std::int64_t>(1e6 / limit));
+        EXPECT_LE(issuer.callableAt(limited, start), start + 3s + untilNextPermit + 1ms) << limit;
+    }
+}
+
 // Only its responses show that a server with a limit of zero accepts requests again.
 TEST(RequestPermitsTest, probesAServerThatStatesALimitOfZero)
 {
