--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -79,6 +79,7 @@
                                const std::string &peer);
     /// Requests a permit for a server with a request limit; see PermitExchange.
     RequestPermits::Number requestPermit(const ServerName &server);
+    /// Requests a permit from the lease holder. Without it this gateway uses its own share.
     std::function<RequestPermits::Number(const ServerName &server)> onPermitNeeded;
     /// Called when a server's request limit begins or changes.
     std::function<void(const ServerName &server)> onRequestLimitStated;
