--- a/src/Adapters/Async/HttpClientConnection.cpp
+++ b/src/Adapters/Async/HttpClientConnection.cpp
@@ -111,6 +111,7 @@
     if (m_state != State::Connecting)
         return;
     m_connectTimer.cancel();
+    m_wasRefused = ec == asio::error::connection_refused;
     if (ec || (m_hooks.maySend && !m_hooks.maySend())) {
         fail(ExchangeOutcome::NotSent);
         return;
--- a/src/Adapters/Async/HttpClientConnection.h
+++ b/src/Adapters/Async/HttpClientConnection.h
@@ -68,6 +68,9 @@
     void resumeReading();
 
     bool isClosed() const { return m_state == State::Closed; }
+    /// Returns whether the peer has no listener at the address; set once an exchange has ended as
+    /// NotSent.
+    bool wasRefused() const { return m_wasRefused; }
     /// Returns whether the connection is idle, still open and has received no unexpected bytes.
     bool isReusable();
     /// Returns the time until which the server is expected to keep the idle connection open.
@@ -107,6 +110,7 @@
     bool m_skippingResponse = false;
     bool m_responseEnded = false;
     bool m_sent = false;
+    bool m_wasRefused = false;
     bool m_writing = false;
     ReadableWait m_readable;
     bool m_paused = false;
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -35,6 +35,18 @@
 constexpr int httpOk = 200;
 constexpr int httpMultipleChoices = 300;
 
+// Bounds the length of a log line.
+constexpr std::size_t maxLoggedParts = 8;
+
+// Returns the parts of the prompt that other requests may share, which are all but the last.
+std::string sharedPartsText(const RequestMetadata &metadata)
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < metadata.promptParts.size() && i < maxLoggedParts; ++i)
+        text += (i == 0 ? "" : ",") + promptPartText(metadata.promptParts[i].id);
+    return text;
+}
+
 const char *kindText(RouteKind kind)
 {
     switch (kind) {
@@ -466,9 +478,12 @@
                {{"id", m_context.metadata.id},
                 {"server", name},
                 {"address", m_attempt->address},
+                {"incarnation", m_attempt->incarnation},
                 {"end", exchangeOutcomeText(outcome)},
+                {"refused", m_attempt->connection->wasRefused() ? 1 : 0},
                 {"status", m_attempt->status},
                 {"events", m_events.eventCount()},
+                {"parts", sharedPartsText(m_context.metadata)},
                 {"took_ms", now - m_attempt->sentAt},
                 {"age_ms", age()}});
     Metrics::incrementCounter("attempts_broken", {{"end", exchangeOutcomeText(outcome)}});
--- /dev/null
+++ b/src/Serving/Requests/RequestMetadata.cpp
@@ -0,0 +1,16 @@
+#include "Serving/Requests/RequestMetadata.h"
+
+#include <array>
+#include <charconv>
+
+namespace quetzalyoke {
+
+std::string promptPartText(std::uint64_t id)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, 16> buf{};
+    const auto result = std::to_chars(buf.data(), buf.data() + buf.size(), id, hexadecimal);
+    return std::string(buf.data(), result.ptr);
+}
+
+} // namespace quetzalyoke
--- a/src/Serving/Requests/RequestMetadata.h
+++ b/src/Serving/Requests/RequestMetadata.h
@@ -12,10 +12,13 @@
 /// \brief A part of a prompt that several requests may share.
 struct PromptPart
 {
-    std::uint64_t hash = 0;
+    std::uint64_t id = 0; ///< Stated by the caller; the same in all requests that share the part.
     Tokens length;
 };
 
+/// Returns \a id as it is written in logs: in hexadecimal, without leading zeros.
+std::string promptPartText(std::uint64_t id);
+
 /// \brief Data of a caller's request besides its method, path and body.
 struct RequestMetadata
 {
--- a/src/Serving/Servers/PrefixCacheEstimator.cpp
+++ b/src/Serving/Servers/PrefixCacheEstimator.cpp
@@ -24,7 +24,7 @@
     const std::hash<std::string_view> hash;
     std::uint64_t state = mix(hash(metadata.model.text()), hash(metadata.adapter.text()));
     for (const PromptPart &part : metadata.promptParts) {
-        state = mix(state, part.hash);
+        state = mix(state, part.id);
         prefixHashes.push_back(state);
     }
     return prefixHashes;
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -126,6 +126,21 @@
     EXPECT_EQ(metadata->promptParts[2].length, Tokens(250));
 }
 
+TEST(PlatformDecoderTest, readsTheIdsOfPromptParts)
+{
+    std::string problem;
+    HeaderFields fields = callerFields();
+    fields.set("Prompt-Prefix", "5c1e07a2:800,FFFFFFFFFFFFFFFF:1,1ffffffffffffffff:1,x:1");
+    const auto metadata = PlatformProtocol().parseRequestHeaders(fields, problem);
+    ASSERT_TRUE(metadata);
+    ASSERT_EQ(metadata->promptParts.size(), 4U);
+    EXPECT_EQ(metadata->promptParts[0].id, 0x5c1e07a2U);
+    EXPECT_EQ(promptPartText(metadata->promptParts[0].id), "5c1e07a2");
+    EXPECT_EQ(metadata->promptParts[1].id, 0xffffffffffffffffU);
+    // Ids of other forms are told apart, too.
+    EXPECT_NE(metadata->promptParts[2].id, metadata->promptParts[3].id);
+}
+
 TEST(PlatformDecoderTest, rejectsRepeatedOrInvalidHeaders)
 {
     std::string problem;
