--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -81,15 +81,18 @@
         KeepOpen,
         Close, ///< Close after the bytes, as a server that is done.
         Reset, ///< Reset after the bytes, as a server that has crashed.
+        Crash, ///< Like Reset, and refuse new connections.
     };
 
     explicit ScriptedServer(asio::io_context &loop)
-        : m_loop(loop), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        : m_loop(loop), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          m_port(m_acceptor.local_endpoint().port())
     {
         accept();
     }
 
-    int port() const { return m_acceptor.local_endpoint().port(); }
+    int port() const { return m_port; }
+    bool isListening() const { return m_acceptor.is_open(); }
     std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
     /// Sets the response to the next request on any connection.
     void setResponse(std::string bytes, End end = End::KeepOpen)
@@ -155,7 +158,9 @@
         SystemErrorCode ignored;
         if (!script.first.empty())
             asio::write(connection->socket, asio::buffer(script.first), ignored);
-        if (script.second == End::Reset)
+        if (script.second == End::Crash)
+            m_acceptor.close(ignored);
+        if (script.second == End::Reset || script.second == End::Crash)
             connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
         if (script.second != End::KeepOpen)
             connection->socket.close(ignored);
@@ -185,6 +190,7 @@
 
     asio::io_context &m_loop;
     Tcp::acceptor m_acceptor;
+    const int m_port;
     std::pair<std::string, End> m_script;
     std::string m_unit;
     std::size_t m_repeatedBytes = 0;
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -124,13 +124,13 @@
 
     // Sends a request as a caller and returns what is received until \a until has arrived.
     std::string sendRequest(const std::string &path, const std::string &key = "key",
-                            const std::string &until = "\r\n\r\n")
+                            const std::string &until = "\r\n\r\n", const std::string &fields = "")
     {
         caller = std::make_unique<RawClient>(loop, gateway.port());
         caller->send("POST " + path
                      + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n"
                        "Deadline-Ms: 1500\r\nApi-Key: "
-                     + key + "\r\nContent-Length: 4\r\n\r\nbody");
+                     + key + "\r\n" + fields + "Content-Length: 4\r\n\r\nbody");
         runUntil(
             loop,
             [&] {
@@ -473,3 +473,60 @@
     EXPECT_TRUE(firstServer.received().empty());
     EXPECT_EQ(state.servers.find(ServerName("a"))->health.failureShare(), 0);
 }
+
+class CrashingPartExchangeTest : public PlatformExchangeTest
+{
+protected:
+    static constexpr int serverCount = 16;
+
+    CrashingPartExchangeTest()
+    {
+        for (int i = 0; i < serverCount; ++i) {
+            servers.push_back(std::make_unique<ScriptedServer>(loop));
+            addServer("server-" + std::to_string(i), *servers.back());
+        }
+        state.servers.remove(ServerName("a"), steadyNow());
+    }
+
+    // Sends a request whose prompt has \a parts and one of its own. Every server responds with
+    // \a script.
+    std::string sendPrompt(const std::string &path, const std::string &parts,
+                           const std::string &script, ScriptedServer::End end,
+                           const std::string &until)
+    {
+        for (const auto &server : servers)
+            server->setResponse(script, end);
+        return sendRequest(path, "key", until,
+                           "Prompt-Prefix: " + parts + "," + std::to_string(++prompts) + ":5\r\n");
+    }
+    std::string sendSound(const std::string &path, const std::string &parts)
+    {
+        return sendPrompt(path, parts, streamHeader + chunkText(eventText(1)) + lastChunk,
+                          ScriptedServer::End::KeepOpen, lastChunk);
+    }
+    std::string sendCrashing(const std::string &path, const std::string &parts)
+    {
+        return sendPrompt(path, parts, streamHeader + chunkText("id: 1\nda"),
+                          ScriptedServer::End::Crash, "\r\n\r\n");
+    }
+    int crashedServers() const
+    {
+        return static_cast<int>(std::count_if(servers.begin(), servers.end(),
+                                              [](const auto &it) { return !it->isListening(); }));
+    }
+
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    int prompts = 0x1000;
+};
+
+// The platform allows three requests after the fifth crash.
+TEST_F(CrashingPartExchangeTest, stopsSendingRequestsWithAPartThatCrashesServers)
+{
+    constexpr int maxCrashes = 5 + 3;
+    EXPECT_TRUE(hasStatus(sendSound("/s/x", "5:100"), 200));
+    for (int i = 0; i < serverCount - 2; ++i) {
+        sendCrashing("/s/x", "5:100,dead:10");
+        EXPECT_TRUE(hasStatus(sendSound("/s/x", "5:100,aa:10"), 200)) << i;
+    }
+    EXPECT_LE(crashedServers(), maxCrashes);
+}
--- a/test/scenarios/runner/LinkRelay.cpp
+++ b/test/scenarios/runner/LinkRelay.cpp
@@ -39,6 +39,19 @@
     return -1;
 }
 
+// Returns a socket that is bound to \a port (0: any free one) but doesn't listen; -1 on failure.
+int boundSocket(int port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    const sockaddr_in local = toSocketAddress({"127.0.0.1", port});
+    if (bind(fd, reinterpret_cast<const sockaddr *>(&local), sizeof local) == 0)
+        return fd;
+    close(fd);
+    return -1;
+}
+
 void disableNagle(int fd)
 {
     const int on = 1;
@@ -67,11 +80,10 @@
 
 LinkRelay::LinkRelay()
 {
-    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in local = toSocketAddress({"127.0.0.1", 0});
+    m_listener = boundSocket(0);
+    sockaddr_in local{};
     socklen_t n = sizeof local;
-    const bool listening = bind(m_listener, reinterpret_cast<sockaddr *>(&local), n) == 0
-        && listen(m_listener, backlog) == 0
+    const bool listening = listen(m_listener, backlog) == 0
         && getsockname(m_listener, reinterpret_cast<sockaddr *>(&local), &n) == 0;
     if (!listening)
         throw Error(ErrorKind::BadSettings, "a link can't listen; raise the open file limit");
@@ -92,6 +104,21 @@
     m_target = target;
 }
 
+// Replaces the listener by a socket that only keeps the port.
+void LinkRelay::stopListening()
+{
+    const int fd = boundSocket(m_port);
+    if (fd < 0)
+        throw Error(ErrorKind::BadSettings, "a link can't keep its port");
+    dup2(fd, m_listener);
+    close(fd);
+}
+
+void LinkRelay::resumeListening()
+{
+    listen(m_listener, backlog);
+}
+
 void LinkRelay::acceptConnections()
 {
     while (!m_stopping) {
@@ -105,6 +132,8 @@
         const int near = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (near >= 0)
             open(near);
+        else
+            std::this_thread::sleep_for(holdPollInterval);
     }
     for (Connection &it : m_connections)
         join(it);
--- a/test/scenarios/runner/LinkRelay.h
+++ b/test/scenarios/runner/LinkRelay.h
@@ -33,6 +33,9 @@
     /// Forwards new connections to \a target. Without a target they are closed.
     void setTarget(const Address &target);
     void setState(LinkState state) { m_state = state; }
+    /// Refuses new connections, as the address of a process that has ended does.
+    void stopListening();
+    void resumeListening();
 
 private:
     struct Connection
--- a/test/soak/PlatformServerStandIn.cpp
+++ b/test/soak/PlatformServerStandIn.cpp
@@ -157,6 +157,7 @@
         return;
     }
     const std::string id = header(request, "Attempt-Id");
+    const bool isCrashing = m_checks.onPromptArrived(id, header(request, "Prompt-Prefix"));
     const std::string model = header(request, "Model");
     const auto slash = model.find('/');
     const auto loaded = m_loadedModels.find(model.substr(0, slash));
@@ -167,7 +168,7 @@
         session->sendResponse(421, "Attempt-Id: " + id + "\r\nNot-Executed: 1\r\n", "");
         return;
     }
-    run(session, request);
+    run(session, request, isCrashing);
 }
 
 void PlatformServerStandIn::handleOrder(const HttpServerConnection::Pointer &session,
@@ -214,7 +215,7 @@
 }
 
 void PlatformServerStandIn::run(const HttpServerConnection::Pointer &session,
-                                const HttpRequest &request)
+                                const HttpRequest &request, bool isCrashing)
 {
     const std::string id = header(request, "Attempt-Id");
     m_checks.onRun(m_settings.id, id, header(request, "Tenant"), header(request, "Api-Key"),
@@ -228,9 +229,13 @@
         return;
     // A resumed stream continues after the last event that the caller has received.
     const int firstEvent = 1 + std::atoi(header(request, "Last-Event-Id").c_str());
-    scheduleAfter(runTime, [this, session, id, firstEvent, generation = m_generation] {
+    scheduleAfter(runTime, [this, session, id, firstEvent, isCrashing, generation = m_generation] {
         if (generation != m_generation)
             return;
+        if (isCrashing) {
+            crashWhileAnswering(session, id);
+            return;
+        }
         if (m_settings.isModelEngine) {
             session->beginChunkedResponse(200, responseHeaders(id));
             streamEvent(session, id, firstEvent, generation);
@@ -241,6 +246,16 @@
     });
 }
 
+void PlatformServerStandIn::crashWhileAnswering(const HttpServerConnection::Pointer &session,
+                                                const std::string &id)
+{
+    const std::string event = SoakChecks::eventText(id, 1);
+    session->beginChunkedResponse(200, responseHeaders(id));
+    session->writeChunk(event.substr(0, event.size() / 2));
+    m_checks.onCrashByPart(id);
+    m_onCrash();
+}
+
 void PlatformServerStandIn::streamEvent(const HttpServerConnection::Pointer &session,
                                         const std::string &id, int event, int generation)
 {
--- a/test/soak/PlatformServerStandIn.h
+++ b/test/soak/PlatformServerStandIn.h
@@ -39,6 +39,9 @@
     void restart();
     void beginLeaving();
     void deregisterAndStop();
+    /// Sets a hook that crashes this server; called when it begins to answer a request with a part
+    /// that crashes servers.
+    void setCrashHook(std::function<void()> onCrash) { m_onCrash = std::move(onCrash); }
     bool isUp() const { return m_isUp; }
     bool isLeaving() const { return m_isLeaving; }
     const std::string &id() const { return m_settings.id; }
@@ -54,7 +57,9 @@
     void listen();
     void handleRequest(const HttpServerConnection::Pointer &session, HttpRequest &&request);
     void handleOrder(const HttpServerConnection::Pointer &session, const HttpRequest &request);
-    void run(const HttpServerConnection::Pointer &session, const HttpRequest &request);
+    void run(const HttpServerConnection::Pointer &session, const HttpRequest &request,
+             bool isCrashing);
+    void crashWhileAnswering(const HttpServerConnection::Pointer &session, const std::string &id);
     void streamEvent(const HttpServerConnection::Pointer &session, const std::string &id, int event,
                      int generation);
     void writeServerRow();
@@ -82,6 +87,7 @@
     bool m_isLeaving = false;
     bool m_isDroppingResponses = false;
     bool m_isDroppingOrderResponses = false;
+    std::function<void()> m_onCrash;
     std::optional<double> m_requestLimit;
 };
 
--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -52,6 +52,13 @@
 constexpr std::array requestLimits{0.3, 1.0, 2.5, 6.0};
 constexpr milliseconds minRequestLimitTime{4000};
 constexpr milliseconds maxRequestLimitTime{9000};
+// Phases in which some requests have a part that crashes each server that begins to answer them.
+constexpr milliseconds maxTimeBeforePart{2000};
+constexpr milliseconds minPartTime{9000};
+constexpr milliseconds maxPartTime{16'000};
+constexpr int ticksPerCrashingRequest = 10;
+constexpr int soundSharedParts = 10;
+constexpr int killInterval = 5; // one fault in this many, if there are no others
 constexpr std::size_t shownLogLines = 3;
 
 // Returns a loopback address of this run alone, so that concurrent runs can't take each other's
@@ -128,9 +135,11 @@
 class Soak
 {
 public:
-    Soak(const std::string &programs, std::uint64_t seed, int gateways, milliseconds faultTime)
+    /// With \a hasOnlyCrashingParts the other faults are left out, except killed gateways.
+    Soak(const std::string &programs, std::uint64_t seed, int gateways, milliseconds faultTime,
+         bool hasOnlyCrashingParts)
         : m_program(programs + "/quetzalyoke-entry"), m_random(seed), m_limitRandom(seed),
-          m_faultTime(faultTime),
+          m_partRandom(seed), m_faultTime(faultTime), m_hasOnlyCrashingParts(hasOnlyCrashingParts),
           m_folder(std::filesystem::temp_directory_path()
                    / ("quetzalyoke-soak-" + std::to_string(seed) + "-" + std::to_string(getpid()))),
           m_store(m_loop), m_checks(limits())
@@ -165,9 +174,13 @@
                 injectFault(now);
                 nextFault = now + milliseconds(randomNumber(150, 900));
             }
-            if (now >= faultsBegin && now >= m_nextRequestLimitAt && now < faultsEnd)
+            if (now >= faultsBegin && now >= m_nextRequestLimitAt && now < faultsEnd
+                && !m_hasOnlyCrashingParts)
                 changeRequestLimit(now);
+            if (now >= faultsBegin && now < faultsEnd)
+                sendCrashingRequests(now);
             if (now >= faultsEnd && !areFaultsEnded) {
+                m_checks.endCrashingPart();
                 endAllFaults(now);
                 areFaultsEnded = true;
             }
@@ -216,6 +229,8 @@
                 sendRequests(false);
         }
         m_checks.checkAllEnded();
+        if (m_hasOnlyCrashingParts)
+            m_checks.checkServedBesideCrashingParts();
     }
 
     static SoakChecks::Limits limits()
@@ -249,6 +264,40 @@
         scheduleFaultEnd(duration, [&server] { server.standIn->setRequestLimit({}); });
     }
 
+    int randomPartNumber(int least, int most)
+    {
+        return std::uniform_int_distribution<int>(least, most)(m_partRandom);
+    }
+
+    // Requests with a part that crashes servers come at any gateway, no two alike; sound ones have
+    // their account and their other parts.
+    void sendCrashingRequests(Instant now)
+    {
+        if (now >= m_partPhaseEnd) {
+            const bool isFirst = m_partPhaseEnd == Instant();
+            const bool wasActive = !m_crashingPart.empty();
+            m_checks.endCrashingPart();
+            m_crashingPart.clear();
+            if (isFirst || wasActive) {
+                m_partPhaseEnd = now
+                    + milliseconds(randomPartNumber(0,
+                                                    static_cast<int>(maxTimeBeforePart.count())));
+                return;
+            }
+            m_crashingPart = "dead" + std::to_string(++m_partNumber);
+            printAction("part " + m_crashingPart + " crashes servers");
+            m_checks.beginCrashingPart(m_crashingPart);
+            m_partPhaseEnd = now
+                + milliseconds(randomPartNumber(static_cast<int>(minPartTime.count()),
+                                                static_cast<int>(maxPartTime.count())));
+        }
+        if (m_crashingPart.empty() || randomPartNumber(1, ticksPerCrashingRequest) > 1)
+            return;
+        GatewayProcess &gateway = *m_gateways[static_cast<std::size_t>(
+            randomPartNumber(0, static_cast<int>(m_gateways.size()) - 1))];
+        sendRequest(gateway, randomPartNumber(0, 1), m_crashingPart);
+    }
+
     int randomNumber(int least, int most)
     {
         return std::uniform_int_distribution<int>(least, most)(m_random);
@@ -269,6 +318,7 @@
                                                                   settings, initialModels);
         server->link.setTarget(server->standIn->address());
         server->standIn->registerInStore(server->link.address());
+        server->standIn->setCrashHook([this, server = server.get()] { crash(*server); });
         m_servers.push_back(std::move(server));
     }
 
@@ -357,14 +407,13 @@
         for (int i = 0; i < requestsPerTick; ++i) {
             GatewayProcess &gateway = *m_gateways[static_cast<std::size_t>(
                 randomNumber(0, static_cast<int>(m_gateways.size()) - 1))];
-            sendRequest(gateway);
+            sendRequest(gateway, randomNumber(0, 3), {});
             m_measuredRequests += isMeasured ? 1 : 0;
         }
     }
 
-    void sendRequest(GatewayProcess &gateway)
+    void sendRequest(GatewayProcess &gateway, int kind, const std::string &crashingPart)
     {
-        const int kind = randomNumber(0, 3);
         const bool isStream = kind < 2;
         const bool mayRetry = kind == 1 || kind == 3;
         static constexpr const char *paths[] = {"/s/", "/r/", "/n/", "/i/"};
@@ -382,11 +431,16 @@
                 = name("model", std::min(randomNumber(0, models - 1), randomNumber(0, models - 1)));
             if (oneIn(3))
                 model += "/" + name("a", randomNumber(1, 3));
-            text += "Model: " + model + "\r\nToken-Count: 700,100\r\nPrompt-Prefix: ab:500,"
-                + std::to_string(m_requests) + ":200\r\n";
+            const std::string shared = crashingPart.empty()
+                ? "5" + std::to_string(m_requests % soundSharedParts)
+                : crashingPart;
+            text += "Model: " + model + "\r\nToken-Count: 700,100\r\nPrompt-Prefix: ab:400,"
+                + shared + ":100," + std::to_string(m_requests) + ":200\r\n";
             tokens = 800;
         }
         m_checks.onSent(id, gateway.name, account, key, mayRetry, tokens);
+        if (isStream)
+            m_checks.onStreamSent(id, crashingPart);
         const auto response = std::make_shared<Response>();
         ExchangeHooks hooks;
         hooks.onHeader = [this, response, gatewayName = gateway.name](
@@ -465,13 +519,17 @@
             randomNumber(0, static_cast<int>(m_gateways.size()) - 1))];
         ServerWithLink &server = *m_servers[static_cast<std::size_t>(
             randomNumber(0, static_cast<int>(m_servers.size()) - 1))];
+        if (m_hasOnlyCrashingParts) {
+            if (oneIn(killInterval))
+                kill(gateway);
+            return;
+        }
         switch (randomNumber(0, 11)) {
         case 0:
             freeze(gateway);
             return;
         case 1:
-            printAction("kill " + gateway.name);
-            gateway.process->sendSignal(SIGKILL);
+            kill(gateway);
             return;
         case 2:
             stop(gateway);
@@ -514,6 +572,12 @@
         }
     }
 
+    void kill(GatewayProcess &gateway)
+    {
+        printAction("kill " + gateway.name);
+        gateway.process->sendSignal(SIGKILL);
+    }
+
     void stop(GatewayProcess &gateway)
     {
         printAction("stop " + gateway.name);
@@ -563,6 +627,7 @@
         if (!server.standIn->isUp())
             return;
         printAction("crash " + server.standIn->id());
+        server.link.stopListening();
         server.standIn->crash();
         scheduleFaultEnd(milliseconds(randomNumber(200, 2500)), [&server] { restart(server); });
     }
@@ -571,6 +636,7 @@
     {
         server.standIn->restart();
         server.link.setTarget(server.standIn->address());
+        server.link.resumeListening();
     }
 
     void replace(ServerWithLink &server)
@@ -582,6 +648,7 @@
         scheduleFaultEnd(milliseconds(4000), [this, &server] {
             if (!server.standIn->isUp())
                 return;
+            server.link.stopListening();
             server.standIn->deregisterAndStop();
             scheduleFaultEnd(milliseconds(500), [&server] { restart(server); });
         });
@@ -625,8 +692,13 @@
     const std::string m_program;
     std::mt19937_64 m_random;
     std::mt19937_64 m_limitRandom; // its own, so that the other faults of a seed stay the same
+    std::mt19937_64 m_partRandom; // its own as well
+    Instant m_partPhaseEnd; // of the phase with or without a crashing part
+    std::string m_crashingPart; // empty: none
+    int m_partNumber = 0;
     Instant m_nextRequestLimitAt;
     const milliseconds m_faultTime;
+    const bool m_hasOnlyCrashingParts;
     const std::filesystem::path m_folder;
     PlatformStoreStandIn m_store;
     SoakChecks m_checks;
@@ -653,6 +725,9 @@
     app.add_option("--seed", seed, "seed of the random choices; 0: a random seed");
     app.add_option("--gateways", gateways, "number of entry gateways")->check(CLI::Range(1, 300));
     app.add_option("--seconds", seconds, "duration of the fault phase")->check(CLI::Range(1, 3600));
+    bool hasOnlyCrashingParts = false;
+    app.add_flag("--only-crashing-parts", hasOnlyCrashingParts,
+                 "no faults but requests that crash servers and killed gateways");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     if (seed == 0)
@@ -660,7 +735,7 @@
     std::cout << "seed " << seed << ", " << gateways << " gateways, " << seconds << " s of faults"
               << std::endl;
     try {
-        Soak soak(programs, seed, gateways, std::chrono::seconds(seconds));
+        Soak soak(programs, seed, gateways, std::chrono::seconds(seconds), hasOnlyCrashingParts);
         const bool hasPassed = soak.run();
         std::cout << (hasPassed ? "passed" : "FAILED") << ", seed " << seed << std::endl;
         return hasPassed ? 0 : 1;
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -15,6 +15,10 @@
 constexpr Duration requestLimitWindow = std::chrono::seconds(4);
 constexpr double requestLimitTolerance = 1.5;
 constexpr double requestLimitSlack = 5;
+constexpr int countedCrashes = 5;
+constexpr int maxLateRequests = 3;
+constexpr int minComparedRequests = 20;
+constexpr double minServedRatio = 0.5; // beside crashes and without
 
 } // namespace
 
@@ -43,7 +47,24 @@
                         const std::string &account, const std::string &key, bool mayRetry,
                         double tokens)
 {
-    m_requests[id] = {gateway, account, key, mayRetry, tokens, 0, false, steadyNow()};
+    Request &request = m_requests[id];
+    request.gateway = gateway;
+    request.account = account;
+    request.key = key;
+    request.mayRetry = mayRetry;
+    request.tokens = tokens;
+    request.sentAt = steadyNow();
+}
+
+void SoakChecks::onStreamSent(const std::string &id, const std::string &crashingPart)
+{
+    Request &request = m_requests[id];
+    request.crashingPart = crashingPart;
+    const auto part = m_crashingParts.find(m_activePart);
+    request.isBesideCrashes = part != m_crashingParts.end() && part->second.crashes > 0
+        && request.sentAt - part->second.countedCrashAt > 2 * m_limits.crashNotice;
+    request.isCompared = crashingPart.empty() && (request.isBesideCrashes || m_activePart.empty())
+        && !hadRecentFault(request.gateway, m_limits.crashNotice);
 }
 
 void SoakChecks::onRefused(const std::string &id, int status)
@@ -63,6 +84,7 @@
     if (status != 200)
         return;
     ++served;
+    m_requests[id].isServed = true;
     if (!isSigned || body != expectedBody(id, isStream))
         fail("MIXED: " + id + " got a wrong response body: " + body.substr(0, 80));
 }
@@ -102,6 +124,65 @@
         || (it != m_gatewayFaultAt.end() && now - it->second < window);
 }
 
+void SoakChecks::beginCrashingPart(const std::string &part)
+{
+    m_activePart = part;
+    m_crashingParts[part];
+}
+
+bool SoakChecks::onPromptArrived(const std::string &id, const std::string &parts)
+{
+    for (auto &[name, part] : m_crashingParts) {
+        if (parts.find(name + ':') == std::string::npos)
+            continue;
+        const Request &request = m_requests[id];
+        const bool isLate = part.crashes >= countedCrashes
+            && steadyNow() - part.countedCrashAt > m_limits.crashNotice
+            && !hadRecentFault(request.gateway, m_limits.crashNotice);
+        part.lateRequests += isLate ? 1 : 0;
+        if (isLate && part.lateRequests == maxLateRequests + 1)
+            fail("BUDGET: requests with part " + name + ", which has crashed "
+                 + std::to_string(part.crashes) + " servers, still reach servers from "
+                 + request.gateway);
+        return true;
+    }
+    return false;
+}
+
+void SoakChecks::onCrashByPart(const std::string &id)
+{
+    CrashingPart &part = m_crashingParts[m_requests[id].crashingPart];
+    ++part.crashes;
+    if (part.crashes <= countedCrashes)
+        part.countedCrashAt = steadyNow();
+}
+
+void SoakChecks::checkServedBesideCrashingParts()
+{
+    for (const auto &[name, part] : m_crashingParts)
+        std::cout << "part " << name << ": " << part.crashes << " crashes, " << part.lateRequests
+                  << " late requests" << std::endl;
+    struct
+    {
+        int sent = 0;
+        int served = 0;
+        double share() const { return static_cast<double>(served) / sent; }
+    } beside, without;
+    for (const auto &[id, request] : m_requests) {
+        if (!request.isCompared)
+            continue;
+        auto &period = request.isBesideCrashes ? beside : without;
+        ++period.sent;
+        period.served += request.isServed ? 1 : 0;
+    }
+    std::cout << "streams served beside crashes " << beside.served << " of " << beside.sent
+              << ", without " << without.served << " of " << without.sent << std::endl;
+    if (std::min(beside.sent, without.sent) < minComparedRequests)
+        return;
+    if (beside.share() < minServedRatio * without.share())
+        fail("LOST: streams are served less often beside requests that crash servers");
+}
+
 void SoakChecks::onRun(const std::string &server, const std::string &id, const std::string &account,
                        const std::string &key, const std::string &body)
 {
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -35,6 +35,9 @@
         Duration requestLimitGrace = std::chrono::milliseconds(3000);
         /// Time from passing a stated limit on to a caller until the gateway must keep to it.
         Duration requestLimitNotice = std::chrono::milliseconds(500);
+        /// Time from the last crash that counts until the gateways must send no more requests with
+        /// the part that caused it.
+        Duration crashNotice = std::chrono::milliseconds(3000);
     };
 
     explicit SoakChecks(const Limits &limits) : m_limits(limits) { }
@@ -42,6 +45,8 @@
     // Reported by callers.
     void onSent(const std::string &id, const std::string &gateway, const std::string &account,
                 const std::string &key, bool mayRetry, double tokens);
+    /// Request \a id is a stream; \a crashingPart is empty if it has none.
+    void onStreamSent(const std::string &id, const std::string &crashingPart);
     /// The caller got a response in which \a server states a request limit from \a gateway.
     void onRequestLimitPassedOn(const std::string &server, const std::string &gateway);
     void onRefused(const std::string &id, int status);
@@ -56,7 +61,16 @@
     void checkAllEnded();
     // Reported for operators.
     void onKeyWithdrawn(const std::string &key);
+    /// From now on \a part crashes each server that begins to answer a request with it.
+    void beginCrashingPart(const std::string &part);
+    void endCrashingPart() { m_activePart.clear(); }
+    /// Fails if requests without a crashing part were served much less often beside such requests
+    /// than at other times.
+    void checkServedBesideCrashingParts();
     // Reported by backend servers.
+    /// Returns whether the prompt \a parts of request \a id crash the server that answers it.
+    bool onPromptArrived(const std::string &id, const std::string &parts);
+    void onCrashByPart(const std::string &id);
     void onRun(const std::string &server, const std::string &id, const std::string &account,
                const std::string &key, const std::string &body);
     void onOrder(const std::string &server, const std::string &holder, std::int64_t fencing);
@@ -96,6 +110,10 @@
         int runs = 0;
         bool isRefused = false;
         Instant sentAt;
+        bool isServed = false;
+        std::string crashingPart; // empty in most requests
+        bool isBesideCrashes = false; // sent while others crash servers and the gateways know it
+        bool isCompared = false; // see checkServedBesideCrashingParts()
         bool isEnded = false;
     };
     struct LastOrder
@@ -116,6 +134,12 @@
         Instant allowedUntil;
     };
 
+    struct CrashingPart
+    {
+        int crashes = 0;
+        Instant countedCrashAt; // of the last crash, but at most the fifth
+        int lateRequests = 0;
+    };
     void checkRequestLimit(const std::string &server, const std::string &gateway);
     bool hadRecentFault(const std::string &gateway, Duration window) const;
 
@@ -126,6 +150,8 @@
     std::map<std::string, Instant> m_leavingSince;
     std::map<std::string, Instant> m_gatewayFaultAt;
     std::map<std::string, RequestLimit> m_requestLimits; // of the servers that state one
+    std::map<std::string, CrashingPart> m_crashingParts;
+    std::string m_activePart; // the one that requests have now
     double m_limitedRequests = 0;
     double m_allowedRequests = 0;
     Instant m_fleetFaultAt;
