Requests with a part that crashes servers are refused at all gateways

Cause: a request was known by its account, target and body only. Had there been a link, the evidence would have come 3.3 s after the crash, with the loss of the server's entry, and restarted gateways would have forgotten it. Class: a promise over all gateways that none of them can keep alone.

Change: - CrashSuspects accuses each shared part of each request that may have been running at a crash, and refuses what was in two crashes, unless another suspect was in these and more. What a server has answered and survived is cleared at all gateways (SurvivedSuspects, bounded). - The evidence is a refused connection after a lost one (ServerCrashCheck), a few ms after the crash; the platform's list remains as the second source. A response that ends with its connection is checked, too. - A request that may be guilty is not sent to the next server; sound ones are, as before. - Trials: only by the lease holder, recorded like crashes before they are sent, two at most after the refusal begins. Suspects that can't be told apart are all refused; a request with only some of them is preferred for a trial. - Records go to all peers at once and three times, are compared by a digest in each message, and are kept in the store by the lease holder for the case that all gateways restart. They are kept as long as such requests come to any gateway. - Logs: crash_suspected, crash_cleared, crash_trial, crash_refusal (with part, crashes and reporters).

--- /dev/null
+++ b/src/Apps/Entry/CrashRecordKeeper.h
@@ -0,0 +1,33 @@
+#ifndef QUETZALYOKE_APPS_ENTRY_CRASHRECORDKEEPER_H
+#define QUETZALYOKE_APPS_ENTRY_CRASHRECORDKEEPER_H
+
+#include "Apps/Entry/EntryState.h"
+
+namespace quetzalyoke {
+
+/// \brief Keeps the crash records of refused suspects in the store, for the case that all gateways
+/// restart.
+///
+/// Each gateway reads them once, when it starts. The lease holder writes them when they change.
+class CrashRecordKeeper
+{
+public:
+    explicit CrashRecordKeeper(EntryState &state) : m_state(state) { }
+
+    void tick(bool holdsLease);
+
+private:
+    void read();
+    void write();
+
+    EntryState &m_state;
+    bool m_isRead = false;
+    bool m_isCallPending = false;
+    bool m_heldLease = false;
+    std::optional<std::uint64_t> m_writtenDigest; // of the records that this holder has written
+    Instant m_nextCallAt;
+};
+
+} // namespace quetzalyoke
+
+#endif
--- a/src/Apps/Entry/CrashingRequestDetector.cpp
+++ b/src/Apps/Entry/CrashingRequestDetector.cpp
@@ -1,5 +1,10 @@
 #include "Apps/Entry/CrashingRequestDetector.h"
 
+#include "Adapters/Metrics.h"
+#include "Adapters/Process.h"
+#include "Adapters/StructuredLog.h"
+#include "Serving/Requests/RequestMetadata.h"
+
 namespace quetzalyoke {
 
 namespace {
@@ -8,19 +13,30 @@
 // server expires after three heartbeats of about a second each.
 constexpr Duration matchWindow = std::chrono::seconds(6);
 
-// Suspicions expire after 5 minutes: in a day's traffic, identical bodies do not recur over a
-// longer time.
-constexpr CrashingRequestTracker::Limits trackerLimits{2, std::chrono::minutes(5), 2'000};
-
 } // namespace
 
-CrashingRequestDetector::CrashingRequestDetector() : m_tracker(trackerLimits) { }
+CrashingRequestDetector::CrashingRequestDetector(const InstanceId &self)
+    : m_self(self), m_suspects(CrashSuspects::Limits())
+{ }
+
+CrashingRequestDetector::Suspects
+CrashingRequestDetector::unsurvived(const Suspects &suspects) const
+{
+    Suspects unsurvived;
+    for (const Fingerprint &suspect : suspects) {
+        if (!m_survived.contains(suspect))
+            unsurvived.push_back(suspect);
+    }
+    return unsurvived;
+}
 
-void CrashingRequestDetector::recordConnectionLoss(const Fingerprint &fingerprint,
+void CrashingRequestDetector::recordConnectionLoss(const Suspects &suspects,
                                                    const ServerName &server,
                                                    Incarnation incarnation, Instant now)
 {
-    const ConnectionLoss connectionLoss{fingerprint, server, incarnation, now};
+    if (suspects.empty())
+        return;
+    const ConnectionLoss connectionLoss{suspects, server, incarnation, now};
     for (const ServerLoss &serverLoss : m_serverLosses) {
         if (serverLoss.server != server || serverLoss.incarnation != incarnation)
             continue;
@@ -33,27 +49,133 @@
 void CrashingRequestDetector::recordServerLoss(const ServerName &server, Incarnation incarnation,
                                                Instant now)
 {
+    for (const ServerLoss &known : m_serverLosses) {
+        if (known.server == server && known.incarnation == incarnation)
+            return;
+    }
     m_serverLosses.push_back({server, incarnation, now});
+    const auto isSame = [&](const ConnectionLoss &connectionLoss) {
+        return connectionLoss.server == server && connectionLoss.incarnation == incarnation;
+    };
     for (const ConnectionLoss &connectionLoss : m_connectionLosses) {
-        if (connectionLoss.server == server && connectionLoss.incarnation == incarnation)
+        if (isSame(connectionLoss))
             recordIncident(connectionLoss, now);
     }
-    std::erase_if(m_connectionLosses, [&](const ConnectionLoss &connectionLoss) {
-        return connectionLoss.server == server && connectionLoss.incarnation == incarnation;
-    });
+    std::erase_if(m_connectionLosses, isSame);
 }
 
 void CrashingRequestDetector::recordIncident(const ConnectionLoss &connectionLoss, Instant now)
 {
     const std::string incident
         = connectionLoss.server.text() + "/" + std::to_string(connectionLoss.incarnation.count());
-    m_tracker.add({connectionLoss.fingerprint, {incident}}, now);
-    m_broadcastQueue.add(connectionLoss.fingerprint, incident);
+    for (const Fingerprint &suspect : connectionLoss.suspects) {
+        // Another server may have survived it since the connection was lost.
+        if (!m_survived.contains(suspect))
+            addRecord({suspect, incident, m_self}, now);
+    }
+    announce();
+}
+
+void CrashingRequestDetector::addRecord(const CrashRecord &record, Instant now)
+{
+    if (!m_suspects.add(record, now))
+        return;
+    m_broadcastQueue.add(record);
+    logNotable("crash_suspected",
+               {{"suspect", record.suspect},
+                {"incident", record.incident},
+                {"source", record.reporter},
+                {"records", m_suspects.recordsOf(record.suspect).size()},
+                {"refused", m_suspects.isRefused(record.suspect) ? 1 : 0}});
+    Metrics::incrementCounter("crash_records");
+}
+
+void CrashingRequestDetector::recordSurvival(const Suspects &suspects)
+{
+    bool isNews = false;
+    for (const Fingerprint &suspect : suspects) {
+        const bool wasSuspected = m_suspects.remove(suspect);
+        // Requests hardly ever recur, parts of prompts do.
+        if (wasSuspected || isPromptPart(suspect))
+            m_survived.record(suspect);
+        if (!wasSuspected)
+            continue;
+        isNews = true;
+        m_broadcastQueue.addSurvival(suspect);
+        logNotable("crash_cleared", {{"suspect", suspect}, {"source", m_self}});
+    }
+    if (isNews)
+        announce();
+}
+
+std::optional<Fingerprint> CrashingRequestDetector::checkRequest(const RequestId &request,
+                                                                 const Suspects &suspects,
+                                                                 bool mayTry, bool &isTrial,
+                                                                 Instant now)
+{
+    const auto refused = m_suspects.firstRefused(suspects);
+    if (!refused)
+        return {};
+    for (const Fingerprint &suspect : suspects) {
+        if (!m_suspects.recordRequest(suspect, now))
+            continue;
+        for (const CrashRecord &record : m_suspects.recordsOf(suspect))
+            m_broadcastQueue.add(record);
+    }
+    if (!mayTry || !m_suspects.mayTry(suspects, now))
+        return refused;
+    isTrial = true;
+    const std::string trial = "trial/" + m_self.text() + "/"
+        + std::to_string(Process::incarnation().count()) + "/" + std::to_string(++m_trials);
+    logNotable("crash_trial", {{"id", request}, {"suspect", *refused}, {"trial", trial}});
+    for (const Fingerprint &suspect : suspects) {
+        if (m_suspects.isRefused(suspect))
+            addRecord({suspect, trial, m_self}, now);
+    }
+    announce();
+    return {};
+}
+
+std::string CrashingRequestDetector::describe(const Fingerprint &suspect) const
+{
+    std::string text;
+    for (const CrashRecord &record : m_suspects.recordsOf(suspect))
+        text += (text.empty() ? "" : ",") + record.incident + "@" + record.reporter.text();
+    return text;
+}
+
+void CrashingRequestDetector::applyPeerNews(const CrashNews &news, Instant now)
+{
+    const Fingerprint &suspect = news.record.suspect;
+    if (news.isSurvived) {
+        m_survived.record(suspect);
+        if (m_suspects.remove(suspect))
+            logNotable("crash_cleared", {{"suspect", suspect}, {"source", "peer"}});
+        return;
+    }
+    if (m_survived.contains(suspect)) {
+        m_broadcastQueue.addSurvival(suspect);
+        announce();
+        return;
+    }
+    addStoredRecord(news.record, now);
+}
+
+void CrashingRequestDetector::addStoredRecord(const CrashRecord &record, Instant now)
+{
+    if (m_survived.contains(record.suspect) || !m_suspects.add(record, now))
+        return;
+    logNotable("crash_suspected",
+               {{"suspect", record.suspect},
+                {"incident", record.incident},
+                {"source", record.reporter},
+                {"refused", m_suspects.isRefused(record.suspect) ? 1 : 0}});
 }
 
-bool CrashingRequestDetector::mustRefuse(const Fingerprint &fingerprint, Instant now) const
+void CrashingRequestDetector::announce()
 {
-    return m_tracker.decide(fingerprint, now) == CrashingRequestTracker::Decision::Refuse;
+    if (m_onNews)
+        m_onNews();
 }
 
 void CrashingRequestDetector::expire(Instant now)
@@ -64,7 +186,7 @@
     std::erase_if(m_serverLosses, [now](const ServerLoss &serverLoss) {
         return now - serverLoss.at > matchWindow;
     });
-    m_tracker.removeExpired(now);
+    m_suspects.removeExpired(now);
 }
 
 } // namespace quetzalyoke
--- a/src/Apps/Entry/CrashingRequestDetector.h
+++ b/src/Apps/Entry/CrashingRequestDetector.h
@@ -1,45 +1,66 @@
 #ifndef QUETZALYOKE_APPS_ENTRY_CRASHINGREQUESTDETECTOR_H
 #define QUETZALYOKE_APPS_ENTRY_CRASHINGREQUESTDETECTOR_H
 
-#include "Core/Requests/CrashingRequestTracker.h"
 #include "Serving/Requests/CrashBroadcastQueue.h"
+#include "Serving/Requests/SurvivedSuspects.h"
 #include "Serving/Servers/BackendServer.h"
 
+#include <functional>
+
 namespace quetzalyoke {
 
-/// \brief Detects requests that crash every server that runs them.
-///
-/// Requests that merely ran on a server when it crashed must not be refused.
+/// \brief Detects requests, and parts of prompts, that crash every server that answers them.
 ///
-/// A lost connection alone proves nothing. It counts as a crash only if, within a few seconds,
-/// the platform's list shows another incarnation of the server or none.
+/// A lost connection alone proves nothing. It counts as a crash only if the server refuses
+/// connections, or if, within a few seconds, the platform's list shows another incarnation of the
+/// server or none. \sa CrashSuspects
 class CrashingRequestDetector
 {
 public:
-    CrashingRequestDetector();
+    using Suspects = std::vector<Fingerprint>;
+
+    explicit CrashingRequestDetector(const InstanceId &self);
 
-    /// Records that the connection to \a server was lost while a request with \a fingerprint ran.
-    void recordConnectionLoss(const Fingerprint &fingerprint, const ServerName &server,
+    /// Sets a hook that is called when there is news for the peers.
+    void setNewsHook(std::function<void()> onNews) { m_onNews = std::move(onNews); }
+
+    /// Returns those of \a suspects that no server is known to have survived.
+    Suspects unsurvived(const Suspects &suspects) const;
+    /// Records that the connection to \a server was lost while it may have run a request with
+    /// \a suspects, of which none was survived.
+    void recordConnectionLoss(const Suspects &suspects, const ServerName &server,
                               Incarnation incarnation, Instant now);
     /// Records that \a incarnation of \a server has ended without announcing that it leaves.
     void recordServerLoss(const ServerName &server, Incarnation incarnation, Instant now);
-    /// Adds a suspicion reported by another gateway.
-    void addPeerSuspicion(const Suspicion &suspicion, Instant now)
+    /// Records that a server has answered a request with \a suspects and lived.
+    void recordSurvival(const Suspects &suspects);
+
+    /// Returns the suspect for which a request must be refused. Marks the request as a trial and
+    /// returns nothing if \a mayTry is set and the suspect is due for one.
+    std::optional<Fingerprint> checkRequest(const RequestId &request, const Suspects &suspects,
+                                            bool mayTry, bool &isTrial, Instant now);
+    /// Returns whether a request that has been admitted must no longer be sent.
+    bool mustRefuse(const Suspects &suspects) const
     {
-        m_tracker.add(suspicion, now);
+        return m_suspects.firstRefused(suspects).has_value();
     }
+    /// Returns the crashes that count against \a suspect, for the log.
+    std::string describe(const Fingerprint &suspect) const;
 
-    bool mustRefuse(const Fingerprint &fingerprint, Instant now) const;
-    /// Returns all suspicions, found here or reported by peers.
-    std::vector<Suspicion> suspicions(Instant now) const { return m_tracker.suspicions(now); }
-    /// The suspicions that the next messages to peers carry.
+    void applyPeerNews(const CrashNews &news, Instant now);
+    /// Adds records from an earlier time.
+    void addStoredRecord(const CrashRecord &record, Instant now);
+    std::vector<CrashRecord> refusedRecords() const { return m_suspects.refusedRecords(); }
+    /// \sa CrashSuspects::digest()
+    std::uint64_t digest() const { return m_suspects.digest(); }
+    /// The news that the next messages to peers carry.
     CrashBroadcastQueue &broadcastQueue() { return m_broadcastQueue; }
     void expire(Instant now);
 
 private:
     struct ConnectionLoss
     {
-        Fingerprint fingerprint;
+        Suspects suspects;
         ServerName server;
         Incarnation incarnation;
         Instant at;
@@ -52,11 +73,17 @@
     };
 
     void recordIncident(const ConnectionLoss &connectionLoss, Instant now);
+    void addRecord(const CrashRecord &record, Instant now);
+    void announce();
 
-    CrashingRequestTracker m_tracker;
-    CrashBroadcastQueue m_broadcastQueue{CrashBroadcastQueue::Settings()}; // incidents found here
+    const InstanceId m_self;
+    CrashSuspects m_suspects;
+    SurvivedSuspects m_survived;
+    CrashBroadcastQueue m_broadcastQueue{CrashBroadcastQueue::Settings()};
+    std::function<void()> m_onNews;
     std::vector<ConnectionLoss> m_connectionLosses;
     std::vector<ServerLoss> m_serverLosses;
+    int m_trials = 0;
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -51,7 +51,7 @@
                [this](std::size_t rank, Duration messageInterval) {
                    m_orderSender.setTakeoverRank(rank, messageInterval);
                }}),
-      m_stateReplicator(m_state, [this] { return m_peers.statePeers(); }),
+      m_stateReplicator(m_state, [this] { return m_peers.statePeers(); }), m_crashRecords(m_state),
       m_callers(
           loop, settings.maxCallerConnections,
           {[this](const HttpServerConnection::Pointer &connection, HttpRequest &&request) {
@@ -88,6 +88,7 @@
         m_peers.announceNeeds();
         m_orderSender.scheduleStep();
     };
+    m_state.mayTryCrashingRequests = [this] { return m_orderSender.fencingToken() > 0; };
     m_state.onServerSignal = [this] {
         m_orderSender.onServersChanged();
         m_peers.announceServerSignals();
@@ -263,6 +264,7 @@
     m_orderSender.tick();
     m_stateReplicator.tick();
     m_peers.repeatPermitRequests();
+    m_crashRecords.tick(m_orderSender.fencingToken() > 0);
     m_state.waitQueue.retryDispatches();
     if (now - m_lastHousekeepingAt >= housekeepingInterval) {
         m_lastHousekeepingAt = now;
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_APPS_ENTRY_ENTRYGATEWAY_H
 
 #include "Adapters/Async/AsyncHttpServer.h"
+#include "Apps/Entry/CrashRecordKeeper.h"
 #include "Apps/Entry/OrderSender.h"
 #include "Apps/Entry/PeerNetwork.h"
 
@@ -42,6 +43,7 @@
     OrderSender m_orderSender;
     PeerNetwork m_peers;
     StateReplicator m_stateReplicator;
+    CrashRecordKeeper m_crashRecords;
     AsyncHttpServer m_callers;
     AsyncHttpServer m_readiness;
     AsyncHttpServer m_peerServer;
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -40,6 +40,7 @@
       chooser(chooserSettings(entrySettings), entrySettings.zone),
       replicaController(controllerSettings(entrySettings)),
       admissionPolicy(AdmissionPolicy::Settings()), pool(eventLoop, backendLimits),
+      crashDetector(entrySettings.instance), crashCheck(eventLoop),
       m_random(std::hash<std::string>()(entrySettings.instance.text())
                ^ static_cast<std::uint64_t>(Process::incarnation().count()))
 { }
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -5,6 +5,7 @@
 #include "Apps/Entry/AccountQuotas.h"
 #include "Apps/Entry/CrashingRequestDetector.h"
 #include "Apps/Entry/EntrySettings.h"
+#include "Apps/Entry/ServerCrashCheck.h"
 #include "Apps/Entry/WaitQueue.h"
 #include "Core/Requests/RetryBudget.h"
 #include "Ports/EntryPlatform.h"
@@ -38,6 +39,10 @@
     HttpConnectionPool pool;
     AccountQuotas quotas;
     CrashingRequestDetector crashDetector;
+    ServerCrashCheck crashCheck;
+    /// Returns whether this gateway may try a request that is refused because of crashes. At most
+    /// one gateway may at a time. No gateway may without this hook.
+    std::function<bool()> mayTryCrashingRequests;
     WaitQueue waitQueue;
     RequestPermitIssuer permitIssuer; ///< Used while this gateway holds the lease.
 
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -39,6 +39,10 @@
 
 constexpr std::chrono::milliseconds joinRetryDelay{500};
 
+// A gateway that lacks crash records gets them from about this many of its peers at a time.
+constexpr double crashRecordSenders = 4;
+constexpr Duration crashRecordsInterval = std::chrono::milliseconds(500);
+
 } // namespace
 
 PeerNetwork::PeerNetwork(EntryState &state, Hooks hooks)
@@ -57,6 +61,7 @@
 {
     state.onPermitNeeded
         = [this](const ServerName &server) { return m_permits.requestPermit(server); };
+    state.crashDetector.setNewsHook([this] { scheduleUrgentMessage(); });
     state.onRequestLimitStated
         = [this](const ServerName &server) { m_permits.reportRecentRequests(server); };
 }
@@ -282,13 +287,15 @@
     if (std::exchange(m_hasNewChanges, false))
         addLoadedModelChanges(message);
     addLeavingServers(std::exchange(m_state.unsentLeavingServers, {}), message);
+    addCrashNews(m_state.crashDetector.broadcastQueue().nextBatch(), message);
     for (const ServerName &name : std::exchange(m_state.unsentLimitChanges, {})) {
         if (const ServerState *server = m_state.servers.find(name))
             addRequestLimit(*server, message);
     }
     const std::string bytes = PeerSocket::encode(message);
     const Peer *holderPeer = leaseHolder();
-    if (holderPeer && message.notices.empty() && message.serverSignals.empty()) {
+    if (holderPeer && message.notices.empty() && message.serverSignals.empty()
+        && message.crashes.empty()) {
         m_socket.send(bytes, holderPeer->address);
         return;
     }
@@ -332,7 +339,8 @@
     }
     if (!m_spending.isRelaying())
         message.spent = encodeSpending(m_state.quotas.spending());
-    addCrashSuspicions(m_state.crashDetector.broadcastQueue().nextBatch(), message);
+    addCrashNews(m_state.crashDetector.broadcastQueue().nextBatch(), message);
+    message.__set_crashDigest(static_cast<std::int64_t>(m_state.crashDetector.digest()));
     addLeavingServers(m_state.servers.unlistedLeavingServers(), message);
     addPauses(message);
     for (const auto &[id, server] : m_state.servers.servers()) {
@@ -380,32 +388,33 @@
     }
 }
 
-void PeerNetwork::addCrashSuspicions(const std::vector<Suspicion> &suspicions,
-                                     wire::PeerNews &message)
+void PeerNetwork::addCrashNews(const std::vector<CrashNews> &news, wire::PeerNews &message)
 {
-    for (const Suspicion &suspicion : suspicions) {
-        for (const std::string &incident : suspicion.incidents) {
-            wire::PeerCrash crash;
-            crash.fingerprint = suspicion.fingerprint.text();
-            crash.incident = incident;
-            message.crashes.push_back(std::move(crash));
-        }
+    for (const CrashNews &it : news) {
+        wire::PeerCrash crash;
+        crash.fingerprint = it.record.suspect.text();
+        crash.incident = it.isSurvived ? std::string() : it.record.incident;
+        crash.reporter = it.record.reporter.text();
+        message.crashes.push_back(std::move(crash));
     }
 }
 
-// A gateway that has just started, or was disconnected, has missed earlier suspicions. Among the
-// gateways that hear each other, the first by name sends it all of them.
-void PeerNetwork::sendCrashSuspicions(const InstanceId &instance, const Address &address)
+// A gateway that has just started, was suspended or has missed messages lacks records. A few of its
+// peers send it theirs.
+void PeerNetwork::sendCrashRecordsIfDifferent(Peer &peer, const wire::PeerNews &message)
 {
-    for (const auto &[id, peer] : m_peers) {
-        if (peer.isHeard && id != instance && id < m_state.settings.instance)
-            return;
-    }
-    const auto suspicions = m_state.crashDetector.suspicions(steadyNow());
-    for (const auto &batch : m_state.crashDetector.broadcastQueue().splitIntoBatches(suspicions)) {
-        wire::PeerNews message = makeMessage(true);
-        addCrashSuspicions(batch, message);
-        m_socket.send(PeerSocket::encode(message), address);
+    const Instant now = steadyNow();
+    const bool isDifferent = message.__isset.crashDigest
+        && message.crashDigest != static_cast<std::int64_t>(m_state.crashDetector.digest());
+    if (!isDifferent || now - peer.crashRecordsSentAt < crashRecordsInterval
+        || m_state.random() * static_cast<double>(m_peers.size()) > crashRecordSenders)
+        return;
+    peer.crashRecordsSentAt = now;
+    const auto records = m_state.crashDetector.refusedRecords();
+    for (const auto &batch : m_state.crashDetector.broadcastQueue().splitIntoBatches(records)) {
+        wire::PeerNews reply = makeMessage(true);
+        addCrashNews(batch, reply);
+        m_socket.send(PeerSocket::encode(reply), peer.address);
     }
 }
 
@@ -483,7 +492,6 @@
     if (isNew || !peer.isHeard || incarnation != peer.incarnation) {
         logNotable("peer_heard",
                    {{"peer", instance}, {"incarnation", incarnation}, {"address", from.text()}});
-        sendCrashSuspicions(instance, from);
     }
     peer.incarnation = incarnation;
     peer.sequence = message.sequence;
@@ -500,6 +508,7 @@
     }
     applyState(instance, message);
     applyEvents(message);
+    sendCrashRecordsIfDifferent(peer, message);
 }
 
 void PeerNetwork::applyState(const InstanceId &from, const wire::PeerNews &message)
@@ -569,9 +578,11 @@
                                                    AdapterName(entry.adapter),
                                                    now + std::chrono::milliseconds(entry.busyMs));
     }
-    for (const wire::PeerCrash &entry : message.crashes)
-        m_state.crashDetector.addPeerSuspicion({Fingerprint(entry.fingerprint), {entry.incident}},
-                                               now);
+    for (const wire::PeerCrash &entry : message.crashes) {
+        const CrashRecord record{Fingerprint(entry.fingerprint), entry.incident,
+                                 InstanceId(entry.reporter)};
+        m_state.crashDetector.applyPeerNews({record, entry.incident.empty()}, now);
+    }
     for (const wire::PeerNotice &entry : message.notices) {
         LoadedModelChange change;
         change.server = ServerName(entry.server);
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -59,6 +59,7 @@
         ZoneName zone;
         std::string httpAddress;
         StateVersions versions;
+        Instant crashRecordsSentAt;
     };
     struct SentChange
     {
@@ -82,9 +83,8 @@
     std::size_t takeoverRank() const;
     wire::PeerNews makeMessage(bool isUrgent);
     void addState(wire::PeerNews &message);
-    static void addCrashSuspicions(const std::vector<Suspicion> &suspicions,
-                                   wire::PeerNews &message);
-    void sendCrashSuspicions(const InstanceId &instance, const Address &address);
+    static void addCrashNews(const std::vector<CrashNews> &news, wire::PeerNews &message);
+    void sendCrashRecordsIfDifferent(Peer &peer, const wire::PeerNews &message);
     void addEvents(wire::PeerNews &message);
     void addLoadedModelChanges(wire::PeerNews &message) const;
     static void addLeavingServers(const std::vector<LeavingServer> &leavingServers,
--- a/src/Apps/Entry/RequestAdmission.cpp
+++ b/src/Apps/Entry/RequestAdmission.cpp
@@ -12,6 +12,9 @@
 // the others find it in the KV cache.
 constexpr std::int64_t requestsPerSharedPartPrefill = 4;
 
+// Callers choose the number of parts; prompts have a few.
+constexpr std::size_t maxSuspectParts = 32;
+
 // Time that a gateway that has just started needs to read the configuration.
 constexpr Duration startupTime = std::chrono::milliseconds(500);
 
@@ -66,8 +69,8 @@
     context.service = chooseService(context);
     if (!context.service)
         return Rejection{503, "no_service", startupTime};
-    if (isKnownToCrash(context))
-        return Rejection{503, "crashes_servers", {}};
+    if (const auto rejection = checkCrashes(context))
+        return rejection;
     if (const auto rejection = chargeQuota(context))
         return rejection;
     m_state.retryBudget(context.service->name).onRequest();
@@ -96,13 +99,35 @@
     return Rejection{401, "unknown_key", {}};
 }
 
-bool RequestAdmission::isKnownToCrash(RequestContext &context) const
+// The last part of a prompt belongs to this request or its session alone.
+std::vector<Fingerprint> RequestAdmission::crashSuspects(const RequestContext &context) const
 {
-    if (m_request.body.empty())
-        return false;
-    context.fingerprint
-        = fingerprintOf(context.account ? context.account->name : AccountId(), m_request);
-    return m_state.crashDetector.mustRefuse(context.fingerprint, steadyNow());
+    std::vector<Fingerprint> suspects;
+    if (!m_request.body.empty())
+        suspects.push_back(
+            fingerprintOf(context.account ? context.account->name : AccountId(), m_request));
+    const std::vector<PromptPart> &parts = context.metadata.promptParts;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < maxSuspectParts; ++i) {
+        const Fingerprint part = promptPartFingerprint(parts[i].id);
+        if (std::find(suspects.begin(), suspects.end(), part) == suspects.end())
+            suspects.push_back(part);
+    }
+    return suspects;
+}
+
+std::optional<Rejection> RequestAdmission::checkCrashes(RequestContext &context) const
+{
+    context.crashSuspects = crashSuspects(context);
+    const bool mayTry = m_state.mayTryCrashingRequests && m_state.mayTryCrashingRequests();
+    const auto refused = m_state.crashDetector.checkRequest(
+        context.metadata.id, context.crashSuspects, mayTry, context.isCrashTrial, steadyNow());
+    if (!refused)
+        return {};
+    logNotable("crash_refusal",
+               {{"id", context.metadata.id},
+                {"suspect", *refused},
+                {"records", m_state.crashDetector.describe(*refused)}});
+    return Rejection{503, "crashes_servers", {}};
 }
 
 std::optional<Rejection> RequestAdmission::chargeQuota(RequestContext &context) const
--- a/src/Apps/Entry/RequestAdmission.h
+++ b/src/Apps/Entry/RequestAdmission.h
@@ -15,7 +15,8 @@
     const Route *route = nullptr;
     const ClientAccount *account = nullptr; ///< May be nullptr on public routes.
     const ServiceSpec *service = nullptr;
-    Fingerprint fingerprint; ///< Empty: the request is not checked for crashes.
+    std::vector<Fingerprint> crashSuspects; ///< What a crash may be due to if this request runs.
+    bool isCrashTrial = false; ///< Sent although one of them is refused.
     Instant deadline; ///< The caller's deadline or the route's, whichever is first.
     double chargedCost = 0; ///< Charged to the account's quota.
     int priority = 0; ///< 0 is the most urgent.
@@ -44,7 +45,8 @@
 private:
     std::optional<Rejection> findRoute(RequestContext &context) const;
     std::optional<Rejection> chargeQuota(RequestContext &context) const;
-    bool isKnownToCrash(RequestContext &context) const;
+    std::vector<Fingerprint> crashSuspects(const RequestContext &context) const;
+    std::optional<Rejection> checkCrashes(RequestContext &context) const;
     const ServiceSpec *chooseService(const RequestContext &context) const;
 
     EntryState &m_state;
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -35,6 +35,9 @@
 constexpr int httpOk = 200;
 constexpr int httpMultipleChoices = 300;
 
+// A server that goes on with a stream for this long has survived the beginning of its answer.
+constexpr Duration survivalTime = std::chrono::milliseconds(20);
+
 // Bounds the length of a log line.
 constexpr std::size_t maxLoggedParts = 8;
 
@@ -103,6 +106,10 @@
 bool RequestHandler::dispatch()
 {
     const Instant now = steadyNow();
+    if (isKnownToCrash()) {
+        refuse(503, "crashes_servers", {});
+        return true;
+    }
     AdmissionInput input;
     input.route = m_context.route;
     input.service = m_context.service;
@@ -240,11 +247,17 @@
 {
     const ServerState *server = m_attempt ? m_state.servers.find(m_attempt->server) : nullptr;
     const Instant now = steadyNow();
-    return server && server->listed.incarnation == m_attempt->incarnation
+    return server && !isKnownToCrash() && server->listed.incarnation == m_attempt->incarnation
         && !server->listed.isLeaving && !server->isPaused(now)
         && (!server->isLimited() || now < m_attempt->permitUntil);
 }
 
+// Returns whether servers have crashed because of a part of this request since it was admitted.
+bool RequestHandler::isKnownToCrash() const
+{
+    return !m_context.isCrashTrial && m_state.crashDetector.mustRefuse(m_context.crashSuspects);
+}
+
 // The stated length of a response may be any number, but nobody waits longer than the deadline.
 Duration RequestHandler::expectedDuration(Duration expectedFirstByteDelay, Instant now) const
 {
@@ -343,6 +356,11 @@
     }
     if (events.empty())
         return;
+    const Instant now = steadyNow();
+    if (!m_attempt->firstEventAt)
+        m_attempt->firstEventAt = now;
+    else if (now - *m_attempt->firstEventAt >= survivalTime)
+        recordSurvival();
     if (!m_isStreaming) {
         m_isStreaming = true;
         m_callerConnection->beginChunkedResponse(m_attempt->status, m_attempt->fields);
@@ -358,6 +376,41 @@
     });
 }
 
+// Called when the server has begun to answer and lives.
+void RequestHandler::recordSurvival()
+{
+    if (std::exchange(m_attempt->isSurvived, true))
+        return;
+    m_state.crashDetector.recordSurvival(m_context.crashSuspects);
+}
+
+// Called when the attempt ends while the server may run the request and nothing shows that it
+// lives. With \a isChecked the server is checked for a crash.
+void RequestHandler::recordPossibleCrash(bool isChecked)
+{
+    if (m_attempt->isSurvived)
+        return;
+    const auto suspects = m_state.crashDetector.unsurvived(m_context.crashSuspects);
+    if (suspects.empty())
+        return;
+    m_state.crashDetector.recordConnectionLoss(suspects, m_attempt->server, m_attempt->incarnation,
+                                               steadyNow());
+    if (!isChecked)
+        return;
+    m_state.crashCheck.start(
+        m_attempt->address,
+        [self = shared_from_this(), server = m_attempt->server,
+         incarnation = m_attempt->incarnation](bool isRefused) {
+            const ServerState *known = self->m_state.servers.find(server);
+            // A server that announces its end ends as planned.
+            const bool hasCrashed = isRefused
+                && !(known && known->listed.incarnation == incarnation && known->listed.isLeaving);
+            if (hasCrashed)
+                self->m_state.crashDetector.recordServerLoss(server, incarnation, steadyNow());
+            self->onCrashChecked(server, hasCrashed);
+        });
+}
+
 void RequestHandler::onEnd(ExchangeOutcome outcome)
 {
     if (!m_attempt)
@@ -421,9 +474,14 @@
             server->health.recordSuccess(steadyNow());
     }
     if (isFailure && !m_isStreaming && mayRetry() && tryConsumeRetry()) {
-        retryRequest("server_failed");
+        retryRequest(m_attempt->server, "server_failed");
         return;
     }
+    const bool isSuccess = !isFailure && m_attempt->status < httpMultipleChoices;
+    if (m_attempt->connection->hasEndedResponse())
+        recordPossibleCrash(true);
+    else if (isSuccess)
+        recordSurvival();
     const std::unique_ptr<BackendAttempt> attempt = std::move(m_attempt);
     m_attempt = nullptr;
     releaseWork(*attempt);
@@ -488,6 +546,8 @@
                 {"age_ms", age()}});
     Metrics::incrementCounter("attempts_broken", {{"end", exchangeOutcomeText(outcome)}});
     if (outcome == ExchangeOutcome::NotSent) {
+        if (m_attempt->connection->wasRefused() && !wasWithheld)
+            m_state.crashDetector.recordServerLoss(name, m_attempt->incarnation, now);
         if (wasWithheld)
             m_excludedUntil.erase(name);
         releaseAttempt();
@@ -498,18 +558,41 @@
         return;
     }
     ++m_possibleRuns;
-    if (!m_context.fingerprint.isEmpty())
-        m_state.crashDetector.recordConnectionLoss(m_context.fingerprint, name,
-                                                   m_attempt->incarnation, now);
+    m_events.dropIncompleteEvent();
+    const bool mayBeGuilty = !m_attempt->isSurvived && hasUnsurvivedPart();
+    recordPossibleCrash(outcome == ExchangeOutcome::Incomplete);
+    if (mayBeGuilty && outcome == ExchangeOutcome::Incomplete && mayRetry()) {
+        m_isAwaitingCrashCheck = true;
+        releaseAttempt();
+        setTimer();
+        return;
+    }
     if (mayRetry() && tryConsumeRetry()) {
-        m_events.dropIncompleteEvent();
-        retryRequest("attempt_broken");
+        retryRequest(name, "attempt_broken");
         return;
     }
     releaseAttempt();
     fail(502, "attempt_broken");
 }
 
+bool RequestHandler::hasUnsurvivedPart() const
+{
+    const auto suspects = m_state.crashDetector.unsurvived(m_context.crashSuspects);
+    return std::any_of(suspects.begin(), suspects.end(), isPromptPart);
+}
+
+// A request that may have crashed its server must not crash the next one.
+void RequestHandler::onCrashChecked(const ServerName &server, bool hasCrashed)
+{
+    if (m_isFinished || !std::exchange(m_isAwaitingCrashCheck, false))
+        return;
+    if ((hasCrashed && hasUnsurvivedPart()) || !mayRetry() || !tryConsumeRetry()) {
+        fail(502, hasCrashed ? "server_crashed" : "attempt_broken");
+        return;
+    }
+    retryRequest(server, "attempt_broken");
+}
+
 // Returns whether another server may run the request although this one may have run it.
 bool RequestHandler::mayRetry() const
 {
@@ -536,11 +619,11 @@
     return false;
 }
 
-void RequestHandler::retryRequest(const char *reason)
+void RequestHandler::retryRequest(const ServerName &server, const char *reason)
 {
     logRoutine("repeated",
                {{"id", m_context.metadata.id},
-                {"server", m_attempt->server},
+                {"server", server},
                 {"reason", reason},
                 {"last", m_events.lastEventId()},
                 {"age_ms", age()}});
@@ -615,8 +698,9 @@
     ++m_sentAttempts;
     if (mayRetry() && tryConsumeRetry()) {
         ++m_possibleRuns;
+        recordPossibleCrash(false);
         m_attempt->connection->close();
-        retryRequest("server_silent");
+        retryRequest(m_attempt->server, "server_silent");
         return;
     }
     --m_sentAttempts;
@@ -636,6 +720,7 @@
     if (ServerState *server = m_state.servers.find(m_attempt->server);
         server && !m_attempt->firstByteSeen)
         server->health.recordFailure(ServerHealth::Failure::TimedOut, steadyNow());
+    recordPossibleCrash(false);
     m_attempt->connection->close();
     releaseAttempt();
     fail(504, "deadline");
@@ -648,6 +733,7 @@
         {{"id", m_context.metadata.id}, {"age_ms", age()}, {"events", m_events.eventCount()}});
     Metrics::incrementCounter("callers_left");
     if (m_attempt) {
+        recordPossibleCrash(false);
         m_attempt->connection->close();
         releaseAttempt();
     }
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -28,6 +28,7 @@
     void enqueue();
     void send(const ServerChoice &choice);
     bool mayStillSend() const;
+    bool isKnownToCrash() const;
     Duration expectedDuration(Duration expectedFirst, Instant now) const;
     std::string buildBackendRequest(const ServerState &server, Duration left) const;
 
@@ -42,8 +43,12 @@
     void onResponseComplete();
     void onAttemptFailed(ExchangeOutcome outcome);
     bool mayRetry() const;
+    bool hasUnsurvivedPart() const;
     bool tryConsumeRetry();
-    void retryRequest(const char *reason);
+    void retryRequest(const ServerName &server, const char *reason);
+    void recordSurvival();
+    void recordPossibleCrash(bool isChecked);
+    void onCrashChecked(const ServerName &server, bool hasCrashed);
     void releaseWork(const BackendAttempt &attempt);
     void releaseAttempt();
 
@@ -71,6 +76,7 @@
     RequestPermits::Number m_permitNumber = 0; // of the latest permit requested for this request
     bool m_isWaiting = false;
     bool m_isStreaming = false; // the header of a stream was sent to the caller
+    bool m_isAwaitingCrashCheck = false; // before the request may be sent to another server
     bool m_isFinished = false;
     bool m_firstByteTimedOut = false;
     EventStreamSplitter m_events;
--- a/src/Core/StrongTypes.h
+++ b/src/Core/StrongTypes.h
@@ -65,7 +65,8 @@
 using ZoneName = StrongId<struct ZoneTag>; ///< Availability zone.
 using RequestId = StrongId<struct RequestTag>;
 using AttemptId = StrongId<struct AttemptTag>; ///< One try at one request.
-using Fingerprint = StrongId<struct FingerprintTag>; ///< Hash of a request's account and body.
+using Fingerprint
+    = StrongId<struct FingerprintTag>; ///< Identifies a request or a part of its prompt.
 
 using Tokens = Quantity<struct TokensTag>;
 using TokensPerSecond = Quantity<struct TokensPerSecondTag>;
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_PORTS_ENTRYPLATFORM_H
 
 #include "Serving/Placement/PlacementLease.h"
+#include "Serving/Requests/CrashSuspects.h"
 #include "Serving/Servers/BackendServer.h"
 #include "Serving/State/ServingConfig.h"
 
@@ -80,6 +81,15 @@
     /// Conflict. The new version is passed with Done.
     virtual void writeLease(const LeaseRow &row, std::function<void(WriteOutcome, Version)> done)
         = 0;
+    /// Passes nothing if the call failed.
+    using CrashRecordsHook
+        = std::function<void(const std::optional<std::vector<CrashRecord>> &records)>;
+    /// Reads the records that writeCrashRecords() has written last.
+    virtual void readCrashRecords(CrashRecordsHook done) = 0;
+    /// Replaces the stored records.
+    virtual void writeCrashRecords(const std::vector<CrashRecord> &records,
+                                   std::function<void(bool ok)> done)
+        = 0;
     /// Adds this gateway to the store's list and reads the other gateways.
     virtual void join(const ListedGateway &self,
                       std::function<void(bool ok, const std::vector<ListedGateway> &)> done)
--- a/src/Serving/Requests/RequestMetadata.cpp
+++ b/src/Serving/Requests/RequestMetadata.cpp
@@ -5,6 +5,12 @@
 
 namespace quetzalyoke {
 
+namespace {
+
+constexpr std::string_view partPrefix = "part-";
+
+} // namespace
+
 std::string promptPartText(std::uint64_t id)
 {
     constexpr int hexadecimal = 16;
@@ -13,4 +19,14 @@
     return std::string(buf.data(), result.ptr);
 }
 
+Fingerprint promptPartFingerprint(std::uint64_t id)
+{
+    return Fingerprint(std::string(partPrefix) + promptPartText(id));
+}
+
+bool isPromptPart(const Fingerprint &fingerprint)
+{
+    return fingerprint.text().starts_with(partPrefix);
+}
+
 } // namespace quetzalyoke
--- a/src/Serving/Requests/RequestMetadata.h
+++ b/src/Serving/Requests/RequestMetadata.h
@@ -18,6 +18,10 @@
 
 /// Returns \a id as it is written in logs: in hexadecimal, without leading zeros.
 std::string promptPartText(std::uint64_t id);
+/// Returns the fingerprint of the prompt part \a id.
+Fingerprint promptPartFingerprint(std::uint64_t id);
+/// Returns whether \a fingerprint is that of a prompt part; otherwise it is that of a request.
+bool isPromptPart(const Fingerprint &fingerprint);
 
 /// \brief Data of a caller's request besides its method, path and body.
 struct RequestMetadata
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -40,10 +40,11 @@
     6: bool isLoad,
 }
 
-// A request that was in flight at a crash of a backend server.
+// A request or a part of its prompt that was in flight at a crash of a backend server.
 struct PeerCrash {
     1: string fingerprint,
-    2: string incident,
+    2: string incident,           // empty: a server has survived it
+    3: string reporter,           // gateway that saw the crash
 }
 
 // Where gateways are many: see SpendingRelay.
@@ -114,5 +115,6 @@
     22: list<PeerServerSignal> serverSignals,
     21: optional PeerSpending spending,   // then the message holds nothing else
     23: optional PeerPermitRequest permitRequest, // then the message holds nothing else
+    25: optional i64 crashDigest,         // of all that the sender refuses because of crashes
     24: optional PeerPermitReply permitReply,     // then the message holds nothing else
 }
--- a/test/CrashBroadcastQueueTest.cpp
+++ b/test/CrashBroadcastQueueTest.cpp
@@ -11,7 +11,7 @@
     const CrashBroadcastQueue::Settings settings;
     CrashBroadcastQueue queue(settings);
     for (int i = 0; i < crashes; ++i)
-        queue.add(Fingerprint("f" + std::to_string(i)), "engine-1/7");
+        queue.add({Fingerprint("f" + std::to_string(i)), "engine-1/7", InstanceId("g")});
     std::map<Fingerprint, int> sends;
     int batchCount = 0;
     while (true) {
@@ -19,8 +19,8 @@
         if (batch.empty())
             break;
         ASSERT_LE(batch.size(), settings.maxPerDatagram);
-        for (const Suspicion &it : batch)
-            ++sends[it.fingerprint];
+        for (const CrashNews &it : batch)
+            ++sends[it.record.suspect];
         ++batchCount;
     }
     EXPECT_EQ(sends.size(), static_cast<std::size_t>(crashes));
@@ -33,9 +33,11 @@
 TEST(CrashBroadcastQueueTest, splitsTheCrashesForANewPeer)
 {
     const CrashBroadcastQueue queue{CrashBroadcastQueue::Settings()};
-    std::vector<Suspicion> known;
-    for (int i = 0; i < 60; ++i)
-        known.push_back({Fingerprint("f" + std::to_string(i)), {"engine-1/7", "engine-2/8"}});
+    std::vector<CrashRecord> known;
+    for (int i = 0; i < 60; ++i) {
+        for (const char *incident : {"engine-1/7", "engine-2/8"})
+            known.push_back({Fingerprint("f" + std::to_string(i)), incident, InstanceId("g")});
+    }
     const auto batches = queue.splitIntoBatches(known);
     ASSERT_EQ(batches.size(), 3U);
     std::size_t n = 0;
@@ -44,3 +46,15 @@
     EXPECT_EQ(n, 120U);
     EXPECT_TRUE(queue.splitIntoBatches({}).empty());
 }
+
+TEST(CrashBroadcastQueueTest, replacesTheCrashesOfASuspectThatWasSurvived)
+{
+    CrashBroadcastQueue queue{CrashBroadcastQueue::Settings()};
+    queue.add({Fingerprint("f"), "engine-1/7", InstanceId("g")});
+    queue.add({Fingerprint("other"), "engine-1/7", InstanceId("g")});
+    queue.addSurvival(Fingerprint("f"));
+    const auto batch = queue.nextBatch();
+    ASSERT_EQ(batch.size(), 2U);
+    for (const CrashNews &it : batch)
+        EXPECT_EQ(it.isSurvived, it.record.suspect == Fingerprint("f"));
+}
--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -82,6 +82,7 @@
         Close, ///< Close after the bytes, as a server that is done.
         Reset, ///< Reset after the bytes, as a server that has crashed.
         Crash, ///< Like Reset, and refuse new connections.
+        Exit, ///< Like Close, and refuse new connections.
     };
 
     explicit ScriptedServer(asio::io_context &loop)
@@ -158,7 +159,7 @@
         SystemErrorCode ignored;
         if (!script.first.empty())
             asio::write(connection->socket, asio::buffer(script.first), ignored);
-        if (script.second == End::Crash)
+        if (script.second == End::Crash || script.second == End::Exit)
             m_acceptor.close(ignored);
         if (script.second == End::Reset || script.second == End::Crash)
             connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -26,6 +26,8 @@
     void applyChanges(const std::string &) override { }
     void readLease(LeaseReadHook) override { }
     void writeLease(const LeaseRow &, std::function<void(WriteOutcome, Version)>) override { }
+    void readCrashRecords(CrashRecordsHook) override { }
+    void writeCrashRecords(const std::vector<CrashRecord> &, std::function<void(bool)>) override { }
     void join(const ListedGateway &,
               std::function<void(bool, const std::vector<ListedGateway> &)>) override
     { }
@@ -490,25 +492,31 @@
 
     // Sends a request whose prompt has \a parts and one of its own. Every server responds with
     // \a script.
-    std::string sendPrompt(const std::string &path, const std::string &parts,
+    std::string sendPrompt(const std::string &route, const std::string &parts,
                            const std::string &script, ScriptedServer::End end,
                            const std::string &until)
     {
         for (const auto &server : servers)
             server->setResponse(script, end);
-        return sendRequest(path, "key", until,
-                           "Prompt-Prefix: " + parts + "," + std::to_string(++prompts) + ":5\r\n");
+        const std::string own = std::to_string(++prompts);
+        return sendRequest(route + own, "key", until,
+                           "Prompt-Prefix: " + parts + "," + own + ":5\r\n");
     }
-    std::string sendSound(const std::string &path, const std::string &parts)
+    std::string sendSound(const std::string &route, const std::string &parts)
     {
-        return sendPrompt(path, parts, streamHeader + chunkText(eventText(1)) + lastChunk,
+        return sendPrompt(route, parts, streamHeader + chunkText(eventText(1)) + lastChunk,
                           ScriptedServer::End::KeepOpen, lastChunk);
     }
-    std::string sendCrashing(const std::string &path, const std::string &parts)
+    std::string sendCrashing(const std::string &route, const std::string &parts)
     {
-        return sendPrompt(path, parts, streamHeader + chunkText("id: 1\nda"),
+        return sendPrompt(route, parts, streamHeader + chunkText("id: 1\nda"),
                           ScriptedServer::End::Crash, "\r\n\r\n");
     }
+    // Waits until the checks that follow a lost connection have ended.
+    bool waitForRefusal(const std::string &part)
+    {
+        return runUntil(loop, [&] { return state.crashDetector.mustRefuse({Fingerprint(part)}); });
+    }
     int crashedServers() const
     {
         return static_cast<int>(std::count_if(servers.begin(), servers.end(),
@@ -523,10 +531,83 @@
 TEST_F(CrashingPartExchangeTest, stopsSendingRequestsWithAPartThatCrashesServers)
 {
     constexpr int maxCrashes = 5 + 3;
-    EXPECT_TRUE(hasStatus(sendSound("/s/x", "5:100"), 200));
+    EXPECT_TRUE(hasStatus(sendSound("/s/", "5:100"), 200));
     for (int i = 0; i < serverCount - 2; ++i) {
-        sendCrashing("/s/x", "5:100,dead:10");
-        EXPECT_TRUE(hasStatus(sendSound("/s/x", "5:100,aa:10"), 200)) << i;
+        sendCrashing("/s/", "5:100,dead:10");
+        EXPECT_TRUE(hasStatus(sendSound("/s/", "5:100,aa:10"), 200)) << i;
     }
     EXPECT_LE(crashedServers(), maxCrashes);
+    const std::string response = sendCrashing("/s/", "5:100,dead:10");
+    EXPECT_TRUE(hasStatus(response, 503));
+    EXPECT_NE(response.find("crashes_servers"), std::string::npos);
+}
+
+// The last part belongs to one request or session and is never guilty.
+TEST_F(CrashingPartExchangeTest, doesNotSuspectTheLastPart)
+{
+    for (int i = 0; i < 3; ++i) {
+        for (const auto &server : servers)
+            server->setResponse(streamHeader, ScriptedServer::End::Crash);
+        sendRequest("/s/" + std::to_string(i), "key", "\r\n\r\n", "Prompt-Prefix: dead:10\r\n");
+    }
+    EXPECT_TRUE(hasStatus(sendSound("/s/", "dead:10"), 200));
+}
+
+TEST_F(CrashingPartExchangeTest, doesNotCrashTheNextServerByRetryingAGuiltyRequest)
+{
+    EXPECT_TRUE(hasStatus(sendSound("/r/", "5:100"), 200));
+    EXPECT_TRUE(hasStatus(sendCrashing("/r/", "5:100,dead:10"), 502));
+    EXPECT_EQ(crashedServers(), 1);
+}
+
+TEST_F(CrashingPartExchangeTest, retriesASoundRequestWhoseServerCrashed)
+{
+    EXPECT_TRUE(hasStatus(sendSound("/r/", "5:100"), 200));
+    addServer("a", firstServer); // in the gateway's own zone, so it is tried first
+    firstServer.setResponse(streamHeader, ScriptedServer::End::Crash);
+    for (const auto &server : servers)
+        server->setResponse(streamHeader + chunkText(eventText(1)) + lastChunk);
+    const std::string response
+        = sendRequest("/r/x", "key", lastChunk, "Prompt-Prefix: 5:100,77:5\r\n");
+    EXPECT_TRUE(hasStatus(response, 200));
+    EXPECT_FALSE(firstServer.isListening());
+}
+
+// A response without length or chunks ends with its connection, and so does one that a crash ends.
+TEST_F(CrashingPartExchangeTest, suspectsAPartAlsoIfTheCrashLooksLikeTheEndOfTheResponse)
+{
+    EXPECT_TRUE(hasStatus(sendSound("/s/", "5:100"), 200));
+    for (int i = 0; i < 2; ++i)
+        sendPrompt("/s/", "5:100,dead:10", signedHeader + "\r\n" + eventText(1),
+                   ScriptedServer::End::Exit, lastChunk);
+    EXPECT_TRUE(waitForRefusal("part-dead"));
+    EXPECT_EQ(crashedServers(), 2);
+    EXPECT_TRUE(hasStatus(sendSound("/s/", "5:100,aa:10"), 200));
+}
+
+// Connections to a server that lives are lost for many reasons.
+TEST_F(CrashingPartExchangeTest, doesNotSuspectAPartWhoseServersLive)
+{
+    for (int i = 0; i < 4; ++i)
+        sendPrompt("/r/", "5:100,bb:10", streamHeader, ScriptedServer::End::Reset, "\r\n\r\n");
+    EXPECT_TRUE(hasStatus(sendSound("/s/", "5:100,bb:10"), 200));
+}
+
+// The gateway learns from a peer that a part crashes servers while a request waits.
+TEST_F(CrashingPartExchangeTest, refusesAWaitingRequestOnceItsPartIsRefused)
+{
+    for (int i = 0; i < serverCount; ++i)
+        state.servers.recordPause(ServerName("server-" + std::to_string(i)), Incarnation(),
+                                  steadyNow() + 10s);
+    afterStart = [this] {
+        for (const char *incident : {"server-x/1", "server-y/1"})
+            state.crashDetector.applyPeerNews(
+                {{Fingerprint("part-dead"), incident, InstanceId("gateway-2")}, false},
+                steadyNow());
+        state.waitQueue.retryDispatches();
+    };
+    const std::string response
+        = sendRequest("/s/x", "key", "\r\n\r\n", "Prompt-Prefix: dead:10,1:5\r\n");
+    EXPECT_TRUE(hasStatus(response, 503));
+    EXPECT_EQ(crashedServers(), 0);
 }
