A stream that ends inside an event is shown or continued as broken off

What callers would see: a stream whose server ended it inside an event was completed, with the piece of the event, and looked complete.

Cause: the end of the HTTP message was taken for the end of the stream. Change: such an attempt counts as broken (Incomplete), so the crash check applies, another server continues the stream where that is allowed, and the incomplete event is not delivered; otherwise the caller's connection is closed without the last chunk. Line ends after the last event are delivered as before.

Tests, red before: PlatformExchangeTest.continuesAStreamThatEndedInsideAnEvent, showsTheCallerThatAStreamEndedInsideAnEvent; EventStreamSplitterTest.isInsideNoEventAfterALineEnd is new.

--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -417,6 +417,9 @@
         return;
     if (outcome != ExchangeOutcome::NotSent)
         ++m_sentAttempts;
+    // A server that ends a stream inside an event has broken it off, however its connection ends.
+    if (outcome == ExchangeOutcome::Complete && m_attempt->isForwarding && m_events.isInsideEvent())
+        outcome = ExchangeOutcome::Incomplete;
     if (outcome != ExchangeOutcome::Complete) {
         onAttemptFailed(outcome);
         return;
@@ -488,7 +491,7 @@
     if (attempt->isForwarding) {
         if (!m_isStreaming)
             m_callerConnection->beginChunkedResponse(attempt->status, attempt->fields);
-        m_callerConnection->writeChunk(m_events.incompleteEvent());
+        m_callerConnection->writeChunk(m_events.remainder());
         m_callerConnection->endChunkedResponse();
     } else if (m_isStreaming) {
         // The header of the stream has been sent, so the caller can't get this response's status.
--- a/src/Serving/Requests/EventStreamSplitter.cpp
+++ b/src/Serving/Requests/EventStreamSplitter.cpp
@@ -40,6 +40,11 @@
     return events;
 }
 
+bool EventStreamSplitter::isInsideEvent() const
+{
+    return m_isEventTooLarge || m_buffer.find_first_not_of("\r\n") != std::string::npos;
+}
+
 void EventStreamSplitter::dropIncompleteEvent()
 {
     m_buffer.clear();
--- a/src/Serving/Requests/EventStreamSplitter.h
+++ b/src/Serving/Requests/EventStreamSplitter.h
@@ -22,8 +22,10 @@
     std::string extractEvents(std::string_view data);
     /// Returns the id of the last returned event that had one; empty if none had.
     const std::string &lastEventId() const { return m_lastEventId; }
-    /// Returns the bytes of the event that is not complete yet.
-    const std::string &incompleteEvent() const { return m_buffer; }
+    /// Returns whether an event has begun that is not complete yet.
+    bool isInsideEvent() const;
+    /// Returns the bytes that follow the last complete event.
+    const std::string &remainder() const { return m_buffer; }
     /// Drops the incomplete event, so that another stream can be continued.
     void dropIncompleteEvent();
     /// Returns whether the incomplete event exceeded the limit; further data is then ignored.
--- a/test/EventStreamSplitterTest.cpp
+++ b/test/EventStreamSplitterTest.cpp
@@ -17,7 +17,8 @@
         EXPECT_EQ(out, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n") << "piece " << pieceSize;
         EXPECT_EQ(splitter.lastEventId(), "2");
         EXPECT_EQ(splitter.eventCount(), 2U);
-        EXPECT_EQ(splitter.incompleteEvent(), "id: 3\ndata: c");
+        EXPECT_EQ(splitter.remainder(), "id: 3\ndata: c");
+        EXPECT_TRUE(splitter.isInsideEvent());
     }
 }
 
@@ -41,7 +42,7 @@
     EXPECT_TRUE(splitter.extractEvents("x").empty());
     EXPECT_TRUE(splitter.isEventTooLarge());
     EXPECT_TRUE(splitter.extractEvents(std::string(10 * limit, 'x')).empty());
-    EXPECT_LE(splitter.incompleteEvent().size(), limit);
+    EXPECT_LE(splitter.remainder().size(), limit);
     EXPECT_EQ(splitter.lastEventId(), "1");
     splitter.dropIncompleteEvent();
     EXPECT_FALSE(splitter.isEventTooLarge());
@@ -62,3 +63,14 @@
     EXPECT_LT(seconds, static_cast<double>(bytes) * 1e-6);
     EXPECT_EQ(splitter.extractEvents("\n\n").size(), bytes + 2);
 }
+
+TEST(EventStreamSplitterTest, isInsideNoEventAfterALineEnd)
+{
+    EventStreamSplitter splitter;
+    EXPECT_FALSE(splitter.isInsideEvent());
+    splitter.extractEvents("id: 1\ndata: a\n\n\r\n");
+    EXPECT_FALSE(splitter.isInsideEvent());
+    EXPECT_EQ(splitter.remainder(), "\r\n");
+    splitter.extractEvents("i");
+    EXPECT_TRUE(splitter.isInsideEvent());
+}
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -254,6 +254,37 @@
     EXPECT_EQ(secondServer.connections(), 0);
 }
 
+// Such a stream has been broken off, however its connection ends.
+TEST_F(PlatformExchangeTest, continuesAStreamThatEndedInsideAnEvent)
+{
+    addServer("b", secondServer);
+    const std::string broken = eventText(1) + "id: 2\nda";
+    for (const std::string &response :
+         {signedHeader + "\r\n" + broken, streamHeader + chunkText(broken) + lastChunk}) {
+        firstServer.setResponse(response, ScriptedServer::End::Close);
+        secondServer.setResponse(streamHeader + chunkText(eventText(2)) + lastChunk);
+        const std::string received = sendRequest("/r/x", "key", lastChunk);
+        EXPECT_NE(received.find(eventText(1)), std::string::npos);
+        EXPECT_NE(received.find(eventText(2)), std::string::npos);
+        EXPECT_EQ(received.find("id: 2\nda\r\n"), std::string::npos);
+        EXPECT_NE(received.find(lastChunk), std::string::npos);
+    }
+}
+
+TEST_F(PlatformExchangeTest, showsTheCallerThatAStreamEndedInsideAnEvent)
+{
+    firstServer.setResponse(signedHeader + "\r\n" + eventText(1) + "id: 2\nda",
+                            ScriptedServer::End::Close);
+    const std::string received = sendRequest("/s/x", "key", lastChunk);
+    EXPECT_NE(received.find(eventText(1)), std::string::npos);
+    EXPECT_EQ(received.find("id: 2"), std::string::npos);
+    EXPECT_EQ(received.find(lastChunk), std::string::npos);
+    EXPECT_TRUE(caller->waitForClose());
+    // The end of the connection is the end of a stream that has whole events only.
+    firstServer.setResponse(signedHeader + "\r\n" + eventText(1), ScriptedServer::End::Close);
+    EXPECT_NE(sendRequest("/s/x", "key", lastChunk).find(lastChunk), std::string::npos);
+}
+
 TEST_F(PlatformExchangeTest, rejectsUnknownKeysAndRoutesWithoutContactingAServer)
 {
     EXPECT_TRUE(hasStatus(sendRequest("/n/x", "other"), 401));
