Only news of parts of prompts is sent to peers at once

Parts that no server has survived are few. Change: only they are sent at once, and before requests in regular messages.

--- a/src/Apps/Entry/CrashingRequestDetector.cpp
+++ b/src/Apps/Entry/CrashingRequestDetector.cpp
@@ -73,7 +73,6 @@
         if (!m_survived.contains(suspect))
             addRecord({suspect, incident, m_self}, now);
     }
-    announce();
 }
 
 void CrashingRequestDetector::addRecord(const CrashRecord &record, Instant now)
@@ -81,18 +80,23 @@
     if (!m_suspects.add(record, now))
         return;
     m_broadcastQueue.add(record);
+    logRecord(record);
+    Metrics::incrementCounter("crash_records");
+    announce(record.suspect);
+}
+
+void CrashingRequestDetector::logRecord(const CrashRecord &record) const
+{
     logNotable("crash_suspected",
                {{"suspect", record.suspect},
                 {"incident", record.incident},
                 {"source", record.reporter},
                 {"records", m_suspects.recordsOf(record.suspect).size()},
                 {"refused", m_suspects.isRefused(record.suspect) ? 1 : 0}});
-    Metrics::incrementCounter("crash_records");
 }
 
 void CrashingRequestDetector::recordSurvival(const Suspects &suspects)
 {
-    bool isNews = false;
     for (const Fingerprint &suspect : suspects) {
         const bool wasSuspected = m_suspects.remove(suspect);
         // Requests hardly ever recur, parts of prompts do.
@@ -100,12 +104,10 @@
             m_survived.record(suspect);
         if (!wasSuspected)
             continue;
-        isNews = true;
         m_broadcastQueue.addSurvival(suspect);
         logNotable("crash_cleared", {{"suspect", suspect}, {"source", m_self}});
+        announce(suspect);
     }
-    if (isNews)
-        announce();
 }
 
 std::optional<Fingerprint> CrashingRequestDetector::checkRequest(const RequestId &request,
@@ -132,7 +134,6 @@
         if (m_suspects.isRefused(suspect))
             addRecord({suspect, trial, m_self}, now);
     }
-    announce();
     return {};
 }
 
@@ -155,7 +156,7 @@
     }
     if (m_survived.contains(suspect)) {
         m_broadcastQueue.addSurvival(suspect);
-        announce();
+        announce(suspect);
         return;
     }
     addStoredRecord(news.record, now);
@@ -163,18 +164,13 @@
 
 void CrashingRequestDetector::addStoredRecord(const CrashRecord &record, Instant now)
 {
-    if (m_survived.contains(record.suspect) || !m_suspects.add(record, now))
-        return;
-    logNotable("crash_suspected",
-               {{"suspect", record.suspect},
-                {"incident", record.incident},
-                {"source", record.reporter},
-                {"refused", m_suspects.isRefused(record.suspect) ? 1 : 0}});
+    if (!m_survived.contains(record.suspect) && m_suspects.add(record, now))
+        logRecord(record);
 }
 
-void CrashingRequestDetector::announce()
+void CrashingRequestDetector::announce(const Fingerprint &suspect)
 {
-    if (m_onNews)
+    if (m_onNews && isPromptPart(suspect))
         m_onNews();
 }
 
--- a/src/Apps/Entry/CrashingRequestDetector.h
+++ b/src/Apps/Entry/CrashingRequestDetector.h
@@ -21,7 +21,7 @@
 
     explicit CrashingRequestDetector(const InstanceId &self);
 
-    /// Sets a hook that is called when there is news for the peers.
+    /// Sets a hook that is called when there is urgent news for the peers.
     void setNewsHook(std::function<void()> onNews) { m_onNews = std::move(onNews); }
 
     /// Returns those of \a suspects that no server is known to have survived.
@@ -74,7 +74,8 @@
 
     void recordIncident(const ConnectionLoss &connectionLoss, Instant now);
     void addRecord(const CrashRecord &record, Instant now);
-    void announce();
+    void logRecord(const CrashRecord &record) const;
+    void announce(const Fingerprint &suspect);
 
     const InstanceId m_self;
     CrashSuspects m_suspects;
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -287,7 +287,7 @@
     if (std::exchange(m_hasNewChanges, false))
         addLoadedModelChanges(message);
     addLeavingServers(std::exchange(m_state.unsentLeavingServers, {}), message);
-    addCrashNews(m_state.crashDetector.broadcastQueue().nextBatch(), message);
+    addCrashNews(m_state.crashDetector.broadcastQueue().nextUrgentBatch(), message);
     for (const ServerName &name : std::exchange(m_state.unsentLimitChanges, {})) {
         if (const ServerState *server = m_state.servers.find(name))
             addRequestLimit(*server, message);
--- a/src/Serving/Requests/CrashBroadcastQueue.cpp
+++ b/src/Serving/Requests/CrashBroadcastQueue.cpp
@@ -1,27 +1,49 @@
 #include "Serving/Requests/CrashBroadcastQueue.h"
 
+#include "Serving/Requests/RequestMetadata.h"
+
 namespace quetzalyoke {
 
+CrashBroadcastQueue::Entries &CrashBroadcastQueue::entriesFor(const Fingerprint &suspect)
+{
+    return isPromptPart(suspect) ? m_parts : m_requests;
+}
+
 void CrashBroadcastQueue::add(const CrashRecord &record)
 {
-    m_entries[{record.suspect, record.incident}] = {{record, false}, m_settings.sendsPerCrash};
+    entriesFor(record.suspect)[{record.suspect, record.incident}]
+        = {{record, false}, m_settings.sendsPerCrash};
 }
 
 void CrashBroadcastQueue::addSurvival(const Fingerprint &suspect)
 {
-    std::erase_if(m_entries, [&suspect](const auto &it) { return it.first.first == suspect; });
-    m_entries[{suspect, {}}] = {{{suspect, {}, {}}, true}, m_settings.sendsPerCrash};
+    Entries &entries = entriesFor(suspect);
+    std::erase_if(entries, [&suspect](const auto &it) { return it.first.first == suspect; });
+    entries[{suspect, {}}] = {{{suspect, {}, {}}, true}, m_settings.sendsPerCrash};
 }
 
 std::vector<CrashNews> CrashBroadcastQueue::nextBatch()
 {
     std::vector<CrashNews> batch;
-    for (auto it = m_entries.begin();
-         it != m_entries.end() && batch.size() < m_settings.maxPerDatagram;) {
+    takeFrom(m_parts, batch);
+    takeFrom(m_requests, batch);
+    return batch;
+}
+
+std::vector<CrashNews> CrashBroadcastQueue::nextUrgentBatch()
+{
+    std::vector<CrashNews> batch;
+    takeFrom(m_parts, batch);
+    return batch;
+}
+
+void CrashBroadcastQueue::takeFrom(Entries &entries, std::vector<CrashNews> &batch) const
+{
+    for (auto it = entries.begin();
+         it != entries.end() && batch.size() < m_settings.maxPerDatagram;) {
         batch.push_back(it->second.news);
-        it = --it->second.remainingSends == 0 ? m_entries.erase(it) : std::next(it);
+        it = --it->second.remainingSends == 0 ? entries.erase(it) : std::next(it);
     }
-    return batch;
 }
 
 std::vector<std::vector<CrashNews>>
--- a/src/Serving/Requests/CrashBroadcastQueue.h
+++ b/src/Serving/Requests/CrashBroadcastQueue.h
@@ -35,9 +35,12 @@
     void add(const CrashRecord &record);
     /// Adds that \a suspect was survived, in place of the crashes that still wait.
     void addSurvival(const Fingerprint &suspect);
-    bool isEmpty() const { return m_entries.empty(); }
-    /// Returns the news for the next message to peers and counts them as sent once.
+    /// Returns the news for the next regular message to peers, parts of prompts first, and counts
+    /// them as sent once.
     std::vector<CrashNews> nextBatch();
+    /// Does the same with news of parts of prompts only, for a message that is sent at once. Other
+    /// news are too many while servers crash.
+    std::vector<CrashNews> nextUrgentBatch();
     /// Splits \a records into batches that fit one datagram each.
     std::vector<std::vector<CrashNews>>
     splitIntoBatches(const std::vector<CrashRecord> &records) const;
@@ -49,8 +52,14 @@
         int remainingSends = 0;
     };
 
+    using Entries = std::map<std::pair<Fingerprint, std::string>, Entry>; // by suspect, incident
+
+    void takeFrom(Entries &entries, std::vector<CrashNews> &batch) const;
+    Entries &entriesFor(const Fingerprint &suspect);
+
     const Settings m_settings;
-    std::map<std::pair<Fingerprint, std::string>, Entry> m_entries; // by suspect and incident
+    Entries m_parts;
+    Entries m_requests;
 };
 
 } // namespace quetzalyoke
--- a/test/CrashBroadcastQueueTest.cpp
+++ b/test/CrashBroadcastQueueTest.cpp
@@ -58,3 +58,14 @@
     for (const CrashNews &it : batch)
         EXPECT_EQ(it.isSurvived, it.record.suspect == Fingerprint("f"));
 }
+
+TEST(CrashBroadcastQueueTest, sendsOnlyPartsOfPromptsAtOnceAndBeforeRequests)
+{
+    CrashBroadcastQueue queue{CrashBroadcastQueue::Settings()};
+    for (int i = 0; i < 500; ++i)
+        queue.add({Fingerprint("f" + std::to_string(i)), "engine-1/7", InstanceId("g")});
+    EXPECT_TRUE(queue.nextUrgentBatch().empty());
+    queue.add({Fingerprint("part-5"), "engine-1/7", InstanceId("g")});
+    ASSERT_EQ(queue.nextUrgentBatch().size(), 1U);
+    EXPECT_EQ(queue.nextBatch().front().record.suspect, Fingerprint("part-5"));
+}
