Soak: links keep ports of their own, and crashed servers close idle connections

Cause: links were bound with SO_REUSEPORT to ports that the system chose, so two links could get the same port and connections reached the wrong one. A crashed server also went on with its idle connections, unlike a real one. A fault of the soak itself; the links of servers now use ports outside the ephemeral range, as gateways do.

--- a/test/scenarios/runner/LinkRelay.cpp
+++ b/test/scenarios/runner/LinkRelay.cpp
@@ -39,14 +39,15 @@
     return -1;
 }
 
-// Returns a socket that is bound to \a port (0: any free one) but doesn't listen; -1 on failure.
-int boundSocket(int port)
+// Returns a socket that listens at \a address; -1 on failure.
+int listenAt(const Address &address)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
-    const sockaddr_in local = toSocketAddress({"127.0.0.1", port});
-    if (bind(fd, reinterpret_cast<const sockaddr *>(&local), sizeof local) == 0)
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const sockaddr_in local = toSocketAddress(address);
+    if (bind(fd, reinterpret_cast<const sockaddr *>(&local), sizeof local) == 0
+        && listen(fd, backlog) == 0)
         return fd;
     close(fd);
     return -1;
@@ -78,16 +79,13 @@
 
 } // namespace
 
-LinkRelay::LinkRelay()
+LinkRelay::LinkRelay(const Address &listen) : m_listener(listenAt(listen)), m_address(listen)
 {
-    m_listener = boundSocket(0);
     sockaddr_in local{};
     socklen_t n = sizeof local;
-    const bool listening = listen(m_listener, backlog) == 0
-        && getsockname(m_listener, reinterpret_cast<sockaddr *>(&local), &n) == 0;
-    if (!listening)
+    if (m_listener < 0 || getsockname(m_listener, reinterpret_cast<sockaddr *>(&local), &n) != 0)
         throw Error(ErrorKind::BadSettings, "a link can't listen; raise the open file limit");
-    m_port = ntohs(local.sin_port);
+    m_address.port = ntohs(local.sin_port);
     m_thread = std::thread([this] { acceptConnections(); });
 }
 
@@ -104,19 +102,23 @@
     m_target = target;
 }
 
-// Replaces the listener by a socket that only keeps the port.
 void LinkRelay::stopListening()
 {
-    const int fd = boundSocket(m_port);
-    if (fd < 0)
-        throw Error(ErrorKind::BadSettings, "a link can't keep its port");
-    dup2(fd, m_listener);
-    close(fd);
+    replaceListener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
 }
 
 void LinkRelay::resumeListening()
 {
-    listen(m_listener, backlog);
+    replaceListener(listenAt(m_address));
+}
+
+// The accepting thread goes on with the same descriptor.
+void LinkRelay::replaceListener(int fd)
+{
+    if (fd < 0)
+        throw Error(ErrorKind::BadSettings, "a link can't listen at its port again");
+    dup2(fd, m_listener);
+    close(fd);
 }
 
 void LinkRelay::acceptConnections()
--- a/test/scenarios/runner/LinkRelay.h
+++ b/test/scenarios/runner/LinkRelay.h
@@ -22,18 +22,20 @@
 class LinkRelay
 {
 public:
-    /// Listens on a free loopback port. Throws Error (BadSettings) if it can't.
-    LinkRelay();
+    /// Listens at \a listen, on a free port if its port is 0. Throws Error (BadSettings) if it
+    /// can't.
+    explicit LinkRelay(const Address &listen = {"127.0.0.1", 0});
     ~LinkRelay();
     LinkRelay(const LinkRelay &) = delete;
     LinkRelay &operator=(const LinkRelay &) = delete;
 
     /// Returns the address that the process at the near end connects to.
-    Address address() const { return {"127.0.0.1", m_port}; }
+    Address address() const { return m_address; }
     /// Forwards new connections to \a target. Without a target they are closed.
     void setTarget(const Address &target);
     void setState(LinkState state) { m_state = state; }
-    /// Refuses new connections, as the address of a process that has ended does.
+    /// Refuses new connections, as the address of a process that has ended does. Only for a port
+    /// that the system doesn't choose for other sockets. Throw Error (BadSettings).
     void stopListening();
     void resumeListening();
 
@@ -47,6 +49,7 @@
         std::thread backward;
     };
 
+    void replaceListener(int fd);
     void acceptConnections();
     void open(int near);
     /// Forwards bytes until one of the ends or the link closes.
@@ -55,8 +58,8 @@
     void removeEndedConnections();
     static void join(Connection &connection);
 
-    int m_listener = -1;
-    int m_port = 0;
+    const int m_listener;
+    Address m_address;
     std::atomic<LinkState> m_state{LinkState::Open};
     std::atomic<bool> m_stopping{false};
     std::mutex m_mutex; // guards m_target
--- a/test/soak/PlatformServerStandIn.cpp
+++ b/test/soak/PlatformServerStandIn.cpp
@@ -73,6 +73,7 @@
     for (const HttpServerConnection::Pointer &session : std::exchange(m_sessions, {}))
         session->abort();
     m_server->stopListening();
+    m_server->closeIdleConnections();
     m_stoppedServers.push_back(std::move(m_server));
 }
 
--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -129,7 +129,7 @@
 struct ServerWithLink
 {
     std::unique_ptr<PlatformServerStandIn> standIn;
-    LinkRelay link;
+    LinkRelay link{{runHost(), freePort()}};
 };
 
 class Soak
