--- a/test/scenarios/runner/LinkRelay.cpp
+++ b/test/scenarios/runner/LinkRelay.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <chrono>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -18,6 +19,7 @@
 constexpr int pollMillis = 20;
 constexpr std::chrono::milliseconds holdPollInterval{5};
 constexpr int backlog = 256;
+constexpr int maxListenAttempts = 40;
 constexpr std::size_t bufferBytes = 65'536;
 
 sockaddr_in toSocketAddress(const Address &address)
@@ -42,7 +44,7 @@
 // Returns a socket that listens at \a address; -1 on failure.
 int listenAt(const Address &address)
 {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in local = toSocketAddress(address);
@@ -107,17 +109,25 @@
     replaceListener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
 }
 
+// The accepting thread may still be polling the earlier listener, which then keeps the port.
 void LinkRelay::resumeListening()
 {
-    replaceListener(listenAt(m_address));
+    int fd = -1;
+    for (int i = 0; i < maxListenAttempts && fd < 0; ++i) {
+        fd = listenAt(m_address);
+        if (fd < 0)
+            std::this_thread::sleep_for(holdPollInterval);
+    }
+    replaceListener(fd);
 }
 
-// The accepting thread goes on with the same descriptor.
+// The accepting thread goes on with the same descriptor. Processes that are started later must not
+// inherit it, since the port would stay in use.
 void LinkRelay::replaceListener(int fd)
 {
     if (fd < 0)
         throw Error(ErrorKind::BadSettings, "a link can't listen at its port again");
-    dup2(fd, m_listener);
+    dup3(fd, m_listener, O_CLOEXEC);
     close(fd);
 }
 
