Reproduce incident CONFIG: store tests and soak, red

The soak's store comes back from a copy 1 to 9 s old every 4 to 10 s, after an outage of up to 2 s; its era rises, versions are given out again, and operators and servers write their rows again within 1.2 s. New check: a caller with the newest configuration's key gets no 401 or 404 later than 2 s after its acknowledgement.

--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -28,7 +28,7 @@
 
     /// Waits for a call whose target contains \a part, and sends the response. Returns false if no
     /// such call arrives.
-    bool respond(const std::string &part, int status, const std::string &body)
+    bool respond(const std::string &part, int status, const std::string &body, int era = 1)
     {
         std::size_t at = 0;
         const bool hasArrived = runUntil(m_loop, [&] {
@@ -42,7 +42,9 @@
             return false;
         const auto session = m_calls[at].second;
         m_calls.erase(m_calls.begin() + static_cast<std::ptrdiff_t>(at));
-        session->sendResponse(status, "Content-Type: application/json\r\n", body);
+        session->sendResponse(
+            status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(era) + "\r\n",
+            body);
         return true;
     }
     const std::string &lastBody() const { return m_lastBody; }
@@ -202,3 +204,39 @@
     EXPECT_EQ(outcomes[1], StoreClient::WriteStatus::Conflict);
     EXPECT_EQ(outcomes[2], StoreClient::WriteStatus::Failed);
 }
+
+// After a restore the store gives out versions again that it gave out before.
+TEST_F(PlatformStoreTest, readsAllRowsAgainOnceTheStoreWasRestored)
+{
+    follower.start();
+    ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 3) + "," + row("b", 6), 7)));
+    // Version 7 exists again, with another content.
+    ASSERT_TRUE(store.respond("after=7", 200, rows(row("c", 8), 8), 2));
+    ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 3) + "," + row("d", 5), 8), 2));
+    ASSERT_TRUE(runUntil(loop, [&] { return follower.rows().count("d") == 1; }));
+    EXPECT_EQ(follower.rows().count("b"), 0U);
+    ASSERT_TRUE(store.respond("after=8", 200, rows(row("b", 9), 9), 2));
+    EXPECT_TRUE(runUntil(loop, [&] { return follower.rows().count("b") == 1; }));
+}
+
+TEST_F(PlatformStoreTest, appliesRowsWithLowerVersionsAfterARestore)
+{
+    follower.start();
+    ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 60), 70)));
+    ASSERT_TRUE(store.respond("after=70", 410, "{}", 2));
+    ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 30), 40), 2));
+    ASSERT_TRUE(awaitBatches(2));
+    ASSERT_TRUE(store.respond("after=40", 200, rows(row("a", 41), 41), 2));
+    ASSERT_TRUE(awaitBatches(3));
+    EXPECT_EQ(appliedRows, (Strings{"+a", "+a", "+a"}));
+}
+
+TEST_F(PlatformStoreTest, ignoresAResponseFromBeforeARestore)
+{
+    follower.start();
+    ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 3), 7), 2));
+    ASSERT_TRUE(store.respond("after=7", 200, rows(row("z", 90), 90), 1));
+    ASSERT_TRUE(store.respond("after=7", 200, rows(row("b", 8), 8), 2));
+    ASSERT_TRUE(awaitBatches(2));
+    EXPECT_EQ(appliedRows, (Strings{"+a", "+b"}));
+}
--- a/test/soak/PlatformServerStandIn.cpp
+++ b/test/soak/PlatformServerStandIn.cpp
@@ -91,6 +91,12 @@
     writeServerRow();
 }
 
+void PlatformServerStandIn::repeatHeartbeat()
+{
+    if (m_isUp)
+        writeServerRow();
+}
+
 void PlatformServerStandIn::beginLeaving()
 {
     m_isLeaving = true;
--- a/test/soak/PlatformServerStandIn.h
+++ b/test/soak/PlatformServerStandIn.h
@@ -38,6 +38,8 @@
     /// Listens again under the same id, as the next incarnation, with no model loaded.
     void restart();
     void beginLeaving();
+    /// Writes the server's row again, as its next heartbeat would; it may have been lost.
+    void repeatHeartbeat();
     void deregisterAndStop();
     /// Sets a hook that crashes this server; called when it begins to answer a request with a part
     /// that crashes servers.
--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -59,6 +59,16 @@
 constexpr int ticksPerCrashingRequest = 10;
 constexpr int soundSharedParts = 10;
 constexpr int killInterval = 5; // one fault in this many, if there are no others
+// The store is restored from a copy this often, after a short outage.
+constexpr milliseconds minRestoreInterval{4000};
+constexpr milliseconds maxRestoreInterval{10'000};
+constexpr milliseconds minRestoreOutage{200};
+constexpr milliseconds maxRestoreOutage{2000};
+constexpr milliseconds minCopyAge{1000};
+constexpr milliseconds maxCopyAge{9000};
+constexpr milliseconds copyInterval{900};
+// Operators and servers write again what was lost.
+constexpr milliseconds rewriteTime{1200};
 constexpr std::size_t shownLogLines = 3;
 
 // Returns a loopback address of this run alone, so that concurrent runs can't take each other's
@@ -139,7 +149,8 @@
     Soak(const std::string &programs, std::uint64_t seed, int gateways, milliseconds faultTime,
          bool hasOnlyCrashingParts)
         : m_program(programs + "/quetzalyoke-entry"), m_random(seed), m_limitRandom(seed),
-          m_partRandom(seed), m_faultTime(faultTime), m_hasOnlyCrashingParts(hasOnlyCrashingParts),
+          m_partRandom(seed), m_restoreRandom(seed), m_faultTime(faultTime),
+          m_hasOnlyCrashingParts(hasOnlyCrashingParts),
           m_folder(std::filesystem::temp_directory_path()
                    / ("quetzalyoke-soak-" + std::to_string(seed) + "-" + std::to_string(getpid()))),
           m_store(m_loop), m_checks(limits())
@@ -179,6 +190,13 @@
                 changeRequestLimit(now);
             if (now >= faultsBegin && now < faultsEnd)
                 sendCrashingRequests(now);
+            if (now >= m_nextCopyAt) {
+                m_store.saveCopy();
+                m_nextCopyAt = now + copyInterval;
+            }
+            if (now >= faultsBegin && now >= m_nextRestoreAt && now < faultsEnd
+                && !m_hasOnlyCrashingParts)
+                restoreStore(now);
             if (now >= faultsEnd && !areFaultsEnded) {
                 m_checks.endCrashingPart();
                 endAllFaults(now);
@@ -399,7 +417,14 @@
                                        {"rate_per_s", accountRate},
                                        {"burst", accountRate}});
         }
-        m_store.put("op", "config", json.dump());
+        m_config = json.dump();
+        writeConfigurationRow();
+    }
+
+    void writeConfigurationRow()
+    {
+        m_store.put("op", "config", m_config);
+        m_checks.onConfigWritten();
     }
 
     void sendRequests(bool isMeasured)
@@ -622,6 +647,31 @@
         });
     }
 
+    milliseconds randomRestoreTime(milliseconds least, milliseconds most)
+    {
+        return milliseconds(std::uniform_int_distribution<std::int64_t>(
+            least.count(), most.count())(m_restoreRandom));
+    }
+
+    void restoreStore(Instant now)
+    {
+        m_nextRestoreAt = now + randomRestoreTime(minRestoreInterval, maxRestoreInterval);
+        const milliseconds age = randomRestoreTime(minCopyAge, maxCopyAge);
+        printAction("restore the store from a copy " + std::to_string(age.count()) + " ms old");
+        m_store.setUnavailable(true);
+        m_checks.onFleetFault();
+        scheduleFaultEnd(randomRestoreTime(minRestoreOutage, maxRestoreOutage), [this, age] {
+            m_checks.onFleetFault();
+            m_store.restore(age);
+            m_store.setUnavailable(false);
+            scheduleFaultEnd(randomRestoreTime(milliseconds(0), rewriteTime),
+                             [this] { writeConfigurationRow(); });
+            for (const auto &server : m_servers)
+                scheduleFaultEnd(randomRestoreTime(milliseconds(0), rewriteTime),
+                                 [&server] { server->standIn->repeatHeartbeat(); });
+        });
+    }
+
     void crash(ServerWithLink &server)
     {
         if (!server.standIn->isUp())
@@ -693,6 +743,9 @@
     std::mt19937_64 m_random;
     std::mt19937_64 m_limitRandom; // its own, so that the other faults of a seed stay the same
     std::mt19937_64 m_partRandom; // its own as well
+    std::mt19937_64 m_restoreRandom;
+    Instant m_nextCopyAt;
+    Instant m_nextRestoreAt;
     Instant m_partPhaseEnd; // of the phase with or without a crashing part
     std::string m_crashingPart; // empty: none
     int m_partNumber = 0;
@@ -707,6 +760,7 @@
     std::vector<std::pair<std::string, std::string>> m_keys; // account and its only key
     std::multimap<Instant, std::function<void()>> m_faultEnds;
     std::int64_t m_configVersion = 0;
+    std::string m_config; // the newest one
     int m_keyNumber = 0;
     std::int64_t m_requests = 0;
     int m_measuredRequests = 0;
--- a/test/soak/PlatformStoreStandIn.cpp
+++ b/test/soak/PlatformStoreStandIn.cpp
@@ -53,11 +53,38 @@
     completeWaitingFeeds();
 }
 
+void PlatformStoreStandIn::saveCopy()
+{
+    constexpr std::size_t maxCopies = 12;
+    m_copies.push_back({steadyNow(), m_tables, m_version});
+    if (m_copies.size() > maxCopies)
+        m_copies.pop_front();
+}
+
+void PlatformStoreStandIn::restore(Duration age)
+{
+    while (m_copies.size() > 1 && steadyNow() - m_copies[1].at >= age)
+        m_copies.pop_front();
+    const Copy copy = m_copies.front();
+    m_copies = {copy};
+    m_tables = copy.tables;
+    m_version = copy.version;
+    m_historyStart = std::min(m_historyStart, m_version);
+    ++m_era;
+    for (const WaitingFeed &waiting : std::exchange(m_waiting, {}))
+        waiting.session->abort();
+}
+
+std::string PlatformStoreStandIn::responseFields() const
+{
+    return "Keep-Alive: timeout=30\r\nStore-Era: " + std::to_string(m_era) + "\r\n";
+}
+
 void PlatformStoreStandIn::handleRequest(const HttpServerConnection::Pointer &session,
                                          const HttpRequest &request)
 {
     if (m_isUnavailable) {
-        session->sendResponse(503, "", "");
+        session->sendResponse(503, responseFields(), "");
         return;
     }
     if (request.target.starts_with("/rows-get"))
@@ -67,7 +94,7 @@
     else if (request.target.starts_with("/rows-tx"))
         transact(session, request.body);
     else
-        session->sendResponse(404, "", "");
+        session->sendResponse(404, responseFields(), "");
 }
 
 Json PlatformStoreStandIn::rowsOf(const std::string &table, std::int64_t after,
@@ -96,15 +123,15 @@
 void PlatformStoreStandIn::sendRows(const HttpServerConnection::Pointer &session, const Json &rows)
 {
     const Json json{{"rows", rows}, {"truncated", false}, {"ver", m_version}, {"now_ms", 1}};
-    session->sendResponse(200, "Keep-Alive: timeout=30\r\n", json.dump());
+    session->sendResponse(200, responseFields(), json.dump());
 }
 
 void PlatformStoreStandIn::feed(const HttpServerConnection::Pointer &session,
                                 const std::string &target)
 {
     const std::int64_t after = number(parameter(target, "after"));
-    if (after < m_historyStart) {
-        session->sendResponse(410, "", "{}");
+    if (after < m_historyStart || after > m_version) {
+        session->sendResponse(410, responseFields(), "{}");
         return;
     }
     const std::string table = parameter(target, "table");
@@ -126,7 +153,7 @@
         const std::int64_t version = row.isDeleted ? 0 : row.version;
         if (version == condition["ver"].get<std::int64_t>())
             continue;
-        session->sendResponse(412, "", "{\"rows\":[]}");
+        session->sendResponse(412, responseFields(), "{\"rows\":[]}");
         return;
     }
     ++m_version;
@@ -137,8 +164,7 @@
         m_withoutResponse.push_back(session);
         return;
     }
-    session->sendResponse(200, "Keep-Alive: timeout=30\r\n",
-                          Json{{"ver", m_version}, {"now_ms", 1}}.dump());
+    session->sendResponse(200, responseFields(), Json{{"ver", m_version}, {"now_ms", 1}}.dump());
 }
 
 void PlatformStoreStandIn::completeWaitingFeeds()
--- a/test/soak/PlatformStoreStandIn.h
+++ b/test/soak/PlatformStoreStandIn.h
@@ -22,6 +22,11 @@
     void setUnavailable(bool isUnavailable) { m_isUnavailable = isUnavailable; }
     /// While set, writes take effect but get no response.
     void setDroppingResponses(bool isDropping) { m_isDroppingResponses = isDropping; }
+    /// Keeps a copy of all rows, for restore().
+    void saveCopy();
+    /// Replaces all rows by those of the saved copy that is closest to \a age old. Versions go on
+    /// from there.
+    void restore(Duration age);
     /// Drops the history of changes, so that feeds from an earlier version get status 410.
     void dropHistory() { m_historyStart = m_version; }
     /// Responds to waiting feeds whose wait time has passed. Aborts all of them while unavailable.
@@ -42,6 +47,14 @@
         Instant until;
     };
 
+    struct Copy
+    {
+        Instant at;
+        std::map<std::string, std::map<std::string, Row>> tables;
+        std::int64_t version = 0;
+    };
+
+    std::string responseFields() const;
     void handleRequest(const HttpServerConnection::Pointer &session, const HttpRequest &request);
     void feed(const HttpServerConnection::Pointer &session, const std::string &target);
     void transact(const HttpServerConnection::Pointer &session, const std::string &body);
@@ -52,6 +65,8 @@
     std::map<std::string, std::map<std::string, Row>> m_tables;
     std::int64_t m_version = 0;
     std::int64_t m_historyStart = 0;
+    int m_era = 1; // how often the rows were restored, plus one
+    std::deque<Copy> m_copies; // the latest last
     bool m_isUnavailable = false;
     bool m_isDroppingResponses = false;
     std::vector<WaitingFeed> m_waiting;
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -80,7 +80,14 @@
 void SoakChecks::onResponse(const std::string &id, int status, const std::string &body,
                             bool isStream, bool isSigned)
 {
+    const Request &request = m_requests[id];
     m_requests[id].isEnded = true;
+    // Callers use routes and keys of the newest configuration only.
+    const bool isDenied = status == 401 || status == 404;
+    if (isDenied && request.sentAt - m_configWrittenAt > m_limits.configGrace
+        && !hadRecentFault(request.gateway, m_limits.contactTime))
+        fail("CONFIG: " + id + " got status " + std::to_string(status) + " from "
+             + request.gateway);
     if (status != 200)
         return;
     ++served;
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALYOKE_SOAK_SOAKCHECKS_H
 #define QUETZALYOKE_SOAK_SOAKCHECKS_H
 
+#include "Adapters/Async/EventLoop.h"
 #include "Core/StrongTypes.h"
 
 #include <deque>
@@ -27,6 +28,8 @@
         Duration holderChangeInterval = std::chrono::milliseconds(3000);
         Duration keyWithdrawalGrace = std::chrono::seconds(8); ///< Covers outages of the store.
         Duration leavingGrace = std::chrono::milliseconds(2500);
+        Duration configGrace = std::chrono::milliseconds(2000); ///< Until a configuration is used.
+        Duration contactTime = std::chrono::milliseconds(3000); ///< Until faults excuse nothing.
         double loadsPerSecond = 2;
         double tokensPerSecond = 0; ///< The rate of each account.
         double tokensBurst = 0;
@@ -60,6 +63,8 @@
     /// their deadlines.
     void checkAllEnded();
     // Reported for operators.
+    /// The store has acknowledged the configuration, or the same one again after a restore.
+    void onConfigWritten() { m_configWrittenAt = steadyNow(); }
     void onKeyWithdrawn(const std::string &key);
     /// From now on \a part crashes each server that begins to answer a request with it.
     void beginCrashingPart(const std::string &part);
@@ -155,6 +160,7 @@
     double m_limitedRequests = 0;
     double m_allowedRequests = 0;
     Instant m_fleetFaultAt;
+    Instant m_configWrittenAt;
     std::optional<Instant> m_plannedStopsSince;
     std::deque<Instant> m_loads;
     std::map<std::string, std::deque<std::pair<Instant, double>>> m_spending;
