An entry that an outage of the list hides is no evidence of a crash

Cause, found by reading: a removed entry counted as the end of its server before it was decided whether an outage of the list explains the removal. With a connection lost in the same six seconds the request was suspected. Change: only an entry that is really dropped counts.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -174,11 +174,12 @@
     const Instant now = steadyNow();
     logNotable("server_gone",
                {{"server", id}, {"incarnation", incarnation}, {"was_leaving", wasLeaving ? 1 : 0}});
+    m_state.servers.remove(id, now);
+    if (m_state.servers.find(id))
+        return; // its entry is missing because of an outage
+    m_state.chooser.clearPrefixCache(id);
     if (!wasLeaving)
         m_state.crashDetector.recordServerLoss(id, incarnation, now);
-    m_state.servers.remove(id, now);
-    if (!m_state.servers.find(id))
-        m_state.chooser.clearPrefixCache(id);
 }
 
 void EntryGateway::onReachabilityChanged(bool isReachable, const std::string &reason)
