A server that was leaving stays so when an older entry returns

What would break: the list comes back from a copy that is older than a server's announcement that it leaves, or than its end; the entry says ready, and the server gets requests again (DRAIN), although this gateway had acted on the announcement. Only announcements in responses were remembered, not those in the list. Change: an entry that says leaving is remembered for its incarnation as well.

--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -84,6 +84,9 @@
         state.permits = RequestPermits();
         clearPeerWork(serverHash(server.id));
     }
+    // An entry from a copy of the list may be older than the announcement.
+    if (server.isLeaving)
+        recordLeaving(server.id, server.incarnation);
     setListed(state, server);
     state.unlistedSince.reset();
     applyPendingChanges(state, now);
--- a/test/ServerDirectoryTest.cpp
+++ b/test/ServerDirectoryTest.cpp
@@ -244,3 +244,21 @@
     directory.put(listed(3), start);
     EXPECT_FALSE(directory.find(engine)->isPaused(start));
 }
+
+// The list may come back from a copy that is older than the announcement, or than the end of the
+// server.
+TEST(ServerDirectoryTest, keepsThatAServerIsLeavingWhenAnOlderEntryReturns)
+{
+    ServerDirectory directory(2s);
+    directory.put(listed(1), start);
+    ListedServer leaving = listed(1);
+    leaving.isLeaving = true;
+    directory.put(leaving, start + 1s);
+    directory.put(listed(1), start + 2s);
+    EXPECT_TRUE(directory.find(engine)->listed.isLeaving);
+    directory.remove(engine, start + 3s);
+    directory.put(listed(1), start + 4s);
+    EXPECT_TRUE(directory.find(engine)->listed.isLeaving);
+    directory.put(listed(2), start + 5s);
+    EXPECT_FALSE(directory.find(engine)->listed.isLeaving);
+}
