Versions of a store that came back from a copy are newer than all earlier ones

Cause: after a restore the store gives out versions again. The followers went on from their position of the lost history: changes at or below it were not asked for, or ignored as older rows, and peers with the lost history's higher versions looked newer. The lease's row and its fencing token went back with the rest, and its earlier holder could act on it. Class: numbers that are compared although they belong to two histories.

Ruled out: a configuration that is refused as older (no bad_entry line).

Change: the era of Store-Era stands above each version, so that every comparison is one of eras first; a later era has all rows read again, responses of an earlier one are ignored, peers of an earlier era get all rows. The configuration in force is kept by its own version and given to peers that have only the copy. Servers missing from the copy are kept as after an outage. A lease row whose token is of an earlier era gives nobody rights but the holder that can't have been replaced; tokens begin anew above those of the era before; a write that expects a version of another era counts as failed, and a marker row turns away writers that don't know of the restore. The list of gateways and the crash records are written again.

PlacementLeaseTest: the schedules are the same, run without and with restores.

--- a/src/Apps/Entry/CrashRecordKeeper.cpp
+++ b/src/Apps/Entry/CrashRecordKeeper.cpp
@@ -15,7 +15,7 @@
 {
     // An earlier holder may have written since.
     if (holdsLease && !m_heldLease)
-        m_writtenDigest.reset();
+        m_isWritten = false;
     m_heldLease = holdsLease;
     const Instant now = steadyNow();
     if (m_isCallPending || now < m_nextCallAt)
@@ -26,8 +26,8 @@
         return;
     }
     const std::uint64_t digest = m_state.crashDetector.digest();
-    const bool wasNeverUsed = digest == 0 && !m_writtenDigest;
-    if (!holdsLease || wasNeverUsed || m_writtenDigest == digest)
+    const bool wasNeverUsed = digest == 0 && m_writtenDigest == 0;
+    if (!holdsLease || wasNeverUsed || (m_isWritten && m_writtenDigest == digest))
         return;
     m_nextCallAt = now + callInterval;
     write();
@@ -55,8 +55,10 @@
     m_state.platform.writeCrashRecords(
         records, [this, digest = m_state.crashDetector.digest(), count = records.size()](bool ok) {
             m_isCallPending = false;
-            if (ok)
+            if (ok) {
+                m_isWritten = true;
                 m_writtenDigest = digest;
+            }
             logNotable("crash_records_written", {{"records", count}, {"ok", ok ? 1 : 0}});
         });
 }
--- a/src/Apps/Entry/CrashRecordKeeper.h
+++ b/src/Apps/Entry/CrashRecordKeeper.h
@@ -15,6 +15,8 @@
     explicit CrashRecordKeeper(EntryState &state) : m_state(state) { }
 
     void tick(bool holdsLease);
+    /// Called when the store has come back from a copy.
+    void onStoreRestored() { m_isWritten = false; }
 
 private:
     void read();
@@ -24,7 +26,8 @@
     bool m_isRead = false;
     bool m_isCallPending = false;
     bool m_heldLease = false;
-    std::optional<std::uint64_t> m_writtenDigest; // of the records that this holder has written
+    bool m_isWritten = false; // the store has the records with m_writtenDigest, from this holder
+    std::uint64_t m_writtenDigest = 0;
     Instant m_nextCallAt;
 };
 
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -123,6 +123,7 @@
     hooks.onReachabilityChanged = [this](bool isReachable, const std::string &reason) {
         onReachabilityChanged(isReachable, reason);
     };
+    hooks.onStoreRestored = [this](StoreEra era) { onStoreRestored(era); };
     hooks.onInvalidEntry = [](const std::string &key, const std::string &problem) {
         logNotable("bad_entry", {{"key", key}, {"reason", problem}});
         Metrics::incrementCounter("bad_entries");
@@ -193,6 +194,16 @@
     Metrics::incrementCounter("store_changes", {{"to", isReachable ? "reachable" : "lost"}});
 }
 
+// Servers that are missing from the copy write their entries again.
+void EntryGateway::onStoreRestored(StoreEra era)
+{
+    logNotable("store_restored", {{"era", era}});
+    Metrics::incrementCounter("store_restores");
+    m_state.servers.recordListOutage(steadyNow());
+    m_peers.onStoreRestored();
+    m_crashRecords.onStoreRestored();
+}
+
 HttpServerConnectionLimits EntryGateway::callerLimits() const
 {
     HttpServerConnectionLimits limits;
--- a/src/Apps/Entry/LeaseStoreClient.cpp
+++ b/src/Apps/Entry/LeaseStoreClient.cpp
@@ -15,12 +15,15 @@
 constexpr HttpClientConnection::Limits relayLimits{std::chrono::milliseconds(300),
                                                    std::chrono::milliseconds(1000)};
 
-// The values are separated by spaces; instance names contain none.
+// Stands for the holder if there is no row. The values are separated by spaces; instance names
+// contain none.
+constexpr const char *noHolder = "-";
+
 std::string encode(const LeaseRow &row)
 {
     std::ostringstream out;
-    out << row.holder.text() << ' ' << row.incarnation.count() << ' ' << row.fencingToken.count()
-        << ' ' << row.version.count();
+    out << (row.exists() ? row.holder.text() : noHolder) << ' ' << row.incarnation.count() << ' '
+        << row.fencingToken.count() << ' ' << row.version.count() << ' ' << row.era.count();
     return out.str();
 }
 
@@ -31,10 +34,12 @@
     std::int64_t incarnation = 0;
     std::int64_t fencing = 0;
     std::int64_t version = 0;
-    if (!(in >> holder >> incarnation >> fencing >> version))
+    std::int64_t era = 0;
+    if (!(in >> holder >> incarnation >> fencing >> version >> era))
         return {};
-    return LeaseRow{InstanceId(holder), Incarnation(incarnation), FencingToken(fencing),
-                    Version(version)};
+    return LeaseRow{InstanceId(holder == noHolder ? std::string() : holder),
+                    Incarnation(incarnation), FencingToken(fencing), Version(version),
+                    StoreEra(era)};
 }
 
 } // namespace
@@ -86,14 +91,10 @@
         = "GET " + std::string(path) + " HTTP/1.1\r\nHost: " + client->peer().text() + "\r\n\r\n";
     client->call(
         request, relayTimeout, [this, done = std::move(done)](const HttpCallResult &result) {
-            const bool isSuccess
-                = result.hasResponse() && (result.status == 200 || result.status == 404);
-            updateRoute(isSuccess);
-            if (!isSuccess) {
-                done({});
-                return;
-            }
-            done(std::optional<std::optional<LeaseRow>>(std::in_place, decode(result.body)));
+            const auto row
+                = result.hasResponse() && result.status == 200 ? decode(result.body) : std::nullopt;
+            updateRoute(row.has_value());
+            done(row);
         });
 }
 
@@ -134,10 +135,8 @@
         m_state.platform.readLease([connection](const auto &row) {
             if (!row)
                 connection->sendResponse(503, "", "the store did not respond");
-            else if (!*row)
-                connection->sendResponse(404, "", "no lease is stored");
             else
-                connection->sendResponse(200, "", encode(**row));
+                connection->sendResponse(200, "", encode(*row));
         });
         return;
     }
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -39,6 +39,9 @@
 
 constexpr std::chrono::milliseconds joinRetryDelay{500};
 
+// Spreads the calls of all gateways after the store was restored.
+constexpr Duration maxRejoinDelay = std::chrono::milliseconds(2000);
+
 // A gateway that lacks crash records gets them from about this many of its peers at a time.
 constexpr double crashRecordSenders = 4;
 constexpr Duration crashRecordsInterval = std::chrono::milliseconds(500);
@@ -323,9 +326,11 @@
     const StateVersions versions = m_state.platform.versions();
     message.configRow = versions.config.count();
     message.serversRow = versions.servers.count();
+    message.configuration = versions.configuration.count();
     if (const auto row = m_hooks.heldLease()) {
         message.leaseFencing = row->fencingToken.count();
         message.leaseRow = row->version.count();
+        message.leaseEra = row->era.count();
     }
     for (const auto &[id, server] : m_state.servers.servers()) {
         if (server.ownWork.requestsInFlight == 0)
@@ -501,7 +506,8 @@
     peer.zone = ZoneName(message.zone);
     peer.followsStore = message.followsStore;
     peer.processorShare = message.processorShare;
-    peer.versions = {Version(message.configRow), Version(message.serversRow)};
+    peer.versions
+        = {Version(message.configRow), Version(message.serversRow), Version(message.configuration)};
     if (peer.isLeaving != message.leaving) {
         peer.isLeaving = message.leaving;
         updateGatewayCount();
@@ -526,7 +532,8 @@
         return;
     m_leaseHolder = from;
     m_hooks.onHolderRenewal({from, Incarnation(message.incarnation),
-                             FencingToken(message.leaseFencing), Version(message.leaseRow)});
+                             FencingToken(message.leaseFencing), Version(message.leaseRow),
+                             StoreEra(message.leaseEra)});
 }
 
 void PeerNetwork::applyServerSignals(const InstanceId &from, const wire::PeerNews &message)
@@ -608,6 +615,16 @@
     return peers;
 }
 
+// This gateway's row in the list of members may be lost, and so may others that were added lately.
+void PeerNetwork::onStoreRestored()
+{
+    m_joinTimer.expires_after(scaled(maxRejoinDelay, m_state.random()));
+    m_joinTimer.async_wait([this](const SystemErrorCode &ec) {
+        if (!ec)
+            join();
+    });
+}
+
 void PeerNetwork::onResumed()
 {
     const Instant now = steadyNow();
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -42,6 +42,8 @@
     void repeatPermitRequests() { m_permits.tick(); }
     /// Called after a stall or suspension of the instance.
     void onResumed();
+    /// Called when the store has come back from a copy.
+    void onStoreRestored();
     /// Returns the peers as sources of state for StateReplicator.
     std::vector<StatePeer> statePeers() const;
 
--- a/src/Apps/Entry/StateReplicator.cpp
+++ b/src/Apps/Entry/StateReplicator.cpp
@@ -97,6 +97,7 @@
     const StateVersions known = m_state.platform.versions();
     return "GET /state?config=" + std::to_string(known.config.count())
         + "&servers=" + std::to_string(known.servers.count())
+        + "&in_force=" + std::to_string(known.configuration.count())
         + "&wait_ms=" + std::to_string(wait.count()) + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
 }
 
@@ -134,6 +135,7 @@
             continue;
         newest.config = std::max(newest.config, peer.versions.config);
         newest.servers = std::max(newest.servers, peer.versions.servers);
+        newest.configuration = std::max(newest.configuration, peer.versions.configuration);
     }
     if (m_isFetching || !m_lagDetector.isOverdue(m_state.platform.versions(), newest, now))
         return;
@@ -147,13 +149,16 @@
                                                   const StateVersions &newest)
 {
     const StateVersions own = m_state.platform.versions();
+    const bool lacksConfiguration = newest.configuration > own.configuration;
     const bool lacksConfig = newest.config > own.config;
     const StatePeer *chosen = nullptr;
     int candidateCount = 0;
     for (const bool isSameZone : {true, false}) {
         for (const StatePeer &peer : peers) {
-            const bool isAhead = lacksConfig ? peer.versions.config > own.config
-                                             : peer.versions.servers > own.servers;
+            const bool isAhead = lacksConfiguration
+                ? peer.versions.configuration > own.configuration
+                : lacksConfig ? peer.versions.config > own.config
+                              : peer.versions.servers > own.servers;
             if (!peer.candidate.isAlive || !isAhead
                 || (peer.candidate.zone == m_state.settings.zone) != isSameZone)
                 continue;
@@ -205,7 +210,8 @@
                                          const std::string &target)
 {
     const StateVersions known{Version(queryNumber(target, "config")),
-                              Version(queryNumber(target, "servers"))};
+                              Version(queryNumber(target, "servers")),
+                              Version(queryNumber(target, "in_force"))};
     const Duration wait = std::chrono::milliseconds(
         std::min<std::int64_t>(queryNumber(target, "wait_ms"), pollWait.count()));
     if (wait.count() > 0 && !hasNewerThan(known)) {
--- a/src/Apps/Entry/StateReplicator.h
+++ b/src/Apps/Entry/StateReplicator.h
@@ -35,7 +35,8 @@
     void onStateChanged();
     /// Called after a stall or suspension of the instance: its connections may be dead.
     void onResumed();
-    /// Responds to a peer; \a target is /state?config=ROW&servers=ROW&wait_ms=MILLISECONDS.
+    /// Responds to a peer; \a target is
+    /// /state?config=ROW&servers=ROW&in_force=VERSION&wait_ms=MILLISECONDS.
     void handleStateRequest(const HttpServerConnection::Pointer &connection,
                             const std::string &target);
 
--- a/src/Core/StrongTypes.h
+++ b/src/Core/StrongTypes.h
@@ -68,6 +68,9 @@
 using Fingerprint
     = StrongId<struct FingerprintTag>; ///< Identifies a request or a part of its prompt.
 
+/// How often the platform's store came back from a copy, which loses its latest changes.
+using StoreEra = Quantity<struct StoreEraTag>;
+
 using Tokens = Quantity<struct TokensTag>;
 using TokensPerSecond = Quantity<struct TokensPerSecondTag>;
 using Megabytes = Quantity<struct MegabytesTag>;
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -21,10 +21,13 @@
 };
 
 /// \brief Versions of the newest known rows of the configuration and of the server list.
+///
+/// Rows of a store that came back from a copy are newer than all earlier ones.
 struct StateVersions
 {
     Version config;
     Version servers;
+    Version configuration = {}; ///< The operators' own version of the configuration in force.
 
     bool operator==(const StateVersions &) const = default;
 };
@@ -42,6 +45,9 @@
         std::function<void()> onBatchApplied; ///< Called after a batch of the calls above.
         /// The store became unreachable or reachable; \a reason gives the observed error.
         std::function<void(bool isReachable, const std::string &reason)> onReachabilityChanged;
+        /// The store has come back from a copy: its latest changes are lost, and what the operators
+        /// and the servers wrote is written again soon.
+        std::function<void(StoreEra era)> onStoreRestored;
         /// An entry with \a key is invalid; \a problem gives the reason.
         std::function<void(const std::string &key, const std::string &problem)> onInvalidEntry;
     };
@@ -72,9 +78,9 @@
     /// known ones are ignored.
     virtual void applyChanges(const std::string &changes) = 0;
 
-    /// The outer optional is empty if the call failed or the row is invalid, the inner one if
-    /// there is no lease row.
-    using LeaseReadHook = std::function<void(const std::optional<std::optional<LeaseRow>> &)>;
+    /// Passes nothing if the call failed or the row is invalid, and a row without a holder if there
+    /// is none.
+    using LeaseReadHook = std::function<void(const std::optional<LeaseRow> &)>;
     /// Reads the lease row.
     virtual void readLease(LeaseReadHook done) = 0;
     /// Writes the lease row if the store still has the version in \a row, otherwise reports
--- a/src/Serving/Placement/PlacementLease.cpp
+++ b/src/Serving/Placement/PlacementLease.cpp
@@ -25,23 +25,44 @@
 
 } // namespace
 
+namespace {
+
+constexpr std::int64_t tokensPerEra = 1'000'000;
+
+// The table starts with this era; in later ones the row may be missing because it was lost.
+constexpr StoreEra firstEra{1};
+
+} // namespace
+
+FencingToken firstFencingToken(StoreEra era)
+{
+    return FencingToken(era.count() * tokensPerEra + 1);
+}
+
+bool LeaseRow::isFromCopy() const
+{
+    return exists() ? fencingToken < firstFencingToken(era) : era > firstEra;
+}
+
 PlacementLease::PlacementLease(const Settings &settings, InstanceId self, Incarnation incarnation)
     : m_settings(settings), m_self(std::move(self)), m_incarnation(incarnation)
 { }
 
 bool PlacementLease::isHeldBySelf() const
 {
-    return m_isRowKnown && m_row.version.count() != 0 && m_row.holder == m_self
+    return m_isRowKnown && !m_row.isFromCopy() && m_row.holder == m_self
         && m_row.incarnation == m_incarnation;
 }
 
 bool PlacementLease::mayTakeOver(Instant now) const
 {
+    if (m_row.isFromCopy())
+        return isSoleHolder(now) || now - m_versionSeenAt >= takeoverDelay();
     // An earlier incarnation of this instance ended before this one began, and engines distinguish
     // holders by instance.
-    if (m_row.holder == m_self && m_row.version.count() != 0)
+    if (m_row.holder == m_self)
         return true;
-    if (m_row.version.count() == 0)
+    if (!m_row.exists())
         return m_firstReadAt && now - *m_firstReadAt >= m_settings.extraTakeoverDelay;
     return now - m_versionSeenAt >= takeoverDelay();
 }
@@ -102,8 +123,11 @@
     LeaseRow row;
     row.holder = m_self;
     row.incarnation = m_incarnation;
-    row.fencingToken = isHeldBySelf() ? m_row.fencingToken : m_row.fencingToken + FencingToken(1);
+    row.fencingToken = isHeldBySelf()
+        ? m_row.fencingToken
+        : std::max(m_row.fencingToken + FencingToken(1), firstFencingToken(m_row.era));
     row.version = m_row.version;
+    row.era = m_row.era;
     return row;
 }
 
@@ -169,7 +193,7 @@
 
 bool PlacementLease::mayOrderEngines(Instant now) const
 {
-    return !m_resigned && m_confirmedRenewalSentAt
+    return !m_resigned && !m_row.isFromCopy() && m_confirmedRenewalSentAt
         && now - *m_confirmedRenewalSentAt < m_settings.validity;
 }
 
--- a/src/Serving/Placement/PlacementLease.h
+++ b/src/Serving/Placement/PlacementLease.h
@@ -15,9 +15,20 @@
     InstanceId holder;
     Incarnation incarnation; ///< Of the holder.
     FencingToken fencingToken; ///< Increases with each change of the holder.
-    Version version; ///< Version of the row in the table; zero if there is no row.
+    Version version; ///< Version of the row in the table.
+    StoreEra era = {}; ///< Of the table when it gave the row this version.
+
+    /// Returns whether the table has such a row.
+    bool exists() const { return !holder.isEmpty(); }
+    /// Returns whether the row comes from a copy of the table: its fencing token is of an earlier
+    /// era. It doesn't show who holds the lease.
+    bool isFromCopy() const;
 };
 
+/// Returns the first fencing token of \a era. It is above all tokens of earlier eras, whichever of
+/// them were lost with the table's latest changes.
+FencingToken firstFencingToken(StoreEra era);
+
 /// \brief Decides when this gateway may send orders to engines, and when to read or write the lease
 /// row.
 ///
@@ -28,6 +39,10 @@
 /// least holderChangeInterval apart, whatever messages are lost, late or answered after a
 /// suspension.
 ///
+/// If the table comes back from a copy, its row may name an earlier holder and an earlier token.
+/// Then only a gateway that can't have been replaced yet may renew at once; all others wait as if
+/// the row had just been renewed. Fencing tokens begin anew above those of the era before.
+///
 /// Among hundreds of gateways, messages about the holder arrive seconds apart. Only a few gateways
 /// watch the row for all others, so that the calls to the table don't grow with the gateways.
 class PlacementLease
--- a/src/Serving/State/VersionLagDetector.cpp
+++ b/src/Serving/State/VersionLagDetector.cpp
@@ -4,7 +4,8 @@
 
 bool isAtLeastAsNew(const StateVersions &known, const StateVersions &other)
 {
-    return known.config >= other.config && known.servers >= other.servers;
+    return known.config >= other.config && known.servers >= other.servers
+        && known.configuration >= other.configuration;
 }
 
 bool VersionLagDetector::isOverdue(const StateVersions &own, const StateVersions &newest,
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -100,6 +100,8 @@
     7: i64 serversRow,            // newest row of the servers' table
     8: i64 leaseFencing,          // above zero: the sender may order engines
     16: i64 leaseRow,             // version of the lease's row as the sender renewed it last
+    27: i64 leaseEra,             // era of the store at that time
+    26: i64 configuration,        // the operators' version of the configuration in force
     17: string zone,
     20: double processorShare,    // of a core
     18: bool followsStore,        // the sender reads changes from the store, which answers it
--- a/test/PlacementLeaseTest.cpp
+++ b/test/PlacementLeaseTest.cpp
@@ -3,9 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <vector>
 
 using namespace quetzalyoke;
@@ -15,20 +17,63 @@
 
 const Instant start{1h};
 
-// The table's lease row with conditional writes.
+// The table's lease row with conditional writes. It can come back from a copy; versions contain the
+// era as they do in the platform's client.
 struct LeaseTable
 {
+    static constexpr std::int64_t versionsPerEra = 1'000'000;
+
+    LeaseTable() { setVersion(0); }
+
     LeaseRow row;
     std::int64_t versions = 0;
+    StoreEra era{1};
+    std::set<StoreEra> markedEras; // in which the lease was taken over
+    struct Copy
+    {
+        LeaseRow row;
+        std::int64_t versions;
+        std::set<StoreEra> markedEras;
+    };
+    std::deque<Copy> copies; // of one step each
 
+    void setVersion(std::int64_t version)
+    {
+        row.era = era;
+        row.version = Version(era.count() * versionsPerEra + version);
+    }
+    // Compares as the store does: it doesn't know of which era a version is.
     std::optional<Version> write(const LeaseRow &newRow)
     {
-        if (newRow.version != row.version)
+        if (newRow.version.count() % versionsPerEra != row.version.count() % versionsPerEra)
+            return {};
+        if (markedEras.count(newRow.era + StoreEra(1)) > 0)
             return {};
+        if (newRow.fencingToken == firstFencingToken(newRow.era)) {
+            for (StoreEra it{1}; it <= newRow.era; it += StoreEra(1))
+                markedEras.insert(it);
+        }
         row = newRow;
-        row.version = Version(++versions);
+        setVersion(++versions);
         return row.version;
     }
+    void saveCopy()
+    {
+        constexpr std::size_t keptSteps = 450;
+        copies.push_back({row, versions, markedEras});
+        if (copies.size() > keptSteps)
+            copies.pop_front();
+    }
+    void restore(std::size_t steps)
+    {
+        const auto &copy = copies[copies.size() - 1 - std::min(steps, copies.size() - 1)];
+        const std::int64_t version = copy.row.version.count() % versionsPerEra;
+        row = copy.row;
+        versions = copy.versions;
+        markedEras = copy.markedEras;
+        era += StoreEra(1);
+        setVersion(version);
+    }
 };
 
 // A pending call of a gateway to the table.
@@ -41,6 +86,7 @@
     Instant respondedAt;
     bool isDone = false;
     bool isLost = false; // the gateway gets no response
+    bool isOtherEra = false; // the table compared with a version of another era
     std::optional<Version> result;
     std::optional<LeaseRow> read;
 };
@@ -102,7 +148,7 @@
 // Random schedules of lost and late calls, suspended and restarted gateways and lost peer messages.
 // Orders of two holders must be at least holderChangeInterval apart, and fencing tokens must
 // increase.
-TEST(PlacementLeaseTest, separatesTheOrdersOfTwoHolders)
+void expectSeparateHolders(bool hasRestores)
 {
     constexpr int schedules = 2000;
     constexpr int gateways = 3;
@@ -121,6 +167,9 @@
         FencingToken lastFencing;
         std::vector<std::int64_t> incarnations(gateways, 1);
         for (Instant now = start; now < start + 40s; now += 20ms) {
+            table.saveCopy();
+            if (hasRestores && chance(400))
+                table.restore(random() % 450);
             for (Call &orphan : orphanedCalls) {
                 if (!orphan.isDone && orphan.isWrite && now >= orphan.reachesTableAt) {
                     table.write(orphan.proposedRow);
@@ -146,16 +195,17 @@
                 if (gateway.call && !gateway.call->isDone && now >= gateway.call->reachesTableAt) {
                     Call &call = *gateway.call;
                     call.isDone = true;
+                    call.isOtherEra = call.isWrite && call.proposedRow.era != table.row.era;
                     if (call.isWrite)
                         call.result = table.write(call.proposedRow);
-                    else if (table.row.version.count() != 0)
+                    else
                         call.read = table.row;
                 }
                 if (gateway.isSuspended)
                     continue;
                 if (gateway.call && now >= gateway.call->respondedAt) {
                     const Call call = *gateway.call;
-                    if (call.isLost || !call.isDone) {
+                    if (call.isLost || !call.isDone || call.isOtherEra) {
                         gateway.lease->onCallFailed(now);
                         if (!call.isDone)
                             orphanedCalls.push_back(call);
@@ -215,6 +265,17 @@
     EXPECT_GT(handovers, schedules / 2);
 }
 
+TEST(PlacementLeaseTest, separatesTheOrdersOfTwoHolders)
+{
+    expectSeparateHolders(false);
+}
+
+// A fencing token that was issued must not be issued again, nor a lower one.
+TEST(PlacementLeaseTest, separatesTheOrdersOfTwoHoldersWhenTheTableIsRestored)
+{
+    expectSeparateHolders(true);
+}
+
 TEST(PlacementLeaseTest, countsATableOutageTowardsTheTakeoverDelay)
 {
     const PlacementLease::Settings settings;
@@ -332,3 +393,79 @@
         EXPECT_LE(calls, maxCallsOfHandover + 2 * gateways / 50) << gateways;
     }
 }
+
+namespace {
+
+// A row that a copy of the table has brought back in era 2.
+LeaseRow rowFromCopy(const char *holder, std::int64_t incarnation)
+{
+    return {InstanceId(holder), Incarnation(incarnation), firstFencingToken(StoreEra(1)),
+            Version(1'000), StoreEra(2)};
+}
+
+} // namespace
+
+// The copy names a holder that another one has replaced since.
+TEST(PlacementLeaseTest, givesTheHolderOfARowFromACopyNoRights)
+{
+    const PlacementLease::Settings settings;
+    PlacementLease lease(settings, InstanceId("a"), Incarnation(1));
+    Instant now = start;
+    for (auto action = lease.nextAction(now); action != PlacementLease::Action::Write;
+         action = lease.nextAction(now)) {
+        if (action == PlacementLease::Action::Read)
+            lease.onRead(rowFromCopy("a", 1), now);
+        EXPECT_FALSE(lease.mayOrderEngines(now));
+        now += 50ms;
+        ASSERT_LT(now, start + 10s);
+    }
+    EXPECT_GE(now - start,
+              settings.validity + settings.holderChangeInterval + settings.takeoverMargin);
+    EXPECT_EQ(lease.rowToWrite().fencingToken, firstFencingToken(StoreEra(2)));
+}
+
+TEST(PlacementLeaseTest, isRenewedAtOnceByItsHolderAfterARestore)
+{
+    PlacementLease lease(PlacementLease::Settings(), InstanceId("a"), Incarnation(1));
+    lease.nextAction(start);
+    LeaseRow none;
+    none.era = StoreEra(1);
+    none.version = Version(500);
+    lease.onRead(none, start);
+    ASSERT_EQ(lease.nextAction(start + 1s), PlacementLease::Action::Write);
+    lease.onWritten(Version(510), start + 1s);
+    const FencingToken before = lease.fencingToken();
+    ASSERT_EQ(lease.nextAction(start + 2s), PlacementLease::Action::Write);
+    lease.onCallFailed(start + 2s); // the condition was on a version of the earlier era
+    Instant now = start + 2s;
+    while (lease.nextAction(now) != PlacementLease::Action::Read)
+        now += 50ms;
+    lease.onRead(rowFromCopy("b", 1), now);
+    while (lease.nextAction(now) != PlacementLease::Action::Write) {
+        now += 50ms;
+        ASSERT_LT(now, start + 4s);
+    }
+    EXPECT_GT(lease.rowToWrite().fencingToken, before);
+    EXPECT_EQ(lease.rowToWrite().version, Version(1'000));
+}
+
+// After a restore the row may be missing although a gateway still holds the lease.
+TEST(PlacementLeaseTest, waitsIfTheRowIsMissingAfterARestore)
+{
+    const PlacementLease::Settings settings;
+    PlacementLease lease(settings, InstanceId("b"), Incarnation(1));
+    LeaseRow none;
+    none.era = StoreEra(2);
+    none.version = Version(1'000);
+    Instant now = start;
+    ASSERT_EQ(lease.nextAction(now), PlacementLease::Action::Read);
+    lease.onRead(none, now);
+    for (auto action = lease.nextAction(now); action != PlacementLease::Action::Write;
+         action = lease.nextAction(now)) {
+        if (action == PlacementLease::Action::Read)
+            lease.onRead(none, now);
+        now += 50ms;
+        ASSERT_LT(now, start + 10s);
+    }
+    EXPECT_GE(now - start, settings.validity + settings.holderChangeInterval);
+}
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -1,4 +1,5 @@
 #include "Adapters/Async/AsyncHttpServer.h"
+#include "Adapters/Base64.h"
 #include "LoopbackSocket.h"
 #include "platform/StorePlatform.h"
 
@@ -28,7 +29,7 @@
 
     /// Waits for a call whose target contains \a part, and sends the response. Returns false if no
     /// such call arrives.
-    bool respond(const std::string &part, int status, const std::string &body, int era = 1)
+    bool respond(const std::string &part, int status, const std::string &body, int era = 0)
     {
         std::size_t at = 0;
         const bool hasArrived = runUntil(m_loop, [&] {
@@ -191,7 +192,7 @@
     std::vector<StoreClient::WriteStatus> outcomes;
     const auto record
         = [&outcomes](StoreClient::WriteStatus status, Version) { outcomes.push_back(status); };
-    const StoreWrite write{"t", "k", "x", Version(4)};
+    const StoreWrite write{"t", "k", "x", Version(4), {}, {}};
     client.writeRow(write, 1s, record);
     ASSERT_TRUE(store.respond("/rows-tx", 200, R"({"ver":5,"now_ms":1})"));
     EXPECT_NE(store.lastBody().find("\"eA==\""), std::string::npos);
@@ -240,3 +241,115 @@
     ASSERT_TRUE(awaitBatches(2));
     EXPECT_EQ(appliedRows, (Strings{"+a", "+b"}));
 }
+
+TEST_F(PlatformStoreTest, givesGatewaysThatKnowAnEarlierEraAllRows)
+{
+    follower.start();
+    ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 60) + "," + row("b", 65), 70)));
+    ASSERT_TRUE(awaitBatches(1));
+    const Version before = follower.newestVersion();
+    std::vector<StoreRow> rowsBefore;
+    for (const auto &[key, row] : follower.rows())
+        rowsBefore.push_back(row);
+    ASSERT_TRUE(store.respond("after=70", 410, "{}", 2));
+    ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 30), 40), 2));
+    ASSERT_TRUE(awaitBatches(2));
+    EXPECT_GT(follower.newestVersion(), before);
+    EXPECT_FALSE(follower.changesSince(before));
+    // What a peer sent before it learned of the restore.
+    follower.applyChanges(rowsBefore, before, Version(before.count() + 1));
+    follower.applySnapshot(rowsBefore, Version(before.count() + 1));
+    EXPECT_EQ(follower.rows().count("b"), 0U);
+    // A peer that still has the earlier era takes the rows of the new one.
+    TableFollower peer(loop, client, "servers", 5ms,
+                       {[](const StoreRow &) {}, [] {}, [](bool, const std::string &) {}});
+    peer.applySnapshot(rowsBefore, before);
+    EXPECT_EQ(peer.rows().size(), 2U);
+    std::vector<StoreRow> rowsAfter;
+    for (const auto &[key, row] : follower.rows())
+        rowsAfter.push_back(row);
+    peer.applySnapshot(rowsAfter, follower.newestVersion());
+    EXPECT_EQ(peer.rows().size(), 1U);
+    EXPECT_EQ(peer.newestVersion(), follower.newestVersion());
+}
+
+namespace {
+
+std::string configurationRow(int configuration, int version)
+{
+    const std::string text = "{\"version\":" + std::to_string(configuration)
+        + R"(,"routes":[],"services":[],"tenants":[],"limits":{"max_header_bytes":16384,)"
+          R"("max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+    return R"({"table":"op","part":"","key":"config","value":")" + encodeBase64(text)
+        + R"(","ver":)" + std::to_string(version) + "}";
+}
+
+} // namespace
+
+// The copy may have an older configuration than the one in force, until the operators write it
+// again.
+TEST_F(PlatformStoreTest, keepsTheConfigurationInForceAndGivesItToPeersAfterARestore)
+{
+    const auto hooksFor = [](std::vector<std::int64_t> &versions) {
+        EntryPlatform::Hooks hooks;
+        hooks.onConfigChanged = [&versions](const ServingConfigPtr &config) {
+            versions.push_back(config->version.count());
+        };
+        hooks.onBatchApplied = [] {};
+        hooks.onReachabilityChanged = [](bool, const std::string &) {};
+        hooks.onStoreRestored = [](StoreEra) {};
+        hooks.onInvalidEntry = [](const std::string &key, const std::string &problem) {
+            ADD_FAILURE() << key << ": " << problem;
+        };
+        return hooks;
+    };
+    std::vector<std::int64_t> inForce;
+    StorePlatform reader(loop, store.address());
+    reader.start(hooksFor(inForce));
+    ASSERT_TRUE(store.respond("/rows-get?table=op", 200, rows(configurationRow(16, 90), 90), 1));
+    ASSERT_TRUE(store.respond("/rows-feed?table=op", 410, "{}", 2));
+    ASSERT_TRUE(store.respond("/rows-get?table=op", 200, rows(configurationRow(12, 50), 60), 2));
+    ASSERT_TRUE(store.respond("/rows-feed?table=op&after=60", 200, rows("", 60), 2));
+    EXPECT_EQ(inForce, (std::vector<std::int64_t>{16}));
+    // A gateway that has just started has read the copy only.
+    std::vector<std::int64_t> inForceAtNewcomer;
+    StorePlatform newcomer(loop, store.address());
+    newcomer.start(hooksFor(inForceAtNewcomer));
+    newcomer.setFollowing(false);
+    newcomer.applyChanges(R"({"operators":{"newest":)"
+                          + std::to_string(reader.versions().config.count())
+                          + R"(,"rows":[]},"servers":{"newest":0,"rows":[]}})");
+    EXPECT_NE(newcomer.versions(), reader.versions());
+    newcomer.applyChanges(reader.changesSince(newcomer.versions()));
+    EXPECT_EQ(inForceAtNewcomer, (std::vector<std::int64_t>{16}));
+    EXPECT_EQ(newcomer.versions().configuration, Version(16));
+    // The operators' next change has a lower version of the store.
+    ASSERT_TRUE(
+        store.respond("/rows-feed?table=op&after=60", 200, rows(configurationRow(18, 61), 61), 2));
+    EXPECT_TRUE(runUntil(loop, [&inForce] { return inForce.size() == 2; }));
+    reader.stop();
+}
+
+// The store compares with a version that it may have given out again.
+TEST_F(PlatformStoreTest, takesNoWriteThatExpectsAVersionOfAnotherEraForDone)
+{
+    StorePlatform platform(loop, store.address());
+    EntryPlatform::Hooks hooks;
+    hooks.onStoreRestored = [](StoreEra) {};
+    platform.start(hooks);
+    platform.setFollowing(false);
+    LeaseRow row{InstanceId("a"), Incarnation(1), FencingToken(1), Version(4), StoreEra(0)};
+    std::vector<EntryPlatform::WriteOutcome> outcomes;
+    const auto record = [&outcomes](EntryPlatform::WriteOutcome outcome, Version) {
+        outcomes.push_back(outcome);
+    };
+    platform.writeLease(row, record);
+    ASSERT_TRUE(store.respond("/rows-tx", 200, R"({"ver":5,"now_ms":1})", 1));
+    ASSERT_TRUE(runUntil(loop, [&outcomes] { return outcomes.size() == 1; }));
+    EXPECT_EQ(outcomes[0], EntryPlatform::WriteOutcome::Failed);
+    // From now on such a write is not even sent.
+    platform.writeLease(row, record);
+    ASSERT_TRUE(runUntil(loop, [&outcomes] { return outcomes.size() == 2; }));
+    EXPECT_EQ(outcomes[1], EntryPlatform::WriteOutcome::Failed);
+    EXPECT_FALSE(store.respond("/rows-tx", 200, R"({"ver":5,"now_ms":1})", 1));
+}
--- a/test/soak/PlatformStoreStandIn.cpp
+++ b/test/soak/PlatformStoreStandIn.cpp
@@ -144,14 +144,22 @@
     m_waiting.push_back({session, table, after, steadyNow() + wait});
 }
 
+// Returns zero if there is no such row.
+std::int64_t PlatformStoreStandIn::versionOf(const std::string &table, const std::string &key) const
+{
+    const auto rows = m_tables.find(table);
+    if (rows == m_tables.end())
+        return 0;
+    const auto row = rows->second.find(key);
+    return row == rows->second.end() || row->second.isDeleted ? 0 : row->second.version;
+}
+
 void PlatformStoreStandIn::transact(const HttpServerConnection::Pointer &session,
                                     const std::string &body)
 {
     const Json json = Json::parse(body);
     for (const Json &condition : json["expected_rev"]) {
-        const Row &row = m_tables[condition["table"]][condition["key"]];
-        const std::int64_t version = row.isDeleted ? 0 : row.version;
-        if (version == condition["ver"].get<std::int64_t>())
+        if (versionOf(condition["table"], condition["key"]) == condition["ver"].get<std::int64_t>())
             continue;
         session->sendResponse(412, responseFields(), "{\"rows\":[]}");
         return;
--- a/test/soak/PlatformStoreStandIn.h
+++ b/test/soak/PlatformStoreStandIn.h
@@ -58,6 +58,7 @@
     void handleRequest(const HttpServerConnection::Pointer &session, const HttpRequest &request);
     void feed(const HttpServerConnection::Pointer &session, const std::string &target);
     void transact(const HttpServerConnection::Pointer &session, const std::string &body);
+    std::int64_t versionOf(const std::string &table, const std::string &key) const;
     void completeWaitingFeeds();
     nlohmann::json rowsOf(const std::string &table, std::int64_t after, bool withDeleted) const;
     void sendRows(const HttpServerConnection::Pointer &session, const nlohmann::json &rows);
