A trial of a refused request is not sent to a second server

Cause, found while reading the change: the trial of an idempotent request without parts that were not survived was retried after the crash, so that one trial could crash two servers, and two trials four: one more than the rule allows. Change: a trial has one attempt.

A name of HttpClientConnection is made plainer.

--- a/src/Adapters/Async/HttpClientConnection.cpp
+++ b/src/Adapters/Async/HttpClientConnection.cpp
@@ -273,7 +273,7 @@
     // A response without a length ends when the server closes the connection.
     if (!ec && m_parser->is_done() && m_headerParsed && !m_skippingResponse) {
         m_keepAlive = false;
-        m_hasEndedResponse = true;
+        m_isResponseEndedByClose = true;
         const auto hooks = std::exchange(m_hooks, {});
         close();
         hooks.onEnd(ExchangeOutcome::Complete);
--- a/src/Adapters/Async/HttpClientConnection.h
+++ b/src/Adapters/Async/HttpClientConnection.h
@@ -69,7 +69,7 @@
 
     bool isClosed() const { return m_state == State::Closed; }
     /// Returns whether the last response ended with the connection, without stating its length.
-    bool hasEndedResponse() const { return m_hasEndedResponse; }
+    bool isResponseEndedByClose() const { return m_isResponseEndedByClose; }
     /// Returns whether the peer has no listener at the address; set once an exchange has ended as
     /// NotSent.
     bool wasRefused() const { return m_wasRefused; }
@@ -113,7 +113,7 @@
     bool m_responseEnded = false;
     bool m_sent = false;
     bool m_wasRefused = false;
-    bool m_hasEndedResponse = false;
+    bool m_isResponseEndedByClose = false;
     bool m_writing = false;
     ReadableWait m_readable;
     bool m_paused = false;
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -384,8 +384,8 @@
     m_state.crashDetector.recordSurvival(m_context.crashSuspects);
 }
 
-// Called when the attempt ends while the server may run the request and nothing shows that it
-// lives. With \a isChecked the server is checked for a crash.
+// Called when the attempt ends while the server may be running the request and nothing shows that
+// it lives. With \a isChecked the server is checked for a crash.
 void RequestHandler::recordPossibleCrash(bool isChecked)
 {
     if (m_attempt->isSurvived)
@@ -481,7 +481,7 @@
         return;
     }
     const bool isSuccess = !isFailure && m_attempt->status < httpMultipleChoices;
-    if (m_attempt->connection->hasEndedResponse())
+    if (m_attempt->connection->isResponseEndedByClose())
         recordPossibleCrash(true);
     else if (isSuccess)
         recordSurvival();
@@ -599,7 +599,7 @@
 // Returns whether another server may run the request although this one may have run it.
 bool RequestHandler::mayRetry() const
 {
-    if (m_sentAttempts >= m_context.route->maxAttempts
+    if (m_context.isCrashTrial || m_sentAttempts >= m_context.route->maxAttempts
         || remainingTime(steadyNow()) < minTimeForRetry)
         return false;
     switch (m_context.route->kind) {
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -642,3 +642,24 @@
     EXPECT_TRUE(hasStatus(response, 503));
     EXPECT_EQ(crashedServers(), 0);
 }
+
+TEST_F(CrashingPartExchangeTest, sendsATrialToOneServerOnly)
+{
+    bool mayTry = false;
+    state.mayTryCrashingRequests = [&mayTry] { return mayTry; };
+    const std::string fields = "Prompt-Prefix: dead:10,1:5\r\n";
+    const auto send = [&] {
+        for (const auto &server : servers)
+            server->setResponse(streamHeader, ScriptedServer::End::Crash);
+        return sendRequest("/i/x", "key", "\r\n\r\n", fields);
+    };
+    const Instant past = steadyNow() - Duration(1h);
+    for (const char *incident : {"server-x/1", "server-y/1"})
+        state.crashDetector.applyPeerNews(
+            {{Fingerprint("part-dead"), incident, InstanceId("gateway-2")}, false}, past);
+    EXPECT_TRUE(hasStatus(send(), 503));
+    mayTry = true;
+    EXPECT_TRUE(hasStatus(send(), 502));
+    EXPECT_EQ(crashedServers(), 1);
+    EXPECT_TRUE(hasStatus(send(), 503));
+}
