A stream counts as survived 100 ms after its first event

Cause, found while reading: with 20 ms a server that crashes shortly after its first whole event would clear the guilty part for good. A complete response still counts at once.

--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -36,7 +36,7 @@
 constexpr int httpMultipleChoices = 300;
 
 // A server that goes on with a stream for this long has survived the beginning of its answer.
-constexpr Duration survivalTime = std::chrono::milliseconds(20);
+constexpr Duration survivalTime = std::chrono::milliseconds(100);
 
 // Bounds the length of a log line.
 constexpr std::size_t maxLoggedParts = 8;
