--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -259,10 +259,12 @@
 {
     addServer("b", secondServer);
     const std::string broken = eventText(1) + "id: 2\nda";
-    for (const std::string &response :
-         {signedHeader + "\r\n" + broken, streamHeader + chunkText(broken) + lastChunk}) {
+    const std::string unframed = signedHeader + "\r\n" + broken;
+    const std::string framed = streamHeader + chunkText(broken) + lastChunk;
+    const std::string rest = streamHeader + chunkText(eventText(2)) + lastChunk;
+    for (const std::string &response : {unframed, framed}) {
         firstServer.setResponse(response, ScriptedServer::End::Close);
-        secondServer.setResponse(streamHeader + chunkText(eventText(2)) + lastChunk);
+        secondServer.setResponse(rest);
         const std::string received = sendRequest("/r/x", "key", lastChunk);
         EXPECT_NE(received.find(eventText(1)), std::string::npos);
         EXPECT_NE(received.find(eventText(2)), std::string::npos);
@@ -596,8 +598,9 @@
     EXPECT_TRUE(hasStatus(sendSound("/r/", "5:100"), 200));
     addServer("a", firstServer); // in the gateway's own zone, so it is tried first
     firstServer.setResponse(streamHeader, ScriptedServer::End::Crash);
+    const std::string whole = streamHeader + chunkText(eventText(1)) + lastChunk;
     for (const auto &server : servers)
-        server->setResponse(streamHeader + chunkText(eventText(1)) + lastChunk);
+        server->setResponse(whole);
     const std::string response
         = sendRequest("/r/x", "key", lastChunk, "Prompt-Prefix: 5:100,77:5\r\n");
     EXPECT_TRUE(hasStatus(response, 200));
