--- a/review/1/ForgottenDeletion.cpp
+++ b/review/2/ForgottenDeletion.cpp
@@ -35,12 +35,9 @@
                       {"max_body_bytes", 4194304},
                       {"header_timeout_ms", 3000},
                       {"idle_timeout_ms", 15000}};
-    const Json tenant{{"name", "dealer"},
-                      {"api_keys", Json::array({"key"})},
-                      {"priority", 1},
-                      {"unit", "tokens"},
-                      {"plain_tokens", 200},
-                      {"rate_per_s", 0},
+    const Json tenant{{"name", "dealer"},    {"api_keys", Json::array({"key"})},
+                      {"priority", 1},       {"unit", "tokens"},
+                      {"plain_tokens", 200}, {"rate_per_s", 0},
                       {"burst", 0}};
     return Json{{"version", 1},
                 {"routes", Json::array({route})},
@@ -93,7 +90,7 @@
     lateAttempts.insert(attempt);
     latest = std::max(latest, nowMs() - removedAt);
     record("BROKEN    " + attempt + " reached " + server + " through " + it->second.gateway + ", "
-               + std::to_string(nowMs() - removedAt) + " ms after the removal of its entry");
+           + std::to_string(nowMs() - removedAt) + " ms after the removal of its entry");
 }
 
 } // namespace
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 export TROUBLE="${TROUBLE:-1}"
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program="$root/target/review/StaleConfiguration"
+program="$root/target/review/ForgottenDeletion"
 [ -x "$program" ] || exit 2
 timeout -k 2 115 "$program" "$here" "$root/target/bin/quetzalyoke-entry"
 status=$?
--- a/review/2/StaleConfiguration.cpp
+++ b/review/3/StaleConfiguration.cpp
@@ -26,12 +26,12 @@
         if (withdrawn.count(key) == 0)
             keys.push_back(key);
     }
-    const Json route{{"name", "r-order"},      {"host", "shop.example"},
-                     {"prefix", "/order/"},    {"kind", "non_idempotent"},
-                     {"timeout_ms", 1000},     {"target_latency_ms", 150},
-                     {"priority", 2},          {"service", "order-app"},
-                     {"max_attempts", 1},      {"public", false},
-                     {"sticky", false},        {"resumable", false}};
+    const Json route{{"name", "r-order"},   {"host", "shop.example"},
+                     {"prefix", "/order/"}, {"kind", "non_idempotent"},
+                     {"timeout_ms", 1000},  {"target_latency_ms", 150},
+                     {"priority", 2},       {"service", "order-app"},
+                     {"max_attempts", 1},   {"public", false},
+                     {"sticky", false},     {"resumable", false}};
     const Json service{{"name", "order-app"},
                        {"health_path", "/health"},
                        {"max_conns", 100},
@@ -41,8 +41,9 @@
                       {"max_body_bytes", 4194304},
                       {"header_timeout_ms", 3000},
                       {"idle_timeout_ms", 15000}};
-    const Json tenant{{"name", "dealer"}, {"api_keys", keys}, {"priority", 1},
-                      {"unit", "tokens"}, {"plain_tokens", 200}, {"rate_per_s", 0}, {"burst", 0}};
+    const Json tenant{{"name", "dealer"}, {"api_keys", keys},    {"priority", 1},
+                      {"unit", "tokens"}, {"plain_tokens", 200}, {"rate_per_s", 0},
+                      {"burst", 0}};
     return Json{{"version", version},
                 {"routes", Json::array({route})},
                 {"services", Json::array({service})},
@@ -89,8 +90,8 @@
     const auto left = drainingSince.find(server);
     if (left != drainingSince.end() && nowMs() > left->second + drainMs) {
         ++afterDrain;
-        record("also      " + attempt + " reached " + server + " through " + it->second.gateway + ", "
-               + std::to_string(nowMs() - left->second)
+        record("also      " + attempt + " reached " + server + " through " + it->second.gateway
+               + ", " + std::to_string(nowMs() - left->second)
                + " ms after the store had accepted that it drains");
     }
     const auto ack = acknowledgedAt.find(it->second.key);
--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -32,12 +32,15 @@
     }
 } folderRemover;
 
+constexpr int maxInheritedDescriptors = 4096;
+constexpr int firstPort = 12'000;
+constexpr int portRange = 19'000;
 constexpr std::size_t maxConnections = 512;
 constexpr milliseconds heartbeat{1200};
 constexpr std::size_t endlessChunkBytes = 131'072;
 
-AsyncHttpServer::Hooks hooksFor(
-    std::function<void(const HttpServerConnection::Pointer &, HttpRequest &&)> onRequest)
+AsyncHttpServer::Hooks
+hooksFor(std::function<void(const HttpServerConnection::Pointer &, HttpRequest &&)> onRequest)
 {
     return {std::move(onRequest),
             [] {
@@ -106,18 +109,30 @@
     return !text || std::string(text) != "0";
 }
 
+const std::string &host()
+{
+    static const std::string text = "127." + std::to_string(1 + getpid() / 250 % 250) + "."
+        + std::to_string(1 + getpid() % 250) + ".1";
+    return text;
+}
+
+// Ports outside the range from which the system takes ports for outgoing connections, so that a
+// gateway that starts again finds its ports free.
 int freePort()
 {
-    static std::set<int> used;
+    static int last = firstPort;
     while (true) {
+        last = last + 1 < firstPort + portRange ? last + 1 : firstPort;
+        const asio::ip::address address = asio::ip::make_address(host());
+        const auto port = static_cast<unsigned short>(last);
         quetzalyoke::Tcp::socket tcp(loop(), quetzalyoke::Tcp::v4());
-        tcp.bind({asio::ip::make_address("127.0.0.1"), 0});
-        const int port = tcp.local_endpoint().port();
         asio::ip::udp::socket udp(loop(), asio::ip::udp::v4());
-        boost::system::error_code ec;
-        udp.bind({asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)}, ec);
-        if (!ec && used.insert(port).second)
-            return port;
+        boost::system::error_code tcpEc;
+        boost::system::error_code udpEc;
+        tcp.bind({address, port}, tcpEc);
+        udp.bind({address, port}, udpEc);
+        if (!tcpEc && !udpEc)
+            return last;
     }
 }
 
@@ -181,9 +196,16 @@
         Json rows = rowsOf(table, -1, false);
         const std::string from = parameter(request.target, "from");
         Json wanted = Json::array();
-        for (const Json &row : rows) {
-            if (row["key"].get<std::string>() >= from)
-                wanted.push_back(row);
+        for (Json &row : rows) {
+            const std::string key = row["key"];
+            if (key < from)
+                continue;
+            if (m_onRow) {
+                std::string value = quetzalyoke::decodeBase64(row["value"]);
+                m_onRow(caller, table, key, value);
+                row["value"] = quetzalyoke::encodeBase64(value);
+            }
+            wanted.push_back(row);
         }
         std::sort(wanted.begin(), wanted.end(), [](const Json &a, const Json &b) {
             return a["key"].get<std::string>() < b["key"].get<std::string>();
@@ -254,8 +276,7 @@
 
 void Store::sendRows(const HttpServerConnection::Pointer &connection, const Json &rows) const
 {
-    const Json json{
-        {"rows", rows}, {"truncated", false}, {"ver", m_version}, {"now_ms", nowMs()}};
+    const Json json{{"rows", rows}, {"truncated", false}, {"ver", m_version}, {"now_ms", nowMs()}};
     connection->sendResponse(200, "Keep-Alive: timeout=30\r\n", json.dump());
 }
 
@@ -337,15 +358,12 @@
 
 void PlainServer::writeEntry()
 {
-    const Json json{{"service", m_service},
-                    {"address", "127.0.0.1:" + std::to_string(m_server->port())},
-                    {"zone", "tacoma"},
-                    {"version", "v1"},
-                    {"slots", 6},
-                    {"state", m_isLeaving ? "draining" : "ready"},
-                    {"cold_ms", 0},
-                    {"seq", ++m_sequence},
-                    {"born", m_born}};
+    const Json json{
+        {"service", m_service}, {"address", "127.0.0.1:" + std::to_string(m_server->port())},
+        {"zone", "tacoma"},     {"version", "v1"},
+        {"slots", 6},           {"state", m_isLeaving ? "draining" : "ready"},
+        {"cold_ms", 0},         {"seq", ++m_sequence},
+        {"born", m_born}};
     m_store.put("servers", m_id, json.dump());
 }
 
@@ -355,8 +373,8 @@
     const std::string target(request.fields["Target-Instance"]);
     const std::string attempt(request.fields["Attempt-Id"]);
     if (!target.empty() && target != m_id) {
-        connection->sendResponse(421, "Attempt-Id: " + attempt + "\r\nInstance-Id: " + m_id + "\r\n",
-                                 "");
+        connection->sendResponse(
+            421, "Attempt-Id: " + attempt + "\r\nInstance-Id: " + m_id + "\r\n", "");
         return;
     }
     record("run       " + attempt + " at " + m_id + " for tenant "
@@ -400,8 +418,9 @@
 // ---------------------------------------------------------------------------------- gateways
 
 Gateway::Gateway(Store &store, const std::string &name, const std::string &zone)
-    : m_name(name), m_callers{"127.0.0.1", freePort()}, m_readiness{"127.0.0.1", freePort()},
-      m_peers{"127.0.0.1", freePort()}
+    : m_name(name), m_callers{host(), freePort()}, m_readiness{host(), freePort()}, m_peers{
+                                                                                        host(),
+                                                                                        freePort()}
 {
     m_storeLink.setTarget({"127.0.0.1", store.open(name)});
     m_settings = (temporaryFolder / (name + ".ini")).string();
@@ -439,6 +458,9 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        // Otherwise the gateway would keep the stand-ins' sockets open.
+        for (int fd = STDERR_FILENO + 1; fd < maxInheritedDescriptors; ++fd)
+            close(fd);
         setenv("QUETZALYOKE_SETTINGS", m_settings.c_str(), 1);
         execl(gatewayProgram.c_str(), gatewayProgram.c_str(), nullptr);
         _exit(127);
--- a/review/standins/Fleet.h
+++ b/review/standins/Fleet.h
@@ -47,7 +47,9 @@
 void record(const std::string &line, bool isShown = false);
 /// Returns whether the disruption is wanted (TROUBLE is not 0).
 bool isTroubled();
-/// Returns a loopback port that is free now, for TCP and UDP.
+/// Returns a loopback address of this run alone, so that runs don't take each other's ports.
+const std::string &host();
+/// Returns a port of it that is free now, for TCP and UDP.
 int freePort();
 /// Reads the case's folder and the gateway's program from the command line. Exits with 2 if the
 /// program is missing.
@@ -62,6 +64,13 @@
     int open(const std::string &caller);
     std::int64_t put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
+    /// Sets a hook that may change what a caller gets of a row, to lead gateways through a relay.
+    void setRowHook(std::function<void(const std::string &caller, const std::string &table,
+                                       const std::string &key, std::string &value)>
+                        onRow)
+    {
+        m_onRow = std::move(onRow);
+    }
     /// Returns when \a caller last asked for the changes of \a table.
     std::int64_t feedAskedAt(const std::string &caller, const std::string &table) const;
 
@@ -91,6 +100,9 @@
     std::int64_t m_version = 0;
     std::vector<Waiting> m_waiting;
     std::map<std::pair<std::string, std::string>, std::int64_t> m_feedAskedAt;
+    std::function<void(const std::string &, const std::string &, const std::string &,
+                       std::string &)>
+        m_onRow;
     std::vector<std::unique_ptr<AsyncHttpServer>> m_servers;
 };
 
@@ -99,7 +111,11 @@
 {
 public:
     PlainServer(Store &store, std::string id, std::string service);
-    void setRunHook(std::function<void(const std::string &server, const std::string &attempt)> onRun) { m_onRun = onRun; }
+    void
+    setRunHook(std::function<void(const std::string &server, const std::string &attempt)> onRun)
+    {
+        m_onRun = onRun;
+    }
     /// Makes every \a interval-th answer a success whose body goes on until the caller closes.
     void setEndlessAnswers(int interval) { m_endlessInterval = interval; }
     /// Reports that it is leaving; it goes on serving. Returns when the store has accepted that.
@@ -115,7 +131,8 @@
     void beat();
     void writeEntry();
     void answer(const HttpServerConnection::Pointer &connection, const std::string &attempt);
-    void sendEndlessly(const HttpServerConnection::Pointer &connection, std::shared_ptr<bool> isClosed);
+    void sendEndlessly(const HttpServerConnection::Pointer &connection,
+                       std::shared_ptr<bool> isClosed);
     void handle(const HttpServerConnection::Pointer &connection, const HttpRequest &request);
 
     Store &m_store;
@@ -150,6 +167,7 @@
     LinkRelay &storeLink() { return m_storeLink; }
     const std::string &name() const { return m_name; }
     Address callers() const { return m_callers; }
+    Address peers() const { return m_peers; }
 
 private:
     const std::string m_name;
