DRAIN: a copy of a table states only a version whose rows it has

Cause: a gateway that had just read the table handed on changes as if it knew all earlier deletions, and the receiver's position rose past the deletion, so its own feed never brought it. The stated version was that of the newest row seen, which is no version up to which all is known.

Evidence: the log of the gateway has state_fetched from the restarted peer and no server_gone. Ruled out: that the gateway's own feed brings the deletion after the cut (its position is above it).

Change: TableCopy has the rows of exactly one version; TableVersion adds a digest, which tells copies that are equal, although the store's version rises with any table. Deletions count as known only from the version of a full read on; parts of a read are completed by the changes since the first part.

--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+StateVersions statedVersions(const wire::PeerNews &message)
+{
+    return {
+        {Version(message.configRow), static_cast<std::uint64_t>(message.configDigest)},
+        {Version(message.serversRow), static_cast<std::uint64_t>(message.serversDigest)},
+        Version(message.configuration),
+    };
+}
+
 } // namespace
 
 PeerNetwork::PeerNetwork(EntryState &state, Hooks hooks)
@@ -352,8 +361,10 @@
     message.followsStore = m_hooks.followsStore();
     message.processorShare = m_state.settings.processorShare;
     const StateVersions versions = m_state.platform.versions();
-    message.configRow = versions.config.count();
-    message.serversRow = versions.servers.count();
+    message.configRow = versions.operators.version.count();
+    message.__set_configDigest(static_cast<std::int64_t>(versions.operators.digest));
+    message.serversRow = versions.servers.version.count();
+    message.__set_serversDigest(static_cast<std::int64_t>(versions.servers.digest));
     message.configuration = versions.configuration.count();
     if (const auto row = m_hooks.heldLease()) {
         message.leaseFencing = row->fencingToken.count();
@@ -536,10 +547,11 @@
     peer.isHeard = true;
     peer.httpAddress = message.http;
     peer.zone = ZoneName(message.zone);
-    peer.followsStore = message.followsStore;
+    // A peer of a build that states no digests passes on changes in another form.
+    const bool hasDigests = message.__isset.configDigest && message.__isset.serversDigest;
+    peer.followsStore = message.followsStore && hasDigests;
     peer.processorShare = message.processorShare;
-    peer.versions
-        = {Version(message.configRow), Version(message.serversRow), Version(message.configuration)};
+    peer.versions = hasDigests ? statedVersions(message) : StateVersions();
     if (peer.isLeaving != message.leaving) {
         peer.isLeaving = message.leaving;
         updateGatewayCount();
--- a/src/Apps/Entry/StateReplicator.cpp
+++ b/src/Apps/Entry/StateReplicator.cpp
@@ -25,17 +25,31 @@
 constexpr HttpClientConnection::Limits connectionLimits{std::chrono::milliseconds(300),
                                                         std::chrono::milliseconds(1000)};
 
-std::int64_t queryNumber(const std::string &target, const std::string &name)
+// Returns 0 if \a target has no such parameter.
+template<typename Number = std::int64_t>
+Number queryNumber(const std::string &target, const std::string &name)
 {
     const auto at = target.find(name + "=");
     if (at == std::string::npos)
         return 0;
-    std::int64_t n = 0;
+    Number n = 0;
     const char *begin = target.data() + at + name.size() + 1;
     std::from_chars(begin, target.data() + target.size(), n);
     return n;
 }
 
+TableVersion queryTableVersion(const std::string &target, const std::string &name)
+{
+    return {Version(queryNumber(target, name)),
+            queryNumber<std::uint64_t>(target, name + "_digest")};
+}
+
+std::string queryText(const std::string &name, const TableVersion &known)
+{
+    return name + "=" + std::to_string(known.version.count()) + "&" + name
+        + "_digest=" + std::to_string(known.digest);
+}
+
 } // namespace
 
 StateReplicator::StateReplicator(EntryState &state, PeersProvider peers)
@@ -98,8 +112,8 @@
                                               std::chrono::milliseconds wait) const
 {
     const StateVersions known = m_state.platform.versions();
-    return "GET /state?config=" + std::to_string(known.config.count())
-        + "&servers=" + std::to_string(known.servers.count())
+    return "GET /state?" + queryText("config", known.operators) + "&"
+        + queryText("servers", known.servers)
         + "&in_force=" + std::to_string(known.configuration.count())
         + "&wait_ms=" + std::to_string(wait.count()) + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
 }
@@ -115,8 +129,8 @@
 {
     if (!m_reader)
         return;
-    if (result.hasResponse() && result.status == 200) {
-        m_state.platform.applyChanges(result.body);
+    const bool hasChanges = result.hasResponse() && result.status == 200;
+    if (hasChanges && m_state.platform.applyChanges(result.body)) {
         if (m_pollClient)
             poll();
         return;
@@ -124,6 +138,7 @@
     logNotable("reader_failed",
                {{"peer", *m_reader},
                 {"end", exchangeOutcomeText(result.outcome)},
+                {"status", result.status},
                 {"timed_out", result.timedOut ? 1 : 0}});
     const Instant now = steadyNow();
     m_state.listUncertainUntil = std::max(m_state.listUncertainUntil, now + firstAnswerTime);
@@ -138,8 +153,10 @@
     for (const StatePeer &peer : peers) {
         if (!peer.candidate.isAlive)
             continue;
-        newest.config = std::max(newest.config, peer.versions.config);
-        newest.servers = std::max(newest.servers, peer.versions.servers);
+        const auto isOlder
+            = [](const TableVersion &a, const TableVersion &b) { return a.version < b.version; };
+        newest.operators = std::max(newest.operators, peer.versions.operators, isOlder);
+        newest.servers = std::max(newest.servers, peer.versions.servers, isOlder);
         newest.configuration = std::max(newest.configuration, peer.versions.configuration);
     }
     if (m_isFetching || !m_lagDetector.isOverdue(m_state.platform.versions(), newest, now))
@@ -155,15 +172,15 @@
 {
     const StateVersions own = m_state.platform.versions();
     const bool lacksConfiguration = newest.configuration > own.configuration;
-    const bool lacksConfig = newest.config > own.config;
+    const bool lacksOperators = own.operators.isBehind(newest.operators);
     const StatePeer *chosen = nullptr;
     int candidateCount = 0;
     for (const bool isSameZone : {true, false}) {
         for (const StatePeer &peer : peers) {
             const bool isAhead = lacksConfiguration
                 ? peer.versions.configuration > own.configuration
-                : lacksConfig ? peer.versions.config > own.config
-                              : peer.versions.servers > own.servers;
+                : lacksOperators ? own.operators.isBehind(peer.versions.operators)
+                                 : own.servers.isBehind(peer.versions.servers);
             if (!peer.candidate.isAlive || !isAhead
                 || (peer.candidate.zone == m_state.settings.zone) != isSameZone)
                 continue;
@@ -199,8 +216,8 @@
               const StateVersions versions = m_state.platform.versions();
               logNotable("state_fetched",
                          {{"peer", instance},
-                          {"config_row", versions.config},
-                          {"servers_row", versions.servers}});
+                          {"config_row", versions.operators.version},
+                          {"servers_row", versions.servers.version}});
           };
     m_fetchClient->call(stateRequestText(peer.httpAddress, std::chrono::milliseconds(0)),
                         fetchTimeout, onFetched);
@@ -214,8 +231,8 @@
 void StateReplicator::handleStateRequest(const HttpServerConnection::Pointer &connection,
                                          const std::string &target)
 {
-    const StateVersions known{Version(queryNumber(target, "config")),
-                              Version(queryNumber(target, "servers")),
+    const StateVersions known{queryTableVersion(target, "config"),
+                              queryTableVersion(target, "servers"),
                               Version(queryNumber(target, "in_force"))};
     const Duration wait = std::chrono::milliseconds(
         std::min<std::int64_t>(queryNumber(target, "wait_ms"), pollWait.count()));
--- a/src/Apps/Entry/StateReplicator.h
+++ b/src/Apps/Entry/StateReplicator.h
@@ -36,7 +36,8 @@
     /// Called after a stall or suspension of the instance: its connections may be dead.
     void onResumed();
     /// Responds to a peer; \a target is
-    /// /state?config=ROW&servers=ROW&in_force=VERSION&wait_ms=MILLISECONDS.
+    /// /state?config=VERSION&config_digest=DIGEST&servers=VERSION&servers_digest=DIGEST
+    /// &in_force=VERSION&wait_ms=MILLISECONDS.
     void handleStateRequest(const HttpServerConnection::Pointer &connection,
                             const std::string &target);
 
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -6,6 +6,7 @@
 #include "Serving/Requests/StreamVersions.h"
 #include "Serving/Servers/ServiceVersions.h"
 #include "Serving/State/ServingConfig.h"
+#include "Serving/State/TableVersion.h"
 
 #include <functional>
 #include <optional>
@@ -21,13 +22,13 @@
     std::string address; ///< IP:PORT for peer messages.
 };
 
-/// \brief Versions of the newest known rows of the configuration and of the server list.
+/// \brief What a gateway has of the operators' table and of the servers' table.
 ///
-/// Rows of a store that came back from a copy are newer than all earlier ones.
+/// Versions of a store that came back from a copy are above all earlier ones.
 struct StateVersions
 {
-    Version config;
-    Version servers;
+    TableVersion operators;
+    TableVersion servers;
     Version configuration = {}; ///< The operators' own version of the configuration in force.
 
     bool operator==(const StateVersions &) const = default;
@@ -66,18 +67,19 @@
     virtual bool isLoaded() const = 0;
     /// Returns whether the store has responded recently.
     virtual bool isReachable() const = 0;
-    /// Returns the newest versions known.
+    /// Returns what this gateway has.
     virtual StateVersions versions() const = 0;
 
     /// Sets whether this gateway reads changes from the store itself. Otherwise it gets them from
     /// another gateway through applyChanges().
     virtual void setFollowing(bool isFollowing) = 0;
-    /// Returns the changes since \a known, for another gateway, or the whole state if they can't be
-    /// determined.
+    /// Returns what a gateway that has \a known lacks: the changes since, or the whole state if
+    /// they can't be determined.
     virtual std::string changesSince(const StateVersions &known) const = 0;
     /// Applies the changes from changesSince() of another gateway. Parts that are older than the
-    /// known ones are ignored.
-    virtual void applyChanges(const std::string &changes) = 0;
+    /// known ones are ignored. Returns false if the changes are invalid or their result differs
+    /// from the other gateway's state.
+    virtual bool applyChanges(const std::string &changes) = 0;
 
     /// Passes nothing if the call failed or the row is invalid, and a row without a holder if there
     /// is none.
--- a/src/Serving/State/VersionLagDetector.cpp
+++ b/src/Serving/State/VersionLagDetector.cpp
@@ -4,7 +4,7 @@
 
 bool isAtLeastAsNew(const StateVersions &known, const StateVersions &other)
 {
-    return known.config >= other.config && known.servers >= other.servers
+    return !known.operators.isBehind(other.operators) && !known.servers.isBehind(other.servers)
         && known.configuration >= other.configuration;
 }
 
--- a/src/Serving/State/VersionLagDetector.h
+++ b/src/Serving/State/VersionLagDetector.h
@@ -7,7 +7,7 @@
 
 namespace quetzalyoke {
 
-/// Returns whether \a known is at least as new as \a other in every part.
+/// Returns whether \a known lacks nothing that \a other has.
 bool isAtLeastAsNew(const StateVersions &known, const StateVersions &other);
 
 /// \brief Detects that a version known to peers has not reached this gateway in time; no I/O.
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -96,8 +96,10 @@
     3: i64 sequence,
     4: bool leaving,
     5: string http,               // IP:PORT of the sender's state and metrics
-    6: i64 configRow,             // newest row of the operators' table that the sender knows
-    7: i64 serversRow,            // newest row of the servers' table
+    6: i64 configRow,             // version of the sender's copy of the operators' table
+    7: i64 serversRow,            // version of its copy of the servers' table
+    28: optional i64 configDigest,  // of the rows of these copies; see TableVersion
+    29: optional i64 serversDigest,
     8: i64 leaseFencing,          // above zero: the sender may order engines
     16: i64 leaseRow,             // version of the lease's row as the sender renewed it last
     27: i64 leaseEra,             // era of the store at that time
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -27,7 +27,7 @@
     StateVersions versions() const override { return {}; }
     void setFollowing(bool) override { }
     std::string changesSince(const StateVersions &) const override { return {}; }
-    void applyChanges(const std::string &) override { }
+    bool applyChanges(const std::string &) override { return true; }
     void readLease(LeaseReadHook) override { }
     void writeLease(const LeaseRow &, std::function<void(WriteOutcome, Version)>) override { }
     void readCrashRecords(CrashRecordsHook done) override { done(storedRecords); }
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -2,6 +2,7 @@
 #include "Adapters/Base64.h"
 #include "LoopbackSocket.h"
 #include "platform/StorePlatform.h"
+#include "platform/StoreVersion.h"
 
 #include <gtest/gtest.h>
 
@@ -86,7 +87,7 @@
 {
 protected:
     PlatformStoreTest()
-        : follower(loop, client, "servers", 5ms,
+        : follower(makeStoreSource(loop, client, "servers"), 5ms,
                    {[this](const StoreRow &change) {
                         appliedRows.push_back((change.isDeleted ? "-" : "+") + change.key);
                     },
@@ -112,6 +113,14 @@
 
 using Strings = std::vector<std::string>;
 
+// Returns the copy of a gateway that has just got all rows.
+TableCopy copyOf(const TableCopy &other)
+{
+    TableCopy copy([](const StoreRow &) {});
+    EXPECT_TRUE(copy.applyPeerChanges(other.changesSince({})));
+    return copy;
+}
+
 } // namespace
 
 TEST_F(PlatformStoreTest, readsATableThenFollowsItsChanges)
@@ -121,7 +130,7 @@
     ASSERT_TRUE(store.respond("after=7", 200, rows(row("b", 8) + "," + deletion("a", 9), 9)));
     ASSERT_TRUE(awaitBatches(2));
     EXPECT_EQ(appliedRows, (Strings{"+a", "+b", "-a"}));
-    EXPECT_EQ(follower.newestVersion(), Version(9));
+    EXPECT_EQ(follower.copy().version().version, Version(9));
     ASSERT_TRUE(store.respond("after=9", 200, rows("", 12)));
     EXPECT_TRUE(store.respond("after=12", 200, rows("", 12)));
 }
@@ -165,24 +174,23 @@
     ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 3) + "," + row("b", 4), 7)));
     ASSERT_TRUE(store.respond("after=7", 200, rows(row("c", 8) + "," + deletion("a", 9), 9)));
     ASSERT_TRUE(awaitBatches(2));
-    const auto changes = follower.changesSince(Version(7));
-    ASSERT_TRUE(changes);
-    EXPECT_EQ(changes->size(), 2U);
-    EXPECT_FALSE(follower.changesSince(Version(0))); // a new gateway gets all rows
+    const TableChanges changes = follower.copy().changesSince({Version(7), 0});
+    EXPECT_EQ(changes.kind, TableChanges::Kind::Changes);
+    EXPECT_EQ(changes.rows.size(), 2U);
+    // A new gateway gets all rows.
+    EXPECT_EQ(follower.copy().changesSince({}).kind, TableChanges::Kind::AllRows);
 
     follower.pause();
-    StoreRow deleted;
-    deleted.key = "b";
-    deleted.version = Version(11);
-    deleted.isDeleted = true;
-    follower.applyChanges({deleted}, Version(9), Version(11));
-    EXPECT_EQ(follower.rows().count("b"), 0U);
-    EXPECT_EQ(follower.newestVersion(), Version(11));
-    StoreRow old;
-    old.key = "z";
-    old.version = Version(10);
-    follower.applyChanges({old}, Version(9), Version(10)); // a late response of another gateway
-    EXPECT_EQ(follower.rows().count("z"), 0U);
+    TableCopy peer = copyOf(follower.copy());
+    peer.applyFeed({{"z", "x", Version(10), false}}, Version(9), Version(10));
+    const TableChanges older = peer.changesSince(follower.copy().version());
+    peer.applyFeed({{"z", "", Version(11), true}, {"b", "", Version(11), true}}, Version(10),
+                   Version(11));
+    EXPECT_TRUE(follower.copy().applyPeerChanges(peer.changesSince(follower.copy().version())));
+    EXPECT_EQ(follower.copy().rows().count("b"), 0U);
+    EXPECT_EQ(follower.copy().version(), peer.version());
+    EXPECT_TRUE(follower.copy().applyPeerChanges(older)); // a late response of another gateway
+    EXPECT_EQ(follower.copy().rows().count("z"), 0U);
     follower.resume();
     EXPECT_TRUE(store.respond("after=11", 200, rows("", 11)));
 }
@@ -214,10 +222,10 @@
     // Version 7 exists again, with another content.
     ASSERT_TRUE(store.respond("after=7", 200, rows(row("c", 8), 8), 2));
     ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 3) + "," + row("d", 5), 8), 2));
-    ASSERT_TRUE(runUntil(loop, [&] { return follower.rows().count("d") == 1; }));
-    EXPECT_EQ(follower.rows().count("b"), 0U);
+    ASSERT_TRUE(runUntil(loop, [&] { return follower.copy().rows().count("d") == 1; }));
+    EXPECT_EQ(follower.copy().rows().count("b"), 0U);
     ASSERT_TRUE(store.respond("after=8", 200, rows(row("b", 9), 9), 2));
-    EXPECT_TRUE(runUntil(loop, [&] { return follower.rows().count("b") == 1; }));
+    EXPECT_TRUE(runUntil(loop, [&] { return follower.copy().rows().count("b") == 1; }));
 }
 
 TEST_F(PlatformStoreTest, appliesRowsWithLowerVersionsAfterARestore)
@@ -247,30 +255,23 @@
     follower.start();
     ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 60) + "," + row("b", 65), 70)));
     ASSERT_TRUE(awaitBatches(1));
-    const Version before = follower.newestVersion();
-    std::vector<StoreRow> rowsBefore;
-    for (const auto &[key, row] : follower.rows())
-        rowsBefore.push_back(row);
+    const TableVersion before = follower.copy().version();
+    TableCopy peer = copyOf(follower.copy());
+    EXPECT_EQ(peer.rows().size(), 2U);
     ASSERT_TRUE(store.respond("after=70", 410, "{}", 2));
     ASSERT_TRUE(store.respond("/rows-get", 200, rows(row("a", 30), 40), 2));
     ASSERT_TRUE(awaitBatches(2));
-    EXPECT_GT(follower.newestVersion(), before);
-    EXPECT_FALSE(follower.changesSince(before));
+    EXPECT_GT(follower.copy().version().version, before.version);
+    EXPECT_EQ(follower.copy().changesSince(before).kind, TableChanges::Kind::AllRows);
     // What a peer sent before it learned of the restore.
-    follower.applyChanges(rowsBefore, before, Version(before.count() + 1));
-    follower.applySnapshot(rowsBefore, Version(before.count() + 1));
-    EXPECT_EQ(follower.rows().count("b"), 0U);
+    peer.applyFeed({}, before.version, Version(before.version.count() + 1));
+    EXPECT_TRUE(follower.copy().applyPeerChanges(peer.changesSince(before)));
+    EXPECT_TRUE(follower.copy().applyPeerChanges(peer.changesSince({})));
+    EXPECT_EQ(follower.copy().rows().count("b"), 0U);
     // A peer that still has the earlier era takes the rows of the new one.
-    TableFollower peer(loop, client, "servers", 5ms,
-                       {[](const StoreRow &) {}, [] {}, [](bool, const std::string &) {}});
-    peer.applySnapshot(rowsBefore, before);
-    EXPECT_EQ(peer.rows().size(), 2U);
-    std::vector<StoreRow> rowsAfter;
-    for (const auto &[key, row] : follower.rows())
-        rowsAfter.push_back(row);
-    peer.applySnapshot(rowsAfter, follower.newestVersion());
+    EXPECT_TRUE(peer.applyPeerChanges(follower.copy().changesSince(peer.version())));
     EXPECT_EQ(peer.rows().size(), 1U);
-    EXPECT_EQ(peer.newestVersion(), follower.newestVersion());
+    EXPECT_EQ(peer.version(), follower.copy().version());
 }
 
 namespace {
@@ -316,11 +317,11 @@
     StorePlatform newcomer(loop, store.address());
     newcomer.start(hooksFor(inForceAtNewcomer));
     newcomer.setFollowing(false);
-    newcomer.applyChanges(R"({"operators":{"newest":)"
-                          + std::to_string(reader.versions().config.count())
-                          + R"(,"rows":[]},"servers":{"newest":0,"rows":[]}})");
+    EXPECT_TRUE(newcomer.applyChanges(
+        R"({"operators":{"newest":)" + std::to_string(reader.versions().operators.version.count())
+        + R"(,"digest":1,"rows":[]},"servers":{"newest":0,"digest":0,"rows":[]}})"));
     EXPECT_NE(newcomer.versions(), reader.versions());
-    newcomer.applyChanges(reader.changesSince(newcomer.versions()));
+    EXPECT_TRUE(newcomer.applyChanges(reader.changesSince(newcomer.versions())));
     EXPECT_EQ(inForceAtNewcomer, (std::vector<std::int64_t>{16}));
     EXPECT_EQ(newcomer.versions().configuration, Version(16));
     // The operators' next change has a lower version of the store.
--- a/test/VersionLagDetectorTest.cpp
+++ b/test/VersionLagDetectorTest.cpp
@@ -9,9 +9,11 @@
 
 const Instant start{1h};
 
-StateVersions versions(std::int64_t config, std::int64_t servers)
+// Of tables whose rows differ between any two versions.
+StateVersions versions(std::int64_t operators, std::int64_t servers)
 {
-    return {Version(config), Version(servers)};
+    return {{Version(operators), static_cast<std::uint64_t>(operators)},
+            {Version(servers), static_cast<std::uint64_t>(servers)}};
 }
 
 } // namespace
@@ -44,3 +46,13 @@
     EXPECT_FALSE(detector.isOverdue(versions(1, 2), versions(1, 3), start + 400ms));
     EXPECT_TRUE(detector.isOverdue(versions(1, 2), versions(1, 4), start + 700ms));
 }
+
+// The store's version rises with each change of any table.
+TEST(VersionLagDetectorTest, takesTablesWithTheSameRowsForTheSame)
+{
+    VersionLagDetector detector(300ms);
+    StateVersions newest = versions(1, 1);
+    newest.servers.version = Version(9);
+    for (int i = 1; i <= 9; ++i)
+        EXPECT_FALSE(detector.isOverdue(versions(1, 1), newest, start + i * 100ms)) << i;
+}
