CONFIG: gateways bound the age of what their reader knows

Callers saw: a withdrawn key was admitted, and requests went on to a leaving server, for up to 2.58 s (bound 2 s) at gateways that had every path, while their zone's reader was cut off from the store.

Cause: a reader's response was taken as evidence of what it knows; its own call for changes shows the cut only after 2.6 s.

Change: a reader states the age of each table in every response, calls the store with waits of 0.8 s while others rely on it, reports each confirmation, and rejects polls while the store doesn't respond. A gateway whose state is older than 1.6 s reads the store itself, and goes on reading it until a new reader has shown that it is current. StateReplicator decides without I/O; StateExchange is its HTTP.

Why it works: the follower's bound is on its own clock from the store's last response, so it holds whatever the reader does in between; the rest of the 2 s is for one read.

Ruled out: waits of 0.8 s for all gateways (calls of zones without followers); a second reader (both may be cut).

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -50,11 +50,11 @@
               {[this] { return m_orderSender.heldLease(); },
                [this](const LeaseRow &row) { m_orderSender.onHolderRenewal(row); },
                [this] { return m_orderSender.issuesPermits(); },
-               [this] { return m_stateReplicator.followsStore(); },
+               [this] { return m_stateExchange.replicator().followsStore(); },
                [this](std::size_t rank, Duration messageInterval) {
                    m_orderSender.setTakeoverRank(rank, messageInterval);
                }}),
-      m_stateReplicator(m_state, [this] { return m_peers.statePeers(); }), m_crashRecords(m_state),
+      m_stateExchange(m_state, [this] { return m_peers.statePeers(); }), m_crashRecords(m_state),
       m_streamVersions(m_state),
       m_callers(
           loop, settings.maxCallerConnections,
@@ -122,7 +122,7 @@
     hooks.onBatchApplied = [this] {
         m_streamVersions.onListChanged();
         m_orderSender.onServersChanged();
-        m_stateReplicator.onStateChanged();
+        m_stateExchange.replicator().onStateChanged();
         m_state.waitQueue.retryDispatches();
     };
     hooks.onReachabilityChanged = [this](bool isReachable, const std::string &reason) {
@@ -249,7 +249,7 @@
                                      const HttpRequest &request)
 {
     if (request.target.starts_with("/state")) {
-        m_stateReplicator.handleStateRequest(connection, request.target);
+        m_stateExchange.handleRequest(connection, request.target);
         return;
     }
     if (request.target == LeaseStoreClient::path) {
@@ -287,7 +287,7 @@
     detectStall();
     const Instant now = steadyNow();
     m_orderSender.tick();
-    m_stateReplicator.tick();
+    m_stateExchange.replicator().tick();
     m_peers.repeatPermitRequests();
     m_crashRecords.tick(m_orderSender.fencingToken() > 0);
     m_streamVersions.tick(m_orderSender.fencingToken() > 0);
@@ -331,7 +331,7 @@
     m_state.servers.dropGrantedPermits();
     m_peers.onResumed();
     m_state.platform.refresh();
-    m_stateReplicator.onResumed();
+    m_stateExchange.replicator().onResumed();
 }
 
 void EntryGateway::beginStop()
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -5,6 +5,7 @@
 #include "Apps/Entry/CrashRecordKeeper.h"
 #include "Apps/Entry/OrderSender.h"
 #include "Apps/Entry/PeerNetwork.h"
+#include "Apps/Entry/StateExchange.h"
 #include "Apps/Entry/StreamVersionKeeper.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -45,7 +46,7 @@
     EntryState m_state;
     OrderSender m_orderSender;
     PeerNetwork m_peers;
-    StateReplicator m_stateReplicator;
+    StateExchange m_stateExchange;
     CrashRecordKeeper m_crashRecords;
     StreamVersionKeeper m_streamVersions;
     AsyncHttpServer m_callers;
--- a/src/Apps/Entry/StateReplicator.cpp
+++ b/src/Apps/Entry/StateReplicator.cpp
@@ -3,17 +3,20 @@
 #include "Adapters/Metrics.h"
 #include "Adapters/StructuredLog.h"
 
-#include <boost/asio/post.hpp>
-
-#include <charconv>
-
 namespace quetzalyoke {
 
 namespace {
 
-// As long as a long poll of the store itself.
-constexpr std::chrono::milliseconds pollWait{2000};
-constexpr std::chrono::milliseconds pollTimeoutMargin{500};
+// A reader responds within this time, so that one that doesn't is noticed before its last response
+// is older than StateFreshness::maxAge.
+constexpr std::chrono::milliseconds pollWait{1000};
+constexpr std::chrono::milliseconds pollTimeoutMargin{400};
+
+// Until the reader has asked the store again, which it does once another gateway polls it.
+constexpr std::chrono::milliseconds firstPollWait{100};
+
+// A gateway without a poll for this long has no followers.
+constexpr Duration followerMemory = std::chrono::seconds(3);
 
 // A change that a peer already has may take this long to arrive from the store; after that it is
 // fetched from the peer.
@@ -22,144 +25,131 @@
 
 // The store answers at once if anything has changed since the reader's last response.
 constexpr Duration firstAnswerTime = std::chrono::milliseconds(250);
-constexpr HttpClientConnection::Limits connectionLimits{std::chrono::milliseconds(300),
-                                                        std::chrono::milliseconds(1000)};
-
-// Returns 0 if \a target has no such parameter.
-template<typename Number = std::int64_t>
-Number queryNumber(const std::string &target, const std::string &name)
-{
-    const auto at = target.find(name + "=");
-    if (at == std::string::npos)
-        return 0;
-    Number n = 0;
-    const char *begin = target.data() + at + name.size() + 1;
-    std::from_chars(begin, target.data() + target.size(), n);
-    return n;
-}
 
-TableVersion queryTableVersion(const std::string &target, const std::string &name)
-{
-    return {Version(queryNumber(target, name)),
-            queryNumber<std::uint64_t>(target, name + "_digest")};
-}
-
-std::string queryText(const std::string &name, const TableVersion &known)
-{
-    return name + "=" + std::to_string(known.version.count()) + "&" + name
-        + "_digest=" + std::to_string(known.digest);
-}
+constexpr int statusOk = 200;
+// While this gateway's own state may be outdated.
+constexpr int statusNotFollowing = 503;
 
 } // namespace
 
-StateReplicator::StateReplicator(EntryState &state, PeersProvider peers)
-    : m_state(state), m_peers(std::move(peers)),
-      m_election(StoreReaderElection::Settings(), state.settings.instance, state.settings.zone,
-                 state.settings.processorShare),
+StateReplicator::StateReplicator(const Settings &settings, EntryPlatform &platform, Hooks hooks)
+    : m_settings(settings), m_platform(platform), m_hooks(std::move(hooks)),
+      m_election(StoreReaderElection::Settings(), settings.instance, settings.zone,
+                 settings.processorShare),
       m_lagDetector(lagTolerance)
 { }
 
 bool StateReplicator::followsStore() const
 {
-    return !m_reader && m_state.platform.isReachable();
+    return !m_reliesOnReader && m_platform.isReachable();
 }
 
 void StateReplicator::tick()
 {
-    m_retiredClients.clear();
-    const Instant now = steadyNow();
-    const std::vector<StatePeer> peers = m_peers();
+    const Instant now = m_hooks.now();
+    if (m_reliesOnReader && StateFreshness::isOutdated(m_platform.confirmedAt(), now))
+        rejectReader("outdated", {});
     std::vector<GatewayCandidate> candidates;
-    for (const StatePeer &peer : peers)
+    for (const StatePeer &peer : m_hooks.peers())
         candidates.push_back(peer.candidate);
-    switchSource(m_election.reader(candidates, now), peers);
-    fetchIfBehind(peers, now);
-    std::vector<PendingPoll> expired;
-    std::erase_if(m_pendingPolls, [&](const PendingPoll &pending) {
-        if (now < pending.until)
-            return false;
-        expired.push_back(pending);
-        return true;
-    });
-    for (const PendingPoll &pending : expired) {
-        pending.connection->sendResponse(200, "Content-Type: application/json\r\n",
-                                         m_state.platform.changesSince(pending.known));
-    }
+    switchSource(m_election.reader(candidates, now));
+    fetchIfBehind();
+    answerPendingPolls();
+    updateHasFollowers();
 }
 
-void StateReplicator::switchSource(const std::optional<InstanceId> &reader,
-                                   const std::vector<StatePeer> &peers)
+void StateReplicator::updateHasFollowers()
 {
-    if (reader == m_reader)
+    const bool hasFollowers = m_hooks.now() - m_polledAt < followerMemory;
+    m_platform.setHasFollowers(followsStore() && hasFollowers);
+}
+
+// The store is read until the reader's first response has shown that its state is current.
+void StateReplicator::switchSource(const std::optional<InstanceId> &reader)
+{
+    const bool isSame
+        = reader ? m_reader && m_reader->candidate.instance == *reader : !m_reader.has_value();
+    if (isSame)
         return;
-    m_reader = reader;
-    if (m_pollClient)
-        m_retiredClients.push_back(std::move(m_pollClient));
     logNotable("state_source", {{"from", reader ? reader->text() : std::string("store")}});
-    m_state.platform.setFollowing(!reader);
+    ++m_pollGeneration;
+    m_reader.reset();
+    m_reliesOnReader = false;
+    m_platform.setFollowing(true);
     if (!reader)
         return;
-    for (const StatePeer &peer : peers) {
-        if (peer.candidate.instance != *reader)
-            continue;
-        m_pollClient = std::make_unique<HttpClient>(m_state.loop, Address::parse(peer.httpAddress),
-                                                    connectionLimits);
+    for (const StatePeer &peer : m_hooks.peers()) {
+        if (peer.candidate.instance == *reader)
+            m_reader = peer;
     }
     poll();
 }
 
-std::string StateReplicator::stateRequestText(const std::string &host,
-                                              std::chrono::milliseconds wait) const
-{
-    const StateVersions known = m_state.platform.versions();
-    return "GET /state?" + queryText("config", known.operators) + "&"
-        + queryText("servers", known.servers)
-        + "&in_force=" + std::to_string(known.configuration.count())
-        + "&wait_ms=" + std::to_string(wait.count()) + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
-}
-
 void StateReplicator::poll()
 {
-    m_pollClient->call(stateRequestText(m_pollClient->peer().text(), pollWait),
-                       pollWait + pollTimeoutMargin,
-                       [this](const HttpCallResult &result) { onPollResponse(result); });
+    const auto wait = m_reliesOnReader ? pollWait : firstPollWait;
+    m_hooks.poll(*m_reader, {m_platform.versions(), wait}, wait + pollTimeoutMargin,
+                 [this, generation = m_pollGeneration](const StateResponse &response) {
+                     if (generation == m_pollGeneration)
+                         onPollResponse(response);
+                 });
 }
 
-void StateReplicator::onPollResponse(const HttpCallResult &result)
+void StateReplicator::onPollResponse(const StateResponse &response)
 {
-    if (!m_reader)
-        return;
-    const bool hasChanges = result.hasResponse() && result.status == 200;
-    if (hasChanges && m_state.platform.applyChanges(result.body)) {
-        if (m_pollClient)
-            poll();
+    const char *problem = nullptr;
+    if (response.status == statusNotFollowing)
+        problem = "store_lost";
+    else if (response.status != statusOk)
+        problem = "no_response";
+    else if (!m_platform.applyChanges(response.changes, response.confirmedAt))
+        problem = "invalid";
+    else if (StateFreshness::isOutdated(m_platform.confirmedAt(), m_hooks.now()))
+        problem = "outdated";
+    if (problem) {
+        rejectReader(problem, response);
+        tick();
         return;
     }
+    if (!m_reliesOnReader) {
+        m_reliesOnReader = true;
+        m_platform.setFollowing(false);
+    }
+    poll();
+}
+
+void StateReplicator::rejectReader(const char *reason, const StateResponse &response)
+{
+    const Instant now = m_hooks.now();
+    const StateTimes confirmedAt = m_platform.confirmedAt();
     logNotable("reader_failed",
-               {{"peer", *m_reader},
-                {"end", exchangeOutcomeText(result.outcome)},
-                {"status", result.status},
-                {"timed_out", result.timedOut ? 1 : 0}});
-    const Instant now = steadyNow();
-    m_state.listUncertainUntil = std::max(m_state.listUncertainUntil, now + firstAnswerTime);
-    m_election.recordFailure(*m_reader, now);
-    asio::post(m_state.loop, [this] { tick(); });
+               {{"peer", m_reader->candidate.instance},
+                {"reason", reason},
+                {"status", response.status},
+                {"end", response.problem},
+                {"timed_out", response.timedOut ? 1 : 0},
+                {"config_age_ms", now - confirmedAt.operators},
+                {"servers_age_ms", now - confirmedAt.servers}});
+    Metrics::incrementCounter("readers_rejected", {{"reason", reason}});
+    m_hooks.onUncertain(now + firstAnswerTime);
+    m_election.recordFailure(m_reader->candidate.instance, now);
 }
 
 // A gateway that the store refuses to serve gets changes from a peer that the store serves.
-void StateReplicator::fetchIfBehind(const std::vector<StatePeer> &peers, Instant now)
+void StateReplicator::fetchIfBehind()
 {
+    const std::vector<StatePeer> peers = m_hooks.peers();
+    const auto isOlder
+        = [](const TableVersion &a, const TableVersion &b) { return a.version < b.version; };
     StateVersions newest;
     for (const StatePeer &peer : peers) {
         if (!peer.candidate.isAlive)
             continue;
-        const auto isOlder
-            = [](const TableVersion &a, const TableVersion &b) { return a.version < b.version; };
         newest.operators = std::max(newest.operators, peer.versions.operators, isOlder);
         newest.servers = std::max(newest.servers, peer.versions.servers, isOlder);
         newest.configuration = std::max(newest.configuration, peer.versions.configuration);
     }
-    if (m_isFetching || !m_lagDetector.isOverdue(m_state.platform.versions(), newest, now))
+    if (m_isFetching || !m_lagDetector.isOverdue(m_platform.versions(), newest, m_hooks.now()))
         return;
     if (const StatePeer *peer = choosePeerAhead(peers, newest))
         fetch(*peer);
@@ -170,7 +160,7 @@
 const StatePeer *StateReplicator::choosePeerAhead(const std::vector<StatePeer> &peers,
                                                   const StateVersions &newest)
 {
-    const StateVersions own = m_state.platform.versions();
+    const StateVersions own = m_platform.versions();
     const bool lacksConfiguration = newest.configuration > own.configuration;
     const bool lacksOperators = own.operators.isBehind(newest.operators);
     const StatePeer *chosen = nullptr;
@@ -182,10 +172,10 @@
                 : lacksOperators ? own.operators.isBehind(peer.versions.operators)
                                  : own.servers.isBehind(peer.versions.servers);
             if (!peer.candidate.isAlive || !isAhead
-                || (peer.candidate.zone == m_state.settings.zone) != isSameZone)
+                || (peer.candidate.zone == m_settings.zone) != isSameZone)
                 continue;
             ++candidateCount;
-            if (m_state.random() * candidateCount < 1)
+            if (m_hooks.random() * candidateCount < 1)
                 chosen = &peer;
         }
         if (chosen)
@@ -197,65 +187,71 @@
 void StateReplicator::fetch(const StatePeer &peer)
 {
     m_isFetching = true;
-    if (!m_fetchClient || m_fetchClient->peer().text() != peer.httpAddress) {
-        if (m_fetchClient)
-            m_retiredClients.push_back(std::move(m_fetchClient));
-        m_fetchClient = std::make_unique<HttpClient>(m_state.loop, Address::parse(peer.httpAddress),
-                                                     connectionLimits);
-    }
-    const auto onFetched
-        = [this, instance = peer.candidate.instance](const HttpCallResult &result) {
-              m_isFetching = false;
-              if (!result.hasResponse() || result.status != 200) {
-                  logNotable("state_not_fetched",
-                             {{"peer", instance}, {"end", exchangeOutcomeText(result.outcome)}});
-                  return;
-              }
-              Metrics::incrementCounter("states_fetched");
-              m_state.platform.applyChanges(result.body);
-              const StateVersions versions = m_state.platform.versions();
-              logNotable("state_fetched",
-                         {{"peer", instance},
-                          {"config_row", versions.operators.version},
-                          {"servers_row", versions.servers.version}});
-          };
-    m_fetchClient->call(stateRequestText(peer.httpAddress, std::chrono::milliseconds(0)),
-                        fetchTimeout, onFetched);
+    const auto onFetched = [this,
+                            instance = peer.candidate.instance](const StateResponse &response) {
+        m_isFetching = false;
+        if (response.status != statusOk) {
+            logNotable(
+                "state_not_fetched",
+                {{"peer", instance}, {"status", response.status}, {"problem", response.problem}});
+            return;
+        }
+        Metrics::incrementCounter("states_fetched");
+        m_platform.applyChanges(response.changes, response.confirmedAt);
+        const StateVersions versions = m_platform.versions();
+        logNotable("state_fetched",
+                   {{"peer", instance},
+                    {"config_row", versions.operators.version},
+                    {"servers_row", versions.servers.version}});
+    };
+    m_hooks.fetch(peer, {m_platform.versions(), std::chrono::milliseconds(0)}, fetchTimeout,
+                  onFetched);
 }
 
 bool StateReplicator::hasNewerThan(const StateVersions &known) const
 {
-    return !isAtLeastAsNew(known, m_state.platform.versions());
+    return !isAtLeastAsNew(known, m_platform.versions());
+}
+
+StateResponse StateReplicator::currentState(const StateVersions &known) const
+{
+    return {statusOk, m_platform.confirmedAt(), m_platform.changesSince(known), {}, false};
 }
 
-void StateReplicator::handleStateRequest(const HttpServerConnection::Pointer &connection,
-                                         const std::string &target)
+void StateReplicator::handleRequest(const StateRequest &request, ResponseHook respond)
 {
-    const StateVersions known{queryTableVersion(target, "config"),
-                              queryTableVersion(target, "servers"),
-                              Version(queryNumber(target, "in_force"))};
-    const Duration wait = std::chrono::milliseconds(
-        std::min<std::int64_t>(queryNumber(target, "wait_ms"), pollWait.count()));
-    if (wait.count() > 0 && !hasNewerThan(known)) {
-        m_pendingPolls.push_back({connection, known, steadyNow() + wait});
+    if (request.wait.count() <= 0) {
+        respond(currentState(request.known));
         return;
     }
-    connection->sendResponse(200, "Content-Type: application/json\r\n",
-                             m_state.platform.changesSince(known));
+    const Instant now = m_hooks.now();
+    const StateTimes confirmedAt = m_platform.confirmedAt();
+    m_polledAt = now;
+    updateHasFollowers();
+    m_pendingPolls.push_back({std::move(respond), request.known, confirmedAt, now,
+                              now + std::min(request.wait, pollWait)});
+    answerPendingPolls();
 }
 
-void StateReplicator::onStateChanged()
+void StateReplicator::answerPendingPolls()
 {
+    const Instant now = m_hooks.now();
+    const bool isFollowing = followsStore();
+    const StateTimes confirmedAt = m_platform.confirmedAt();
     std::vector<PendingPoll> ready;
     std::erase_if(m_pendingPolls, [&](const PendingPoll &pending) {
-        if (!hasNewerThan(pending.known))
+        if (isFollowing && now < pending.until && !hasNewerThan(pending.known)
+            && !StateFreshness::isReportDue(pending.confirmedAt, confirmedAt, pending.receivedAt,
+                                            now))
             return false;
         ready.push_back(pending);
         return true;
     });
     for (const PendingPoll &pending : ready) {
-        pending.connection->sendResponse(200, "Content-Type: application/json\r\n",
-                                         m_state.platform.changesSince(pending.known));
+        if (isFollowing)
+            pending.respond(currentState(pending.known));
+        else
+            pending.respond({statusNotFollowing, {}, {}, "the store is not followed", false});
     }
 }
 
@@ -264,7 +260,7 @@
     if (!m_reader)
         return;
     // Until messages from the peers arrive again, the store has the newest state.
-    m_election.recordFailure(*m_reader, steadyNow());
+    m_election.recordFailure(m_reader->candidate.instance, m_hooks.now());
     tick();
 }
 
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -6,6 +6,7 @@
 #include "Serving/Requests/StreamVersions.h"
 #include "Serving/Servers/ServiceVersions.h"
 #include "Serving/State/ServingConfig.h"
+#include "Serving/State/StateFreshness.h"
 #include "Serving/State/TableVersion.h"
 
 #include <functional>
@@ -69,17 +70,22 @@
     virtual bool isReachable() const = 0;
     /// Returns what this gateway has.
     virtual StateVersions versions() const = 0;
+    /// Returns until when what this gateway has is known to be complete.
+    virtual StateTimes confirmedAt() const = 0;
 
     /// Sets whether this gateway reads changes from the store itself. Otherwise it gets them from
     /// another gateway through applyChanges().
     virtual void setFollowing(bool isFollowing) = 0;
+    /// Sets whether other gateways rely on this one, which then asks the store more often.
+    virtual void setHasFollowers(bool hasFollowers) = 0;
     /// Returns what a gateway that has \a known lacks: the changes since, or the whole state if
     /// they can't be determined.
     virtual std::string changesSince(const StateVersions &known) const = 0;
     /// Applies the changes from changesSince() of another gateway. Parts that are older than the
-    /// known ones are ignored. Returns false if the changes are invalid or their result differs
-    /// from the other gateway's state.
-    virtual bool applyChanges(const std::string &changes) = 0;
+    /// known ones are ignored. \a confirmedAt states until when the other gateway's state is
+    /// complete. Returns false if the changes are invalid or their result differs from the other
+    /// gateway's state.
+    virtual bool applyChanges(const std::string &changes, const StateTimes &confirmedAt) = 0;
 
     /// Passes nothing if the call failed or the row is invalid, and a row without a holder if there
     /// is none.
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -2,8 +2,9 @@
 #include "Apps/Entry/CrashRecordKeeper.h"
 #include "Apps/Entry/PermitExchange.h"
 #include "Apps/Entry/RequestHandler.h"
-#include "Apps/Entry/StateReplicator.h"
+#include "Apps/Entry/StateExchange.h"
 #include "Apps/Entry/StreamVersionKeeper.h"
+#include "FakePlatform.h"
 #include "LoopbackSocket.h"
 #include "platform/PlatformProtocol.h"
 #include "platform/ServerDecoder.h"
@@ -15,59 +16,6 @@
 
 namespace {
 
-// A platform that has been read and is reachable.
-class FakePlatform : public EntryPlatform
-{
-public:
-    void start(Hooks) override { }
-    void stop() override { }
-    void refresh() override { }
-    bool isLoaded() const override { return true; }
-    bool isReachable() const override { return true; }
-    StateVersions versions() const override { return {}; }
-    void setFollowing(bool) override { }
-    std::string changesSince(const StateVersions &) const override { return {}; }
-    bool applyChanges(const std::string &) override { return true; }
-    void readLease(LeaseReadHook) override { }
-    void writeLease(const LeaseRow &, std::function<void(WriteOutcome, Version)>) override { }
-    void readCrashRecords(CrashRecordsHook done) override { done(storedRecords); }
-    void writeCrashRecords(const std::vector<CrashRecord> &records,
-                           std::function<void(bool)> done) override
-    {
-        storedRecords = records;
-        done(true);
-    }
-    void join(const ListedGateway &,
-              std::function<void(bool, const std::vector<ListedGateway> &)>) override
-    { }
-
-    void writeStreamVersions(const StreamVersionWrite &write,
-                             std::function<void(bool)> done) override
-    {
-        for (const auto &[key, version] : write.added)
-            storedStreams[key] = version;
-        for (const StreamKey &key : write.removed)
-            storedStreams.erase(key);
-        done(true);
-    }
-    void readStreamVersion(const StreamKey &key, StreamVersionHook done) override
-    {
-        const auto it = storedStreams.find(key);
-        done(it == storedStreams.end() ? SoftwareVersion() : it->second);
-    }
-    void writeVersionSightings(const std::vector<VersionSighting> &sightings,
-                               std::function<void(bool)> done) override
-    {
-        storedSightings = sightings;
-        done(true);
-    }
-    void readVersionSightings(VersionSightingsHook done) override { done(storedSightings); }
-
-    std::vector<CrashRecord> storedRecords;
-    std::map<StreamKey, SoftwareVersion> storedStreams;
-    std::vector<VersionSighting> storedSightings;
-};
-
 Route route(const std::string &prefix, RouteKind kind, int attempts, bool isResumable)
 {
     Route route;
@@ -1041,10 +989,10 @@
         return StatePeer{
             {InstanceId(name), ZoneName("east"), true, true, share}, thirdServer.address(), {}};
     };
-    StateReplicator replicator(state, [&] {
+    StateExchange exchange(state, [&] {
         return std::vector<StatePeer>{peer("reader", 3), peer("other", 2)};
     });
-    replicator.tick(); // polls the reader
+    exchange.replicator().tick(); // polls the reader
     ASSERT_TRUE(runUntil(loop, [this] { return !thirdServer.received().empty(); }));
     EXPECT_FALSE(state.mayHaveSeveralVersions());
     thirdServer.crash();
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -319,9 +319,11 @@
     newcomer.setFollowing(false);
     EXPECT_TRUE(newcomer.applyChanges(
         R"({"operators":{"newest":)" + std::to_string(reader.versions().operators.version.count())
-        + R"(,"digest":1,"rows":[]},"servers":{"newest":0,"digest":0,"rows":[]}})"));
+            + R"(,"digest":1,"rows":[]},"servers":{"newest":0,"digest":0,"rows":[]}})",
+        StateTimes()));
     EXPECT_NE(newcomer.versions(), reader.versions());
-    EXPECT_TRUE(newcomer.applyChanges(reader.changesSince(newcomer.versions())));
+    EXPECT_TRUE(
+        newcomer.applyChanges(reader.changesSince(newcomer.versions()), reader.confirmedAt()));
     EXPECT_EQ(inForceAtNewcomer, (std::vector<std::int64_t>{16}));
     EXPECT_EQ(newcomer.versions().configuration, Version(16));
     // The operators' next change has a lower version of the store.
