ORDER: a stream is taken up only with a list of the time of the take-up

Cause: a gateway that knew of one version checked neither the stream nor the engine, and took its list for current while any peer had been heard within 1.5 s or the store's last call had not failed.

Change: such a take-up waits until the store, in one call shared by all that come together, or all peers that are heard have shown that the list is of the time of the take-up, else it is refused after 0.6 s. A stream goes on only at an engine that has stated the listed incarnation on that connection.

Why it works: a version that began the stream was in the store before the take-up arrived, so that list contains it; the statement excludes an engine that is newer than its entry.

Ruled out: checking the incarnation only (an engine of the old list is as listed, but the stream began at another one).

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -288,6 +288,7 @@
     const Instant now = steadyNow();
     m_orderSender.tick();
     m_stateExchange.replicator().tick();
+    m_state.listConfirmation.tick();
     m_peers.repeatPermitRequests();
     m_crashRecords.tick(m_orderSender.fencingToken() > 0);
     m_streamVersions.tick(m_orderSender.fencingToken() > 0);
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -43,6 +43,11 @@
       crashDetector(entrySettings.instance), crashCheck(eventLoop),
       streamVersions(StreamVersions::Settings()),
       serviceVersions(StreamVersions::Settings().retention),
+      listConfirmation(entryPlatform,
+                       {steadyNow,
+                        [this](Instant time) {
+                            return isListConfirmedByPeers && isListConfirmedByPeers(time);
+                        }}),
       m_random(std::hash<std::string>()(entrySettings.instance.text())
                ^ static_cast<std::uint64_t>(Process::incarnation().count()))
 { }
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -5,6 +5,7 @@
 #include "Apps/Entry/AccountQuotas.h"
 #include "Apps/Entry/CrashingRequestDetector.h"
 #include "Apps/Entry/EntrySettings.h"
+#include "Apps/Entry/ListConfirmation.h"
 #include "Apps/Entry/ServerCrashCheck.h"
 #include "Apps/Entry/WaitQueue.h"
 #include "Core/Requests/RetryBudget.h"
@@ -45,6 +46,9 @@
     std::function<bool()> mayTryCrashingRequests;
     StreamVersions streamVersions;
     ServiceVersions serviceVersions;
+    ListConfirmation listConfirmation;
+    /// \sa ListConfirmation::Hooks. No peer confirms the list without this hook.
+    std::function<bool(Instant time)> isListConfirmedByPeers;
     bool hasReadVersions = false; ///< Those that the store has from before this gateway's start.
     bool hearsPeers = false; ///< Whether any peer was heard lately.
     Instant listUncertainUntil; ///< After a suspension or a reader's failure the list may be old.
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -84,6 +84,7 @@
         = [this](const ServerName &server) { return m_permits.requestPermit(server); };
     state.crashDetector.setNewsHook([this] { scheduleUrgentMessage(); });
     state.crashDetector.setHolderHook([this] { return m_hooks.heldLease().has_value(); });
+    state.isListConfirmedByPeers = [this](Instant time) { return isListConfirmedSince(time); };
     state.onRequestLimitStated
         = [this](const ServerName &server) { m_permits.reportRecentRequests(server); };
 }
@@ -650,6 +651,22 @@
         m_state.onRequestWaiting();
 }
 
+// Returns whether all peers that are heard have stated their versions since \a time, and none has a
+// later list of servers.
+bool PeerNetwork::isListConfirmedSince(Instant time) const
+{
+    const TableVersion own = m_state.platform.versions().servers;
+    bool isAnyHeard = false;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.isHeard || peer.isLeaving)
+            continue;
+        isAnyHeard = true;
+        if (peer.heardAt < time || own.isBehind(peer.versions.servers))
+            return false;
+    }
+    return isAnyHeard;
+}
+
 std::vector<StatePeer> PeerNetwork::statePeers() const
 {
     std::vector<StatePeer> peers;
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -99,6 +99,7 @@
     void onPeerMessage(const wire::PeerNews &message, const Address &from);
     void applyState(const InstanceId &from, const wire::PeerNews &message);
     void applyEvents(const wire::PeerNews &message);
+    bool isListConfirmedSince(Instant time) const;
 
     EntryState &m_state;
     const Hooks m_hooks;
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -122,14 +122,23 @@
 }
 
 // A stream that the caller takes up goes on at servers of the software version that began it. With
-// several versions that must be known, since nothing that the caller sends tells it.
+// several versions that must be known, since nothing that the caller sends tells it. That there is
+// one version only must be known of the time of this request: the stream may have begun elsewhere
+// at a version that this gateway has not heard of.
 void RequestHandler::determineStreamVersion()
 {
     m_streamVersion = m_state.streamVersions.find(streamKey());
-    if (m_streamVersion || !m_state.mayHaveSeveralVersions(m_context.service->name)) {
+    if (m_streamVersion) {
         dispatch();
         return;
     }
+    if (!m_state.mayHaveSeveralVersions(m_context.service->name)) {
+        m_state.listConfirmation.request([self = shared_from_this()](bool isConfirmed) {
+            if (!self->m_isFinished)
+                self->onListConfirmed(isConfirmed);
+        });
+        return;
+    }
     if (m_context.metadata.resumedAttempt.isEmpty()) {
         refuse(503, "unknown_stream_version", {});
         return;
@@ -137,6 +146,16 @@
     lookUpStreamVersion();
 }
 
+void RequestHandler::onListConfirmed(bool isConfirmed)
+{
+    if (m_state.mayHaveSeveralVersions(m_context.service->name))
+        determineStreamVersion();
+    else if (isConfirmed)
+        dispatch();
+    else
+        refuse(503, "unknown_stream_version", {});
+}
+
 void RequestHandler::lookUpStreamVersion()
 {
     m_state.platform.readStreamVersion(
@@ -342,7 +361,7 @@
                 {"attempt", m_sentAttempts + 1}});
 
     m_attempt->connection = m_state.pool.acquire(server->listed.address, m_refusedOn);
-    if (mustKnowIncarnation())
+    if (mustKnowIncarnation(server->isLimited()))
         checkIncarnation(server->isLimited());
     else
         sendToServer();
@@ -350,12 +369,23 @@
 
 // The entry of a server that has just started again under its id may still be that of its former
 // incarnation, which had another software version. Where that matters, the server at the other end
-// of the connection must be the listed one.
-bool RequestHandler::mustKnowIncarnation() const
+// of the connection must be the listed one: always where a stream goes on, since this gateway may
+// know of one version only because its list is old. A server with a request limit can't be asked
+// and is trusted as long as one version is known.
+bool RequestHandler::mustKnowIncarnation(bool isLimited) const
+{
+    const bool isResumableStream = m_context.route->kind == RouteKind::Stream
+        && m_context.route->isResumable && m_context.service->engine;
+    if (!isResumableStream || m_attempt->connection->peerIncarnation() == m_attempt->incarnation)
+        return false;
+    return m_state.mayHaveSeveralVersions(m_context.service->name)
+        || (goesOnWithStream() && !isLimited);
+}
+
+// Returns whether events of the stream have been written, in this request or an earlier one.
+bool RequestHandler::goesOnWithStream() const
 {
-    return m_context.route->kind == RouteKind::Stream && m_context.route->isResumable
-        && m_context.service->engine && m_state.mayHaveSeveralVersions(m_context.service->name)
-        && m_attempt->connection->peerIncarnation() != m_attempt->incarnation;
+    return m_context.metadata.isTakeUp || m_streamVersion.has_value();
 }
 
 void RequestHandler::checkIncarnation(bool isLimited)
@@ -412,7 +442,7 @@
     if (isOther)
         m_excludedUntil[m_attempt->server] = steadyNow() + incarnationRetryDelay;
     const bool isUnknown = !isListed || m_attempt->connection->isClosed();
-    if (isOther || (isUnknown && m_streamVersion)) {
+    if (isOther || (isUnknown && goesOnWithStream())) {
         releaseAttempt();
         dispatch();
         return;
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -27,6 +27,7 @@
     bool dispatch();
     bool isUnboundTakeUp() const;
     void determineStreamVersion();
+    void onListConfirmed(bool isConfirmed);
     void lookUpStreamVersion();
     void onStreamVersionRead(const std::optional<SoftwareVersion> &stored);
     StreamKey streamKey() const;
@@ -35,7 +36,8 @@
     bool lacksServerOfVersion() const;
     void enqueue();
     void send(const ServerChoice &choice);
-    bool mustKnowIncarnation() const;
+    bool goesOnWithStream() const;
+    bool mustKnowIncarnation(bool isLimited) const;
     void checkIncarnation(bool isLimited);
     void onIncarnationChecked(ExchangeOutcome outcome, std::optional<Incarnation> found);
     bool isSentToServer() const;
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -73,6 +73,10 @@
     /// Returns until when what this gateway has is known to be complete.
     virtual StateTimes confirmedAt() const = 0;
 
+    /// Asks the store for changes of the servers at once, also if this gateway gets them from
+    /// another one. Passes whether all that were made before this call are known now.
+    virtual void confirmServers(std::function<void(bool isConfirmed)> done) = 0;
+
     /// Sets whether this gateway reads changes from the store itself. Otherwise it gets them from
     /// another gateway through applyChanges().
     virtual void setFollowing(bool isFollowing) = 0;
--- a/test/FakePlatform.h
+++ b/test/FakePlatform.h
@@ -19,6 +19,13 @@
     bool isReachable() const override { return true; }
     StateVersions versions() const override { return {}; }
     StateTimes confirmedAt() const override { return {steadyNow(), steadyNow()}; }
+    void confirmServers(std::function<void(bool)> done) override
+    {
+        ++confirmations;
+        if (onConfirm)
+            onConfirm();
+        done(confirmsServers);
+    }
     void setFollowing(bool) override { }
     void setHasFollowers(bool) override { }
     std::string changesSince(const StateVersions &) const override { return {}; }
@@ -58,6 +65,9 @@
     }
     void readVersionSightings(VersionSightingsHook done) override { done(storedSightings); }
 
+    bool confirmsServers = true;
+    int confirmations = 0;
+    std::function<void()> onConfirm; // may add what the store has meanwhile
     std::vector<CrashRecord> storedRecords;
     std::map<StreamKey, SoftwareVersion> storedStreams;
     std::vector<VersionSighting> storedSightings;
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -1109,6 +1109,94 @@
     EXPECT_EQ(state.servers.find(ServerName("old"))->health.failureShare(), 0);
 }
 
+namespace {
+
+// A gateway that knows of one software version, perhaps since its list is old. Its server "b" is
+// listed with incarnation 1.
+class OutdatedListExchangeTest : public RestartedServerExchangeTest
+{
+protected:
+    void listServer()
+    {
+        addVersion(state, "b", secondServer, R"("v1")", "west", 1);
+        setIncarnation(secondServer, 1);
+        secondServer.setResponse(restOfStream());
+        useStore(state);
+        ASSERT_FALSE(state.mayHaveSeveralVersions());
+        tick();
+    }
+
+private:
+    // What EntryGateway does at each tick.
+    void tick()
+    {
+        state.listConfirmation.tick();
+        m_timer.expires_after(20ms);
+        m_timer.async_wait([this](const SystemErrorCode &ec) {
+            if (!ec)
+                tick();
+        });
+    }
+
+    asio::steady_timer m_timer{loop};
+};
+
+} // namespace
+
+// A gateway that is cut off or was suspended may not know that a second version has come. The
+// stream began there through another gateway.
+TEST_F(OutdatedListExchangeTest, refusesATakeUpIfItsListMayLackTheVersionThatBeganTheStream)
+{
+    listServer();
+    ASSERT_FALSE(state.mayHaveSeveralVersions());
+    platform.confirmsServers = false;
+    const std::string response = takeUp("elsewhere");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("unknown_stream_version"), std::string::npos) << response;
+    EXPECT_EQ(secondServer.connections(), 0);
+}
+
+TEST_F(OutdatedListExchangeTest, looksForTheVersionIfTheStoreShowsASecondOneJustThen)
+{
+    listServer();
+    platform.onConfirm = [this] {
+        addVersion(state, "c", thirdServer, R"("v2")");
+        state.serviceVersions.update(state.servers, steadyNow());
+    };
+    const std::string response = takeUp("elsewhere");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_EQ(secondServer.connections(), 0);
+    EXPECT_EQ(thirdServer.connections(), 0);
+}
+
+TEST_F(OutdatedListExchangeTest, takesAStreamUpOnceTheStoreHasConfirmedTheOnlyVersion)
+{
+    listServer();
+    EXPECT_NE(takeUp("elsewhere").find(eventText(2)), std::string::npos);
+    EXPECT_EQ(platform.confirmations, 1);
+}
+
+// Without the store, a peer that is heard after the take-up shows that no other version has come.
+TEST_F(OutdatedListExchangeTest, takesAStreamUpOnceThePeersHaveConfirmedTheOnlyVersion)
+{
+    listServer();
+    platform.confirmsServers = false;
+    const Instant heardAt = steadyNow() + 300ms;
+    state.isListConfirmedByPeers
+        = [heardAt](Instant time) { return heardAt >= time && steadyNow() >= heardAt; };
+    EXPECT_NE(takeUp("elsewhere").find(eventText(2)), std::string::npos);
+}
+
+// The list of a gateway that knows of one version only may be older than its server.
+TEST_F(OutdatedListExchangeTest, takesNoStreamUpAtAServerThatHasStartedAgainSinceItWasListed)
+{
+    listServer();
+    setIncarnation(secondServer, 2);
+    const std::string response = takeUp("elsewhere");
+    EXPECT_EQ(response.find(eventText(2)), std::string::npos) << response;
+    EXPECT_EQ(secondServer.received().find("Last-Event-Id"), std::string::npos);
+}
+
 TEST_F(StreamVersionExchangeTest, endsAStreamWithoutAnotherServerOfItsVersion)
 {
     addVersion(state, "b", secondServer, R"("v1.1")");
