ORDER, MIXED: a stream goes on only with an event stream

Callers could see: after a break a stream that ended as complete (204), or another kind of body in its middle (206, text/html), and streams broken off by one server's error though a third could go on.

Cause: any signed success was taken for the rest of the stream.

Change: a continuation is joined only if its status is 200 and its type, if stated, an event stream; any other response counts as a failed attempt, and another server is tried within the attempts and budget of the route.

The third report is refuted for HttpClientConnection by a test that passed before, too: each byte of five headers as the last one, new and kept connections, after an interim response, and HEAD.

--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -69,6 +69,13 @@
     return it == suspects.end() ? Fingerprint() : *it;
 }
 
+// Returns whether a successful response can go on with a stream whose header the caller has.
+bool isEventStream(int status, const boost::beast::http::fields &fields)
+{
+    const auto type = fields[boost::beast::http::field::content_type];
+    return status == httpOk && (type.empty() || type.starts_with("text/event-stream"));
+}
+
 const char *kindText(RouteKind kind)
 {
     switch (kind) {
@@ -537,12 +544,14 @@
                               m_attempt->sentAt);
     recordServerLoad(responseInfo);
     const bool isSuccess = status >= httpOk && status < httpMultipleChoices;
-    if (isSuccess && (!responseInfo.isSigned || responseInfo.isEncoded)) {
+    const bool isJoinable = !m_isStreaming || isEventStream(status, fields);
+    if (isSuccess && (!responseInfo.isSigned || responseInfo.isEncoded || !isJoinable)) {
         logNotable("bad_answer",
                    {{"id", m_context.metadata.id},
                     {"server", m_attempt->server},
                     {"status", status},
-                    {"signed", responseInfo.isSigned ? 1 : 0}});
+                    {"signed", responseInfo.isSigned ? 1 : 0},
+                    {"joinable", isJoinable ? 1 : 0}});
         m_attempt->connection->close();
         onAttemptFailed(ExchangeOutcome::Malformed);
         return ExchangeHooks::HeaderDecision::Skip;
@@ -742,7 +751,9 @@
         else
             server->health.recordSuccess(steadyNow());
     }
-    if (isFailure && !m_isStreaming && mayRetry() && tryConsumeRetry()) {
+    // A stream that has begun can go on at another server whatever this one answered.
+    const bool isRetryable = m_isStreaming ? !m_attempt->isForwarding : isFailure;
+    if (isRetryable && mayRetry() && tryConsumeRetry()) {
         retryRequest(m_attempt->server, "server_failed");
         return;
     }
--- a/test/HttpClientConnectionTest.cpp
+++ b/test/HttpClientConnectionTest.cpp
@@ -25,7 +25,8 @@
     std::string body;
 
     std::shared_ptr<HttpClientConnection> run(asio::io_context &loop, HttpConnectionPool &pool,
-                                              const std::string &address, const std::string &id)
+                                              const std::string &address, const std::string &id,
+                                              bool isHead = false)
     {
         ExchangeHooks hooks;
         hooks.onHeader = [this, id](int headerStatus, const boost::beast::http::fields &fields) {
@@ -37,7 +38,7 @@
         hooks.onBody = [this](std::string_view data) { body.append(data); };
         hooks.onEnd = [this](ExchangeOutcome result) { outcome = result; };
         const auto connection = pool.acquire(address);
-        connection->send(request, false, std::move(hooks));
+        connection->send(request, isHead, std::move(hooks));
         runUntil(loop, [this] { return outcome.has_value(); });
         return connection;
     }
@@ -46,11 +47,12 @@
 class HttpClientConnectionTest : public ::testing::Test
 {
 protected:
-    ExchangeOutcome outcomeOf(const std::string &response, ScriptedServer::End end)
+    ExchangeOutcome outcomeOf(const std::string &response, ScriptedServer::End end,
+                              bool isHead = false)
     {
         server.setResponse(response, end);
         Exchange exchange;
-        exchange.run(loop, pool, server.address(), "1");
+        exchange.run(loop, pool, server.address(), "1", isHead);
         lastBody = exchange.body;
         return exchange.outcome.value_or(ExchangeOutcome::NotSent);
     }
@@ -86,6 +88,35 @@
     EXPECT_EQ(lastBody, "until the end");
 }
 
+// Guards against a response with an empty or short body that is taken for whole because its server
+// stopped inside the header.
+TEST_F(HttpClientConnectionTest, takesNoHeaderThatEndsAtAnyByteForAResponse)
+{
+    using End = ScriptedServer::End;
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const std::string header :
+         {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n"}) {
+        for (std::size_t n = 0; n < header.size(); ++n) {
+            for (const std::string &before : {std::string(), interim}) {
+                const std::string received = before + header.substr(0, n);
+                SCOPED_TRACE(received);
+                EXPECT_EQ(outcomeOf(received, End::Close), ExchangeOutcome::Incomplete);
+                EXPECT_TRUE(lastBody.empty());
+                EXPECT_EQ(outcomeOf(received, End::Close, true), ExchangeOutcome::Incomplete);
+                // The same on a kept connection.
+                EXPECT_EQ(outcomeOf(completeResponse("1", "fine"), End::KeepOpen),
+                          ExchangeOutcome::Complete);
+                EXPECT_EQ(outcomeOf(received, End::Close), ExchangeOutcome::Incomplete);
+                EXPECT_TRUE(lastBody.empty());
+            }
+        }
+    }
+}
+
 TEST_F(HttpClientConnectionTest, skipsAResponseToAnotherRequest)
 {
     server.setResponse(completeResponse("0", "late") + completeResponse("1", "mine"));
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -1014,6 +1014,65 @@
     EXPECT_NE(thirdServer.received().find("Last-Event-Id: 1"), std::string::npos);
 }
 
+// After the break of a stream the next server answers with something that is no part of it.
+class BadContinuationExchangeTest : public StreamVersionExchangeTest
+{
+protected:
+    BadContinuationExchangeTest()
+    {
+        auto config = std::make_shared<ServingConfig>(*state.config);
+        for (Route &it : config->routesByHost["h.example"])
+            it.maxAttempts = 3;
+        state.config = config;
+    }
+    std::string streamWithContinuation(const std::string &response)
+    {
+        addVersion(state, "b", secondServer, R"("v1")", "west");
+        secondServer.setResponse(response);
+        const std::string received = beginStream();
+        EXPECT_NE(secondServer.received().find("Last-Event-Id: 1"), std::string::npos);
+        EXPECT_NE(received.find(eventText(1)), std::string::npos);
+        EXPECT_EQ(received.find("oops"), std::string::npos) << received;
+        EXPECT_EQ(received.find("HTTP/1.1", 1), std::string::npos) << received;
+        return received;
+    }
+};
+
+const std::string errorResponse = "HTTP/1.1 500 Oops\r\nAttempt-Id: id-1\r\nResponse-Stamp: t\r\n"
+                                  "Content-Length: 4\r\n\r\noops";
+
+class EachBadContinuationTest : public BadContinuationExchangeTest,
+                                public ::testing::WithParamInterface<std::string>
+{ };
+
+TEST_F(BadContinuationExchangeTest, goesOnAtAThirdServer)
+{
+    addVersion(state, "c", thirdServer, R"("v1")", "west");
+    thirdServer.setResponse(restOfStream());
+    const std::string response = streamWithContinuation(errorResponse);
+    EXPECT_NE(response.find(eventText(2)), std::string::npos);
+    EXPECT_NE(response.find(lastChunk), std::string::npos);
+}
+
+// Guards against an error's text in the middle of a stream, or a stream that then looks complete.
+TEST_P(EachBadContinuationTest, breaksTheStreamOffWithoutAnotherServer)
+{
+    EXPECT_EQ(streamWithContinuation(GetParam()).find(lastChunk), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses, EachBadContinuationTest,
+    ::testing::Values(
+        errorResponse,
+        "HTTP/1.1 400 Oops\r\nAttempt-Id: id-1\r\nResponse-Stamp: t\r\n"
+        "Content-Length: 4\r\n\r\noops",
+        "HTTP/1.1 302 Oops\r\nAttempt-Id: id-1\r\nLocation: /oops\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 204 Oops\r\nAttempt-Id: id-1\r\nResponse-Stamp: t\r\n\r\n",
+        "HTTP/1.1 206 Oops\r\nAttempt-Id: id-1\r\nResponse-Stamp: t\r\n"
+        "Content-Length: 12\r\n\r\ndata: oops\n\n",
+        signedHeader + "Content-Type: text/html\r\nContent-Length: 12\r\n\r\ndata: oops\n\n",
+        signedHeader + "Content-Encoding: gzip\r\nContent-Length: 12\r\n\r\ndata: oops\n\n"));
+
 // A server that has started again under its id is newer than its entry in the list for a while.
 class RestartedServerExchangeTest : public StreamVersionExchangeTest
 {
