Soak: withdrawn keys are requested, and bound by the configuration's 2 s

Every seventh request that is no stream now has the key that was withdrawn last; it must not run 2 s after the withdrawal through a gateway without a fault within 3 s (as the users' "in touch"). A gateway that is cut off from the store counts as having a fault for as long as the cut lasts. A 401 for a withdrawn key is no longer counted as CONFIG.

--- a/test/scenarios/runner/LinkRelay.h
+++ b/test/scenarios/runner/LinkRelay.h
@@ -34,6 +34,7 @@
     /// Forwards new connections to \a target. Without a target they are closed.
     void setTarget(const Address &target);
     void setState(LinkState state) { m_state = state; }
+    LinkState state() const { return m_state; }
     /// Refuses new connections, as the address of a process that has ended does. Only for a port
     /// that the system doesn't choose for other sockets. Throw Error (BadSettings).
     void stopListening();
--- a/test/soak/PlatformSoak.cpp
+++ b/test/soak/PlatformSoak.cpp
@@ -75,6 +75,9 @@
 constexpr milliseconds maxListLag{3000};
 constexpr milliseconds maxTakeUpDelay{1500};
 constexpr int maxTriesOfStream = 4;
+
+// One of so many requests that are not streams has the key that was withdrawn last.
+constexpr int withdrawnKeyInterval = 7;
 constexpr int killInterval = 5; // one fault in this many, if there are no others
 constexpr int rareKillInterval = 12;
 constexpr int crashInterval = 3;
@@ -552,8 +555,10 @@
         const bool mayRetry = kind == 1 || kind == 3;
         static constexpr const char *paths[] = {"/s/", "/r/", "/n/", "/i/"};
         const auto account = static_cast<std::size_t>(randomNumber(0, accounts - 1));
-        const std::string &key = m_keys[account].second;
         const std::string id = "r" + std::to_string(++m_requests);
+        const bool isWithdrawn
+            = !isStream && m_requests % withdrawnKeyInterval == 0 && !m_withdrawnKey.second.empty();
+        const auto &[accountName, key] = isWithdrawn ? m_withdrawnKey : m_keys[account];
         std::string text = requestText("POST", std::string(paths[kind]) + 'x', id, key);
         if (isStream) {
             std::string model = name(
@@ -566,7 +571,7 @@
             text += "Model: " + model + "\r\nToken-Count: 700,100\r\nPrompt-Prefix: ab:400,"
                 + shared + ":100," + std::to_string(m_requests) + ":200\r\n";
         }
-        m_checks.onSent(id, gateway.name, m_keys[account].first, key, mayRetry,
+        m_checks.onSent(id, gateway.name, accountName, key, mayRetry,
                         isStream ? streamTokens : plainTokens);
         if (isStream)
             m_checks.onStreamSent(id, crashingPart);
@@ -721,6 +726,8 @@
         }
         for (const auto &gateway : m_gateways) {
             gateway->pool->closeExpiredConnections(now);
+            if (gateway->storeLink.state() != LinkState::Open)
+                m_checks.onGatewayFault(gateway->name);
             const auto ending = gateway->process->waitForExit(milliseconds(0));
             if (!ending)
                 continue;
@@ -940,6 +947,7 @@
         auto &[account, key] = m_keys[static_cast<std::size_t>(randomNumber(0, accounts - 1))];
         printAction("withdraw key " + key);
         m_checks.onKeyWithdrawn(key);
+        m_withdrawnKey = {account, key};
         key = name("key", ++m_keyNumber + 100);
         writeConfiguration();
     }
@@ -988,6 +996,7 @@
     std::vector<std::unique_ptr<ServerWithLink>> m_servers;
     std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
     std::vector<std::pair<std::string, std::string>> m_keys; // account and its only key
+    std::pair<std::string, std::string> m_withdrawnKey; // account and its latest withdrawn key
     std::multimap<Instant, std::function<void()>> m_faultEnds;
     std::int64_t m_configVersion = 0;
     std::string m_config; // the newest one
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -160,8 +160,9 @@
 {
     const Request &request = m_requests[id];
     m_requests[id].isEnded = true;
-    // Callers use routes and keys of the newest configuration only.
-    const bool isDenied = status == 401 || status == 404;
+    // Callers use routes and keys of the newest configuration only, but for withdrawn keys.
+    const bool isDenied
+        = (status == 401 || status == 404) && m_keyWithdrawnAt.count(request.key) == 0;
     if (isDenied && request.sentAt - m_configWrittenAt > m_limits.configGrace
         && !hadRecentFault(request.gateway, m_limits.contactTime))
         fail("CONFIG: " + id + " got status " + std::to_string(status) + " from "
@@ -294,9 +295,14 @@
         fail("UNASKED: " + id + " runs for the wrong account, with its key, or with a wrong body");
     const auto withdrawn = m_keyWithdrawnAt.find(request.key);
     if (withdrawn != m_keyWithdrawnAt.end()
-        && request.sentAt - withdrawn->second > m_limits.keyWithdrawalGrace
-        && !hadRecentFault(request.gateway, m_limits.keyWithdrawalGrace))
-        fail("KEY: " + id + " runs with a key that had been withdrawn");
+        && request.sentAt - withdrawn->second > m_limits.configGrace
+        && !hadRecentFault(request.gateway, m_limits.contactTime))
+        fail("CONFIG: " + id + " runs through " + request.gateway
+             + " with a key that had been withdrawn "
+             + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  request.sentAt - withdrawn->second)
+                                  .count())
+             + " ms before");
     const auto leaving = m_leavingSince.find(server);
     if (leaving != m_leavingSince.end() && now - leaving->second > m_limits.leavingGrace
         && !hadRecentFault(request.gateway, m_limits.leavingGrace + std::chrono::seconds(3)))
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -27,9 +27,8 @@
     struct Limits
     {
         Duration holderChangeInterval = std::chrono::milliseconds(3000);
-        Duration keyWithdrawalGrace = std::chrono::seconds(8); ///< Covers outages of the store.
         Duration leavingGrace = std::chrono::milliseconds(2500);
-        Duration configGrace = std::chrono::milliseconds(2000); ///< Until a configuration is used.
+        Duration configGrace = std::chrono::milliseconds(2000); ///< Until one is in force.
         Duration contactTime = std::chrono::milliseconds(3000); ///< Until faults excuse nothing.
         double loadsPerSecond = 2;
         double tokensPerSecond = 0; ///< The rate of each account.
