ListConfirmation: a call that was lost doesn't keep later ones from being made

After a suspension the connections to the store are dropped, and a call under way gets no response. The gateway would have asked no more, so take-ups of streams that it didn't begin would have been refused unless the peers confirm the list. Found by reading; ListConfirmationTest.asksAgainAfterACallThatWasLost failed with the former code. A peer that states no version of its list doesn't confirm it.

--- a/src/Apps/Entry/ListConfirmation.cpp
+++ b/src/Apps/Entry/ListConfirmation.cpp
@@ -31,12 +31,15 @@
 void ListConfirmation::askStore()
 {
     const Instant now = m_hooks.now();
-    if (m_askedAt || m_pending.empty() || now < m_nextAskAt)
+    // A call that is lost when the connections to the store are dropped gets no response.
+    const bool isAsking = m_askedAt && now - *m_askedAt < confirmationTime;
+    if (isAsking || m_pending.empty() || now < m_nextAskAt)
         return;
     m_askedAt = now;
     Metrics::incrementCounter("list_confirmations");
     m_platform.confirmServers([this, now](bool isConfirmed) {
-        m_askedAt.reset();
+        if (m_askedAt == now)
+            m_askedAt.reset();
         if (!isConfirmed) {
             m_nextAskAt = m_hooks.now() + retryDelay;
             return;
--- a/src/Apps/Entry/ListConfirmation.h
+++ b/src/Apps/Entry/ListConfirmation.h
@@ -43,7 +43,7 @@
     EntryPlatform &m_platform;
     const Hooks m_hooks;
     std::vector<Pending> m_pending;
-    std::optional<Instant> m_askedAt; // set while the store has not responded
+    std::optional<Instant> m_askedAt; // the latest call that the store has not responded to
     Instant m_nextAskAt;
 };
 
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -661,7 +661,8 @@
         if (!peer.isHeard || peer.isLeaving)
             continue;
         isAnyHeard = true;
-        if (peer.heardAt < time || own.isBehind(peer.versions.servers))
+        const TableVersion &stated = peer.versions.servers;
+        if (peer.heardAt < time || stated.version.count() == 0 || own.isBehind(stated))
             return false;
     }
     return isAnyHeard;
