TableHandOverScheduleTest: the source has a clock, and the age of what is known is checked

The test now also requires that a copy has every change made before the time until which it claims to be complete, 30 ms less, since a response with changes counts as of its arrival; it also calls confirmNow().

--- a/test/FakeTableStore.h
+++ b/test/FakeTableStore.h
@@ -49,12 +49,19 @@
         m_historyStart = std::min(m_historyStart, m_version);
         ++m_era;
         remember();
+        m_changedAt[m_loop.now()] = version();
         for (const auto &waiting : std::exchange(m_waiting, {}))
             waiting->done(platform::StoreReadResult());
     }
 
     Rows rows() const { return m_contents.at(version()); }
     Version version() const { return platform::makeVersion(StoreEra(m_era), m_version); }
+    /// Returns the version of the last change of the table before \a time.
+    Version lastChangeBefore(Instant time) const
+    {
+        const auto it = m_changedAt.lower_bound(time);
+        return it == m_changedAt.begin() ? Version() : std::prev(it)->second;
+    }
     /// Returns the rows at \a version; nothing if the store never had it.
     const Rows *rowsAt(Version version) const
     {
@@ -126,6 +133,7 @@
     {
         m_history.push_back({key, m_version, isDeletion});
         remember();
+        m_changedAt[m_loop.now()] = version();
         completeWaiting();
     }
     platform::StoreReadResult emptyResult() const
@@ -162,6 +170,7 @@
     int m_era = 1;
     Copy m_copy;
     std::map<Version, Rows> m_contents; // of every version
+    std::map<Instant, Version> m_changedAt; // the last change of the table at each time
     std::vector<std::shared_ptr<Waiting>> m_waiting;
 };
 
--- a/test/TableHandOverScheduleTest.cpp
+++ b/test/TableHandOverScheduleTest.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t gatewayCount = 4;
 constexpr std::size_t readPartSize = 3; // rows in a response, so that reads take several
 constexpr auto callTimeout = 1000ms;
+constexpr auto maxLatency = 30ms;
 
 class Fleet
 {
@@ -55,7 +56,10 @@
 
     int number(int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(m_random); }
     std::string anyKey() { return std::string(1, static_cast<char>('a' + number(8))); }
-    Duration latency() { return std::chrono::milliseconds(1 + number(30)); }
+    Duration latency()
+    {
+        return std::chrono::milliseconds(1 + number(static_cast<int>(maxLatency.count())));
+    }
     void run(Duration time)
     {
         m_loop.runFor(time, [this] { checkStatedVersions(); });
@@ -94,7 +98,10 @@
             gateway.follower->resume();
             break;
         case 9:
-            gateway.follower->restart();
+            if (number(2) == 0)
+                gateway.follower->restart();
+            else
+                gateway.follower->confirmNow([](bool) {});
             break;
         case 10:
         case 11:
@@ -130,6 +137,7 @@
     TableSource sourceOf(std::size_t i, int incarnation)
     {
         TableSource source;
+        source.now = [this] { return m_loop.now(); };
         const auto isAlive
             = [this, i, incarnation] { return m_gateways[i].incarnation == incarnation; };
         const auto answer = [this, i, isAlive](TableSource::ReadHook done) {
@@ -179,12 +187,17 @@
         const int incarnation = m_gateways[to].incarnation;
         const TableVersion known = m_gateways[to].follower->copy().version();
         m_loop.after(latency(), [this, from, to, known, incarnation] {
-            const TableChanges changes = m_gateways[from].follower->copy().changesSince(known);
-            m_loop.after(latency(), [this, to, changes, incarnation] {
+            const TableFollower &sender = *m_gateways[from].follower;
+            const TableChanges changes = sender.copy().changesSince(known);
+            const Instant confirmedAt = sender.confirmedAt();
+            m_loop.after(latency(), [this, to, changes, confirmedAt, incarnation] {
                 Gateway &receiver = m_gateways[to];
                 if (receiver.incarnation != incarnation)
                     return;
-                EXPECT_TRUE(receiver.follower->copy().applyPeerChanges(changes));
+                TableCopy &copy = receiver.follower->copy();
+                EXPECT_TRUE(copy.applyPeerChanges(changes));
+                if (changes.newest.version.count() > 0 && !copy.version().isBehind(changes.newest))
+                    receiver.follower->confirm(confirmedAt);
             });
         });
     }
@@ -207,6 +220,10 @@
             const FakeTableStore::Rows *expected = m_store.rowsAt(stated);
             ASSERT_TRUE(expected) << "gateway " << i << " states " << stated.count();
             ASSERT_EQ(rowsOf(i), *expected) << "gateway " << i << " states " << stated.count();
+            // A response with changes counts as of its arrival.
+            const Instant known = m_gateways[i].follower->confirmedAt() - maxLatency;
+            ASSERT_GE(stated, m_store.lastChangeBefore(known))
+                << "gateway " << i << " takes its rows for current";
         }
     }
 
