--- a/test/StateFreshnessScheduleTest.cpp
+++ b/test/StateFreshnessScheduleTest.cpp
@@ -60,7 +60,8 @@
 class VirtualPlatform : public FakePlatform
 {
 public:
-    VirtualPlatform(TableSource operators, TableSource servers, std::function<void()> onBatch)
+    VirtualPlatform(TableSource operators, TableSource servers,
+                    const std::function<void()> &onBatch)
         : m_operators(std::move(operators), 50ms, hooks(onBatch)),
           m_servers(std::move(servers), 250ms, hooks(onBatch))
     { }
--- a/test/TableHandOverScheduleTest.cpp
+++ b/test/TableHandOverScheduleTest.cpp
@@ -140,8 +140,8 @@
         source.now = [this] { return m_loop.now(); };
         const auto isAlive
             = [this, i, incarnation] { return m_gateways[i].incarnation == incarnation; };
-        const auto answer = [this, i, isAlive](TableSource::ReadHook done) {
-            return [this, i, isAlive, done = std::move(done)](const StoreReadResult &result) {
+        const auto answer = [this, i, isAlive](const TableSource::ReadHook &done) {
+            return [this, i, isAlive, done](const StoreReadResult &result) {
                 m_loop.after(latency(), [this, i, isAlive, result, done] {
                     if (isAlive())
                         done(m_gateways[i].isCut ? StoreReadResult() : result);
@@ -162,12 +162,12 @@
                   });
               };
         source.readRows = [this, answer, call](const std::string &from,
-                                               TableSource::ReadHook done) {
+                                               const TableSource::ReadHook &done) {
             call([this, from, reply = answer(done)] { reply(m_store.read(from, readPartSize)); },
                  done);
         };
         source.pollChanges = [this, answer, call](Version since, std::chrono::milliseconds wait,
-                                                  TableSource::ReadHook done) {
+                                                  const TableSource::ReadHook &done) {
             call([this, since, wait, reply = answer(done)] { m_store.poll(since, wait, reply); },
                  done);
         };
