Attempts: a response that is given up counts against max_attempts

Cause: a body over 8 MB, an event over 1 MB, a success without a signature or with a Content-Encoding went to onAttemptFailed() directly, past onEnd(), which counts attempts. Change: abandonResponse() closes the connection and ends the attempt through onEnd(). Ruled out: counting in onAttemptFailed(), which also handles attempts that were not sent.

--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -552,8 +552,7 @@
                     {"status", status},
                     {"signed", responseInfo.isSigned ? 1 : 0},
                     {"joinable", isJoinable ? 1 : 0}});
-        m_attempt->connection->close();
-        onAttemptFailed(ExchangeOutcome::Malformed);
+        abandonResponse();
         return ExchangeHooks::HeaderDecision::Skip;
     }
     m_state.protocol.writeCallerResponseHeaders(fields, m_attempt->fields);
@@ -579,8 +578,7 @@
         return;
     }
     if (m_attempt->body.size() + data.size() > maxResponseBytes) {
-        m_attempt->connection->close();
-        onAttemptFailed(ExchangeOutcome::Malformed);
+        abandonResponse();
         return;
     }
     m_attempt->body.append(data);
@@ -606,14 +604,21 @@
         * server->health.latencyRatio());
 }
 
+// Ends the attempt because of its response, whose rest is of no use. The server may have run the
+// request, so the attempt counts like one whose response broke.
+void RequestHandler::abandonResponse()
+{
+    m_attempt->connection->close();
+    onEnd(ExchangeOutcome::Malformed);
+}
+
 // Only whole events are forwarded, so that another server can continue after the last one if this
 // attempt fails.
 void RequestHandler::forward(std::string_view data)
 {
     const std::string events = m_events.extractEvents(data);
     if (m_events.isEventTooLarge()) {
-        m_attempt->connection->close();
-        onAttemptFailed(ExchangeOutcome::Malformed);
+        abandonResponse();
         return;
     }
     if (events.empty())
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -52,6 +52,7 @@
     ExchangeHooks::HeaderDecision onHeader(int status, const boost::beast::http::fields &fields);
     void recordServerLoad(const BackendResponseInfo &responseInfo);
     void onBody(std::string_view data);
+    void abandonResponse();
     void onEnd(ExchangeOutcome outcome);
     void onFirstByte();
     void forward(std::string_view data);
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -76,11 +76,13 @@
     {
         auto config = std::make_shared<ServingConfig>();
         config->version = Version(3);
-        config->routesByHost["h.example"]
-            = {route("/n/", RouteKind::NonIdempotent, 3, false),
-               route("/i/", RouteKind::Idempotent, 2, false),
-               route("/s/", RouteKind::Stream, 1, false), route("/r/", RouteKind::Stream, 2, true),
-               route("/many/", RouteKind::Idempotent, 5, false)};
+        config->routesByHost["h.example"] = {route("/n/", RouteKind::NonIdempotent, 3, false),
+                                             route("/i/", RouteKind::Idempotent, 2, false),
+                                             route("/s/", RouteKind::Stream, 1, false),
+                                             route("/r/", RouteKind::Stream, 2, true),
+                                             route("/once/", RouteKind::Idempotent, 1, false),
+                                             route("/once-resumable/", RouteKind::Stream, 1, true),
+                                             route("/many/", RouteKind::Idempotent, 5, false)};
         config->services[ServiceName("app")].name = ServiceName("app");
         ClientAccount account;
         account.name = AccountId("account");
@@ -186,6 +188,36 @@
     EXPECT_TRUE(hasStatus(sendRequest("/n/x", "key", "fine"), 200));
 }
 
+// A response that is given up counts against max_attempts, whatever part of it was wrong. The
+// server has run the request.
+TEST_F(PlatformExchangeTest, countsAttemptsWhoseResponseIsGivenUp)
+{
+    addServer("b", secondServer);
+    secondServer.setResponse(signedHeader + "Content-Length: 4\r\n\r\nfine");
+    const std::string longBody(16'384, 'x');
+    struct Case
+    {
+        const char *path;
+        std::string begin;
+        std::string unit;
+    };
+    for (const Case &it :
+         {Case{"/once/endless", streamHeader, chunkText(longBody)},
+          Case{"/once/unsigned", "HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nContent-Length: 0\r\n\r\n",
+               ""},
+          Case{"/once/encoded",
+               signedHeader + "Content-Encoding: gzip\r\nContent-Length: 0\r\n\r\n", ""},
+          Case{"/once-resumable/event", streamHeader, chunkText(longBody)}}) {
+        state.servers.find(ServerName("a"))->health.reset(steadyNow());
+        if (it.unit.empty())
+            firstServer.setResponse(it.begin);
+        else
+            firstServer.setRepeatingResponse(it.begin, it.unit);
+        EXPECT_TRUE(hasStatus(sendRequest(it.path), 502)) << it.path;
+        EXPECT_EQ(secondServer.connections(), 0) << it.path;
+    }
+}
+
 TEST_F(PlatformExchangeTest, refusesARequestThatReachedNoServerWithRetryAfter)
 {
     ListedServer leaving = state.servers.find(ServerName("a"))->listed;
