Entry gateway: text from outside is checked when decoded and can't end the process

Cause: `Model: m0/` followed by a byte that is not UTF-8 became an adapter to load; serializing the order as JSON threw, nobody caught it, and the process of the lease holder ended.

Change: ids and names are UTF-8 without control characters of at most 200 bytes (src/Core/ExternalText.h). Headers of callers (400, with the header's name in the body and the log), rows, reports, relayed leases and peers' datagrams are checked in their decoders; JSON is written without exceptions; log values and metric labels are bounded and readable. Token counts are bounded, so that sums of them don't overflow. An exception out of a handler costs its request, connection or datagram, with a log line and the metric handler_exceptions.

Before: PlatformDecoderTest.rejectsHeadersThatAreNoNamesAndTellsWhich, rejectsNumbersThatCanNotBeCalculatedWith and writesAnOrderWithAnyName failed. After: these and PlatformExchangeTest, PeerMessageCheckTest, ExternalTextTest, PlatformStoreTest, TableHandOverScheduleTest and StateFreshnessScheduleTest pass.

--- a/src/Adapters/Async/HttpClientConnection.cpp
+++ b/src/Adapters/Async/HttpClientConnection.cpp
@@ -1,5 +1,6 @@
 #include "Adapters/Async/HttpClientConnection.h"
 
+#include "Adapters/Async/HandlerGuard.h"
 #include "Adapters/Async/SocketOptions.h"
 
 #include <boost/asio/post.hpp>
@@ -170,8 +171,8 @@
     if (m_paused || m_state == State::Closed)
         return;
     m_readable.start(m_socket, shared_from_this(), [this] {
-        if (m_state != State::Closed)
-            onReadable();
+        if (m_state != State::Closed && !callGuarded("server", [this] { onReadable(); }))
+            fail(ExchangeOutcome::Incomplete);
     });
 }
 
--- a/src/Adapters/Async/HttpServerConnection.cpp
+++ b/src/Adapters/Async/HttpServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "Adapters/Async/HttpServerConnection.h"
 
+#include "Adapters/Async/HandlerGuard.h"
 #include "Adapters/Async/SocketOptions.h"
 
 #include <boost/asio/write.hpp>
@@ -68,8 +69,8 @@
     if (!mayRead)
         return;
     m_readable.start(m_socket, shared_from_this(), [this] {
-        if (m_state != State::Closed)
-            onReadable();
+        if (m_state != State::Closed && !callGuarded("caller", [this] { onReadable(); }))
+            onCallerDisconnected();
     });
 }
 
@@ -183,7 +184,9 @@
     request.body = std::move(message.body());
     request.fields = std::move(message.base());
     request.arrivedAt = steadyNow();
-    m_hooks->onRequest(shared_from_this(), std::move(request));
+    if (!callGuarded("request",
+                     [&] { m_hooks->onRequest(shared_from_this(), std::move(request)); }))
+        onCallerDisconnected();
 }
 
 void HttpServerConnection::reject(int status, const char *reason)
--- a/src/Adapters/Async/PeerSocket.cpp
+++ b/src/Adapters/Async/PeerSocket.cpp
@@ -1,5 +1,6 @@
 #include "Adapters/Async/PeerSocket.h"
 
+#include "Adapters/Async/HandlerGuard.h"
 #include "Core/Error.h"
 
 #include <glog/logging.h>
@@ -90,7 +91,9 @@
         LOG_EVERY_N(WARNING, 100) << "event=bad_datagram reason=\"" << e.what() << '"';
         return;
     }
-    m_onReceive(message, {m_from.address().to_string(), m_from.port()});
+    callGuarded("datagram", [&] {
+        m_onReceive(std::move(message), {m_from.address().to_string(), m_from.port()});
+    });
 }
 
 } // namespace quetzalyoke
--- a/src/Adapters/Async/PeerSocket.h
+++ b/src/Adapters/Async/PeerSocket.h
@@ -15,7 +15,7 @@
 class PeerSocket
 {
 public:
-    using ReceiveHook = std::function<void(const wire::PeerNews &, const Address &from)>;
+    using ReceiveHook = std::function<void(wire::PeerNews &&, const Address &from)>;
 
     /// Throws Error (BadSettings) if \a address cannot be bound.
     PeerSocket(asio::io_context &loop, const Address &address, ReceiveHook onReceive);
--- a/src/Adapters/Metrics.cpp
+++ b/src/Adapters/Metrics.cpp
@@ -1,5 +1,7 @@
 #include "Adapters/Metrics.h"
 
+#include "Core/ExternalText.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -23,6 +25,15 @@
     return buckets;
 }
 
+// The text format is UTF-8; a scraper rejects all metrics of a process because of one other byte.
+Metrics::Labels readableLabels(const Metrics::Labels &labels)
+{
+    Metrics::Labels readable;
+    for (const auto &[name, value] : labels)
+        readable[name] = readableText(value, maxExternalNameBytes);
+    return readable;
+}
+
 } // namespace
 
 void Metrics::incrementCounter(const std::string &name, const Labels &labels, double n)
@@ -30,7 +41,7 @@
     prometheus::BuildCounter()
         .Name("quetzalyoke_" + name)
         .Register(registry())
-        .Add(labels)
+        .Add(readableLabels(labels))
         .Increment(n);
 }
 
@@ -39,7 +50,7 @@
     prometheus::BuildGauge()
         .Name("quetzalyoke_" + name)
         .Register(registry())
-        .Add(labels)
+        .Add(readableLabels(labels))
         .Set(value);
 }
 
@@ -48,7 +59,7 @@
     prometheus::BuildHistogram()
         .Name("quetzalyoke_" + name)
         .Register(registry())
-        .Add(labels, latencyBuckets())
+        .Add(readableLabels(labels), latencyBuckets())
         .Observe(seconds);
 }
 
--- a/src/Adapters/StructuredLog.cpp
+++ b/src/Adapters/StructuredLog.cpp
@@ -2,6 +2,7 @@
 
 #include "Adapters/Metrics.h"
 #include "Core/Accounts/TokenBucket.h"
+#include "Core/ExternalText.h"
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -21,6 +22,10 @@
 constexpr TokensPerSecond notableRate(300);
 constexpr Tokens notableBurst(600);
 
+// Part of a value that is written. The longest one of the gateways' own, a list of crash records,
+// is shorter.
+constexpr std::size_t maxValueBytes = 1000;
+
 std::shared_ptr<spdlog::async_logger> logger;
 std::string instanceName;
 std::int64_t droppedCount = 0;
@@ -32,11 +37,13 @@
 
 bool needsQuotes(std::string_view value)
 {
-    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+    return value.empty() || value.find_first_of(" \"=") != std::string_view::npos;
 }
 
-void appendValue(std::string &out, std::string_view value)
+// A value from a caller or a server must not add a line or make the log unreadable.
+void appendValue(std::string &out, std::string_view text)
 {
+    const std::string value = readableText(text, maxValueBytes);
     if (!needsQuotes(value)) {
         out += value;
         return;
@@ -45,9 +52,7 @@
     for (const char c : value) {
         if (c == '"' || c == '\\')
             out += '\\';
-        // Control characters become spaces, so that a value from a caller or a server can't add a
-        // line.
-        out += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+        out += c;
     }
     out += '"';
 }
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Entry/EntryGateway.h"
 
+#include "Adapters/Async/HandlerGuard.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Adapters/StructuredLog.h"
@@ -108,7 +109,7 @@
     m_peers.start();
     awaitSignal();
     tick();
-    m_loop.run();
+    runGuarded(m_loop);
     logNotable("stopped", {});
     StructuredLog::stop();
 }
@@ -284,28 +285,17 @@
 
 void EntryGateway::tick()
 {
-    detectStall();
-    const Instant now = steadyNow();
-    m_orderSender.tick();
-    m_stateExchange.replicator().tick();
-    m_state.listConfirmation.tick();
-    m_peers.repeatPermitRequests();
-    m_crashRecords.tick(m_orderSender.fencingToken() > 0);
-    m_streamVersions.tick(m_orderSender.fencingToken() > 0);
-    m_state.waitQueue.retryDispatches();
-    if (now - m_lastHousekeepingAt >= housekeepingInterval) {
-        m_lastHousekeepingAt = now;
-        m_state.pool.closeExpiredConnections(now);
-        m_state.crashDetector.expire(now);
-        m_state.permitIssuer.removeUnused(now);
-        for (const ListedServer &server : m_state.servers.removeExpired(now)) {
-            logNotable("server_gone",
-                       {{"server", server.id},
-                        {"incarnation", server.incarnation},
-                        {"reason", "expired while the store was unreachable"}});
-            onServerEnded(server);
-        }
-    }
+    // Each part is guarded by itself, so that one that fails at each tick doesn't stop the others.
+    callGuarded("stall", [this] { detectStall(); });
+    callGuarded("orders", [this] { m_orderSender.tick(); });
+    callGuarded("state", [this] { m_stateExchange.replicator().tick(); });
+    callGuarded("list_confirmation", [this] { m_state.listConfirmation.tick(); });
+    callGuarded("permits", [this] { m_peers.repeatPermitRequests(); });
+    callGuarded("crash_records", [this] { m_crashRecords.tick(m_orderSender.fencingToken() > 0); });
+    callGuarded("stream_versions",
+                [this] { m_streamVersions.tick(m_orderSender.fencingToken() > 0); });
+    callGuarded("dispatch", [this] { m_state.waitQueue.retryDispatches(); });
+    callGuarded("housekeeping", [this] { doHousekeeping(steadyNow()); });
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](const SystemErrorCode &ec) {
         if (!ec)
@@ -313,6 +303,23 @@
     });
 }
 
+void EntryGateway::doHousekeeping(Instant now)
+{
+    if (now - m_lastHousekeepingAt < housekeepingInterval)
+        return;
+    m_lastHousekeepingAt = now;
+    m_state.pool.closeExpiredConnections(now);
+    m_state.crashDetector.expire(now);
+    m_state.permitIssuer.removeUnused(now);
+    for (const ListedServer &server : m_state.servers.removeExpired(now)) {
+        logNotable("server_gone",
+                   {{"server", server.id},
+                    {"incarnation", server.incarnation},
+                    {"reason", "expired while the store was unreachable"}});
+        onServerEnded(server);
+    }
+}
+
 // After a stall, everything that this gateway knows is older than its timestamps suggest.
 void EntryGateway::detectStall()
 {
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -38,6 +38,7 @@
     bool isReady() const;
     void awaitSignal();
     void tick();
+    void doHousekeeping(Instant now);
     void detectStall();
     void beginStop();
     void checkStopped();
--- a/src/Apps/Entry/LeaseStoreClient.cpp
+++ b/src/Apps/Entry/LeaseStoreClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Adapters/Metrics.h"
 #include "Adapters/StructuredLog.h"
+#include "Core/ExternalText.h"
 
 #include <sstream>
 
@@ -37,6 +38,8 @@
     std::int64_t era = 0;
     if (!(in >> holder >> incarnation >> fencing >> version >> era))
         return {};
+    if (!isExternalName(holder))
+        return {};
     return LeaseRow{InstanceId(holder == noHolder ? std::string() : holder),
                     Incarnation(incarnation), FencingToken(fencing), Version(version),
                     StoreEra(era)};
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -1,8 +1,10 @@
 #include "Apps/Entry/PeerNetwork.h"
 
+#include "Adapters/Async/HandlerGuard.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Adapters/StructuredLog.h"
+#include "Apps/Entry/PeerMessageCheck.h"
 #include "Core/Error.h"
 
 namespace quetzalyoke {
@@ -69,8 +71,9 @@
 PeerNetwork::PeerNetwork(EntryState &state, Hooks hooks)
     : m_state(state), m_hooks(std::move(hooks)),
       m_socket(state.loop, state.settings.peerListen,
-               [this](const wire::PeerNews &message, const Address &from) {
-                   onPeerMessage(message, from);
+               [this](wire::PeerNews &&message, const Address &from) {
+                   if (isUsable(message, from))
+                       onPeerMessage(message, from);
                }),
       m_tickTimer(state.loop), m_joinTimer(state.loop), m_urgentTimer(state.loop),
       m_spending(state,
@@ -184,7 +187,20 @@
 
 void PeerNetwork::tick()
 {
-    broadcastState();
+    callGuarded("peers", [this] {
+        broadcastState();
+        updatePeerSilence();
+        m_hooks.onTakeoverRank(takeoverRank(), messageInterval());
+    });
+    m_tickTimer.expires_after(messageInterval());
+    m_tickTimer.async_wait([this](const SystemErrorCode &ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+void PeerNetwork::updatePeerSilence()
+{
     const Instant now = steadyNow();
     for (auto &[id, peer] : m_peers) {
         if (!peer.isHeard || now - peer.heardAt < std::max(peerWorkLifetime, silenceTimeout()))
@@ -195,12 +211,6 @@
     }
     m_state.hearsPeers = std::any_of(m_peers.begin(), m_peers.end(),
                                      [](const auto &it) { return it.second.isHeard; });
-    m_hooks.onTakeoverRank(takeoverRank(), messageInterval());
-    m_tickTimer.expires_after(messageInterval());
-    m_tickTimer.async_wait([this](const SystemErrorCode &ec) {
-        if (!ec)
-            tick();
-    });
 }
 
 void PeerNetwork::sendSpending(const InstanceId &to, const wire::PeerSpending &spending)
@@ -504,6 +514,21 @@
     }
 }
 
+// Removes what can't be used of \a message. Its names may become parts of orders, records and
+// headers.
+bool PeerNetwork::isUsable(wire::PeerNews &message, const Address &from)
+{
+    const PeerMessageVerdict verdict = checkPeerMessage(message);
+    if (!verdict.isUsable || verdict.invalidEntries > 0) {
+        logNotable("bad_peer_message",
+                   {{"address", from.text()},
+                    {"used", verdict.isUsable ? 1 : 0},
+                    {"invalid_entries", verdict.invalidEntries}});
+        Metrics::incrementCounter("bad_peer_messages");
+    }
+    return verdict.isUsable;
+}
+
 void PeerNetwork::onPeerMessage(const wire::PeerNews &message, const Address &from)
 {
     const InstanceId instance(message.instance);
--- a/src/Apps/Entry/PeerNetwork.h
+++ b/src/Apps/Entry/PeerNetwork.h
@@ -73,6 +73,7 @@
     void addMember(const InstanceId &instance, const Address &address);
     void updateGatewayCount();
     void tick();
+    void updatePeerSilence();
     void broadcastState();
     void sendSpending(const InstanceId &to, const wire::PeerSpending &spending);
     static GatewayCandidate candidateFor(const InstanceId &id, const Peer &peer);
@@ -96,6 +97,7 @@
     static void addRequestLimit(const ServerState &server, wire::PeerNews &message);
     PermitExchange::Hooks permitHooks();
     void applyServerSignals(const InstanceId &from, const wire::PeerNews &message);
+    static bool isUsable(wire::PeerNews &message, const Address &from);
     void onPeerMessage(const wire::PeerNews &message, const Address &from);
     void applyState(const InstanceId &from, const wire::PeerNews &message);
     void applyEvents(const wire::PeerNews &message);
--- a/src/Apps/Entry/RequestAdmission.cpp
+++ b/src/Apps/Entry/RequestAdmission.cpp
@@ -62,8 +62,11 @@
 {
     std::string problem;
     const auto metadata = m_state.protocol.parseRequestHeaders(m_request.fields, problem);
-    if (!metadata)
+    if (!metadata) {
+        logNotable("bad_header", {{"reason", problem}});
+        context.problem = "bad_header: " + problem;
         return Rejection{400, "bad_header", {}};
+    }
     context.metadata = *metadata;
     context.config = m_state.config;
     if (!context.config || !m_state.platform.isLoaded())
--- a/src/Apps/Entry/RequestAdmission.h
+++ b/src/Apps/Entry/RequestAdmission.h
@@ -11,6 +11,7 @@
 {
     ServingConfigPtr config; ///< The version that governs this request.
     RequestMetadata metadata;
+    std::string problem; ///< What the caller must change, for the body of a 400.
     std::vector<std::uint64_t> prefixHashes; ///< From computePrefixHashes().
     const Route *route = nullptr;
     const ClientAccount *account = nullptr; ///< May be nullptr on public routes.
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -1079,7 +1079,8 @@
         if (SharedQuota *quota = m_state.quotas.find(m_context.account->name))
             quota->refund(m_context.chargedCost);
     }
-    m_callerConnection->sendResponse(status, fields, reason);
+    m_callerConnection->sendResponse(status, fields,
+                                     m_context.problem.empty() ? reason : m_context.problem);
     finish("refused");
 }
 
--- a/src/Apps/Entry/SpendingExchange.cpp
+++ b/src/Apps/Entry/SpendingExchange.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Entry/SpendingExchange.h"
 
+#include "Adapters/Async/HandlerGuard.h"
 #include "Adapters/Process.h"
 #include "Adapters/StructuredLog.h"
 
@@ -128,7 +129,7 @@
 void SpendingExchange::tick()
 {
     if (m_isRelaying || m_relay.hasMembers())
-        sendMessages();
+        callGuarded("spending", [this] { sendMessages(); });
     m_timer.expires_after(SpendingRelay::Settings().tickInterval);
     m_timer.async_wait([this](const SystemErrorCode &ec) {
         if (!ec)
--- a/src/Apps/Entry/WaitQueue.cpp
+++ b/src/Apps/Entry/WaitQueue.cpp
@@ -1,5 +1,7 @@
 #include "Apps/Entry/WaitQueue.h"
 
+#include "Adapters/Async/HandlerGuard.h"
+
 #include <vector>
 
 namespace quetzalyoke {
@@ -22,7 +24,9 @@
     for (const auto &entry : m_waiters)
         waiters.push_back(entry.second);
     for (const auto &waiter : waiters) {
-        if (waiter->retryDispatch())
+        bool isDone = true; // also after an exception; the request then ends at its deadline
+        callGuarded("waiting_request", [&] { isDone = waiter->retryDispatch(); });
+        if (isDone)
             remove(waiter.get());
     }
 }
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -337,3 +337,144 @@
     for (const char *text : {"", "3", "3,0", "x,0,8", "-1,0,8", "3,,8", "99999999999,0,8"})
         EXPECT_FALSE(load(200, text, "id-1")) << text;
 }
+
+namespace {
+
+// Every byte but those that no parsed header holds: a line break ends it.
+std::vector<std::string> textsWithEachByte(const std::string &before, const std::string &after)
+{
+    std::vector<std::string> texts;
+    for (int byte = 0; byte < 0x100; ++byte) {
+        if (byte != '\r' && byte != '\n')
+            texts.push_back(before + static_cast<char>(byte) + after);
+    }
+    return texts;
+}
+
+} // namespace
+
+// An adapter of one byte that is no UTF-8 ended the process that ordered it to be loaded.
+TEST(PlatformDecoderTest, rejectsHeadersThatAreNoNamesAndTellsWhich)
+{
+    for (const char *name : {"Model", "Attempt-Id", "Api-Key", "Resumes"}) {
+        const std::string before = std::string_view(name) == "Model" ? "m0/" : "x";
+        for (const std::string &text : textsWithEachByte(before, "y")) {
+            HeaderFields fields = callerFields();
+            fields.set(name, text);
+            std::string problem;
+            const auto metadata = PlatformProtocol().parseRequestHeaders(fields, problem);
+            const auto byte = static_cast<unsigned char>(text[before.size()]);
+            EXPECT_EQ(metadata.has_value(), byte >= 0x20 && byte < 0x7f)
+                << name << ' ' << int(byte);
+            EXPECT_EQ(problem.find(name) != std::string::npos, !metadata) << problem;
+        }
+        HeaderFields fields = callerFields();
+        std::string problem;
+        fields.set(name, "");
+        EXPECT_TRUE(PlatformProtocol().parseRequestHeaders(fields, problem)) << name;
+        fields.set(name, std::string(5000, 'x'));
+        EXPECT_FALSE(PlatformProtocol().parseRequestHeaders(fields, problem)) << name;
+        EXPECT_NE(problem.find(name), std::string::npos) << problem;
+        fields.set(name, std::string(200, 'x'));
+        EXPECT_TRUE(PlatformProtocol().parseRequestHeaders(fields, problem)) << name;
+        fields.set(name, "\xe6\xa8\xa1\xe5\x9e\x8b \xc3\xa4");
+        EXPECT_TRUE(PlatformProtocol().parseRequestHeaders(fields, problem)) << name;
+    }
+    for (const char *model : {"\xff", "\xff/a", "m/\xff", "m/\x7f"}) {
+        HeaderFields fields = callerFields();
+        std::string problem;
+        fields.set("Model", model);
+        EXPECT_FALSE(PlatformProtocol().parseRequestHeaders(fields, problem));
+        EXPECT_NE(problem.find("Model"), std::string::npos) << problem;
+    }
+}
+
+TEST(PlatformDecoderTest, rejectsNumbersThatCanNotBeCalculatedWith)
+{
+    const auto parse = [](const char *name, const std::string &text, std::string &problem) {
+        HeaderFields fields = callerFields();
+        fields.set(name, text);
+        return PlatformProtocol().parseRequestHeaders(fields, problem);
+    };
+    std::string problem;
+    for (const char *text :
+         {"9223372036854775807,1", "1,9223372036854775807", "99999999999999999999,1", "-1,1",
+          "1,-1", "1", ",", "1,", "1,2,3", "1.5,2", "0x10,1", "1, 2"}) {
+        problem.clear();
+        EXPECT_FALSE(parse("Token-Count", text, problem)) << text;
+        EXPECT_NE(problem.find("Token-Count"), std::string::npos) << problem;
+    }
+    EXPECT_TRUE(parse("Token-Count", "10000000,10000000", problem));
+    for (const char *text : {"5:-1", "1:2,5:-1", "5:9223372036854775807", "5:99999999999999999999",
+                             "5:-99999999999999999999"}) {
+        problem.clear();
+        EXPECT_FALSE(parse("Prompt-Prefix", text, problem)) << text;
+        EXPECT_NE(problem.find("Prompt-Prefix"), std::string::npos) << problem;
+    }
+    EXPECT_TRUE(parse("Prompt-Prefix", "x,5:,:,:7,5:x,,5:10000000", problem));
+    for (const std::string &text : textsWithEachByte("5:1", "1"))
+        parse("Prompt-Prefix", text, problem);
+    for (const std::string &text : textsWithEachByte("1", "1")) {
+        const bool isNumber = std::isdigit(static_cast<unsigned char>(text[1])) != 0;
+        problem.clear();
+        EXPECT_EQ(parse("Deadline-Ms", text, problem).has_value(), isNumber) << text;
+        EXPECT_EQ(problem.find("Deadline-Ms") != std::string::npos, !isNumber) << problem;
+        EXPECT_EQ(parse("Token-Count", text + ",1", problem).has_value(), isNumber) << text;
+    }
+    // A deadline that is later than any route's is one, too: the route's is in force.
+    const auto metadata = parse("Deadline-Ms", "9223372036854775807", problem);
+    ASSERT_TRUE(metadata);
+    EXPECT_GT(Duration(*metadata->timeLeft), Duration(std::chrono::hours(1)));
+}
+
+// Names that the check of a caller's headers doesn't see must not end the process either.
+TEST(PlatformDecoderTest, writesAnOrderWithAnyName)
+{
+    for (const std::string &text : textsWithEachByte("a", "b")) {
+        ConditionalEngineOrder order;
+        order.server = ServerName("i-1");
+        order.model = ModelName(text);
+        order.adapter = AdapterName(text);
+        order.holder = text;
+        EXPECT_NO_THROW(PlatformProtocol().engineOrderRequest(order, "10.0.0.1:80"));
+    }
+}
+
+// Names from rows become headers of requests and parts of orders. JSON can hold any control
+// character, and so a line break in a header.
+TEST(PlatformDecoderTest, rejectsRowsWithNamesThatAreNone)
+{
+    const auto replaced = [](std::string text, const std::string &from, const std::string &to) {
+        return text.replace(text.find(from), from.size(), to);
+    };
+    std::string problem;
+    ASSERT_TRUE(decodeListedServer(std::string(200, 'x'), server, problem));
+    for (const std::string &bad :
+         {std::string("a\\r\\nX: y"), std::string("\\u0000"), std::string("\\u007f"),
+          std::string("\\u0085"), std::string("\xff"), std::string(201, 'x')}) {
+        const std::string quoted = '"' + bad + '"';
+        for (const char *name : {"\"llm\"", "\"z\"", "\"m\"", "\"a1\"", "\"10.128.0.9:8080\""}) {
+            EXPECT_FALSE(decodeListedServer("i-1", replaced(server, name, quoted), problem))
+                << name << ' ' << bad;
+        }
+        const std::string host = R"("10.128.0.9)" + bad + R"(:8080")";
+        EXPECT_FALSE(
+            decodeListedServer("i-1", replaced(server, "\"10.128.0.9:8080\"", host), problem));
+        for (const char *name : {"\"r1\"", "\"llm\"", "\"m\"", "\"t\"", "\"app\""})
+            EXPECT_THROW(decodeConfiguration(replaced(configuration, name, quoted)), Error)
+                << name << ' ' << bad;
+        const std::string report = R"({"seq":2,"models":[{"name":"m","adapters":["a"]}],)"
+                                   R"("at_hand":{"on_disk":["n"]},"pending":["m/b@1"]})";
+        ASSERT_TRUE(decodeEngineStatus(report));
+        for (const char *name : {"\"m\"", "\"a\"", "\"n\""})
+            EXPECT_FALSE(decodeEngineStatus(replaced(report, name, quoted))) << name << ' ' << bad;
+        EXPECT_FALSE(decodeEngineStatus(replaced(report, "m/b", "m/" + bad))) << bad;
+        EXPECT_FALSE(decodeEngineStatus(replaced(report, "m/b", bad + "/b"))) << bad;
+    }
+    for (int byte = 0; byte < 0x100; ++byte) {
+        const std::string key = std::string("i-") + static_cast<char>(byte);
+        EXPECT_EQ(decodeListedServer(key, server, problem).has_value(), byte >= 0x20 && byte < 0x7f)
+            << byte;
+    }
+    EXPECT_FALSE(decodeListedServer(std::string(201, 'x'), server, problem));
+}
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -1,4 +1,5 @@
 #include "Adapters/Async/AsyncHttpServer.h"
+#include "Adapters/Async/HandlerGuard.h"
 #include "Apps/Entry/CrashRecordKeeper.h"
 #include "Apps/Entry/PermitExchange.h"
 #include "Apps/Entry/RequestHandler.h"
@@ -1334,3 +1335,59 @@
         EXPECT_GT(firstServer.connections(), before) << path;
     }
 }
+
+// A refused request must neither reach a server nor ask the lease holder for an adapter, whose name
+// would become part of an order and of peers' datagrams.
+TEST_F(PlatformExchangeTest, rejectsHeadersThatAreNoNamesAndGoesOn)
+{
+    for (int byte = 0; byte < 0x100; ++byte) {
+        // The end of a line ends a header; the parser removes spaces around a value.
+        if (byte == '\r' || byte == '\n')
+            continue;
+        for (const char *name : {"Model: m0/", "Resumes: x", "Attempt-Id: x", "Api-Key: key"}) {
+            std::string text = "GET /n/x HTTP/1.1\r\nHost: h.example\r\n";
+            text += std::string(name) + static_cast<char>(byte) + "y\r\n\r\n";
+            const std::string response = exchange(text, "\r\n\r\n");
+            const bool isPrintable = byte >= 0x20 && byte < 0x7f;
+            if (!isPrintable)
+                EXPECT_TRUE(hasStatus(response, 400)) << name << byte << ' ' << response;
+            else
+                EXPECT_TRUE(hasStatus(response, 401)) << name << byte << ' ' << response;
+        }
+    }
+    for (const char *field : {"Token-Count: 9223372036854775807,9223372036854775807\r\n",
+                              "Prompt-Prefix: 5:-1\r\n", "Deadline-Ms: -1\r\n"}) {
+        const std::string response
+            = exchange("GET /n/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: key\r\n"
+                           + std::string(field) + "\r\n",
+                       "bad_header");
+        EXPECT_TRUE(hasStatus(response, 400)) << field;
+        const std::string name(field, std::string_view(field).find(':'));
+        EXPECT_NE(response.find("bad_header: " + name), std::string::npos) << response;
+    }
+    EXPECT_EQ(firstServer.connections(), 0);
+    EXPECT_TRUE(state.unsentNeeds.empty());
+    firstServer.setResponse(signedHeader + fineResponse);
+    EXPECT_TRUE(hasStatus(sendRequest("/n/x", "key", "fine"), 200));
+}
+
+// An exception costs the connection that it comes from, not the process or other connections.
+TEST_F(PlatformExchangeTest, goesOnAfterAHandlerThrows)
+{
+    bool mustThrow = true;
+    afterStart = [&mustThrow] {
+        if (std::exchange(mustThrow, false))
+            throw std::runtime_error("fault");
+    };
+    sendRequest("/n/x", "key", "fine");
+    EXPECT_TRUE(caller->isClosed());
+    firstServer.setResponse(signedHeader + fineResponse);
+    EXPECT_TRUE(hasStatus(sendRequest("/n/x", "key", "fine"), 200));
+
+    int calls = 0;
+    asio::io_context other;
+    asio::post(other, [] { throw std::runtime_error("fault"); });
+    asio::post(other, [&calls] { ++calls; });
+    EXPECT_NO_THROW(runGuarded(other));
+    EXPECT_EQ(calls, 1);
+}
