Fleet: rows and responses are written without exceptions for bytes that are no UTF-8

An address in a gateway's reply that is none threw in the agent's report thread and ended the agent; it is now logged and skipped. An exception in an agent's worker costs the attempt. The maintenance of idempotency rows goes on after any exception.

--- a/src/Adapters/HttpPlatformClient.cpp
+++ b/src/Adapters/HttpPlatformClient.cpp
@@ -3,6 +3,7 @@
 #include "Adapters/Address.h"
 #include "Adapters/BoundedJson.h"
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -153,7 +154,7 @@
         body["writes"].push_back(write);
     }
     PooledClient client(*this);
-    const auto result = client->Post("/table/commit", body.dump(), "application/json");
+    const auto result = client->Post("/table/commit", dumpJson(body), "application/json");
     const auto &response = requireResponse(result, ErrorKind::OutcomeUnknown);
     if (response.status == 409)
         return std::nullopt;
--- a/src/Apps/Agent/AgentReporter.cpp
+++ b/src/Apps/Agent/AgentReporter.cpp
@@ -1,7 +1,9 @@
 #include "Apps/Agent/AgentReporter.h"
 
+#include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Adapters/ProcessTimeline.h"
+#include "Core/Error.h"
 
 #include <glog/logging.h>
 
@@ -112,8 +114,15 @@
         const GatewayReportSender::Hooks hooks{
             [this] { return makeReport(); },
             [this](const wire::ReportReply &reply, Instant sentAt) { onReply(reply, sentAt); }};
-        m_senders[it] = std::make_shared<GatewayReportSender>(it, m_settings.fleetSecret,
-                                                              m_settings.reportInterval, hooks);
+        // A gateway may state an address that is none.
+        try {
+            m_senders.emplace(it,
+                              std::make_shared<GatewayReportSender>(
+                                  it, m_settings.fleetSecret, m_settings.reportInterval, hooks));
+        } catch (const Error &e) {
+            LOG_EVERY_N(WARNING, 100) << "event=bad_gateway_address reason=\"" << e.what() << '"';
+            Metrics::incrementCounter("bad_gateway_addresses_total");
+        }
     }
 }
 
--- a/src/Apps/Agent/AttemptWorkerPool.cpp
+++ b/src/Apps/Agent/AttemptWorkerPool.cpp
@@ -50,7 +50,15 @@
         const auto attempt = m_table.dequeue(dequeueTimeout);
         if (!attempt)
             continue;
-        runAttempt(client, *attempt);
+        // An exception costs the attempt; the request may have run.
+        try {
+            runAttempt(client, *attempt);
+        } catch (const std::exception &e) {
+            LOG(WARNING) << "event=attempt_exception reason=\"" << e.what() << '"';
+            Metrics::incrementCounter("attempt_exceptions_total");
+            attempt->fail(Process::now(), wire::ErrorCode::BackendFailed,
+                          "the attempt ended by an exception", {});
+        }
         m_table.onAttemptEnded(attempt, Process::now());
         Metrics::incrementCounter("attempts_total");
     }
--- a/src/Apps/Agent/EngineClient.cpp
+++ b/src/Apps/Agent/EngineClient.cpp
@@ -1,6 +1,7 @@
 #include "Apps/Agent/EngineClient.h"
 
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -30,7 +31,7 @@
         body["memory_mb"] = order.model.memory.count();
         body["adapter"] = order.model.isAdapter;
     }
-    return body.dump();
+    return dumpJson(body);
 }
 
 } // namespace
--- a/src/Apps/Gateway/AnswerWriter.cpp
+++ b/src/Apps/Gateway/AnswerWriter.cpp
@@ -4,6 +4,7 @@
 #include "Adapters/Metrics.h"
 #include "Adapters/Process.h"
 #include "Adapters/ProcessTimeline.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -130,7 +131,7 @@
                       {"type", refusal.code},
                       {"code", refusal.code},
                       {"run_state", runStateText(refusal.runState)}}}};
-    res.set_content(body.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json");
+    res.set_content(dumpJson(body), "application/json");
 }
 
 std::string writeStatusAndHeaders(const ResponseStream &response, httplib::Response &res)
--- a/src/Apps/Gateway/CallerApi.cpp
+++ b/src/Apps/Gateway/CallerApi.cpp
@@ -4,6 +4,7 @@
 #include "Adapters/Process.h"
 #include "Adapters/ProcessTimeline.h"
 #include "Apps/Gateway/AnswerWriter.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -128,7 +129,7 @@
         data.push_back({{"id", name.text()}, {"object", "model"}});
     for (const auto &[name, it] : configuration.serviceList.adapters)
         data.push_back({{"id", name.text()}, {"object", "model"}, {"parent", it.base.text()}});
-    res.set_content(Json{{"object", "list"}, {"data", data}}.dump(), "application/json");
+    res.set_content(dumpJson(Json{{"object", "list"}, {"data", data}}), "application/json");
 }
 
 void CallerApi::createCompletion(const httplib::Request &req, httplib::Response &res,
--- a/src/Apps/Gateway/IdempotencyStore.cpp
+++ b/src/Apps/Gateway/IdempotencyStore.cpp
@@ -248,7 +248,7 @@
         }
         m_table.commit({{outcome.claim.rowKey, outcome.value, version}});
         return true;
-    } catch (const Error &e) {
+    } catch (const std::exception &) {
         // The write may be retried: its condition fails if it has already taken effect.
         Metrics::incrementCounter("settlements_failed_total");
         return false;
@@ -288,7 +288,7 @@
             if (IdempotencyRow::fromJson(it.value).expiresAt < wallNow())
                 m_table.commit({{it.key, std::nullopt, it.version}});
         }
-    } catch (const Error &) {
+    } catch (const std::exception &) {
         Metrics::incrementCounter("sweeps_failed_total");
     }
 }
--- a/src/Apps/Gateway/OperatorApi.cpp
+++ b/src/Apps/Gateway/OperatorApi.cpp
@@ -3,6 +3,7 @@
 #include "Adapters/Crypto.h"
 #include "Adapters/EventJson.h"
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -20,7 +21,7 @@
 void writeJson(httplib::Response &res, int status, const Json &body)
 {
     res.status = status;
-    res.set_content(body.dump(), "application/json");
+    res.set_content(dumpJson(body), "application/json");
 }
 
 int statusFor(ErrorKind kind)
--- a/src/Core/Accounts/ShareRow.cpp
+++ b/src/Core/Accounts/ShareRow.cpp
@@ -1,6 +1,7 @@
 #include "Core/Accounts/ShareRow.h"
 
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -46,7 +47,7 @@
     }
     for (const auto &[instance, weight] : revoked)
         body["revoked"][instance.text()] = weight.count();
-    return body.dump();
+    return dumpJson(body);
 }
 
 ShareRow ShareRow::fromJson(const std::string &json)
--- a/src/Core/Placement/FencingRow.cpp
+++ b/src/Core/Placement/FencingRow.cpp
@@ -1,6 +1,7 @@
 #include "Core/Placement/FencingRow.h"
 
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,8 +16,8 @@
 
 std::string FencingRow::toJson() const
 {
-    return Json{{"epoch", epoch}, {"holder", holder.text()}, {"incarnation", incarnation.count()}}
-        .dump();
+    return dumpJson(
+        Json{{"epoch", epoch}, {"holder", holder.text()}, {"incarnation", incarnation.count()}});
 }
 
 FencingRow FencingRow::fromJson(const std::string &json)
--- a/src/Core/Placement/PlacementPlan.cpp
+++ b/src/Core/Placement/PlacementPlan.cpp
@@ -1,6 +1,7 @@
 #include "Core/Placement/PlacementPlan.h"
 
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -58,7 +59,7 @@
         for (const auto &[server, version] : replicas)
             json[server.text()] = version;
     }
-    return Json{{"configuration", configurationVersion.count()}, {"models", models}}.dump();
+    return dumpJson(Json{{"configuration", configurationVersion.count()}, {"models", models}});
 }
 
 PlanRow PlanRow::fromJson(const std::string &json)
--- a/src/Core/Requests/IdempotencyRow.cpp
+++ b/src/Core/Requests/IdempotencyRow.cpp
@@ -1,6 +1,7 @@
 #include "Core/Requests/IdempotencyRow.h"
 
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -75,7 +76,7 @@
                           {"body", toHex(response.body)},
                           {"body_dropped", response.bodyDropped}};
     }
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return dumpJson(json);
 }
 
 IdempotencyRow IdempotencyRow::fromJson(const std::string &json)
--- a/src/Core/State/MemberRow.cpp
+++ b/src/Core/State/MemberRow.cpp
@@ -1,6 +1,7 @@
 #include "Core/State/MemberRow.h"
 
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,11 +16,14 @@
 
 std::string MemberRow::toJson() const
 {
-    return Json{{"instance", instance.text()},  {"incarnation", incarnation.count()},
-                {"door", thriftAddress},        {"http", httpAddress},
-                {"zone", zone.text()},          {"heartbeat", heartbeatCount},
-                {"seen", stateVersion.count()}, {"leaving", hasLeft}}
-        .dump();
+    return dumpJson(Json{{"instance", instance.text()},
+                         {"incarnation", incarnation.count()},
+                         {"door", thriftAddress},
+                         {"http", httpAddress},
+                         {"zone", zone.text()},
+                         {"heartbeat", heartbeatCount},
+                         {"seen", stateVersion.count()},
+                         {"leaving", hasLeft}});
 }
 
 MemberRow MemberRow::fromJson(const std::string &json)
--- a/src/Core/State/StateCache.cpp
+++ b/src/Core/State/StateCache.cpp
@@ -1,6 +1,7 @@
 #include "Core/State/StateCache.h"
 
 #include "Core/Error.h"
+#include "Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -27,9 +28,8 @@
 
 std::string ApiKeyRow::toJson() const
 {
-    return Json{
-        {"id", id.text()}, {"account", account.text()}, {"hash", hash}, {"withdrawn", withdrawn}}
-        .dump();
+    return dumpJson(Json{
+        {"id", id.text()}, {"account", account.text()}, {"hash", hash}, {"withdrawn", withdrawn}});
 }
 
 ApiKeyRow ApiKeyRow::fromJson(const std::string &json)
@@ -41,7 +41,7 @@
 
 std::string ConfigurationRow::toJson() const
 {
-    return Json{{"object", objectName}, {"author", author}, {"write_id", writeId}}.dump();
+    return dumpJson(Json{{"object", objectName}, {"author", author}, {"write_id", writeId}});
 }
 
 ConfigurationRow ConfigurationRow::fromJson(const std::string &json)
