Tests: each process's servers listen at an address of its own

Cause of the two flaky CrashingRequestExchangeTest tests: a port on 127.0.0.1 that a crashed ScriptedServer gave up was taken by a server of another test process, which answered for the crashed one, so that the request counted as survived.

Change: ScriptedServer and the tests' gateways listen at an address in 127.0.0.0/8 that is made from the process id. The tests wait for the end of the checks that follow a lost connection, and for the events of a stream, instead of 250 or 300 ms; they assert that these occur.

--- a/src/Apps/Entry/ServerCrashCheck.h
+++ b/src/Apps/Entry/ServerCrashCheck.h
@@ -24,6 +24,8 @@
 
     /// Calls \a done from the event loop, within half a second.
     void start(const std::string &address, Hook done);
+    /// Returns whether no check is under way.
+    bool isIdle() const { return m_pending.empty(); }
 
 private:
     struct Attempt;
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -20,7 +20,7 @@
                   [this] { return limits; }, [this] { return isStopping; },
                   [this](int status, const char *) { rejections.push_back(status); }})
     {
-        server.listen({"127.0.0.1", 0});
+        server.listen({loopbackHost(), 0});
     }
 
     bool awaitRequests(std::size_t n)
--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -9,8 +9,21 @@
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 namespace quetzalyoke {
 
+/// Returns the address at which this process's servers listen. Each process has one of its own in
+/// 127.0.0.0/8: a port that a server gives up when it crashes would otherwise be taken by a server
+/// of another test process, which then answers in its place.
+inline std::string loopbackHost()
+{
+    const auto pid = static_cast<unsigned>(::getpid());
+    // Neither 127.0.0.0/16, which programs use, nor the broadcast address.
+    return "127." + std::to_string(64 + (pid >> 16) % 64) + '.' + std::to_string(pid >> 8 & 0xff)
+        + '.' + std::to_string(pid & 0xff);
+}
+
 /// \brief Runs \a loop until \a done returns true or \a limit has passed; returns done().
 template<typename Condition>
 bool runUntil(asio::io_context &loop, Condition done,
@@ -29,8 +42,8 @@
 public:
     RawClient(asio::io_context &loop, int port) : m_loop(loop), m_socket(loop)
     {
-        m_socket.connect(
-            Tcp::endpoint(asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)));
+        m_socket.connect(Tcp::endpoint(asio::ip::make_address(loopbackHost()),
+                                       static_cast<unsigned short>(port)));
         read();
     }
 
@@ -87,7 +100,7 @@
     };
 
     explicit ScriptedServer(asio::io_context &loop)
-        : m_loop(loop), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        : m_loop(loop), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address(loopbackHost()), 0)),
           m_port(m_acceptor.local_endpoint().port())
     {
         accept();
@@ -95,7 +108,7 @@
 
     int port() const { return m_port; }
     bool isListening() const { return m_acceptor.is_open(); }
-    std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+    std::string address() const { return loopbackHost() + ":" + std::to_string(port()); }
     /// Sets the response to the next request on any connection.
     void setResponse(std::string bytes, End end = End::KeepOpen)
     {
--- a/test/PeerMessageCheckTest.cpp
+++ b/test/PeerMessageCheckTest.cpp
@@ -75,8 +75,8 @@
     settings.zone = ZoneName("z");
     settings.processorShare = 1;
     // A port that was free just now.
-    asio::ip::udp::socket probe(loop, {asio::ip::make_address("127.0.0.1"), 0});
-    settings.peerListen = {"127.0.0.1", probe.local_endpoint().port()};
+    asio::ip::udp::socket probe(loop, {asio::ip::make_address(loopbackHost()), 0});
+    settings.peerListen = {loopbackHost(), probe.local_endpoint().port()};
     probe.close();
     EntryState state(settings, loop, protocol, platform);
     int waiting = 0;
@@ -84,10 +84,10 @@
     PeerNetwork peers(state,
                       {[] { return std::nullopt; }, [](const LeaseRow &) {}, [] { return false; },
                        [] { return true; }, [](std::size_t, Duration) {}});
-    asio::ip::udp::socket sender(loop, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::udp::socket sender(loop, {asio::ip::make_address(loopbackHost()), 0});
     const auto send = [&](const std::string &bytes) {
         sender.send_to(asio::buffer(bytes),
-                       {asio::ip::make_address("127.0.0.1"),
+                       {asio::ip::make_address(loopbackHost()),
                         static_cast<unsigned short>(settings.peerListen.port)});
     };
     const auto bytesOf
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -88,7 +88,7 @@
         config->accounts[account.name] = account;
         config->accountsByKey["key"] = account.name;
         state.config = config;
-        gateway.listen({"127.0.0.1", 0});
+        gateway.listen({loopbackHost(), 0});
         addServer("a", firstServer);
         // A gateway that has handled requests before may retry the next ones.
         for (int i = 0; i < 100; ++i)
@@ -521,6 +521,12 @@
         for (const auto &server : servers)
             server->setResponse(script, end);
     }
+    // Waits until the checks that follow a lost connection have ended. The check begins before the
+    // response is sent.
+    bool waitForCrashChecks()
+    {
+        return runUntil(loop, [this] { return state.crashCheck.isIdle(); });
+    }
     int crashedServers() const
     {
         return static_cast<int>(std::count_if(servers.begin(), servers.end(),
@@ -698,9 +704,7 @@
     {
         setResponses("", ScriptedServer::End::Crash);
         const std::string response = send(method, path, body);
-        // The checks that follow a lost connection take up to a quarter of a second.
-        runUntil(
-            loop, [] { return false; }, 300ms);
+        EXPECT_TRUE(waitForCrashChecks());
         return response;
     }
 };
@@ -767,14 +771,17 @@
         caller = std::make_unique<RawClient>(loop, gateway.port());
         caller->send("POST /s/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n"
                      "Api-Key: key\r\nContent-Length: 4\r\n\r\ndead");
-        runUntil(
-            loop, [] { return false; }, 250ms);
+        EXPECT_TRUE(runUntil(loop, [this] {
+            return caller->received().find(eventText(2)) != std::string::npos
+                || hasStatus(caller->received(), 503);
+        }));
         for (const auto &server : servers) {
             if (server->isRepeating())
                 server->crash();
         }
-        runUntil(
-            loop, [] { return false; }, 300ms);
+        EXPECT_TRUE(runUntil(
+            loop, [this] { return caller->isClosed() || hasStatus(caller->received(), 503); }));
+        EXPECT_TRUE(waitForCrashChecks());
     }
     EXPECT_EQ(crashedServers(), 2);
 }
@@ -904,7 +911,7 @@
              },
              [] { return HttpServerConnectionLimits(); }, [] { return false; },
              [](int, const char *) {}});
-        otherGateway.listen({"127.0.0.1", 0});
+        otherGateway.listen({loopbackHost(), 0});
         RawClient client(loop, otherGateway.port());
         client.send("POST /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\nApi-Key: key\r\n"
                     "Content-Length: 4\r\nLast-Event-Id: 1\r\nResumes: "
