--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -1,4 +1,5 @@
 #include "Adapters/Async/AsyncHttpServer.h"
+#include "Adapters/Async/HandlerGuard.h"
 #include "Apps/Entry/CrashRecordKeeper.h"
 #include "Apps/Entry/PermitExchange.h"
 #include "Apps/Entry/RequestHandler.h"
@@ -89,7 +90,7 @@
         config->accounts[account.name] = account;
         config->accountsByKey["key"] = account.name;
         state.config = config;
-        gateway.listen({"127.0.0.1", 0});
+        gateway.listen({loopbackHost(), 0});
         addServer("a", firstServer);
         // A gateway that has handled requests before may retry the next ones.
         for (int i = 0; i < 100; ++i)
@@ -552,6 +553,12 @@
         for (const auto &server : servers)
             server->setResponse(script, end);
     }
+    // Waits until the checks that follow a lost connection have ended. The check begins before the
+    // response is sent.
+    bool waitForCrashChecks()
+    {
+        return runUntil(loop, [this] { return state.crashCheck.isIdle(); });
+    }
     int crashedServers() const
     {
         return static_cast<int>(std::count_if(servers.begin(), servers.end(),
@@ -729,9 +736,7 @@
     {
         setResponses("", ScriptedServer::End::Crash);
         const std::string response = send(method, path, body);
-        // The checks that follow a lost connection take up to a quarter of a second.
-        runUntil(
-            loop, [] { return false; }, 300ms);
+        EXPECT_TRUE(waitForCrashChecks());
         return response;
     }
 };
@@ -798,14 +803,17 @@
         caller = std::make_unique<RawClient>(loop, gateway.port());
         caller->send("POST /s/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n"
                      "Api-Key: key\r\nContent-Length: 4\r\n\r\ndead");
-        runUntil(
-            loop, [] { return false; }, 250ms);
+        EXPECT_TRUE(runUntil(loop, [this] {
+            return caller->received().find(eventText(2)) != std::string::npos
+                || hasStatus(caller->received(), 503);
+        }));
         for (const auto &server : servers) {
             if (server->isRepeating())
                 server->crash();
         }
-        runUntil(
-            loop, [] { return false; }, 300ms);
+        EXPECT_TRUE(runUntil(
+            loop, [this] { return caller->isClosed() || hasStatus(caller->received(), 503); }));
+        EXPECT_TRUE(waitForCrashChecks());
     }
     EXPECT_EQ(crashedServers(), 2);
 }
@@ -935,7 +943,7 @@
              },
              [] { return HttpServerConnectionLimits(); }, [] { return false; },
              [](int, const char *) {}});
-        otherGateway.listen({"127.0.0.1", 0});
+        otherGateway.listen({loopbackHost(), 0});
         RawClient client(loop, otherGateway.port());
         client.send("POST /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\nApi-Key: key\r\n"
                     "Content-Length: 4\r\nLast-Event-Id: 1\r\nResumes: "
@@ -1366,3 +1374,59 @@
         EXPECT_GT(firstServer.connections(), before) << path;
     }
 }
+
+// A refused request must neither reach a server nor ask the lease holder for an adapter, whose name
+// would become part of an order and of peers' datagrams.
+TEST_F(PlatformExchangeTest, rejectsHeadersThatAreNoNamesAndGoesOn)
+{
+    for (int byte = 0; byte < 0x100; ++byte) {
+        // The end of a line ends a header; the parser removes spaces around a value.
+        if (byte == '\r' || byte == '\n')
+            continue;
+        for (const char *name : {"Model: m0/", "Resumes: x", "Attempt-Id: x", "Api-Key: key"}) {
+            std::string text = "GET /n/x HTTP/1.1\r\nHost: h.example\r\n";
+            text += std::string(name) + static_cast<char>(byte) + "y\r\n\r\n";
+            const std::string response = exchange(text, "\r\n\r\n");
+            const bool isPrintable = byte >= 0x20 && byte < 0x7f;
+            if (!isPrintable)
+                EXPECT_TRUE(hasStatus(response, 400)) << name << byte << ' ' << response;
+            else
+                EXPECT_TRUE(hasStatus(response, 401)) << name << byte << ' ' << response;
+        }
+    }
+    for (const char *field : {"Token-Count: 9223372036854775807,9223372036854775807\r\n",
+                              "Prompt-Prefix: 5:-1\r\n", "Deadline-Ms: -1\r\n"}) {
+        const std::string response
+            = exchange("GET /n/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: key\r\n"
+                           + std::string(field) + "\r\n",
+                       "bad_header");
+        EXPECT_TRUE(hasStatus(response, 400)) << field;
+        const std::string name(field, std::string_view(field).find(':'));
+        EXPECT_NE(response.find("bad_header: " + name), std::string::npos) << response;
+    }
+    EXPECT_EQ(firstServer.connections(), 0);
+    EXPECT_TRUE(state.unsentNeeds.empty());
+    firstServer.setResponse(signedHeader + fineResponse);
+    EXPECT_TRUE(hasStatus(sendRequest("/n/x", "key", "fine"), 200));
+}
+
+// An exception costs the connection that it comes from, not the process or other connections.
+TEST_F(PlatformExchangeTest, goesOnAfterAHandlerThrows)
+{
+    bool mustThrow = true;
+    afterStart = [&mustThrow] {
+        if (std::exchange(mustThrow, false))
+            throw std::runtime_error("fault");
+    };
+    sendRequest("/n/x", "key", "fine");
+    EXPECT_TRUE(caller->isClosed());
+    firstServer.setResponse(signedHeader + fineResponse);
+    EXPECT_TRUE(hasStatus(sendRequest("/n/x", "key", "fine"), 200));
+
+    int calls = 0;
+    asio::io_context other;
+    asio::post(other, [] { throw std::runtime_error("fault"); });
+    asio::post(other, [&calls] { ++calls; });
+    EXPECT_NO_THROW(runGuarded(other));
+    EXPECT_EQ(calls, 1);
+}
