Cold servers get few requests; evacuated zones get none

Cause: a newly started engine crashes above cold_per_s requests a second, and nothing limited what all gateways together send to it. Operators had no means to keep requests and orders away from one availability zone.

Change: ColdPeriod keeps until when an incarnation is cold (entry, response, start, end of a process, peer). Each request to a cold server needs a permit of the lease holder; RequestPermitIssuer keeps the stated limit and the cold rate apart, since orders count towards the former only. Gateways without a current list ask a server on a new connection for its incarnation. The rate rises over 2 s after the end. Rows evacuate/ZONE of the operators' table take the zone's servers out of the choice, of retries and of orders; a row lost with a restore of the store stays in force for 30 s.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace quetzalyoke {
@@ -119,7 +120,12 @@
     hooks.onConfigChanged = [this](const ServingConfigPtr &config) { onConfig(config); };
     hooks.onServerChanged = [this](const ListedServer &server) { onServer(server); };
     hooks.onServerRemoved = [this](const ServerName &id) { onServerRemoved(id); };
+    hooks.onEvacuationChanged = [this](const ZoneName &zone, EvacuationChange change) {
+        onEvacuationChanged(zone, change);
+    };
     hooks.onBatchApplied = [this] {
+        if (m_state.platform.isLoaded())
+            m_state.servers.recordListRead();
         m_streamVersions.onListChanged();
         m_orderSender.onServersChanged();
         m_stateExchange.replicator().onStateChanged();
@@ -146,6 +152,37 @@
     m_state.config = config;
     m_state.replicaController.setConfig(config);
     m_state.quotas.setConfig(*config, steadyNow());
+    std::map<ServiceName, ServerDirectory::ColdRule> coldRules;
+    for (const auto &[name, service] : config->services)
+        coldRules[name] = {RequestRate(service.coldRequestsPerSecond), service.coldStartTime};
+    m_state.servers.setColdRules(std::move(coldRules));
+}
+
+// Requests and orders are stopped by the directory's state; those that wait are tried again when
+// the batch of rows has been applied.
+void EntryGateway::onEvacuationChanged(const ZoneName &zone, EvacuationChange change)
+{
+    const bool isChanged = m_state.servers.applyEvacuation(zone, change, steadyNow());
+    if (isChanged || change == EvacuationChange::Lost)
+        logEvacuation(zone, change == EvacuationChange::Lost ? "lost_row" : "row");
+}
+
+void EntryGateway::logEvacuation(const ZoneName &zone, const char *source)
+{
+    const auto &servers = m_state.servers.servers();
+    const auto inZone = std::count_if(servers.begin(), servers.end(), [&zone](const auto &entry) {
+        return entry.second.listed.zone == zone;
+    });
+    const bool isEvacuated = m_state.servers.evacuatedZones().contains(zone);
+    // Without servers the zone may be misspelt, or this gateway has not read the list yet.
+    logNotable("evacuation",
+               {{"zone", zone},
+                {"state", isEvacuated ? "evacuated" : "revoked"},
+                {"servers", inZone},
+                {"known", inZone > 0 ? 1 : 0},
+                {"source", source}});
+    Metrics::setGauge("evacuated_zones",
+                      static_cast<double>(m_state.servers.evacuatedZones().size()));
 }
 
 void EntryGateway::onServer(const ListedServer &server)
@@ -169,6 +206,7 @@
                     {"models", server.loadedModels.size()}});
     }
     m_state.servers.put(server, now);
+    m_state.coldServers.onEntryApplied(server.id);
 }
 
 void EntryGateway::onServerRemoved(const ServerName &id)
@@ -298,6 +336,12 @@
         m_state.pool.closeExpiredConnections(now);
         m_state.crashDetector.expire(now);
         m_state.permitIssuer.removeUnused(now);
+        m_state.coldServers.tick();
+        const std::vector<ZoneName> zones = m_state.servers.removeExpiredEvacuations(now);
+        for (const ZoneName &zone : zones)
+            logEvacuation(zone, "not_written_again");
+        if (!zones.empty())
+            m_orderSender.onServersChanged();
         for (const ListedServer &server : m_state.servers.removeExpired(now)) {
             logNotable("server_gone",
                        {{"server", server.id},
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -25,6 +25,8 @@
 private:
     void startPlatform();
     void onConfig(const ServingConfigPtr &config);
+    void onEvacuationChanged(const ZoneName &zone, EvacuationChange change);
+    void logEvacuation(const ZoneName &zone, const char *source);
     void onServer(const ListedServer &server);
     void onServerRemoved(const ServerName &id);
     void onServerEnded(const ListedServer &server);
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -36,7 +36,16 @@
 EntryState::EntryState(const EntrySettings &entrySettings, asio::io_context &eventLoop,
                        const ServingProtocol &servingProtocol, EntryPlatform &entryPlatform)
     : settings(entrySettings), loop(eventLoop), protocol(servingProtocol), platform(entryPlatform),
-      servers(entrySettings.entryExpiryGrace),
+      servers(entrySettings.entryExpiryGrace), coldServers(servers,
+                                                           {[this](const ServerName &server) {
+                                                                if (onRequestLimitStated)
+                                                                    onRequestLimitStated(server);
+                                                            },
+                                                            [this](const ServerName &server) {
+                                                                unsentLimitChanges.insert(server);
+                                                                if (onServerSignal)
+                                                                    onServerSignal();
+                                                            }}),
       chooser(chooserSettings(entrySettings), entrySettings.zone),
       replicaController(controllerSettings(entrySettings)),
       admissionPolicy(AdmissionPolicy::Settings()), pool(eventLoop, backendLimits),
@@ -66,8 +75,23 @@
 
 bool EntryState::isVersionListUncertain(Instant now) const
 {
-    const bool isListCurrent = now >= listUncertainUntil && (platform.isReachable() || hearsPeers);
-    return !hasReadVersions || !isListCurrent;
+    return !hasReadVersions || !isListCurrent(now);
+}
+
+bool EntryState::isListCurrent(Instant now) const
+{
+    return now >= listUncertainUntil && (platform.isReachable() || hearsPeers);
+}
+
+bool EntryState::mayBeColdUnnoticed(const ServiceSpec &service) const
+{
+    return service.engine && service.coldRequestsPerSecond > 0 && !isListCurrent(steadyNow());
+}
+
+void EntryState::recordServerLoss(const ServerName &server, Incarnation incarnation)
+{
+    crashDetector.recordServerLoss(server, incarnation, steadyNow());
+    coldServers.recordProcessEnd(server, incarnation);
 }
 
 void EntryState::setGatewayCount(std::size_t gateways, Duration silenceTimeout)
@@ -126,6 +150,7 @@
     const bool isListed = known && known->listed.incarnation == incarnation;
     if (isListed)
         applyRequestLimit(server, responseInfo, sentAt);
+    coldServers.applyResponse(server, incarnation, responseInfo, sentAt);
     if (!responseInfo.isLeaving && !responseInfo.backoff
         && (isListed || !responseInfo.requestLimit))
         return;
@@ -164,12 +189,12 @@
     if (!responseInfo.requestLimit && !responseInfo.mayEndRequestLimit)
         return;
     ServerState *known = servers.find(server);
-    const bool wasLimited = known->isLimited();
+    const bool wasLimited = known->requestLimit.limit().has_value();
     if (!known->requestLimit.recordResponse(responseInfo.requestLimit, sentAt, steadyNow()))
         return;
     onRequestLimitChanged(*known, "answer");
     // Peers learn a changed limit from the next regular message.
-    if (wasLimited == known->isLimited())
+    if (wasLimited == known->requestLimit.limit().has_value())
         return;
     unsentLimitChanges.insert(server);
     if (onServerSignal)
@@ -198,8 +223,8 @@
 void EntryState::useOwnShare(ServerState &server, const char *reason)
 {
     const Instant now = steadyNow();
-    server.permits.useOwnShare(*server.requestLimit.limit(), server.requestLimit.beganAt(),
-                               m_gateways, random(), now);
+    server.permits.useOwnShare(server.ownShareLimit(now), server.limitBeganAt(now), m_gateways,
+                               random(), now);
     logNotable("permit_own_share",
                {{"server", server.listed.id}, {"reason", reason}, {"gateways", m_gateways}});
     Metrics::incrementCounter("permits", {{"outcome", "own_share"}});
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/Async/HttpConnectionPool.h"
 #include "Apps/Entry/AccountQuotas.h"
+#include "Apps/Entry/ColdServerWatch.h"
 #include "Apps/Entry/CrashingRequestDetector.h"
 #include "Apps/Entry/EntrySettings.h"
 #include "Apps/Entry/ListConfirmation.h"
@@ -34,6 +35,7 @@
 
     ServingConfigPtr config; ///< Empty until the first one is known.
     ServerDirectory servers;
+    ColdServerWatch coldServers;
     ServerChooser chooser;
     ReplicaController replicaController;
     AdmissionPolicy admissionPolicy;
@@ -57,6 +59,11 @@
     bool mayHaveSeveralVersions(const ServiceName &service) const;
     /// Returns whether this holds for any service.
     bool mayHaveSeveralVersions() const;
+    /// Returns whether engines of \a service are slow after a start and may have started without
+    /// this gateway hearing of it.
+    bool mayBeColdUnnoticed(const ServiceSpec &service) const;
+    /// Records that the process of \a incarnation of a server has ended.
+    void recordServerLoss(const ServerName &server, Incarnation incarnation);
     WaitQueue waitQueue;
     RequestPermitIssuer permitIssuer; ///< Used while this gateway holds the lease.
 
@@ -96,15 +103,16 @@
     void applyPeerRequestLimit(const ServerName &server, Incarnation incarnation,
                                std::optional<RequestRate> limit, std::int64_t version,
                                const std::string &peer);
-    /// Requests a permit for a server with a request limit; see PermitExchange.
+    /// Requests a permit for a server with a request limit or a cold one; see PermitExchange.
     RequestPermits::Number requestPermit(const ServerName &server);
     /// Requests a permit from the lease holder. Without it this gateway uses its own share.
     std::function<RequestPermits::Number(const ServerName &server)> onPermitNeeded;
-    /// Called when a server's request limit begins or changes.
+    /// Called when a server's request limit begins or changes, or the server becomes cold.
     std::function<void(const ServerName &server)> onRequestLimitStated;
-    /// Lets this gateway use its own share of the limit of \a server for a while.
+    /// Lets this gateway use its own share of the limits of \a server for a while.
     void useOwnShare(ServerState &server, const char *reason);
-    /// Servers whose request limit has begun or ended since the last message to peers.
+    /// Servers whose request limit has begun or ended, or that have stated to be cold, since the
+    /// last message to peers.
     std::set<ServerName> unsentLimitChanges;
     /// Leaving servers found since the last message to peers and not reported by a peer.
     std::vector<LeavingServer> unsentLeavingServers;
@@ -116,6 +124,7 @@
 
 private:
     bool isVersionListUncertain(Instant now) const;
+    bool isListCurrent(Instant now) const;
     double retryReserve() const;
     void applyRequestLimit(const ServerName &server, const BackendResponseInfo &responseInfo,
                            Instant sentAt);
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -203,8 +203,9 @@
         if (server.requestLimit.version() == 0)
             continue;
         Instant until = server.pausedUntil;
-        if (server.isLimited())
-            until = std::max(until, m_state.permitIssuer.callableAt(server.limitedServer(), now));
+        if (server.requestLimit.limit())
+            until
+                = std::max(until, m_state.permitIssuer.callableAt(server.limitedServer(now), now));
         m_state.replicaController.setPausedUntil(id, until);
     }
 }
@@ -275,8 +276,10 @@
     // incarnation that was asked.
     const bool isSameIncarnation = status && status->incarnation == incarnation;
     verdict.isLeaving = verdict.isLeaving && isSameIncarnation;
-    if (!isSameIncarnation)
+    if (!isSameIncarnation) {
         verdict.requestLimit.reset();
+        verdict.coldTime.reset();
+    }
     m_state.applyServerSignal(name, incarnation, verdict, result.sentAt);
     if (result.status != statusOk)
         return;
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -9,6 +9,15 @@
 
 namespace {
 
+// Every gateway reads what entries state. Beliefs that come from a peer aren't passed on, since
+// they would last longer with each gateway.
+bool isColdNews(const ServerState &server)
+{
+    const ColdSource source = server.coldPeriod.source();
+    return (source == ColdSource::Response || source == ColdSource::Start)
+        && server.isCold(steadyNow());
+}
+
 // Between messages to peers: what a gateway knows of its peers' work is half this old on average.
 // The interval grows with the number of peers, so that messages alone do not keep a small instance
 // busy.
@@ -389,7 +398,7 @@
     addLeavingServers(m_state.servers.unlistedLeavingServers(), message);
     addPauses(message);
     for (const auto &[id, server] : m_state.servers.servers()) {
-        if (server.requestLimit.version() > 0)
+        if (server.requestLimit.version() > 0 || isColdNews(server))
             addRequestLimit(server, message);
     }
 }
@@ -400,8 +409,12 @@
     signal.server = server.listed.id.text();
     signal.incarnation = server.listed.incarnation.count();
     signal.limitVersion = server.requestLimit.version();
-    if (server.isLimited())
-        signal.__set_requestsPerSecond(server.requestLimit.limit()->perSecond());
+    if (const auto &limit = server.requestLimit.limit())
+        signal.__set_requestsPerSecond(limit->perSecond());
+    if (isColdNews(server))
+        signal.__set_coldMs(static_cast<std::int32_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(server.coldPeriod.remaining(steadyNow()))
+                .count()));
     message.serverSignals.push_back(std::move(signal));
 }
 
@@ -598,6 +611,10 @@
             m_state.applyPeerRequestLimit(server, incarnation, limit, signal.limitVersion,
                                           from.text());
         }
+        if (signal.__isset.coldMs)
+            m_state.coldServers.applyPeer(server, incarnation,
+                                          std::chrono::milliseconds(std::max(0, signal.coldMs)),
+                                          from.text());
         if (!signal.leaving || !m_state.servers.recordLeaving(server, incarnation))
             continue;
         isChanged = true;
--- a/src/Apps/Entry/PermitExchange.cpp
+++ b/src/Apps/Entry/PermitExchange.cpp
@@ -33,11 +33,13 @@
     const Instant now = steadyNow();
     const RequestPermits::Number number = ++m_lastNumber;
     server.permits.recordRequest(number, now);
-    if (m_hooks.isIssuer()) {
-        const int recentRequests
-            = server.permits.recentRequests(server.requestLimit.beganAt(), now);
+    // The limit may have ended since the server was chosen.
+    if (!server.isLimited(now)) {
+        server.permits.onGranted(number, now);
+    } else if (m_hooks.isIssuer()) {
+        const int recentRequests = server.permits.recentRequests(server.limitBeganAt(now), now);
         const auto decision
-            = decide(server.limitedServer(), m_state.settings.instance, recentRequests, now);
+            = decide(server.limitedServer(now), m_state.settings.instance, recentRequests, now);
         applyDecision(server, number, decision.isGranted, decision.retryAfter);
     } else if (send(server, number)) {
         m_pendingServers.insert(name);
@@ -51,26 +53,33 @@
 {
     const ServerState &server = *m_state.servers.find(name);
     const Instant now = steadyNow();
-    const int recentRequests = server.permits.recentRequests(server.requestLimit.beganAt(), now);
+    const int recentRequests = server.permits.recentRequests(server.limitBeganAt(now), now);
     if (recentRequests == 0)
         return;
     if (m_hooks.isIssuer())
-        m_state.permitIssuer.recordRecentRequests(server.limitedServer(), m_state.settings.instance,
-                                                  recentRequests, now);
+        m_state.permitIssuer.recordRecentRequests(server.limitedServer(now),
+                                                  m_state.settings.instance, recentRequests, now);
     else
         send(server, reportNumber);
 }
 
 bool PermitExchange::send(const ServerState &server, RequestPermits::Number number)
 {
+    const Instant now = steadyNow();
     wire::PeerPermitRequest request;
     request.server = server.listed.id.text();
     request.incarnation = server.listed.incarnation.count();
     request.number = number;
-    request.requestsPerSecond = server.requestLimit.limit()->perSecond();
-    request.limitVersion = server.requestLimit.version();
-    request.recentRequests
-        = server.permits.recentRequests(server.requestLimit.beganAt(), steadyNow());
+    const auto &stated = server.requestLimit.limit();
+    const auto cold = server.coldRequestRate(now);
+    request.requestsPerSecond = server.requestRate(now).value_or(RequestRate()).perSecond();
+    if (stated) {
+        request.requestsPerSecond = stated->perSecond();
+        request.limitVersion = server.requestLimit.version();
+    }
+    if (cold)
+        request.__set_coldRequestsPerSecond(cold->perSecond());
+    request.recentRequests = server.permits.recentRequests(server.limitBeganAt(now), now);
     return m_hooks.sendRequest(request);
 }
 
@@ -81,17 +90,30 @@
         Metrics::incrementCounter("permits", {{"outcome", "not_issuer"}});
         return;
     }
-    RequestPermitIssuer::LimitedServer limited{ServerName(request.server),
-                                               Incarnation(request.incarnation),
-                                               RequestRate(request.requestsPerSecond),
-                                               {}};
-    m_state.applyPeerRequestLimit(limited.name, limited.incarnation, limited.limit,
-                                  request.limitVersion, from.text());
+    RequestPermitIssuer::LimitedServer limited{
+        ServerName(request.server), Incarnation(request.incarnation), {}, {}};
+    if (request.limitVersion > 0 || !request.__isset.coldRequestsPerSecond) {
+        limited.limit = RequestRate(request.requestsPerSecond);
+        m_state.applyPeerRequestLimit(limited.name, limited.incarnation, limited.limit,
+                                      request.limitVersion, from.text());
+    }
+    if (request.__isset.coldRequestsPerSecond)
+        limited.coldRate = RequestRate(request.coldRequestsPerSecond);
+    const Instant now = steadyNow();
     const ServerState *server = m_state.servers.find(limited.name);
     // A limit that has ended is still in force for the sender until it hears of that.
-    if (server && server->listed.incarnation == limited.incarnation && server->isLimited())
-        limited = server->limitedServer();
-    const Instant now = steadyNow();
+    if (server && server->listed.incarnation == limited.incarnation) {
+        const auto known = server->limitedServer(now);
+        if (known.limit) {
+            limited.limit = known.limit;
+            limited.limitBeganAt = known.limitBeganAt;
+        }
+        if (known.coldRate) {
+            limited.coldRate
+                = std::min(*known.coldRate, limited.coldRate.value_or(*known.coldRate));
+            limited.coldSince = known.coldSince;
+        }
+    }
     if (request.number == reportNumber) {
         m_state.permitIssuer.recordRecentRequests(limited, from, request.recentRequests, now);
         return;
@@ -137,7 +159,7 @@
     const Instant now = steadyNow();
     for (auto it = m_pendingServers.begin(); it != m_pendingServers.end();) {
         ServerState *server = m_state.servers.find(*it);
-        if (!server || !server->requestLimit.limit() || !server->permits.hasPending()) {
+        if (!server || !server->isLimited(now) || !server->permits.hasPending()) {
             it = m_pendingServers.erase(it);
             continue;
         }
--- a/src/Apps/Entry/PermitExchange.h
+++ b/src/Apps/Entry/PermitExchange.h
@@ -6,8 +6,8 @@
 
 namespace quetzalyoke {
 
-/// \brief Requests permits for servers with a request limit from the lease holder, and issues them
-/// while this gateway is the holder.
+/// \brief Requests permits for servers with a request limit and for cold ones from the lease
+/// holder, and issues them while this gateway is the holder.
 class PermitExchange
 {
 public:
@@ -22,8 +22,8 @@
 
     PermitExchange(EntryState &state, Hooks hooks);
 
-    /// Requests a permit for \a server, which states a limit. The result is shown by the server's
-    /// RequestPermits: at once if this gateway issues the permits, later otherwise.
+    /// Requests a permit for \a server, which states a limit or is cold. The result is shown by the
+    /// server's RequestPermits: at once if this gateway issues the permits, later otherwise.
     RequestPermits::Number requestPermit(const ServerName &server);
     /// Tells the issuer how many requests were sent to \a server just before its limit began.
     void reportRecentRequests(const ServerName &server);
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -237,7 +237,8 @@
         return true;
     }
     if (lacksServerOfVersion()) {
-        refuse(503, "no_server_of_version", {});
+        const bool isEvacuated = m_state.chooser.isEvacuated(choiceInput({}), m_state.servers);
+        refuse(503, isEvacuated ? "evacuated" : "no_server_of_version", {});
         return true;
     }
     // A second version may have come while the take-up was waiting for a server.
@@ -343,7 +344,8 @@
     server->ownWork.requestsInFlight += 1;
     server->ownWork.prefillTokens += choice.prefillTokens;
     server->ownWork.kvCacheTokens += choice.kvCacheTokens;
-    if (server->isLimited())
+    const bool isLimited = server->isLimited(now);
+    if (isLimited)
         m_attempt->permitUntil = server->permits.take(now);
     server->permits.recordSent(now);
     m_excludedUntil[choice.server] = Instant::max();
@@ -363,13 +365,16 @@
                 {"expected_ms", choice.expectedTimeToFirstByte},
                 {"prefill", choice.prefillTokens},
                 {"running", server->totalWork().requestsInFlight},
-                {"limited", server->isLimited() ? 1 : 0},
+                {"limited", isLimited ? 1 : 0},
+                {"cold", server->isCold(now) ? 1 : 0},
                 {"config", m_context.config->version},
                 {"attempt", m_sentAttempts + 1}});
 
     m_attempt->connection = m_state.pool.acquire(server->listed.address, m_refusedOn);
-    if (mustKnowIncarnation(server->isLimited()))
-        checkIncarnation(server->isLimited());
+    // Status requests count towards a stated limit, not towards the rate for a cold server.
+    const bool isStatusCounted = server->requestLimit.limit().has_value();
+    if (mustKnowIncarnation(isStatusCounted))
+        checkIncarnation(isStatusCounted);
     else
         sendToServer();
 }
@@ -383,7 +388,11 @@
 {
     const bool isResumableStream = m_context.route->kind == RouteKind::Stream
         && m_context.route->isResumable && m_context.service->engine;
-    if (!isResumableStream || m_attempt->connection->peerIncarnation() == m_attempt->incarnation)
+    if (m_attempt->connection->peerIncarnation() == m_attempt->incarnation)
+        return false;
+    if (m_state.mayBeColdUnnoticed(*m_context.service))
+        return true;
+    if (!isResumableStream)
         return false;
     return m_state.mayHaveSeveralVersions(m_context.service->name)
         || (goesOnWithStream() && !isLimited);
@@ -446,8 +455,10 @@
     }
     // An engine that has just started again has no model loaded either.
     const bool isOther = found && !isListed;
-    if (isOther)
+    if (isOther) {
         m_excludedUntil[m_attempt->server] = steadyNow() + incarnationRetryDelay;
+        m_state.coldServers.recordProcessEnd(m_attempt->server, m_attempt->incarnation);
+    }
     const bool isUnknown = !isListed || m_attempt->connection->isClosed();
     if (isOther || (isUnknown && goesOnWithStream())) {
         releaseAttempt();
@@ -486,15 +497,15 @@
                                 std::move(hooks));
 }
 
-// The server may have left, asked for a pause or stated a limit while the connection was being
-// established, or that took longer than the permit is valid.
+// The server may have left, been evacuated, asked for a pause or become limited while the
+// connection was being established, or that took longer than the permit is valid.
 bool RequestHandler::mayStillSend() const
 {
     const ServerState *server = m_attempt ? m_state.servers.find(m_attempt->server) : nullptr;
     const Instant now = steadyNow();
     return server && !isKnownToCrash() && server->listed.incarnation == m_attempt->incarnation
-        && !server->listed.isLeaving && !server->isPaused(now)
-        && (!server->isLimited() || now < m_attempt->permitUntil);
+        && !server->listed.isLeaving && !server->isEvacuated && !server->isPaused(now)
+        && (!server->isLimited(now) || now < m_attempt->permitUntil);
 }
 
 void RequestHandler::beginRun()
@@ -664,24 +675,24 @@
                                                steadyNow());
     if (!isChecked)
         return;
-    m_state.crashCheck.start(
-        m_attempt->address,
-        [self = shared_from_this(), server = m_attempt->server,
-         incarnation = m_attempt->incarnation](bool isRefused) {
-            const ServerState *known = self->m_state.servers.find(server);
-            // A server that announces its end ends as planned.
-            const bool hasCrashed = isRefused
-                && !(known && known->listed.incarnation == incarnation && known->listed.isLeaving);
-            logNotable("crash_check",
-                       {{"id", self->m_context.metadata.id},
-                        {"server", server},
-                        {"incarnation", incarnation},
-                        {"refused", isRefused ? 1 : 0},
-                        {"crashed", hasCrashed ? 1 : 0}});
-            if (hasCrashed)
-                self->m_state.crashDetector.recordServerLoss(server, incarnation, steadyNow());
-            self->onCrashChecked(server, hasCrashed);
-        });
+    m_state.crashCheck.start(m_attempt->address,
+                             [self = shared_from_this(), server = m_attempt->server,
+                              incarnation = m_attempt->incarnation](bool isRefused) {
+                                 const ServerState *known = self->m_state.servers.find(server);
+                                 // A server that announces its end ends as planned.
+                                 const bool hasCrashed = isRefused
+                                     && !(known && known->listed.incarnation == incarnation
+                                          && known->listed.isLeaving);
+                                 logNotable("crash_check",
+                                            {{"id", self->m_context.metadata.id},
+                                             {"server", server},
+                                             {"incarnation", incarnation},
+                                             {"refused", isRefused ? 1 : 0},
+                                             {"crashed", hasCrashed ? 1 : 0}});
+                                 if (hasCrashed)
+                                     self->m_state.recordServerLoss(server, incarnation);
+                                 self->onCrashChecked(server, hasCrashed);
+                             });
 }
 
 void RequestHandler::onEnd(ExchangeOutcome outcome)
@@ -828,7 +839,7 @@
     Metrics::incrementCounter("attempts_broken", {{"end", exchangeOutcomeText(outcome)}});
     if (outcome == ExchangeOutcome::NotSent) {
         if (m_attempt->connection->wasRefused() && !wasWithheld)
-            m_state.crashDetector.recordServerLoss(name, m_attempt->incarnation, now);
+            m_state.recordServerLoss(name, m_attempt->incarnation);
         if (wasWithheld)
             m_excludedUntil.erase(name);
         releaseAttempt();
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -4,6 +4,7 @@
 #include "Serving/Placement/PlacementLease.h"
 #include "Serving/Requests/CrashSuspects.h"
 #include "Serving/Requests/StreamVersions.h"
+#include "Serving/Servers/EvacuatedZones.h"
 #include "Serving/Servers/ServiceVersions.h"
 #include "Serving/State/ServingConfig.h"
 #include "Serving/State/StateFreshness.h"
@@ -45,6 +46,8 @@
         std::function<void(const ServingConfigPtr &)> onConfigChanged;
         std::function<void(const ListedServer &)> onServerChanged;
         std::function<void(const ServerName &)> onServerRemoved;
+        /// The operators' row that evacuates \a zone has changed.
+        std::function<void(const ZoneName &zone, EvacuationChange change)> onEvacuationChanged;
         std::function<void()> onBatchApplied; ///< Called after a batch of the calls above.
         /// The store became unreachable or reachable; \a reason gives the observed error.
         std::function<void(bool isReachable, const std::string &reason)> onReachabilityChanged;
--- a/src/Ports/ServingProtocol.h
+++ b/src/Ports/ServingProtocol.h
@@ -52,6 +52,8 @@
     /// A successful response of the server that the request names: a limit that it doesn't state is
     /// in force no more.
     bool mayEndRequestLimit = false;
+    std::optional<Milliseconds> coldTime; ///< How much longer the server stays cold; 0: it is warm.
+    bool hasInvalidColdTime = false; ///< The response states a time that isn't usable.
 };
 
 /// \brief An order to an engine with the conditions that prevent its execution a second time.
--- a/src/Serving/Placement/EngineTracker.cpp
+++ b/src/Serving/Placement/EngineTracker.cpp
@@ -59,8 +59,7 @@
 
 bool EngineTracker::servesDemand(Instant now) const
 {
-    return !m_listed.isLeaving
-        && (!m_overDemandedAt || now - *m_overDemandedAt >= overDemandRetention);
+    return !isWithdrawn() && (!m_overDemandedAt || now - *m_overDemandedAt >= overDemandRetention);
 }
 
 EngineTracker::EngineTracker(const ListedServer &listed, std::shared_ptr<const EngineSpec> spec)
--- a/src/Serving/Placement/EngineTracker.h
+++ b/src/Serving/Placement/EngineTracker.h
@@ -37,9 +37,13 @@
     void updateListed(const ListedServer &listed);
     /// Sends nothing to the engine before \a until, as it has asked for a pause.
     void setPausedUntil(Instant until) { m_pausedUntil = until; }
+    /// Sets whether the engine's zone is evacuated. It then gets no orders and status requests.
+    void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
+    /// Returns whether the engine runs no new requests: it is leaving or evacuated.
+    bool isWithdrawn() const { return m_listed.isLeaving || m_isEvacuated; }
     /// Records that the engine's request limit left requests without a permit.
     void recordOverDemand(Instant now) { m_overDemandedAt = now; }
-    /// Returns whether replicas on this engine serve all requests for them: it isn't leaving, and
+    /// Returns whether replicas on this engine serve all requests for them: it isn't withdrawn, and
     /// its request limit has lately been sufficient.
     bool servesDemand(Instant now) const;
     void setSpec(std::shared_ptr<const EngineSpec> spec) { m_spec = std::move(spec); }
@@ -99,7 +103,7 @@
     unfinishedOrders() const; // unanswered and running; null if there is none
     void applyAccepted(const ConditionalEngineOrder &order, Instant now);
     void updateLoadedModels(const LoadedModels &reportedModels, bool isBusy, Instant now);
-    bool refusesOrders(Instant now) const { return m_listed.isLeaving || now < m_pausedUntil; }
+    bool refusesOrders(Instant now) const { return isWithdrawn() || now < m_pausedUntil; }
     Duration loadDurationOf(const ModelName &model) const;
     double megabytesOf(const ModelName &model) const;
     double adapterMegabytesOf(const ModelName &model) const;
@@ -122,6 +126,7 @@
     Instant m_retryAt;
     Instant m_orderAcceptedAt; // of the last order
     Instant m_pausedUntil;
+    bool m_isEvacuated = false;
     std::optional<Instant> m_overDemandedAt;
 };
 
--- a/src/Serving/Placement/ReplicaController.cpp
+++ b/src/Serving/Placement/ReplicaController.cpp
@@ -59,6 +59,7 @@
             it->second.updateListed(state.listed);
             it->second.setSpec(spec);
             it->second.setPausedUntil(state.pausedUntil);
+            it->second.setEvacuated(state.isEvacuated);
             continue;
         }
         if (it != engines.end())
@@ -66,6 +67,7 @@
         const auto added = engines.emplace(id, EngineTracker(state.listed, spec)).first;
         added->second.resetOrderState();
         added->second.setPausedUntil(state.pausedUntil);
+        added->second.setEvacuated(state.isEvacuated);
         m_serviceByServer[id] = service->name;
         m_pendingLoads.erase(id);
     }
@@ -201,7 +203,7 @@
               })
             > 0;
         const auto isUsable = [&](const EngineTracker &engine) {
-            return hasSufficientEngine ? engine.servesDemand(now) : !engine.listed().isLeaving;
+            return hasSufficientEngine ? engine.servesDemand(now) : !engine.isWithdrawn();
         };
         const bool isAvailable = countEngines([&](const EngineTracker &engine) {
                                      return isUsable(engine)
@@ -282,7 +284,7 @@
         const ServerName &server = proposal.first;
         EngineTracker *engine = findEngine(server);
         if (!engine || m_serviceByServer[server] != service || m_adapterReplicatedAt.count(key) > 0
-            || engine->listed().isLeaving || !engine->isReadyForOrder(now)
+            || engine->isWithdrawn() || !engine->isReadyForOrder(now)
             || !engine->hasLoaded(key.first, {}) || engine->hasLoaded(key.first, key.second))
             continue;
         if (engine->hasRoomFor(key.first, key.second)) {
@@ -301,7 +303,7 @@
 {
     for (auto it = m_pendingLoads.begin(); it != m_pendingLoads.end();) {
         EngineTracker *engine = findEngine(it->first);
-        const bool isObsolete = !engine || engine->listed().isLeaving
+        const bool isObsolete = !engine || engine->isWithdrawn()
             || engine->hasLoaded(it->second, {}) || engine->isLoading(it->second, {});
         if (isObsolete) {
             it = m_pendingLoads.erase(it);
--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -10,6 +10,9 @@
 // long.
 constexpr Duration expectedServerRestart = std::chrono::milliseconds(600);
 
+// Nobody knows how long an evacuation lasts. Callers must not retry all the time.
+constexpr Duration evacuationRetryDelay = std::chrono::seconds(2);
+
 // Time before a load from the local disk starts: for the order and, if the engine is full, an
 // unload.
 constexpr Duration localLoadPreparation = std::chrono::milliseconds(400);
@@ -53,6 +56,8 @@
     case ServerChoice::Outcome::NoServer:
         return waitOrRefuse(input, scaled(objective, m_settings.serverWaitShareOfObjective),
                             expectedServerRestart, spread);
+    case ServerChoice::Outcome::AllEvacuated:
+        return waitOrRefuse(input, Duration::zero(), evacuationRetryDelay, spread);
     case ServerChoice::Outcome::NoModel: {
         const auto model = input.service->engine->models.find(input.metadata->model);
         if (model == input.service->engine->models.end()) {
--- a/src/Serving/Servers/BackendServer.h
+++ b/src/Serving/Servers/BackendServer.h
@@ -23,6 +23,10 @@
     ZoneName zone;
     SoftwareVersion softwareVersion; ///< Empty if the entry has none that can be read.
     int slots = 1; ///< Maximum number of requests that run at the same time.
+    /// How much longer the server stays cold; zero: it is warm; nothing: the entry doesn't state
+    /// it.
+    std::optional<Duration> coldTime = {};
+    bool hasInvalidColdTime = false; ///< The entry states a time that isn't usable.
     bool isLeaving = false; ///< The server accepts no new requests.
     LoadedModels loadedModels;
     std::set<ModelName> locallyStoredModels; ///< Models that it can load without the weight store.
--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -45,7 +45,8 @@
 bool acceptsRequest(const ServerChoiceInput &request, const ServerState &state)
 {
     return hasRequiredVersion(request, state) && state.listed.service == request.service->name
-        && !state.listed.isLeaving && request.triedServers.count(state.listed.id) == 0;
+        && !state.listed.isLeaving && !state.isEvacuated
+        && request.triedServers.count(state.listed.id) == 0;
 }
 
 Duration milliseconds(double count)
@@ -72,6 +73,8 @@
         return "paused";
     case ServerChoice::Outcome::AllLimited:
         return "limited";
+    case ServerChoice::Outcome::AllEvacuated:
+        return "evacuated";
     }
     return "unknown";
 }
@@ -84,6 +87,22 @@
                        [&request](const ServerState *it) { return acceptsRequest(request, *it); });
 }
 
+// Servers that were tried already count as well: one outside the evacuated zones may accept the
+// request later.
+bool ServerChooser::isEvacuated(const ServerChoiceInput &request,
+                                const ServerDirectory &directory) const
+{
+    bool anyEvacuated = false;
+    for (const ServerState *it : directory.serversOfService(request.service->name)) {
+        if (!hasRequiredVersion(request, *it) || it->listed.isLeaving)
+            continue;
+        if (!it->isEvacuated)
+            return false;
+        anyEvacuated = true;
+    }
+    return anyEvacuated;
+}
+
 ServerChoice ServerChooser::choose(const ServerChoiceInput &request,
                                    const ServerDirectory &directory, Instant now)
 {
@@ -115,8 +134,8 @@
             addResumeTime(state->pausedUntil);
             continue;
         }
-        const auto permits = state->isLimited() ? state->permits.availability(now)
-                                                : RequestPermits::Availability::Available;
+        const auto permits = state->isLimited(now) ? state->permits.availability(now)
+                                                   : RequestPermits::Availability::Available;
         if (permits == RequestPermits::Availability::Exhausted) {
             anyLimited = true;
             addResumeTime(state->permits.exhaustedUntil());
@@ -159,7 +178,8 @@
     }
     const ServerDirectory::ServerSet &all = directory.serversOfService(request.service->name);
     if (!hasServer(request, directory))
-        choice.outcome = ServerChoice::Outcome::NoServer;
+        choice.outcome = isEvacuated(request, directory) ? ServerChoice::Outcome::AllEvacuated
+                                                         : ServerChoice::Outcome::NoServer;
     else if (needsModel && !anyModel) {
         choice.outcome = ServerChoice::Outcome::NoModel;
         choice.isModelStoredLocally
@@ -186,7 +206,7 @@
     Candidate fastest;
     for (const ServerState *state : servers) {
         if (!acceptsRequest(request, *state) || state->health.isAvoided(now) || state->isPaused(now)
-            || state->isLimited()
+            || state->isLimited(now)
             || state->hasLoaded(request.metadata->model, request.metadata->adapter))
             continue;
         const Candidate candidate = evaluate(request, *state, now);
@@ -225,9 +245,9 @@
             = milliseconds(static_cast<double>(m_settings.defaultRequestDuration.count()) / 1000
                            * (1 + requestsPerSlot));
     }
-    candidate.expectedTimeToFirstByte = Duration(
-        static_cast<std::int64_t>(static_cast<double>(candidate.expectedTimeToFirstByte.count())
-                                  * state.health.latencyRatio()));
+    candidate.expectedTimeToFirstByte = Duration(static_cast<std::int64_t>(
+        static_cast<double>(candidate.expectedTimeToFirstByte.count()) * state.health.latencyRatio()
+        * (state.isCold(now) ? m_settings.coldSlowdown : 1)));
     if (state.listed.zone != m_zone)
         candidate.expectedTimeToFirstByte += m_settings.otherZonePenalty;
     return candidate;
--- a/src/Serving/Servers/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -31,6 +31,7 @@
         AllFull, ///< Every server that could run the request is full.
         AllPaused, ///< Every server that could run the request asked for a pause.
         AllLimited, ///< The request limit of every server that could run the request is used up.
+        AllEvacuated, ///< Every server that could run the request is in an evacuated zone.
     };
 
     Outcome outcome = Outcome::NoServer;
@@ -76,6 +77,7 @@
         Duration adapterReplicaGain{100'000};
         /// A server that asked another gateway for a pause must respond earlier by this much.
         Duration peerPausePenalty{1'000'000};
+        double coldSlowdown = 2; ///< How much later a cold server is expected to respond.
         double failureShareMargin = 0.25; ///< Penalized excess of a failure share over the mean.
     };
 
@@ -85,6 +87,8 @@
 
     /// Returns whether a server that accepts requests could run the request, now or later.
     bool hasServer(const ServerChoiceInput &request, const ServerDirectory &directory) const;
+    /// Returns whether the only servers that could run the request are in evacuated zones.
+    bool isEvacuated(const ServerChoiceInput &request, const ServerDirectory &directory) const;
     ServerChoice choose(const ServerChoiceInput &request, const ServerDirectory &directory,
                         Instant now);
     /// Records that the request was sent to \a server, which then caches its prompt.
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -16,6 +16,14 @@
 // been read again by then.
 constexpr Duration leavingRetention = std::chrono::minutes(5);
 
+// Part of the rate for a cold server from which the own shares are computed, so that these are 0.15
+// of it together. The number that falls into one second is random, and seconds are short: with 0.3
+// little is left of what the platform tolerates beside the issuer's permits.
+constexpr double coldOwnSharePart = 0.5;
+
+// No server is cold for longer after its entry is gone.
+constexpr Duration endedRetention = std::chrono::minutes(10);
+
 void apply(const LoadedModelChange &change, LoadedModels &loadedModels)
 {
     if (change.adapter.isEmpty()) {
@@ -56,6 +64,53 @@
     return std::max(*estimated, static_cast<double>(ownWork.requestsInFlight));
 }
 
+bool ServerState::isCold(Instant now) const
+{
+    return coldRate.perSecond() > 0 && coldPeriod.isCold(now);
+}
+
+std::optional<RequestRate> ServerState::coldRequestRate(Instant now) const
+{
+    if (coldRate.perSecond() <= 0)
+        return {};
+    return coldPeriod.requestRate(coldRate, now);
+}
+
+std::optional<RequestRate> ServerState::requestRate(Instant now) const
+{
+    const auto cold = coldRequestRate(now);
+    const auto &stated = requestLimit.limit();
+    if (cold && stated)
+        return std::min(*cold, *stated);
+    return cold ? cold : stated;
+}
+
+RequestRate ServerState::ownShareLimit(Instant now) const
+{
+    const auto &stated = requestLimit.limit();
+    const auto cold = coldRequestRate(now);
+    if (!cold)
+        return stated.value_or(RequestRate());
+    const RequestRate part(cold->perSecond() * coldOwnSharePart);
+    return stated ? std::min(part, *stated) : part;
+}
+
+Instant ServerState::limitBeganAt(Instant now) const
+{
+    const Instant coldSince = coldRequestRate(now) ? coldPeriod.beganAt() : Instant();
+    return requestLimit.limit() ? std::max(coldSince, requestLimit.beganAt()) : coldSince;
+}
+
+RequestPermitIssuer::LimitedServer ServerState::limitedServer(Instant now) const
+{
+    return {listed.id,
+            listed.incarnation,
+            requestLimit.limit(),
+            requestLimit.beganAt(),
+            coldRequestRate(now),
+            coldPeriod.beganAt()};
+}
+
 bool ServerState::hasLoaded(const ModelName &model, const AdapterName &adapter) const
 {
     const auto it = loadedModels.find(model);
@@ -84,10 +139,14 @@
         state.permits = RequestPermits();
         clearPeerWork(serverHash(server.id));
     }
+    const bool isNextIncarnation
+        = state.listed.id != server.id || state.listed.incarnation != server.incarnation;
     // An entry from a copy of the list may be older than the announcement.
     if (server.isLeaving)
         recordLeaving(server.id, server.incarnation);
     setListed(state, server);
+    updateColdPeriod(state, isNextIncarnation, now);
+    state.isEvacuated = m_evacuatedZones.contains(server.zone);
     state.unlistedSince.reset();
     applyPendingChanges(state, now);
 }
@@ -111,6 +170,68 @@
     m_byHash.emplace(state.idHash, &state);
 }
 
+// Without a statement, a server that has just started counts as cold. Servers of the first read of
+// the list have been running for an unknown time; peers tell which of them have just started.
+void ServerDirectory::updateColdPeriod(ServerState &state, bool isReplaced, Instant now)
+{
+    const auto rule = m_coldRules.find(state.listed.service);
+    state.coldRate = rule == m_coldRules.end() ? RequestRate() : rule->second.rate;
+    if (isReplaced) {
+        state.coldPeriod = ColdPeriod();
+        state.wasCold = false;
+        const auto ended = m_endedServers.find(state.listed.id);
+        const bool isKnown = ended != m_endedServers.end()
+            && ended->second.incarnation == state.listed.incarnation;
+        if (isKnown)
+            state.coldPeriod = ended->second.coldPeriod;
+        else if (!state.listed.coldTime && m_isListRead && rule != m_coldRules.end())
+            state.coldPeriod.recordStart(rule->second.startTime, now);
+        if (ended != m_endedServers.end())
+            m_endedServers.erase(ended);
+    }
+    if (state.listed.coldTime)
+        state.coldPeriod.recordEntry(*state.listed.coldTime, now);
+}
+
+void ServerDirectory::setColdRules(std::map<ServiceName, ColdRule> rules)
+{
+    m_coldRules = std::move(rules);
+    for (auto &[id, state] : m_servers) {
+        const auto rule = m_coldRules.find(state.listed.service);
+        state.coldRate = rule == m_coldRules.end() ? RequestRate() : rule->second.rate;
+    }
+}
+
+bool ServerDirectory::recordProcessEnd(const ServerName &id, Incarnation incarnation, Instant now)
+{
+    ServerState *server = find(id);
+    if (!server || server->listed.incarnation != incarnation)
+        return false;
+    const auto rule = m_coldRules.find(server->listed.service);
+    return rule != m_coldRules.end() && server->coldPeriod.recordEnd(rule->second.startTime, now);
+}
+
+bool ServerDirectory::applyEvacuation(const ZoneName &zone, EvacuationChange change, Instant now)
+{
+    const bool isChanged = m_evacuatedZones.apply(zone, change, now);
+    updateZones();
+    return isChanged;
+}
+
+std::vector<ZoneName> ServerDirectory::removeExpiredEvacuations(Instant now)
+{
+    const std::vector<ZoneName> zones = m_evacuatedZones.removeExpired(now);
+    if (!zones.empty())
+        updateZones();
+    return zones;
+}
+
+void ServerDirectory::updateZones()
+{
+    for (auto &[id, state] : m_servers)
+        state.isEvacuated = m_evacuatedZones.contains(state.listed.zone);
+}
+
 void ServerDirectory::remove(const ServerName &id, Instant now)
 {
     const auto it = m_servers.find(id);
@@ -122,12 +243,13 @@
             it->second.unlistedSince = now;
         return;
     }
-    erase(it);
+    erase(it, now);
 }
 
-void ServerDirectory::erase(Servers::iterator it)
+void ServerDirectory::erase(Servers::iterator it, Instant now)
 {
     ServerState &state = it->second;
+    m_endedServers[it->first] = {state.listed.incarnation, state.coldPeriod, now};
     unindexLoadedModels(state);
     m_serversByService[state.listed.service].erase(&state);
     const auto [first, last] = m_byHash.equal_range(state.idHash);
@@ -221,7 +343,9 @@
         expired.push_back(server.listed);
     }
     for (const ListedServer &it : expired)
-        erase(m_servers.find(it.id));
+        erase(m_servers.find(it.id), now);
+    std::erase_if(m_endedServers,
+                  [now](const auto &entry) { return now - entry.second.endedAt > endedRetention; });
     return expired;
 }
 
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -2,6 +2,8 @@
 #define QUETZALYOKE_SERVING_SERVERS_SERVERDIRECTORY_H
 
 #include "Serving/Servers/BackendServer.h"
+#include "Serving/Servers/ColdPeriod.h"
+#include "Serving/Servers/EvacuatedZones.h"
 #include "Serving/Servers/RequestPermitIssuer.h"
 #include "Serving/Servers/RequestPermits.h"
 #include "Serving/Servers/ServerHealth.h"
@@ -52,6 +54,11 @@
     Instant peerPausedUntil; ///< End of the pause that it asked other gateways for.
     StatedRequestLimit requestLimit;
     RequestPermits permits; ///< Needed while there is a request limit.
+    ColdPeriod coldPeriod;
+    bool wasCold = false; ///< As last logged.
+    Instant nextColdProblemLogAt; ///< Bounds the log of statements that are ignored.
+    RequestRate coldRate; ///< That the server tolerates while it is cold; 0: any rate.
+    bool isEvacuated = false; ///< Its zone is evacuated: it gets no requests and no orders.
 
     /// Returns the work of all gateways.
     ServerWork totalWork() const;
@@ -60,12 +67,22 @@
     /// and the requests of this gateway.
     double estimatedRequests(Instant now) const;
     bool isPaused(Instant now) const { return now < pausedUntil; }
-    bool isLimited() const { return requestLimit.limit().has_value(); }
-    /// Returns the server with its request limit, which it must have.
-    RequestPermitIssuer::LimitedServer limitedServer() const
-    {
-        return {listed.id, listed.incarnation, *requestLimit.limit(), requestLimit.beganAt()};
-    }
+    /// Returns whether the server is cold and gets few requests because of that.
+    bool isCold(Instant now) const;
+    /// Returns the rate of requests that the server may get while it is cold, and that rises after
+    /// that; nothing: any rate.
+    std::optional<RequestRate> coldRequestRate(Instant now) const;
+    /// Returns the lower of the stated request limit and of the rate for a cold server; nothing:
+    /// any rate.
+    std::optional<RequestRate> requestRate(Instant now) const;
+    /// Returns whether each request needs a permit.
+    bool isLimited(Instant now) const { return requestRate(now).has_value(); }
+    /// Returns the limit for RequestPermits::useOwnShare().
+    RequestRate ownShareLimit(Instant now) const;
+    /// Returns when the latest limit began that is in force.
+    Instant limitBeganAt(Instant now) const;
+    /// Returns the server with its limits.
+    RequestPermitIssuer::LimitedServer limitedServer(Instant now) const;
 };
 
 /// \brief A server that said it is leaving, which its entry in the list doesn't show yet.
@@ -112,6 +129,30 @@
     /// Removes the servers that are still unlisted after the grace period, and returns them.
     std::vector<ListedServer> removeExpired(Instant now);
 
+    /// How servers of one service are to be treated while they are cold.
+    struct ColdRule
+    {
+        RequestRate rate; ///< \sa ServiceSpec::coldRequestsPerSecond
+        Duration startTime{0}; ///< \sa ServiceSpec::coldStartTime
+    };
+    void setColdRules(std::map<ServiceName, ColdRule> rules);
+    /// Records that the list has been read once. Servers that are listed after that have just
+    /// started.
+    void recordListRead() { m_isListRead = true; }
+
+    /// Records that the process of \a incarnation of a server has ended: the next one under its id
+    /// counts as cold, also while the list still has this incarnation. Returns whether this is
+    /// news.
+    bool recordProcessEnd(const ServerName &id, Incarnation incarnation, Instant now);
+
+    /// Applies a change of the operators' row for \a zone. Returns whether the zone becomes
+    /// evacuated or is no longer.
+    bool applyEvacuation(const ZoneName &zone, EvacuationChange change, Instant now);
+    /// Ends evacuations whose rows were lost with a restore and not written again, and returns
+    /// their zones.
+    std::vector<ZoneName> removeExpiredEvacuations(Instant now);
+    const EvacuatedZones &evacuatedZones() const { return m_evacuatedZones; }
+
     /// Records that a server has said it is leaving. Returns whether this was not known.
     bool recordLeaving(const ServerName &id, Incarnation incarnation);
     /// Records that a server asked this gateway for a pause until \a until. Returns whether this
@@ -149,12 +190,21 @@
         std::optional<Instant> unlistedSince;
         bool isListedLeaving = false; ///< The list shows it as leaving, too.
     };
+    /// Kept after the entry is removed, since the same incarnation may return.
+    struct EndedServer
+    {
+        Incarnation incarnation;
+        ColdPeriod coldPeriod;
+        Instant endedAt;
+    };
     using AdapterKey = std::pair<ModelName, AdapterName>;
     using PendingChanges = std::map<AdapterKey, PendingChange>;
 
     void setListed(ServerState &state, const ListedServer &server);
+    void updateColdPeriod(ServerState &state, bool isReplaced, Instant now);
+    void updateZones();
     void removeExpiredLeaving(Instant now);
-    void erase(Servers::iterator it);
+    void erase(Servers::iterator it, Instant now);
     void clearPeerWork(std::int32_t hash);
     void applyPendingChanges(ServerState &server, Instant now);
     void indexLoadedModels(const ServerState &server);
@@ -169,6 +219,10 @@
         m_peerWork; // current work of each peer; no entry for a peer without work
     std::map<ServerName, PendingChanges> m_pendingChanges;
     std::map<ServerName, LeavingRecord> m_leavingServers;
+    std::map<ServerName, EndedServer> m_endedServers;
+    std::map<ServiceName, ColdRule> m_coldRules;
+    bool m_isListRead = false;
+    EvacuatedZones m_evacuatedZones;
     std::optional<Instant> m_listOutageUntil;
 };
 
--- a/src/Serving/State/ServingConfig.h
+++ b/src/Serving/State/ServingConfig.h
@@ -70,6 +70,10 @@
     ServiceName name;
     int maxConnections = 0; ///< Connections that one server accepts from all clients.
     std::optional<EngineSpec> engine; ///< Not set for a plain service.
+    /// Requests per second that a cold server tolerates from all gateways together; 0: any number.
+    double coldRequestsPerSecond = 0;
+    Milliseconds coldStartTime{0}; ///< How long a server is cold after its start, unless it states
+                                   ///< that itself.
 };
 
 struct ClientAccount
@@ -101,6 +105,7 @@
     std::map<AccountId, ClientAccount> accounts;
     std::map<std::string, AccountId, std::less<>> accountsByKey;
     CallerLimits limits;
+    std::vector<std::string> problems; ///< Values that are ignored because they aren't usable.
 
     /// Returns the route of \a host with the longest path prefix of \a path; nullptr if there is
     /// none.
--- a/src/Wire/peers.thrift
+++ b/src/Wire/peers.thrift
@@ -70,6 +70,8 @@
     5: i64 limitVersion,          // above zero: the server has stated a request limit; see
                                   // StatedRequestLimit
     6: optional double requestsPerSecond, // the limit; absent: it has ended
+    7: optional i32 coldMs,       // how much longer the server stays cold, as it stated to the
+                                  // sender or as the sender assumes after its start
 }
 
 // Asks the lease holder for a permit to send one request to a server with a request limit.
@@ -81,6 +83,8 @@
     4: double requestsPerSecond,  // the limit that the sender knows
     5: i64 limitVersion,
     6: i32 recentRequests,        // sent to the server just before the limit began
+    7: optional double coldRequestsPerSecond, // that the server tolerates while it is cold or
+                                  // soon after; absent: any number
 }
 
 struct PeerPermitReply {
