Requests wait for the list after a suspension; tests of evacuations

Cause: a gateway that was suspended knows its servers as they were before, and sent its waiting requests to servers that had become cold meanwhile. Evacuated zones had no tests yet.

Change: after a suspension, requests to a service with cold_per_s wait until the list is confirmed, at most 1 s. Tests of decoders, directory, chooser, engine tracker, replica controller, store and exchange for cold servers and evacuated zones.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -20,9 +20,6 @@
 // Between removals of idle connections, expired entries and old suspicions.
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(500);
 
-// An event loop that is late by this much was stopped or suspended, not merely busy.
-constexpr Duration stallThreshold = std::chrono::milliseconds(700);
-
 // The platform takes an instance out of rotation after two failed readiness checks one second
 // apart; connections that it has already assigned may still arrive after that.
 constexpr Duration rotationRemovalTime = std::chrono::milliseconds(2800);
@@ -365,6 +362,7 @@
     const Duration totalSuspended = bootTimeNow() - Instant(now.time_since_epoch());
     const Duration newlySuspended = totalSuspended - m_totalSuspended;
     m_lastClockCheck = now;
+    m_state.lastTickAt = now;
     m_totalSuspended = totalSuspended;
     if (late < stallThreshold && newlySuspended < stallThreshold)
         return;
@@ -377,6 +375,7 @@
     m_peers.onResumed();
     m_state.platform.refresh();
     m_stateExchange.replicator().onResumed();
+    m_state.awaitList(now + listRefreshTime);
 }
 
 void EntryGateway::beginStop()
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -88,6 +88,27 @@
     return service.engine && service.coldRequestsPerSecond > 0 && !isListCurrent(steadyNow());
 }
 
+// Requests may be handled before the timer that notices the suspension.
+bool EntryState::mustAwaitList(const ServiceSpec &service) const
+{
+    if (service.coldRequestsPerSecond <= 0)
+        return false;
+    const Instant now = steadyNow();
+    const bool isTickLate = lastTickAt != Instant() && now - lastTickAt >= stallThreshold;
+    return isTickLate || now < m_awaitsListUntil;
+}
+
+void EntryState::awaitList(Instant until)
+{
+    m_awaitsListUntil = until;
+    listConfirmation.request([this](bool isConfirmed) {
+        if (!isConfirmed)
+            return;
+        m_awaitsListUntil = Instant();
+        waitQueue.retryDispatches();
+    });
+}
+
 void EntryState::recordServerLoss(const ServerName &server, Incarnation incarnation)
 {
     crashDetector.recordServerLoss(server, incarnation, steadyNow());
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -21,6 +21,9 @@
 
 namespace quetzalyoke {
 
+/// An event loop that is late by this much was stopped or suspended, not merely busy.
+inline constexpr Duration stallThreshold = std::chrono::milliseconds(700);
+
 /// \brief State shared by all requests of one entry gateway. Used from the event loop only.
 class EntryState
 {
@@ -62,6 +65,12 @@
     /// Returns whether engines of \a service are slow after a start and may have started without
     /// this gateway hearing of it.
     bool mayBeColdUnnoticed(const ServiceSpec &service) const;
+    /// Returns whether requests to \a service must wait until the list of servers has been read
+    /// again after a suspension, since its servers may have become cold meanwhile.
+    bool mustAwaitList(const ServiceSpec &service) const;
+    /// Lets such requests wait for the list, but no longer than until \a until.
+    void awaitList(Instant until);
+    Instant lastTickAt; ///< Of the gateway's timer, which stands still with the process.
     /// Records that the process of \a incarnation of a server has ended.
     void recordServerLoss(const ServerName &server, Incarnation incarnation);
     WaitQueue waitQueue;
@@ -131,6 +140,7 @@
     void onRequestLimitChanged(const ServerState &server, const std::string &source);
 
     std::size_t m_gateways = 1;
+    Instant m_awaitsListUntil;
     std::map<ServiceName, RetryBudget> m_retryBudgets;
     std::mt19937_64 m_random;
 };
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -250,6 +250,10 @@
         });
         return true;
     }
+    if (m_state.mustAwaitList(*m_context.service)) {
+        enqueue();
+        return false;
+    }
     AdmissionInput input;
     input.route = m_context.route;
     input.service = m_context.service;
--- a/test/EngineTrackerTest.cpp
+++ b/test/EngineTrackerTest.cpp
@@ -219,3 +219,22 @@
     tracker.resetOrderState();
     EXPECT_FALSE(tracker.needsStatus(start + 2s));
 }
+
+// Nothing may be sent to an evacuated zone, and what is loaded there serves nobody.
+TEST(EngineTrackerTest, sendsNothingToAnEvacuatedEngine)
+{
+    EngineTracker tracker = trackerWithKnownCount(3, {small});
+    const ConditionalEngineOrder load = tracker.makeLoadOrder(large, {});
+    tracker.recordOrderSent(load, start);
+    tracker.onOrderOutcome(load, OrderOutcome::Unknown, start);
+    ASSERT_TRUE(tracker.orderToResend(start + 2s));
+    tracker.setEvacuated(true);
+    EXPECT_FALSE(tracker.servesDemand(start + 2s));
+    EXPECT_FALSE(tracker.orderToResend(start + 2s));
+    EXPECT_FALSE(tracker.isReadyForOrder(start + 2s));
+    tracker.resetOrderState();
+    EXPECT_FALSE(tracker.needsStatus(start + 2s));
+    tracker.setEvacuated(false);
+    EXPECT_TRUE(tracker.servesDemand(start + 2s));
+    EXPECT_TRUE(tracker.needsStatus(start + 2s));
+}
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -321,6 +321,84 @@
     EXPECT_FALSE(protocol.parseEngineResponseHeaders(200, fields).mayEndRequestLimit);
 }
 
+TEST(PlatformDecoderTest, readsHowLongAServerStaysCold)
+{
+    const PlatformProtocol protocol;
+    const auto parse = [&protocol](int status, const char *text, const char *id) {
+        HeaderFields fields;
+        fields.set("Attempt-Id", id);
+        fields.set("Cold-Ms", text);
+        return protocol.parseResponseHeaders(status, fields, RequestId("id-1"));
+    };
+    EXPECT_EQ(parse(200, "8000", "id-1").coldTime, Milliseconds(8000));
+    EXPECT_EQ(parse(503, "0.2", "id-1").coldTime, Milliseconds(1));
+    EXPECT_EQ(parse(200, "0", "id-1").coldTime, Milliseconds(0));
+    EXPECT_EQ(parse(200, "600000", "id-1").coldTime, Milliseconds(600'000));
+    // A response to another request, and one that any server at this address may have sent.
+    EXPECT_FALSE(parse(200, "8000", "id-2").coldTime);
+    EXPECT_FALSE(parse(421, "8000", "id-1").coldTime);
+    EXPECT_FALSE(parse(421, "few", "id-1").hasInvalidColdTime);
+    for (const char *text : {"", "few", "-1", "nan", "inf", "8 s", "600001", "1e300"}) {
+        EXPECT_FALSE(parse(200, text, "id-1").coldTime) << text;
+        EXPECT_TRUE(parse(200, text, "id-1").hasInvalidColdTime) << text;
+    }
+    HeaderFields status;
+    status.set("Cold-Ms", "500");
+    EXPECT_EQ(protocol.parseEngineResponseHeaders(200, status).coldTime, Milliseconds(500));
+    EXPECT_FALSE(protocol.parseEngineResponseHeaders(200, HeaderFields()).coldTime);
+}
+
+// A bad time must neither make the server unusable nor count as a statement that it is warm.
+TEST(PlatformDecoderTest, readsTheColdTimeOfAnEntry)
+{
+    const auto decode = [](const std::string &time) {
+        std::string text = server;
+        const std::string field = R"("cold_ms":0,)";
+        text.replace(text.find(field), field.size(),
+                     time.empty() ? "" : "\"cold_ms\":" + time + ",");
+        std::string problem;
+        return *decodeListedServer("engine-1", text, problem);
+    };
+    EXPECT_EQ(decode("0").coldTime, Duration(0));
+    EXPECT_EQ(decode("8000").coldTime, Duration(8'000'000));
+    EXPECT_EQ(decode("12.5").coldTime, Duration(12'500));
+    EXPECT_EQ(decode("600000").coldTime, Duration(600'000'000));
+    EXPECT_FALSE(decode("").coldTime);
+    EXPECT_FALSE(decode("").hasInvalidColdTime);
+    EXPECT_FALSE(decode("null").coldTime);
+    EXPECT_FALSE(decode("null").hasInvalidColdTime);
+    for (const char *time :
+         {"-1", "600001", "1e300", "18446744073709551615", "\"8000\"", "true", "[1]", "{}"}) {
+        EXPECT_FALSE(decode(time).coldTime) << time;
+        EXPECT_TRUE(decode(time).hasInvalidColdTime) << time;
+    }
+}
+
+TEST(PlatformDecoderTest, readsTheLimitsForColdServers)
+{
+    const auto decode = [](const std::string &fields) {
+        std::string text = configuration;
+        const std::string field = R"("max_conns":360,)";
+        text.replace(text.find(field), field.size(), field + fields);
+        return decodeConfiguration(text);
+    };
+    const auto config = decode(R"("cold_start_s":12.5,"cold_per_s":6.9,)");
+    const ServiceSpec &service = *config->findService(ServiceName("llm"));
+    EXPECT_EQ(service.coldRequestsPerSecond, 6.9);
+    EXPECT_EQ(service.coldStartTime, Milliseconds(12'500));
+    EXPECT_TRUE(config->problems.empty());
+    EXPECT_EQ(config->findService(ServiceName("app"))->coldRequestsPerSecond, 0);
+    EXPECT_EQ(config->findService(ServiceName("app"))->coldStartTime, Milliseconds(0));
+    // The rest of the configuration stays usable.
+    for (const char *value : {"-1", "\"6\"", "true", "1e300", "[]"}) {
+        const std::string text(value);
+        const auto bad = decode("\"cold_start_s\":" + text + ",\"cold_per_s\":" + text + ",");
+        EXPECT_EQ(bad->findService(ServiceName("llm"))->coldRequestsPerSecond, 0) << value;
+        EXPECT_EQ(bad->findService(ServiceName("llm"))->coldStartTime, Milliseconds(0)) << value;
+        EXPECT_EQ(bad->problems.size(), 2U) << value;
+    }
+}
+
 TEST(PlatformDecoderTest, readsTheLoadThatAServerStates)
 {
     const PlatformProtocol protocol;
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -500,6 +500,132 @@
     EXPECT_EQ(state.servers.find(ServerName("a"))->health.failureShare(), 0);
 }
 
+// The zone is evacuated while the request's connection is being established.
+TEST_F(PlatformExchangeTest, withholdsARequestWhoseServerIsEvacuatedBeforeSending)
+{
+    addServer("b", secondServer);
+    secondServer.setResponse(signedHeader + fineResponse);
+    afterStart = [this] {
+        state.servers.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, steadyNow());
+    };
+    EXPECT_TRUE(hasStatus(sendRequest("/n/x", "key", "fine"), 200));
+    EXPECT_TRUE(firstServer.received().empty());
+    EXPECT_EQ(state.servers.find(ServerName("a"))->health.failureShare(), 0);
+}
+
+TEST_F(PlatformExchangeTest, refusesAtOnceWhenAllServersAreEvacuated)
+{
+    state.servers.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, steadyNow());
+    const Instant sentAt = steadyNow();
+    const std::string response = sendRequest("/i/x", "key", "evacuated");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("Retry-After"), std::string::npos);
+    EXPECT_LT(steadyNow() - sentAt, Duration(500ms));
+    EXPECT_TRUE(firstServer.received().empty());
+}
+
+// A request that waits for a server must notice that the last ones are evacuated.
+TEST_F(PlatformExchangeTest, refusesAWaitingRequestOnceAllServersAreEvacuated)
+{
+    state.servers.find(ServerName("a"))->ownWork.requestsInFlight = 1000;
+    afterStart = [this] {
+        EXPECT_EQ(state.waitQueue.size(), 1U);
+        state.servers.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, steadyNow());
+        state.waitQueue.retryDispatches();
+    };
+    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "evacuated"), 503));
+    EXPECT_TRUE(firstServer.received().empty());
+}
+
+// A resumable stream breaks off in a zone that is evacuated meanwhile.
+TEST_F(PlatformExchangeTest, resumesNoStreamInAnEvacuatedZone)
+{
+    addServer("b", secondServer);
+    firstServer.setResponse(signedHeader
+                                + "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+                                  "chunked\r\n\r\n12\r\nid: 1\ndata: one\n\n\r\n",
+                            ScriptedServer::End::Close);
+    secondServer.setResponse(signedHeader + fineResponse);
+    afterStart = [this] {
+        state.servers.applyEvacuation(ZoneName("west"), EvacuationChange::Begun, steadyNow());
+    };
+    sendRequest("/r/x", "key", "never");
+    EXPECT_TRUE(secondServer.received().empty());
+}
+
+namespace {
+
+// Makes the servers of the service cold when they state it.
+void setColdRate(EntryState &state, double perSecond)
+{
+    auto config = std::make_shared<ServingConfig>(*state.config);
+    config->services[ServiceName("app")].coldRequestsPerSecond = perSecond;
+    state.config = config;
+    state.servers.setColdRules({{ServiceName("app"), {RequestRate(perSecond), 20s}}});
+}
+
+} // namespace
+
+TEST_F(PlatformExchangeTest, limitsTheRequestsToAServerThatStatesThatItIsCold)
+{
+    setColdRate(state, 0.5);
+    const ServerState &server = *state.servers.find(ServerName("a"));
+    firstServer.setResponse(signedHeader + "Cold-Ms: 700000\r\n" + fineResponse);
+    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "fine"), 200));
+    EXPECT_FALSE(server.isCold(steadyNow()));
+    firstServer.setResponse(signedHeader + "Cold-Ms: 60000\r\n" + fineResponse);
+    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "fine"), 200));
+    EXPECT_TRUE(server.isCold(steadyNow()));
+    EXPECT_EQ(state.unsentLimitChanges.count(ServerName("a")), 1U);
+    const std::string refusal = sendRequest("/i/x", "key", "limited");
+    EXPECT_TRUE(hasStatus(refusal, 503)) << refusal;
+    EXPECT_NE(refusal.find("Retry-After"), std::string::npos);
+}
+
+// A service without a rate for cold servers is served as before.
+TEST_F(PlatformExchangeTest, sendsToAColdServerWithoutARate)
+{
+    firstServer.setResponse(signedHeader + "Cold-Ms: 60000\r\n" + fineResponse);
+    for (int i = 0; i < 5; ++i) {
+        firstServer.setResponse(signedHeader + "Cold-Ms: 60000\r\n" + fineResponse);
+        EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "fine"), 200));
+    }
+}
+
+// The next process at the address may answer before the list shows that it has just started.
+TEST_F(PlatformExchangeTest, countsAServerThatRefusesConnectionsAsColdWhenItReturns)
+{
+    setColdRate(state, 0.5);
+    ListedServer ended = state.servers.find(ServerName("a"))->listed;
+    ended.id = ServerName("ended");
+    ended.address = "127.0.0.1:1";
+    state.servers.put(ended, steadyNow());
+    state.servers.remove(ServerName("a"), steadyNow());
+    sendRequest("/n/x");
+    EXPECT_TRUE(state.servers.find(ServerName("ended"))->isCold(steadyNow()));
+}
+
+// While the process was suspended, a server may have become cold.
+TEST_F(PlatformExchangeTest, sendsNothingAfterASuspensionBeforeTheListIsConfirmed)
+{
+    setColdRate(state, 0.5);
+    firstServer.setResponse(signedHeader + fineResponse);
+    state.lastTickAt = steadyNow() - 10s;
+    afterStart = [this] {
+        EXPECT_EQ(state.waitQueue.size(), 1U);
+        EXPECT_TRUE(firstServer.received().empty());
+        state.lastTickAt = steadyNow();
+        platform.onConfirm = [this] {
+            ListedServer cold = state.servers.find(ServerName("a"))->listed;
+            cold.coldTime = 60s;
+            state.servers.put(cold, steadyNow());
+        };
+        state.awaitList(steadyNow() + 1s);
+    };
+    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "limited"), 503));
+    EXPECT_TRUE(firstServer.received().empty());
+}
+
 // A gateway before servers of which some crash.
 class CrashExchangeTest : public PlatformExchangeTest
 {
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace quetzalyoke;
 using namespace quetzalyoke::platform;
 using namespace std::chrono_literals;
@@ -333,6 +335,125 @@
     reader.stop();
 }
 
+namespace {
+
+std::string evacuationRow(const std::string &zone, int version)
+{
+    return R"({"table":"op","part":"","key":"evacuate/)" + zone + R"(","value":"e30=","ver":)"
+        + std::to_string(version) + "}";
+}
+
+std::string evacuationDeletion(const std::string &zone, int version)
+{
+    return R"({"table":"op","part":"","key":"evacuate/)" + zone + R"(","deleted":true,"ver":)"
+        + std::to_string(version) + "}";
+}
+
+// A gateway's platform that records the changes of evacuations, such as "+east" and "-east", and
+// "?east" for a row that was lost.
+class EvacuationObserver
+{
+public:
+    EvacuationObserver(asio::io_context &loop, const Address &store, bool isFollowing)
+        : platform(loop, store)
+    {
+        platform.setFollowing(isFollowing);
+        EntryPlatform::Hooks hooks;
+        hooks.onConfigChanged = [](const ServingConfigPtr &) {};
+        hooks.onEvacuationChanged = [this](const ZoneName &zone, EvacuationChange change) {
+            const bool isBegun = change == EvacuationChange::Begun;
+            changes.push_back((isBegun                                ? "+"
+                                   : change == EvacuationChange::Lost ? "?"
+                                                                      : "-")
+                              + zone.text());
+        };
+        hooks.onBatchApplied = [this] { ++batches; };
+        hooks.onReachabilityChanged = [](bool, const std::string &) {};
+        hooks.onStoreRestored = [](StoreEra) {};
+        hooks.onInvalidEntry
+            = [this](const std::string &key, const std::string &) { invalid.push_back(key); };
+        platform.start(hooks);
+    }
+
+    bool takes(const EvacuationObserver &other)
+    {
+        return platform.applyChanges(other.platform.changesSince(platform.versions()),
+                                     other.platform.confirmedAt());
+    }
+
+    StorePlatform platform;
+    Strings changes;
+    Strings invalid;
+    int batches = 0;
+};
+
+} // namespace
+
+TEST_F(PlatformStoreTest, followsTheEvacuationsOfZones)
+{
+    EvacuationObserver reader(loop, store.address(), true);
+    ASSERT_TRUE(store.respond("/rows-get?table=op", 200,
+                              rows(configurationRow(16, 90) + "," + evacuationRow("east", 80), 90),
+                              1));
+    ASSERT_TRUE(store.respond("/rows-feed?table=op&after=90", 200,
+                              rows(evacuationRow("west", 91) + "," + evacuationRow("", 92), 92),
+                              1));
+    ASSERT_TRUE(runUntil(loop, [&] { return reader.batches >= 2; }));
+    EXPECT_EQ(reader.changes, (Strings{"+east", "+west"}));
+    EXPECT_EQ(reader.invalid, Strings{"evacuate/"});
+    // A gateway that gets the state from the reader, and one that starts while the store is away.
+    EvacuationObserver newcomer(loop, store.address(), false);
+    EXPECT_TRUE(newcomer.takes(reader));
+    std::sort(newcomer.changes.begin(), newcomer.changes.end());
+    EXPECT_EQ(newcomer.changes, (Strings{"+east", "+west"}));
+    ASSERT_TRUE(store.respond("/rows-feed?table=op&after=92", 200,
+                              rows(evacuationDeletion("east", 93), 93), 1));
+    ASSERT_TRUE(runUntil(loop, [&] { return reader.batches >= 3; }));
+    EXPECT_EQ(reader.changes.back(), "-east");
+    EXPECT_TRUE(newcomer.takes(reader));
+    EXPECT_EQ(newcomer.changes.back(), "-east");
+    // The other row was removed while the history was lost: all rows are read again.
+    ASSERT_TRUE(store.respond("/rows-feed?table=op&after=93", 410, "{}", 1));
+    ASSERT_TRUE(store.respond("/rows-get?table=op", 200, rows(configurationRow(16, 90), 95), 1));
+    ASSERT_TRUE(runUntil(loop, [&] { return reader.batches >= 4; }));
+    EXPECT_EQ(reader.changes.back(), "-west");
+    EXPECT_TRUE(newcomer.takes(reader));
+    EXPECT_EQ(newcomer.changes.back(), "-west");
+    EXPECT_EQ(newcomer.changes.size(), 4U);
+    reader.platform.stop();
+    newcomer.platform.stop();
+}
+
+// A copy of the store may lack an evacuation, which the operators have not revoked, and have one
+// that they revoked since.
+TEST_F(PlatformStoreTest, tellsEvacuationsThatWereLostWithARestoreFromRevokedOnes)
+{
+    EvacuationObserver reader(loop, store.address(), true);
+    ASSERT_TRUE(store.respond("/rows-get?table=op", 200,
+                              rows(configurationRow(16, 90) + "," + evacuationRow("east", 80), 90),
+                              1));
+    ASSERT_TRUE(runUntil(loop, [&] { return reader.batches >= 1; }));
+    EvacuationObserver newcomer(loop, store.address(), false);
+    EXPECT_TRUE(newcomer.takes(reader));
+    ASSERT_TRUE(store.respond("/rows-feed?table=op", 410, "{}", 2));
+    ASSERT_TRUE(store.respond("/rows-get?table=op", 200,
+                              rows(configurationRow(16, 50) + "," + evacuationRow("west", 40), 60),
+                              2));
+    ASSERT_TRUE(runUntil(loop, [&] { return reader.batches >= 2; }));
+    EXPECT_EQ(reader.changes, (Strings{"+east", "?east", "+west"}));
+    EXPECT_TRUE(newcomer.takes(reader));
+    EXPECT_EQ(newcomer.changes, (Strings{"+east", "?east", "+west"}));
+    // Written again, then revoked.
+    ASSERT_TRUE(
+        store.respond("/rows-feed?table=op&after=60", 200, rows(evacuationRow("east", 61), 61), 2));
+    ASSERT_TRUE(store.respond("/rows-feed?table=op&after=61", 200,
+                              rows(evacuationDeletion("east", 62), 62), 2));
+    ASSERT_TRUE(runUntil(loop, [&] { return reader.batches >= 4; }));
+    EXPECT_EQ(reader.changes, (Strings{"+east", "?east", "+west", "+east", "-east"}));
+    reader.platform.stop();
+    newcomer.platform.stop();
+}
+
 // The store compares with a version that it may have given out again.
 TEST_F(PlatformStoreTest, takesNoWriteThatExpectsAVersionOfAnotherEraForDone)
 {
--- a/test/ReplicaPlannerTest.cpp
+++ b/test/ReplicaPlannerTest.cpp
@@ -72,6 +72,28 @@
         m_controller.recordOverDemand(ServerName("engine-" + std::to_string(engine)), now);
     }
 
+    // Engines without a zone of their own are in none.
+    void setZone(int engine, const ZoneName &zone, Instant now)
+    {
+        ListedServer server
+            = m_directory.find(ServerName("engine-" + std::to_string(engine)))->listed;
+        server.zone = zone;
+        m_directory.put(server, now);
+        m_controller.setServers(m_directory);
+    }
+    void setEvacuated(const ZoneName &zone, bool isEvacuated, Instant now)
+    {
+        m_directory.applyEvacuation(
+            zone, isEvacuated ? EvacuationChange::Begun : EvacuationChange::Revoked, now);
+        m_controller.setServers(m_directory);
+    }
+    // Orders and status requests that an engine has got.
+    int messages(int engine) const
+    {
+        const auto it = m_messages.find(ServerName("engine-" + std::to_string(engine)));
+        return it == m_messages.end() ? 0 : it->second;
+    }
+
     void setDemand(int i, std::int64_t tokensPerStep) { m_demand[i] = tokensPerStep; }
     void addWaitingRequest(int i, Instant now)
     {
@@ -100,6 +122,10 @@
         const auto step = m_controller.nextActions(now, now == start);
         for (const ConditionalEngineOrder &order : step.orders)
             execute(order, now);
+        for (const ConditionalEngineOrder &order : step.orders)
+            ++m_messages[order.server];
+        for (const ServerName &server : step.statusRequests)
+            ++m_messages[server];
         for (const ServerName &server : step.statusRequests)
             m_controller.onStatus(server, m_engines[server], now, now);
     }
@@ -174,6 +200,7 @@
     ServerDirectory m_directory{2s};
     std::map<ServerName, EngineStatus> m_engines;
     std::map<int, std::int64_t> m_demand;
+    std::map<ServerName, int> m_messages;
 };
 
 constexpr Duration stepInterval = 50ms;
@@ -394,6 +421,40 @@
     EXPECT_FALSE(fleet.lostLastReplica);
 }
 
+// The only replicas of three models, and the adapters of one, are in the zone.
+TEST(ReplicaControllerTest, replacesTheReplicasOfAnEvacuatedZone)
+{
+    const ZoneName zone("east");
+    Fleet fleet(4, 9);
+    fleet.setZone(1, zone, start);
+    Instant now = start;
+    for (; now < start + 1s; now += stepInterval)
+        fleet.step(now);
+    fleet.setEvacuated(zone, true, now);
+    const int before = fleet.messages(1);
+    for (; now < start + 12s; now += stepInterval) {
+        fleet.addWaitingRequest(3, now);
+        fleet.addWaitingRequestForAdapter(4, AdapterName("a1"), now);
+        fleet.proposeAdapterReplica(1, 5, AdapterName("a2"), now);
+        fleet.step(now);
+    }
+    EXPECT_EQ(fleet.messages(1), before);
+    for (int i = 3; i < 6; ++i) {
+        EXPECT_TRUE(fleet.engineHasModel(1, i)) << i;
+        EXPECT_GE(fleet.replicas(i), 2) << i;
+    }
+    EXPECT_FALSE(fleet.engineHasAdapter(1, 4, AdapterName("a1")));
+    EXPECT_TRUE(fleet.hasAdapter(4, AdapterName("a1")));
+    EXPECT_FALSE(fleet.overfull);
+    EXPECT_FALSE(fleet.lostLastReplica);
+    fleet.setEvacuated(zone, false, now);
+    for (const Instant end = now + 5s; now < end; now += stepInterval) {
+        fleet.proposeAdapterReplica(1, 5, AdapterName("a2"), now);
+        fleet.step(now);
+    }
+    EXPECT_GT(fleet.messages(1), before);
+}
+
 // Load pattern: requests for an adapter that only an engine whose request limit is used up has
 // loaded, while another engine has the model.
 TEST(ReplicaControllerTest, loadsAnAdapterBesideAnEngineWhoseRequestLimitIsUsedUp)
--- a/test/ServerChooserTest.cpp
+++ b/test/ServerChooserTest.cpp
@@ -201,3 +201,65 @@
     fleet.directory.recordPeerPause(fleet.choose().server, Incarnation(1), start + 1s);
     EXPECT_EQ(fleet.choose().server, preferred);
 }
+
+TEST(ServerChooserTest, choosesNoServerInAnEvacuatedZone)
+{
+    Fleet fleet;
+    fleet.addEngines({"engine-1", "engine-2"});
+    ListedServer other = fleet.engine("engine-3");
+    other.zone = ZoneName("west");
+    fleet.directory.put(other, start); // has not loaded the model
+    fleet.directory.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, start);
+    // The model can be loaded in the other zone.
+    EXPECT_EQ(fleet.choose().outcome, ServerChoice::Outcome::NoModel);
+    other.loadedModels[model];
+    fleet.directory.put(other, start);
+    EXPECT_EQ(fleet.choose().server, ServerName("engine-3"));
+    // A server outside the zone was tried and may accept the request later.
+    EXPECT_EQ(fleet.choose({ServerName("engine-3")}).outcome, ServerChoice::Outcome::NoServer);
+    fleet.directory.applyEvacuation(ZoneName("west"), EvacuationChange::Begun, start);
+    EXPECT_EQ(fleet.choose().outcome, ServerChoice::Outcome::AllEvacuated);
+    fleet.directory.applyEvacuation(ZoneName("east"), EvacuationChange::Revoked, start);
+    EXPECT_EQ(fleet.choose().outcome, ServerChoice::Outcome::Chosen);
+    EXPECT_NE(fleet.choose().server, ServerName("engine-3"));
+}
+
+TEST(ServerChooserTest, proposesNoAdapterReplicaInAnEvacuatedZone)
+{
+    Fleet fleet;
+    fleet.addEngines({"engine-1"});
+    fleet.metadata.adapter = adapter;
+    ListedServer busy = fleet.engine("engine-2");
+    busy.zone = ZoneName("west");
+    busy.loadedModels[model] = {adapter};
+    fleet.directory.put(busy, start);
+    fleet.directory.find(ServerName("engine-2"))->ownWork = {1, 20'000, 20'000};
+    EXPECT_EQ(fleet.choose().adapterReplicaServer, ServerName("engine-1"));
+    fleet.directory.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, start);
+    EXPECT_EQ(fleet.choose().adapterReplicaServer, ServerName());
+    EXPECT_EQ(fleet.choose().server, ServerName("engine-2"));
+}
+
+// A cold server gets a request only with a permit, and only if no warm one responds about as soon.
+TEST(ServerChooserTest, prefersWarmServersAndSendsToAColdOneWithAPermitOnly)
+{
+    Fleet fleet;
+    fleet.directory.setColdRules({{fleet.service.name, {RequestRate(6.9), 20s}}});
+    ListedServer cold = fleet.engine("engine-1");
+    cold.coldTime = 10s;
+    cold.loadedModels[model];
+    fleet.directory.put(cold, start);
+    ServerChoice choice = fleet.choose();
+    EXPECT_EQ(choice.server, ServerName("engine-1"));
+    EXPECT_TRUE(choice.needsPermit);
+    fleet.addEngines({"engine-2"});
+    fleet.directory.find(ServerName("engine-2"))->ownWork = {1, 500, 500};
+    EXPECT_EQ(fleet.choose().server, ServerName("engine-2"));
+    EXPECT_FALSE(fleet.choose().needsPermit);
+    ServerState &server = *fleet.directory.find(ServerName("engine-1"));
+    server.permits.recordRequest(1, start);
+    server.permits.onDenied(1, 145ms, start);
+    choice = fleet.choose({ServerName("engine-2")});
+    EXPECT_EQ(choice.outcome, ServerChoice::Outcome::AllLimited);
+    EXPECT_EQ(choice.timeUntilResume, Duration(145ms));
+}
--- a/test/ServerDirectoryTest.cpp
+++ b/test/ServerDirectoryTest.cpp
@@ -262,3 +262,50 @@
     directory.put(listed(2), start + 5s);
     EXPECT_FALSE(directory.find(engine)->listed.isLeaving);
 }
+
+TEST(ServerDirectoryTest, marksTheServersOfEvacuatedZones)
+{
+    ServerDirectory directory(2s);
+    ListedServer server = listed(1);
+    server.zone = ZoneName("east");
+    directory.put(server, start);
+    EXPECT_FALSE(directory.find(engine)->isEvacuated);
+    EXPECT_FALSE(directory.applyEvacuation(ZoneName("nowhere"), EvacuationChange::Revoked, start));
+    EXPECT_TRUE(directory.applyEvacuation(ZoneName("nowhere"), EvacuationChange::Begun, start));
+    EXPECT_FALSE(directory.find(engine)->isEvacuated);
+    EXPECT_TRUE(directory.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, start));
+    EXPECT_FALSE(directory.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, start));
+    EXPECT_TRUE(directory.find(engine)->isEvacuated);
+    // A server that starts or is listed again while its zone is evacuated.
+    server.incarnation = Incarnation(2);
+    directory.put(server, start);
+    EXPECT_TRUE(directory.find(engine)->isEvacuated);
+    directory.remove(engine, start);
+    directory.put(server, start);
+    EXPECT_TRUE(directory.find(engine)->isEvacuated);
+    EXPECT_TRUE(directory.applyEvacuation(ZoneName("east"), EvacuationChange::Revoked, start));
+    EXPECT_FALSE(directory.find(engine)->isEvacuated);
+}
+
+// The operators have not revoked an evacuation whose row is missing in a restored store.
+TEST(ServerDirectoryTest, keepsAnEvacuationWhoseRowWasLostUntilItCanHaveBeenWrittenAgain)
+{
+    const ZoneName zone("east");
+    ServerDirectory directory(2s);
+    ListedServer server = listed(1);
+    server.zone = zone;
+    directory.put(server, start);
+    directory.applyEvacuation(zone, EvacuationChange::Begun, start);
+    EXPECT_FALSE(directory.applyEvacuation(zone, EvacuationChange::Lost, start));
+    EXPECT_TRUE(directory.removeExpiredEvacuations(start + 29s).empty());
+    EXPECT_TRUE(directory.find(engine)->isEvacuated);
+    // Written again, then lost for good.
+    EXPECT_FALSE(directory.applyEvacuation(zone, EvacuationChange::Begun, start + 29s));
+    EXPECT_TRUE(directory.removeExpiredEvacuations(start + 100s).empty());
+    directory.applyEvacuation(zone, EvacuationChange::Lost, start + 100s);
+    EXPECT_EQ(directory.removeExpiredEvacuations(start + 130s), std::vector<ZoneName>{zone});
+    EXPECT_FALSE(directory.find(engine)->isEvacuated);
+    // One that isn't in force doesn't begin by being lost.
+    EXPECT_FALSE(directory.applyEvacuation(zone, EvacuationChange::Lost, start + 140s));
+    EXPECT_FALSE(directory.find(engine)->isEvacuated);
+}
