--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace quetzalyoke {
@@ -20,9 +21,6 @@
 // Between removals of idle connections, expired entries and old suspicions.
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(500);
 
-// An event loop that is late by this much was stopped or suspended, not merely busy.
-constexpr Duration stallThreshold = std::chrono::milliseconds(700);
-
 // The platform takes an instance out of rotation after two failed readiness checks one second
 // apart; connections that it has already assigned may still arrive after that.
 constexpr Duration rotationRemovalTime = std::chrono::milliseconds(2800);
@@ -120,7 +118,12 @@
     hooks.onConfigChanged = [this](const ServingConfigPtr &config) { onConfig(config); };
     hooks.onServerChanged = [this](const ListedServer &server) { onServer(server); };
     hooks.onServerRemoved = [this](const ServerName &id) { onServerRemoved(id); };
+    hooks.onEvacuationChanged = [this](const ZoneName &zone, EvacuationChange change) {
+        onEvacuationChanged(zone, change);
+    };
     hooks.onBatchApplied = [this] {
+        if (m_state.platform.isLoaded())
+            m_state.servers.recordListRead();
         m_streamVersions.onListChanged();
         m_orderSender.onServersChanged();
         m_stateExchange.replicator().onStateChanged();
@@ -147,6 +150,37 @@
     m_state.config = config;
     m_state.replicaController.setConfig(config);
     m_state.quotas.setConfig(*config, steadyNow());
+    std::map<ServiceName, ServerDirectory::ColdRule> coldRules;
+    for (const auto &[name, service] : config->services)
+        coldRules[name] = {RequestRate(service.coldRequestsPerSecond), service.coldStartTime};
+    m_state.servers.setColdRules(std::move(coldRules));
+}
+
+// Requests and orders are stopped by the directory's state; those that wait are tried again when
+// the batch of rows has been applied.
+void EntryGateway::onEvacuationChanged(const ZoneName &zone, EvacuationChange change)
+{
+    const bool isChanged = m_state.servers.applyEvacuation(zone, change, steadyNow());
+    if (isChanged || change == EvacuationChange::Lost)
+        logEvacuation(zone, change == EvacuationChange::Lost ? "lost_row" : "row");
+}
+
+void EntryGateway::logEvacuation(const ZoneName &zone, const char *source)
+{
+    const auto &servers = m_state.servers.servers();
+    const auto inZone = std::count_if(servers.begin(), servers.end(), [&zone](const auto &entry) {
+        return entry.second.listed.zone == zone;
+    });
+    const bool isEvacuated = m_state.servers.evacuatedZones().contains(zone);
+    // Without servers the zone may be misspelt, or this gateway has not read the list yet.
+    logNotable("evacuation",
+               {{"zone", zone},
+                {"state", isEvacuated ? "evacuated" : "revoked"},
+                {"servers", inZone},
+                {"known", inZone > 0 ? 1 : 0},
+                {"source", source}});
+    Metrics::setGauge("evacuated_zones",
+                      static_cast<double>(m_state.servers.evacuatedZones().size()));
 }
 
 void EntryGateway::onServer(const ListedServer &server)
@@ -170,6 +204,7 @@
                     {"models", server.loadedModels.size()}});
     }
     m_state.servers.put(server, now);
+    m_state.coldServers.onEntryApplied(server.id);
 }
 
 void EntryGateway::onServerRemoved(const ServerName &id)
@@ -311,6 +346,12 @@
     m_state.pool.closeExpiredConnections(now);
     m_state.crashDetector.expire(now);
     m_state.permitIssuer.removeUnused(now);
+    m_state.coldServers.tick();
+    const std::vector<ZoneName> zones = m_state.servers.removeExpiredEvacuations(now);
+    for (const ZoneName &zone : zones)
+        logEvacuation(zone, "not_written_again");
+    if (!zones.empty())
+        m_orderSender.onServersChanged();
     for (const ListedServer &server : m_state.servers.removeExpired(now)) {
         logNotable("server_gone",
                    {{"server", server.id},
@@ -328,6 +369,7 @@
     const Duration totalSuspended = bootTimeNow() - Instant(now.time_since_epoch());
     const Duration newlySuspended = totalSuspended - m_totalSuspended;
     m_lastClockCheck = now;
+    m_state.lastTickAt = now;
     m_totalSuspended = totalSuspended;
     if (late < stallThreshold && newlySuspended < stallThreshold)
         return;
@@ -340,6 +382,7 @@
     m_peers.onResumed();
     m_state.platform.refresh();
     m_stateExchange.replicator().onResumed();
+    m_state.awaitList(now + listRefreshTime);
 }
 
 void EntryGateway::beginStop()
