--- a/test/scenarios/runner/ChildProcess.h
+++ b/test/scenarios/runner/ChildProcess.h
@@ -27,6 +27,7 @@
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
 
+    pid_t pid() const { return m_pid; }
     /// Sends \a signal; does nothing once the process has ended.
     void sendSignal(int signal);
     /// Waits up to \a limit for the process to end. Returns nothing if it is still running.
