Bound what callers can make the entry gateway hold

Bodies that never became complete, heads of many small fields, unread responses and waiting requests added up without a common limit; a rejected request kept its body for as long as its connection lingered, and the C library kept freed blocks once larger ones had been freed. Callers that sent nothing took all connections until they timed out.

- ReceiveBudget: one limit for what the callers' connections hold (a quarter of the new setting memory_mb, from limits.memory_mb).
Above it the connection goes first that has made no progress for longest, weighted by what it holds: 503 with Connection: close if its request was not handed on, else it is closed.
Complete requests, their copies for servers and their responses count towards a second quarter; at its end new requests get 503 (reason memory) and responses over 64 KiB are given up with 502.
- Requests are parsed from the read buffer; only what the parser can't take yet is copied.
Read-ahead behind a request falls from 64 to 16 KiB.
At most 64 KiB are read after a rejection.
- Requests in progress and idle connections to servers together stay within the descriptors that callers' connections leave.
- A new connection beyond the limit replaces the one that has waited longest for its caller; before, it was closed.
- Requests to the readiness and peers' addresses have small bodies and a budget of their own, so that callers can't keep out peers.

--- a/src/Adapters/Async/AsyncHttpServer.cpp
+++ b/src/Adapters/Async/AsyncHttpServer.cpp
@@ -25,6 +25,9 @@
     connectionHooks->limits = std::move(hooks.limits);
     connectionHooks->isStopping = std::move(hooks.isStopping);
     connectionHooks->onRejected = std::move(hooks.onRejected);
+    connectionHooks->budget = std::move(hooks.budget);
+    connectionHooks->onEvicted = std::move(hooks.onEvicted);
+    connectionHooks->requestSlots = std::move(hooks.requestSlots);
     connectionHooks->onClosed
         = [this](HttpServerConnection *connection) { m_connections.erase(connection); };
     m_hooks = std::move(connectionHooks);
@@ -72,7 +75,7 @@
         });
         return;
     }
-    if (m_connections.size() < m_maxConnections) {
+    if (m_connections.size() < m_maxConnections || makeRoom()) {
         const auto connection = std::make_shared<HttpServerConnection>(std::move(socket), m_hooks);
         m_connections.emplace(connection.get(), connection);
         connection->start();
@@ -80,6 +83,19 @@
     accept();
 }
 
+// Closes the connection that has waited longest for its caller. Returns whether there was one.
+bool AsyncHttpServer::makeRoom()
+{
+    HttpServerConnection::Pointer longest;
+    for (const auto &entry : m_connections) {
+        auto connection = entry.second.lock();
+        if (connection && connection->isReplaceable()
+            && (!longest || connection->waitingSince() < longest->waitingSince()))
+            longest = std::move(connection);
+    }
+    return longest && longest->replace();
+}
+
 void AsyncHttpServer::stopListening()
 {
     SystemErrorCode ignored;
--- a/src/Adapters/Async/AsyncHttpServer.h
+++ b/src/Adapters/Async/AsyncHttpServer.h
@@ -18,9 +18,14 @@
         std::function<HttpServerConnectionLimits()> limits;
         std::function<bool()> isStopping;
         std::function<void(int status, const char *reason)> onRejected;
+        /// \sa HttpServerConnection::Hooks for these.
+        std::shared_ptr<ReceiveBudget> budget = {};
+        std::function<void(const char *reason, std::size_t bytes)> onEvicted = {};
+        std::shared_ptr<ResourceCharge::Total> requestSlots = {};
     };
 
-    /// Keeps at most \a maxConnections connections open and closes any further ones at once.
+    /// Keeps at most \a maxConnections connections open. A further one replaces the one that has
+    /// waited longest for its caller; if all are handling requests, it is closed at once.
     AsyncHttpServer(asio::io_context &loop, std::size_t maxConnections, Hooks hooks);
 
     /// Throws Error (BadSettings) if it cannot listen at \a address.
@@ -34,6 +39,7 @@
 private:
     void accept();
     void onAccepted(const SystemErrorCode &ec, Tcp::socket socket);
+    bool makeRoom();
 
     const std::size_t m_maxConnections;
     Tcp::acceptor m_acceptor;
--- a/src/Adapters/Async/HttpConnectionPool.cpp
+++ b/src/Adapters/Async/HttpConnectionPool.cpp
@@ -53,6 +53,10 @@
 
 std::shared_ptr<HttpClientConnection> HttpConnectionPool::connect(const std::string &address)
 {
+    // The caller's own request is counted already.
+    for (std::size_t idle = idleCount();
+         m_slots && idle > 0 && m_slots->amount + idle > m_slots->limit; --idle)
+        closeOldestIdleConnection();
     const auto connection
         = std::make_shared<HttpClientConnection>(m_loop, Address::parse(address), m_limits);
     const std::weak_ptr<Idle> pool = m_idle;
@@ -84,6 +88,19 @@
     std::erase_if(*m_idle, [](const auto &entry) { return entry.second.empty(); });
 }
 
+void HttpConnectionPool::closeOldestIdleConnection()
+{
+    IdleConnections *oldest = nullptr;
+    for (auto &[address, idle] : *m_idle) {
+        if (!idle.empty()
+            && (!oldest || idle.front()->idleExpiresAt() < oldest->front()->idleExpiresAt()))
+            oldest = &idle;
+    }
+    const auto connection = oldest->front();
+    oldest->pop_front();
+    connection->close();
+}
+
 void HttpConnectionPool::closeIdleConnections(const std::string &address)
 {
     const auto it = m_idle->find(address);
--- a/src/Adapters/Async/HttpConnectionPool.h
+++ b/src/Adapters/Async/HttpConnectionPool.h
@@ -2,6 +2,7 @@
 #define QUETZALYOKE_ADAPTERS_ASYNC_HTTPCONNECTIONPOOL_H
 
 #include "Adapters/Async/HttpClientConnection.h"
+#include "Adapters/Async/ResourceCharge.h"
 
 #include <deque>
 #include <map>
@@ -17,6 +18,13 @@
     HttpConnectionPool(asio::io_context &loop, const HttpClientConnection::Limits &limits,
                        std::size_t idleLimit = 0);
 
+    /// Closes idle connections so that these and the requests that are counted in \a slots, each of
+    /// which may use a connection, stay within its limit together.
+    void setRequestSlots(std::shared_ptr<const ResourceCharge::Total> slots)
+    {
+        m_slots = std::move(slots);
+    }
+
     using Connections = std::vector<std::weak_ptr<HttpClientConnection>>;
 
     /// Returns a connection that is idle or not yet connected, but none of \a avoided. It goes back
@@ -40,11 +48,13 @@
 
     static std::shared_ptr<HttpClientConnection> acquireIdle(IdleConnections &idle);
     std::shared_ptr<HttpClientConnection> connect(const std::string &address);
+    void closeOldestIdleConnection();
 
     asio::io_context &m_loop;
     const HttpClientConnection::Limits m_limits;
     const std::size_t m_idleLimit;
     std::shared_ptr<Idle> m_idle;
+    std::shared_ptr<const ResourceCharge::Total> m_slots;
 };
 
 } // namespace quetzalyoke
--- a/src/Adapters/Async/HttpServerConnection.cpp
+++ b/src/Adapters/Async/HttpServerConnection.cpp
@@ -12,8 +12,24 @@
 
 namespace {
 
-// Largest number of bytes that are read beyond the request being handled.
-constexpr std::size_t maxReadAheadBytes = 65'536;
+// Beyond the request being handled, no more is read once this many bytes have been.
+constexpr std::size_t maxReadAheadBytes = 16'384;
+
+// Memory that the parser takes for a header field beside its text.
+constexpr std::size_t fieldOverheadBytes = 128;
+
+// Bytes that are discarded after the last request. A caller that sends more has not read the
+// response; the rest is not read.
+constexpr std::size_t maxDiscardedBytes = 65'536;
+
+// The most that is written to a socket at once.
+constexpr std::size_t maxBytesPerWrite = 65'536;
+
+// Empty buffers of this size or more are released.
+constexpr std::size_t keptBufferBytes = 1024;
+
+// The time after which the caller of a request that was rejected for lack of memory should return.
+constexpr const char *retryFields = "Retry-After: 1\r\n";
 
 // A caller with more unsent bytes than this counts as slow; the send buffer hook is called once it
 // has caught up.
@@ -34,12 +50,30 @@
     out.append(buf, static_cast<std::size_t>(length));
 }
 
+// Returns the memory that \a text may occupy. Large blocks occupy only what has been written.
+std::size_t occupiedBytes(const std::string &text)
+{
+    return text.capacity() < ReceiveBudget::largeBlockBytes ? text.capacity() : text.size();
+}
+
+void releaseIfEmpty(std::string &buffer)
+{
+    if (buffer.empty() && buffer.capacity() >= keptBufferBytes)
+        std::string().swap(buffer);
+}
+
 } // namespace
 
 HttpServerConnection::HttpServerConnection(Tcp::socket socket, std::shared_ptr<const Hooks> hooks)
     : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_hooks(std::move(hooks))
 { }
 
+HttpServerConnection::~HttpServerConnection()
+{
+    if (m_hooks->budget)
+        m_hooks->budget->remove(this);
+}
+
 void HttpServerConnection::start()
 {
     setSocketOptions(m_socket, m_hooks->limits().tcpUserTimeout);
@@ -58,13 +92,16 @@
     m_headerChecked = false;
     m_requestBegun = false;
     m_chunked = false;
+    m_headerBytes = 0;
+    m_waitingSince = steadyNow();
     setTimer(limits.idleTimeout);
 }
 
 void HttpServerConnection::awaitBytes()
 {
     const bool mayRead = m_state != State::Closed
-        && (m_state != State::Handling || m_in.size() < maxReadAheadBytes);
+        && (m_state != State::Handling || m_in.size() < maxReadAheadBytes)
+        && m_discardedBytes < maxDiscardedBytes;
     if (!mayRead)
         return;
     m_readable.start(m_socket, shared_from_this(), [this] {
@@ -86,96 +123,187 @@
         return;
     }
     if (m_state == State::Finishing || m_state == State::Lingering) {
+        m_discardedBytes += data.size();
         awaitBytes();
         return;
     }
-    m_in.append(data);
-    if (m_state == State::Reading)
-        parse();
+    if (m_state == State::Reading) {
+        parse(data);
+    } else {
+        m_in.append(data);
+        recordHeldBytes(data.size());
+    }
     awaitBytes();
 }
 
-void HttpServerConnection::parse()
+// Parses what has arrived before and \a received. Only what the parser can't take yet is kept.
+void HttpServerConnection::parse(std::string_view received)
 {
-    if (!m_requestBegun && !m_in.empty()) {
+    const bool isCopied = !m_in.empty();
+    if (isCopied)
+        m_in.append(received);
+    std::string_view bytes = isCopied ? std::string_view(m_in) : received;
+    if (!m_requestBegun && !bytes.empty()) {
         m_requestBegun = true;
         setTimer(m_hooks->limits().headerTimeout);
     }
-    while (!m_in.empty() && m_state == State::Reading) {
+    Problem problem;
+    const Parsed parsed = parseBytes(bytes, problem);
+    if (isCopied)
+        m_in.erase(0, m_in.size() - bytes.size());
+    else
+        m_in.assign(bytes);
+    releaseIfEmpty(m_in);
+    switch (parsed) {
+    case Parsed::NeedsMore:
+        m_waitingSince = steadyNow();
+        recordHeldBytes(received.size());
+        return;
+    case Parsed::Complete:
+        dispatchRequest();
+        return;
+    case Parsed::Rejected:
+        reject(problem.status, problem.reason);
+        return;
+    }
+}
+
+// Removes what it has parsed from \a bytes.
+HttpServerConnection::Parsed HttpServerConnection::parseBytes(std::string_view &bytes,
+                                                              Problem &problem)
+{
+    while (!bytes.empty()) {
         SystemErrorCode ec;
-        const std::size_t n = m_parser->put(asio::buffer(m_in), ec);
-        m_in.erase(0, n);
+        const std::size_t n = m_parser->put(asio::buffer(bytes.data(), bytes.size()), ec);
+        bytes.remove_prefix(n);
         if (ec == http::error::need_more) {
             // The parser limits neither a chunk header nor a trailer.
-            const bool isTooLong = m_in.size() > m_hooks->limits().headerBytes;
+            const bool isTooLong = bytes.size() > m_hooks->limits().headerBytes;
             ec = isTooLong ? http::error::header_limit : SystemErrorCode();
         } else if (n == 0 && !ec)
             ec = http::error::bad_value;
-        if (ec == http::error::header_limit) {
-            reject(431, "the header is too large");
-            return;
-        }
-        if (ec == http::error::body_limit) {
-            reject(413, "the body is too large");
-            return;
-        }
         if (ec) {
-            reject(400, "the request is not valid HTTP");
-            return;
+            problem = ec == http::error::header_limit ? Problem{431, "the header is too large"}
+                : ec == http::error::body_limit       ? Problem{413, "the body is too large"}
+                                                : Problem{400, "the request is not valid HTTP"};
+            return Parsed::Rejected;
         }
-        if (m_parser->is_header_done() && !m_headerChecked && !validateHeader())
-            return;
-        if (m_parser->is_done()) {
-            dispatchRequest();
-            return;
+        if (m_parser->is_header_done() && !m_headerChecked) {
+            if (const auto found = checkHeader()) {
+                problem = *found;
+                return Parsed::Rejected;
+            }
         }
+        if (m_parser->is_done())
+            return Parsed::Complete;
         if (n == 0)
-            return;
+            break;
     }
+    return Parsed::NeedsMore;
 }
 
 // Rejects headers that the parser accepts but that another parser on the way may read differently.
-bool HttpServerConnection::validateHeader()
+std::optional<HttpServerConnection::Problem> HttpServerConnection::checkHeader()
 {
     m_headerChecked = true;
     const auto &message = m_parser->get();
-    if (message.version() != 11) {
-        reject(505, "only HTTP/1.1 is supported");
-        return false;
-    }
+    for (const auto &field : message)
+        m_headerBytes += field.name_string().size() + field.value().size() + fieldOverheadBytes;
+    if (message.version() != 11)
+        return Problem{505, "only HTTP/1.1 is supported"};
     const auto coding = message[http::field::transfer_encoding];
     if (message.count(http::field::transfer_encoding) > 1
-        || (!coding.empty() && !boost::beast::iequals(coding, "chunked"))) {
-        reject(400, "the transfer coding is not supported");
-        return false;
-    }
+        || (!coding.empty() && !boost::beast::iequals(coding, "chunked")))
+        return Problem{400, "the transfer coding is not supported"};
     const bool hasLength = message.count(http::field::content_length) > 0;
-    if (message.count(http::field::content_length) > 1 || (hasLength && !coding.empty())) {
-        reject(400, "the length is stated more than once");
-        return false;
-    }
-    if (message.count(http::field::host) != 1) {
-        reject(400, "there must be exactly one Host header");
-        return false;
-    }
-    if (!message.target().starts_with('/')) {
-        reject(400, "the target is not a path");
-        return false;
-    }
+    if (message.count(http::field::content_length) > 1 || (hasLength && !coding.empty()))
+        return Problem{400, "the length is stated more than once"};
+    if (message.count(http::field::host) != 1)
+        return Problem{400, "there must be exactly one Host header"};
+    if (!message.target().starts_with('/'))
+        return Problem{400, "the target is not a path"};
     if (boost::beast::iequals(message[http::field::expect], "100-continue")) {
         m_out += "HTTP/1.1 100 Continue\r\n\r\n";
         flush();
     }
-    return true;
+    return {};
+}
+
+// Returns the memory of the request that is being parsed.
+std::size_t HttpServerConnection::requestBytes() const
+{
+    return m_parser ? m_headerBytes + occupiedBytes(m_parser->get().body()) : 0;
+}
+
+void HttpServerConnection::recordHeldBytes(std::size_t movedBytes)
+{
+    ReceiveBudget *budget = m_hooks->budget.get();
+    if (!budget)
+        return;
+    // A string of a few bytes needs no memory of its own.
+    const std::size_t buffered = m_in.size() + m_out.size() + m_writing.size() == 0
+        ? 0
+        : occupiedBytes(m_in) + occupiedBytes(m_out) + occupiedBytes(m_writing);
+    budget->record(this, m_state == State::Closed ? 0 : requestBytes() + buffered, movedBytes,
+                   steadyNow());
+    // Posted, because closing a connection calls its owner, which may be writing to it just now.
+    if (budget->beginEviction()) {
+        asio::post(m_socket.get_executor(),
+                   [shared = m_hooks->budget] { shared->evictExcess(steadyNow()); });
+    }
+}
+
+void HttpServerConnection::evict()
+{
+    const auto self = shared_from_this();
+    reportEviction("memory");
+    if (m_state == State::Reading && m_requestBegun && unsentBytes() <= slowCallerBytes)
+        reject(503, "memory");
+    else
+        onCallerDisconnected();
+}
+
+void HttpServerConnection::reportEviction(const char *reason) const
+{
+    if (m_hooks->onEvicted)
+        m_hooks->onEvicted(reason,
+                           requestBytes() + occupiedBytes(m_in) + occupiedBytes(m_out)
+                               + occupiedBytes(m_writing));
+}
+
+bool HttpServerConnection::replace()
+{
+    if (m_state == State::Reading && !m_requestBegun)
+        closeIfIdle();
+    else if (isReplaceable())
+        close();
+    if (m_state == State::Closed)
+        reportEviction("connections");
+    return m_state == State::Closed;
 }
 
 void HttpServerConnection::dispatchRequest()
 {
+    HttpRequest request;
+    if (const auto &slots = m_hooks->requestSlots) {
+        if (slots->amount >= slots->limit) {
+            reject(503, "connections");
+            return;
+        }
+        request.slot = ResourceCharge(slots, 1);
+    }
+    if (m_hooks->budget) {
+        if (!m_hooks->budget->mayTakeOn(requestBytes())) {
+            reject(503, "memory");
+            return;
+        }
+        request.memory = m_hooks->budget->chargeRequest(requestBytes());
+    }
     m_state = State::Handling;
     m_timer.cancel();
     auto message = m_parser->release();
     m_parser.reset();
-    HttpRequest request;
+    recordHeldBytes(0);
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     m_keepAlive = message.keep_alive();
@@ -191,8 +319,11 @@
     m_state = State::Handling;
     m_keepAlive = false;
     m_isHeadRequest = false;
+    // The connection may stay open for some time until the caller has read the response.
+    m_parser.reset();
+    std::string().swap(m_in);
     m_hooks->onRejected(status, reason);
-    sendResponse(status, "", reason);
+    sendResponse(status, status == 503 ? retryFields : "", reason);
 }
 
 void HttpServerConnection::writeHeader(int status, std::string_view fields,
@@ -286,23 +417,36 @@
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (self->m_state != State::Reading)
             return;
-        self->parse();
+        self->parse({});
         self->awaitBytes();
     });
 }
 
 void HttpServerConnection::flush()
 {
-    if (!m_writing.empty() || m_state == State::Closed)
+    if (m_state == State::Closed)
+        return;
+    if (!m_writing.empty()) {
+        recordHeldBytes(0);
         return;
+    }
     if (m_out.empty()) {
         onFlushed({});
         return;
     }
     m_writing.swap(m_out);
-    asio::async_write(m_socket, asio::buffer(m_writing),
+    recordHeldBytes(0);
+    const auto onProgress = [self = shared_from_this(), last = std::size_t(0)](
+                                const SystemErrorCode &ec, std::size_t n) mutable {
+        if (n > last)
+            self->recordHeldBytes(n - std::exchange(last, n));
+        return ec ? std::size_t(0) : maxBytesPerWrite;
+    };
+    asio::async_write(m_socket, asio::buffer(m_writing), onProgress,
                       [self = shared_from_this()](const SystemErrorCode &ec, std::size_t) {
                           self->m_writing.clear();
+                          releaseIfEmpty(self->m_writing);
+                          self->recordHeldBytes(0);
                           self->onFlushed(ec);
                       });
 }
@@ -335,7 +479,13 @@
     m_state = State::Lingering;
     SystemErrorCode ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-    setTimer(lingerTime);
+    m_waitingSince = steadyNow();
+    // The timer keeps the connection alive, since it may not be reading any more.
+    m_timer.expires_after(lingerTime);
+    m_timer.async_wait([self = shared_from_this()](const SystemErrorCode &ec) {
+        if (!ec)
+            self->onTimer();
+    });
     awaitBytes();
 }
 
@@ -378,8 +528,7 @@
         close();
         return;
     }
-    m_in.append(data);
-    parse();
+    parse(data);
     awaitBytes();
 }
 
@@ -399,6 +548,10 @@
     m_onDisconnect = nullptr;
     m_onSendBufferEmpty = nullptr;
     m_timer.cancel();
+    m_parser.reset();
+    std::string().swap(m_in);
+    std::string().swap(m_out);
+    recordHeldBytes(0);
     SystemErrorCode ignored;
     m_socket.close(ignored);
     m_hooks->onClosed(this);
--- a/src/Adapters/Async/HttpServerConnection.h
+++ b/src/Adapters/Async/HttpServerConnection.h
@@ -3,6 +3,7 @@
 
 #include "Adapters/Async/EventLoop.h"
 #include "Adapters/Async/ReadableWait.h"
+#include "Adapters/Async/ReceiveBudget.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -23,6 +24,8 @@
     boost::beast::http::fields fields;
     std::string body;
     Instant arrivedAt; ///< When its last byte was read.
+    ResourceCharge memory; ///< For its bytes; empty without a budget.
+    ResourceCharge slot; ///< For the request itself; empty without a limit.
 };
 
 /// \brief Limits on what a connection accepts.
@@ -37,7 +40,8 @@
 };
 
 /// \brief A caller's HTTP/1.1 connection: strictly parsed, one request at a time.
-class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>,
+                             private ReceiveBudget::Holder
 {
 public:
     using Pointer = std::shared_ptr<HttpServerConnection>;
@@ -52,14 +56,33 @@
         std::function<void(HttpServerConnection *)> onClosed;
         /// Called for a request that is rejected before it can be passed to onRequest.
         std::function<void(int status, const char *reason)> onRejected;
+        /// Limits what all connections hold together; may be empty.
+        std::shared_ptr<ReceiveBudget> budget = {};
+        /// Called when a connection that held \a bytes is closed for lack of memory, or of
+        /// connections for new callers. May be empty.
+        std::function<void(const char *reason, std::size_t bytes)> onEvicted = {};
+        /// Limits the requests that the owner handles at the same time; may be empty.
+        std::shared_ptr<ResourceCharge::Total> requestSlots = {};
     };
 
     HttpServerConnection(Tcp::socket socket, std::shared_ptr<const Hooks> hooks);
 
+    ~HttpServerConnection();
+    HttpServerConnection(const HttpServerConnection &) = delete;
+    HttpServerConnection &operator=(const HttpServerConnection &) = delete;
+
     void start();
     /// Closes the connection unless a request is being handled or has begun to arrive.
     void closeIfIdle();
     bool isHandlingRequest() const { return m_state == State::Handling; }
+    /// Returns whether the connection may be closed in favour of a new one: it waits for a request,
+    /// for the rest of one or for the caller to close.
+    bool isReplaceable() const { return m_state == State::Reading || m_state == State::Lingering; }
+    /// Closes a replaceable connection, unless a request has just arrived on an idle one. Returns
+    /// whether it is closed.
+    bool replace();
+    /// Returns when the connection last began to wait for a request or for a part of it.
+    Instant waitingSince() const { return m_waitingSince; }
 
     /// Sets a hook that is called once if the caller disconnects before its response is complete.
     void setDisconnectHook(std::function<void()> onDisconnect)
@@ -93,11 +116,24 @@
         Closed,
     };
 
+    // Why a request is rejected before it is handed on.
+    struct Problem
+    {
+        int status = 0;
+        const char *reason = "";
+    };
+    enum class Parsed { NeedsMore, Complete, Rejected };
+
     void beginRequest();
     void awaitBytes();
     void onReadable();
-    void parse();
-    bool validateHeader();
+    void parse(std::string_view received);
+    Parsed parseBytes(std::string_view &bytes, Problem &problem);
+    std::optional<Problem> checkHeader();
+    std::size_t requestBytes() const;
+    void recordHeldBytes(std::size_t movedBytes);
+    void evict() override;
+    void reportEviction(const char *reason) const;
     void dispatchRequest();
     void reject(int status, const char *reason);
     void writeHeader(int status, std::string_view fields, std::string_view framing);
@@ -121,6 +157,9 @@
     std::string m_out;
     std::string m_writing;
     ReadableWait m_readable;
+    Instant m_waitingSince;
+    std::size_t m_headerBytes = 0; // memory of the parsed header
+    std::size_t m_discardedBytes = 0; // that arrived after the last request
     bool m_headerChecked = false;
     bool m_requestBegun = false;
     bool m_keepAlive = true;
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -35,11 +35,41 @@
 constexpr std::size_t maxReadinessConnections = 32;
 constexpr std::size_t maxPeerConnections = 64;
 
+// Share of the machine's memory that is counted for peers and readiness checks.
+constexpr double internalMemoryShare = 0.25;
+
+// Requests of peers have short bodies, if any; those of readiness checks have none.
+constexpr std::uint64_t maxPeerBodyBytes = 65'536;
+constexpr std::uint64_t maxReadinessBodyBytes = 1024;
+
+HttpServerConnectionLimits limitsWithBody(std::uint64_t bodyBytes)
+{
+    HttpServerConnectionLimits limits;
+    limits.bodyBytes = bodyBytes;
+    return limits;
+}
+
+std::shared_ptr<ReceiveBudget> budgetFor(double memoryMb)
+{
+    return std::make_shared<ReceiveBudget>(ReceiveBudget::limitsFor(memoryMb));
+}
+
+// Log lines of these are limited in rate by the log itself.
+void reportEviction(const char *reason, std::size_t bytes)
+{
+    logNotable("evicted", {{"reason", reason}, {"bytes", bytes}});
+    Metrics::incrementCounter("evicted", {{"reason", reason}});
+}
+
 } // namespace
 
 EntryGateway::EntryGateway(const EntrySettings &settings, asio::io_context &loop,
                            const ServingProtocol &protocol, EntryPlatform &platform)
-    : m_loop(loop), m_state(settings, loop, protocol, platform),
+    : m_loop(loop), m_callerBudget(budgetFor(settings.memoryMb)),
+      m_internalBudget(budgetFor(settings.memoryMb * internalMemoryShare)),
+      m_requestSlots(
+          std::make_shared<ResourceCharge::Total>(ResourceCharge::Total{0, settings.maxRequests})),
+      m_state(settings, loop, protocol, platform),
       m_orderSender(
           m_state,
           [this](const std::vector<LoadedModelChange> &notices) {
@@ -65,21 +95,24 @@
            [](int status, const char *reason) {
                logNotable("rejected", {{"status", status}, {"reason", reason}});
                Metrics::incrementCounter("rejected", {{"status", std::to_string(status)}});
-           }}),
+           },
+           m_callerBudget, reportEviction, m_requestSlots}),
       m_readiness(loop, maxReadinessConnections,
                   {[this](const HttpServerConnection::Pointer &connection, HttpRequest &&request) {
                        handleReadinessRequest(connection, request);
                    },
-                   [] { return HttpServerConnectionLimits(); }, [] { return false; },
-                   [](int, const char *) {}}),
+                   [] { return limitsWithBody(maxReadinessBodyBytes); }, [] { return false; },
+                   [](int, const char *) {}, m_internalBudget, reportEviction}),
       m_peerServer(loop, maxPeerConnections,
                    {[this](const HttpServerConnection::Pointer &connection, HttpRequest &&request) {
                         handlePeerRequest(connection, request);
                     },
-                    [] { return HttpServerConnectionLimits(); }, [] { return false; },
-                    [](int, const char *) {}}),
+                    [] { return limitsWithBody(maxPeerBodyBytes); }, [] { return false; },
+                    [](int, const char *) {}, m_internalBudget, reportEviction}),
       m_signals(loop, SIGTERM, SIGINT, SIGHUP), m_tickTimer(loop), m_stopTimer(loop)
-{ }
+{
+    m_state.pool.setRequestSlots(m_requestSlots);
+}
 
 void EntryGateway::run()
 {
@@ -262,6 +295,9 @@
         Metrics::setGauge("sessions", static_cast<double>(m_callers.connectionCount()));
         Metrics::setGauge("idle_connections", static_cast<double>(m_state.pool.idleCount()));
         Metrics::setGauge("lease_fencing", static_cast<double>(m_orderSender.fencingToken()));
+        Metrics::setGauge("connection_bytes",
+                          static_cast<double>(m_callerBudget->connectionBytes()));
+        Metrics::setGauge("request_bytes", static_cast<double>(m_callerBudget->requestBytes()));
         connection->sendResponse(200, "Content-Type: text/plain; version=0.0.4\r\n",
                                  Metrics::text());
         return;
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -43,6 +43,9 @@
     void checkStopped();
 
     asio::io_context &m_loop;
+    std::shared_ptr<ReceiveBudget> m_callerBudget;
+    std::shared_ptr<ReceiveBudget> m_internalBudget; // so that callers can't keep out peers
+    std::shared_ptr<ResourceCharge::Total> m_requestSlots;
     EntryState m_state;
     OrderSender m_orderSender;
     PeerNetwork m_peers;
--- a/src/Apps/Entry/EntrySettings.cpp
+++ b/src/Apps/Entry/EntrySettings.cpp
@@ -11,6 +11,13 @@
 // File descriptors kept for connections to the store, peers and servers, and for files.
 constexpr std::int64_t reservedDescriptors = 1400;
 
+// Without a stated memory, the limits derived from it are above what callers ordinarily need.
+constexpr double defaultMemoryMb = 1024;
+
+// Of these, the descriptors that are not for connections to servers.
+constexpr std::int64_t ownDescriptors = 160;
+constexpr std::int64_t ownDescriptorsInverseShare = 10;
+
 double readNumber(IniSectionReader &reader, const std::string &name, double least, double most,
                   const std::string &fallback)
 {
@@ -26,6 +33,16 @@
     return least;
 }
 
+// The platform may leave the value empty.
+double readMemory(IniSectionReader &reader)
+{
+    constexpr double leastMb = 16;
+    constexpr double mostMb = 16'777'216;
+    if (reader.text("memory_mb", "").empty())
+        return defaultMemoryMb;
+    return readNumber(reader, "memory_mb", leastMb, mostMb, "");
+}
+
 // Finds mistakes that only several settings together show.
 void checkAddresses(const EntrySettings &settings, IniSectionReader &reader)
 {
@@ -61,6 +78,10 @@
         const std::int64_t descriptors = reader.number("descriptors", 256, 1'048'576, 4096);
         settings.maxCallerConnections = static_cast<std::size_t>(
             std::max(descriptors - reservedDescriptors, descriptors / 2));
+        const auto others = descriptors - static_cast<std::int64_t>(settings.maxCallerConnections);
+        settings.maxRequests = static_cast<std::size_t>(
+            others - std::min(ownDescriptors, descriptors / ownDescriptorsInverseShare));
+        settings.memoryMb = readMemory(reader);
         settings.entryExpiryGrace = reader.milliseconds("lapse_grace_ms", 0, 60'000, 2000);
         settings.holderChangeInterval = reader.milliseconds("holder_pause_ms", 0, 60'000, 3000);
         settings.shutdownTimeout = seconds(readNumber(reader, "stop_grace_s", 1, 600, "8"));
--- a/src/Apps/Entry/EntrySettings.h
+++ b/src/Apps/Entry/EntrySettings.h
@@ -19,6 +19,8 @@
     Address peerListen; ///< TCP: state and metrics; UDP: peer messages.
     Address storeAddress;
     std::size_t maxCallerConnections = 1;
+    std::size_t maxRequests = 1; ///< Handled at the same time; each may need a connection.
+    double memoryMb = 0; ///< Memory of the machine that the process may use.
     std::chrono::milliseconds
         entryExpiryGrace{}; ///< For entries that expired while the store was unreachable.
     std::chrono::milliseconds
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -11,6 +11,9 @@
 // Largest response that is not a stream; the caller gets it only when it is complete.
 constexpr std::size_t maxResponseBytes = 8'388'608;
 
+// When the memory for requests is used up, only responses up to this size are still completed.
+constexpr std::size_t maxSmallResponseBytes = 65'536;
+
 // With more unsent bytes for a slow caller than this, the server's response is no longer read.
 constexpr std::size_t maxUnsentBytes = 262'144;
 
@@ -482,8 +485,9 @@
     setTimer();
     if (m_attempt->isConnectionUsed)
         beginRun();
-    m_attempt->connection->send(buildBackendRequest(remainingTime(now)), m_request.method == "HEAD",
-                                std::move(hooks));
+    std::string text = buildBackendRequest(remainingTime(now));
+    m_attempt->memory = m_request.memory.another(text.size());
+    m_attempt->connection->send(std::move(text), m_request.method == "HEAD", std::move(hooks));
 }
 
 // The server may have left, asked for a pause or stated a limit while the connection was being
@@ -583,6 +587,14 @@
         onAttemptFailed(ExchangeOutcome::Malformed);
         return;
     }
+    m_attempt->memory.add(data.size());
+    if (m_attempt->memory.isTotalOverLimit() && m_attempt->body.size() > maxSmallResponseBytes) {
+        ++m_possibleRuns;
+        m_attempt->connection->close();
+        releaseAttempt();
+        fail(502, "memory");
+        return;
+    }
     m_attempt->body.append(data);
 }
 
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -190,3 +190,145 @@
     ASSERT_TRUE(awaitRequests(1));
     EXPECT_EQ(requests[0].body, "ab");
 }
+
+namespace {
+
+// As above, with room for 10,000 bytes of all connections and two connections.
+class HttpServerConnectionBudgetTest : public ::testing::Test
+{
+protected:
+    HttpServerConnectionBudgetTest()
+        : server(loop, 2,
+                 {[this](const HttpServerConnection::Pointer &connection, HttpRequest &&request) {
+                      requests.push_back(std::move(request));
+                      connections.push_back(connection);
+                  },
+                  [this] { return limits; }, [] { return false; }, [](int, const char *) {}, budget,
+                  [this](const char *reason, std::size_t) { evictions.push_back(reason); }, slots})
+    {
+        server.listen({"127.0.0.1", 0});
+    }
+
+    asio::io_context loop;
+    HttpServerConnectionLimits limits;
+    std::shared_ptr<ReceiveBudget> budget
+        = std::make_shared<ReceiveBudget>(ReceiveBudget::Limits{100'000, 10'000});
+    std::shared_ptr<ResourceCharge::Total> slots
+        = std::make_shared<ResourceCharge::Total>(ResourceCharge::Total{0, 2});
+    std::vector<HttpRequest> requests;
+    std::vector<HttpServerConnection::Pointer> connections;
+    std::vector<std::string> evictions;
+    AsyncHttpServer server;
+};
+
+const std::string chunkedHeader
+    = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+// The caller learns that its request has not run, and what it held is released.
+TEST_F(HttpServerConnectionBudgetTest, rejectsTheStalledRequestWhenMemoryRunsOut)
+{
+    RawClient stalled(loop, server.port());
+    stalled.send(chunkedHeader + "f000\r\n" + std::string(0xe000, 'x'));
+    runUntil(
+        loop, [] { return false; }, 50ms);
+    RawClient newest(loop, server.port());
+    newest.send(chunkedHeader + "f000\r\n" + std::string(0xf000, 'x') + "\r\n");
+    EXPECT_TRUE(stalled.waitForText("HTTP/1.1 503"));
+    EXPECT_TRUE(stalled.waitForText("Connection: close"));
+    EXPECT_TRUE(stalled.waitForText("Retry-After: "));
+    newest.send("0\r\n\r\n");
+    EXPECT_TRUE(runUntil(loop, [this] { return requests.size() == 1; }));
+    EXPECT_EQ(evictions, std::vector<std::string>{"memory"});
+    EXPECT_EQ(requests[0].body.size(), 0xf000U);
+}
+
+// What a response leaves unread counts, and its reader is told by the end of the connection.
+TEST_F(HttpServerConnectionBudgetTest, closesTheConnectionOfACallerThatDoesNotRead)
+{
+    RawClient caller(loop, server.port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil(loop, [this] { return requests.size() == 1; }));
+    int disconnects = 0;
+    connections[0]->setDisconnectHook([&disconnects] { ++disconnects; });
+    connections[0]->beginChunkedResponse(200, "");
+    connections[0]->writeChunk(std::string(8'000'000, 'x'));
+    EXPECT_TRUE(runUntil(loop, [&disconnects] { return disconnects == 1; }));
+    connections[0]->writeChunk("late");
+    connections[0]->endChunkedResponse();
+    EXPECT_EQ(budget->connectionBytes(), 0U);
+}
+
+TEST_F(HttpServerConnectionBudgetTest, rejectsRequestsBeyondTheirMemory)
+{
+    RawClient first(loop, server.port());
+    first.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n"
+               + std::string(9000, 'x'));
+    ASSERT_TRUE(runUntil(loop, [this] { return requests.size() == 1; }));
+    RawClient second(loop, server.port());
+    second.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+                + std::string(2000, 'x'));
+    EXPECT_TRUE(second.waitForText("HTTP/1.1 503"));
+    requests.clear();
+    RawClient third(loop, server.port());
+    third.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+               + std::string(2000, 'x'));
+    EXPECT_TRUE(runUntil(loop, [this] { return requests.size() == 1; }));
+}
+
+// Each request being handled may need a connection to a server; descriptors are limited.
+TEST_F(HttpServerConnectionBudgetTest, rejectsRequestsBeyondTheirNumber)
+{
+    slots->limit = 1;
+    RawClient first(loop, server.port());
+    first.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil(loop, [this] { return requests.size() == 1; }));
+    RawClient second(loop, server.port());
+    second.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(second.waitForText("HTTP/1.1 503"));
+    requests.clear();
+    EXPECT_EQ(slots->amount, 0U);
+}
+
+// Callers that send nothing must not keep out others until they time out.
+TEST_F(HttpServerConnectionBudgetTest, replacesTheConnectionThatHasWaitedLongest)
+{
+    RawClient first(loop, server.port());
+    runUntil(
+        loop, [] { return false; }, 20ms);
+    RawClient second(loop, server.port());
+    runUntil(
+        loop, [] { return false; }, 20ms);
+    RawClient third(loop, server.port());
+    EXPECT_TRUE(first.waitForClose());
+    third.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(runUntil(loop, [this] { return requests.size() == 1; }));
+    EXPECT_FALSE(second.isClosed());
+    EXPECT_EQ(evictions, std::vector<std::string>{"connections"});
+}
+
+// A connection with a request in progress must not make way for a new one.
+TEST_F(HttpServerConnectionBudgetTest, keepsConnectionsWhoseRequestsAreHandled)
+{
+    RawClient first(loop, server.port());
+    RawClient second(loop, server.port());
+    first.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    second.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil(loop, [this] { return requests.size() == 2; }));
+    RawClient third(loop, server.port());
+    EXPECT_TRUE(third.waitForClose());
+    EXPECT_FALSE(first.isClosed());
+    EXPECT_FALSE(second.isClosed());
+}
+
+// An endless sender is not read to its end after its request was rejected.
+TEST_F(HttpServerConnectionBudgetTest, closesSoonAfterARejectionWithoutReadingTheRest)
+{
+    RawClient caller(loop, server.port());
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n");
+    EXPECT_TRUE(caller.waitForText("HTTP/1.1 413"));
+    caller.send(std::string(200'000, 'x'));
+    EXPECT_TRUE(caller.waitForClose());
+    EXPECT_TRUE(runUntil(loop, [this] { return server.connectionCount() == 0; }));
+}
