Waits for a load only where it ends in time; refuses at once otherwise

Cause: a request for a model that no engine has waited for a quarter of its objective, although a load takes 1.2 to 8.6 s, and was refused even if its limit let it wait. Requests waited up to 1.2 s for adapters that load within milliseconds, and for slots behind more requests than slots become free for.

Change: RetryAfterEstimator estimates when there is room: the rest of a model's load with the loads before it, the mean load time of adapters, and the time until a slot from the pace at which requests end. AdmissionPolicy waits if the response can still be in time or the caller can't return as late as the load ends, and refuses otherwise, stating that time. Without an estimate the decisions on adapters and slots stay as they were.

--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -14,6 +14,7 @@
 #include "Serving/Placement/PlacementLease.h"
 #include "Serving/Placement/ReplicaController.h"
 #include "Serving/Requests/AdmissionPolicy.h"
+#include "Serving/Requests/RetryAfterEstimator.h"
 #include "Serving/Servers/RequestPermitIssuer.h"
 
 #include <random>
@@ -37,6 +38,7 @@
     ServerChooser chooser;
     ReplicaController replicaController;
     AdmissionPolicy admissionPolicy;
+    RetryAfterEstimator retryAfterEstimator;
     HttpConnectionPool pool;
     AccountQuotas quotas;
     CrashingRequestDetector crashDetector;
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -256,6 +256,7 @@
     input.serverChoice = chooseServer(now);
     input.waited = age();
     input.timeLeft = remainingTime(now);
+    input.timeUntilRoom = estimateTimeUntilRoom(input.serverChoice, now);
     const ServerChoice::Outcome outcome = input.serverChoice.outcome;
     const bool lacksReplica = outcome == ServerChoice::Outcome::NoModel
         || outcome == ServerChoice::Outcome::NoAdapter
@@ -278,12 +279,25 @@
         enqueue();
         return false;
     case AdmissionDecision::Action::Refuse:
+        if (outcome == ServerChoice::Outcome::NoAdapter && m_isWaiting)
+            m_state.retryAfterEstimator.recordAdapterRefusal(m_context.metadata, now);
         refuse(503, decision.reason, decision.retryAfter);
         return true;
     }
     return true;
 }
 
+std::optional<Duration> RequestHandler::estimateTimeUntilRoom(const ServerChoice &choice,
+                                                              Instant now)
+{
+    RetryAfterEstimator &estimator = m_state.retryAfterEstimator;
+    estimator.recordChoice(choiceInput({}), choice, m_isWaiting ? age() : Duration::zero(), now);
+    const std::size_t ahead
+        = m_state.waitQueue.countBefore(m_context.priority, m_request.arrivedAt);
+    return estimator.timeUntilRoom(choiceInput({}), choice, m_state.servers, ahead,
+                                   m_state.gatewayCount(), now);
+}
+
 void RequestHandler::enqueue()
 {
     if (m_isWaiting)
@@ -765,6 +779,7 @@
     const std::unique_ptr<BackendAttempt> attempt = std::move(m_attempt);
     m_attempt = nullptr;
     releaseWork(*attempt);
+    m_state.retryAfterEstimator.recordEnd(m_context.service->name, steadyNow() - attempt->sentAt);
     if (attempt->isForwarding) {
         if (!m_isStreaming)
             m_callerConnection->beginChunkedResponse(attempt->status, attempt->fields);
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -34,6 +34,7 @@
     ServerChoice chooseServer(Instant now);
     ServerChoiceInput choiceInput(std::set<ServerName> excluded) const;
     bool lacksServerOfVersion() const;
+    std::optional<Duration> estimateTimeUntilRoom(const ServerChoice &choice, Instant now);
     void enqueue();
     void send(const ServerChoice &choice);
     bool goesOnWithStream() const;
--- a/src/Apps/Entry/WaitQueue.cpp
+++ b/src/Apps/Entry/WaitQueue.cpp
@@ -14,6 +14,12 @@
     std::erase_if(m_waiters, [waiter](const auto &entry) { return entry.second.get() == waiter; });
 }
 
+std::size_t WaitQueue::countBefore(int priority, Instant arrivedAt) const
+{
+    const auto end = m_waiters.lower_bound(std::pair(priority, arrivedAt));
+    return static_cast<std::size_t>(std::distance(m_waiters.begin(), end));
+}
+
 void WaitQueue::retryDispatches()
 {
     // A retry may add or remove waiters.
--- a/src/Apps/Entry/WaitQueue.h
+++ b/src/Apps/Entry/WaitQueue.h
@@ -25,6 +25,8 @@
     void remove(const Waiter *waiter);
     /// Lets each waiting request try to dispatch again, in order.
     void retryDispatches();
+    /// Returns the number of requests that come before one with this priority and arrival.
+    std::size_t countBefore(int priority, Instant arrivedAt) const;
     bool isEmpty() const { return m_waiters.empty(); }
     std::size_t size() const { return m_waiters.size(); }
 
--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -14,6 +14,12 @@
 // unload.
 constexpr Duration localLoadPreparation = std::chrono::milliseconds(400);
 
+// A caller abandons a stream that brings no event for the longest of these times: a fixed one, a
+// multiple of the latency objective and a multiple of the longest pause that the route states.
+constexpr Duration minPatience = std::chrono::seconds(2);
+constexpr int patiencePerObjective = 4;
+constexpr int patiencePerEventGap = 8;
+
 } // namespace
 
 Duration AdmissionPolicy::boundedRetryAfter(Duration delay, const AdmissionInput &input,
@@ -24,6 +30,69 @@
     return std::max(m_settings.minRetryAfter, std::min(spreadDelay, maxDelay));
 }
 
+// Returns how long from now on the caller waits for the first byte.
+Duration AdmissionPolicy::timeForFirstByte(const AdmissionInput &input) const
+{
+    const Route &route = *input.route;
+    if (route.kind != RouteKind::Stream)
+        return input.timeLeft;
+    const Duration patience
+        = std::max({minPatience, Duration(route.latencyObjective) * patiencePerObjective,
+                    Duration(route.eventGapObjective) * patiencePerEventGap});
+    return std::min(input.timeLeft, patience - input.waited);
+}
+
+// Returns the delay after which the caller is to return for capacity that comes after \a delay. It
+// may come earlier than that and wait for the rest. If that is in vain, too, the delay states the
+// truth even if no caller waits that long.
+Duration AdmissionPolicy::returnDelay(Duration delay, const AdmissionInput &input,
+                                      double spread) const
+{
+    AdmissionInput later = input;
+    const Duration maxDelay = scaled(input.timeLeft, m_settings.maxRetryAfterShare);
+    later.waited = Duration::zero();
+    later.timeLeft = input.timeLeft - maxDelay;
+    if (delay < maxDelay + timeForFirstByte(later))
+        return boundedRetryAfter(delay, input, spread);
+    return std::max(m_settings.minRetryAfter, scaled(delay, 1 + spread / 2));
+}
+
+// Decides by an estimate that is likely to hold. A request waits if it can still be in time, or if
+// the capacity comes later than the caller could return. Otherwise the caller is to return.
+AdmissionDecision AdmissionPolicy::waitOrReturn(const AdmissionInput &input, Duration timeUntilRoom,
+                                                double spread) const
+{
+    AdmissionDecision decision;
+    decision.reason = serverChoiceOutcomeText(input.serverChoice.outcome);
+    // Both are those of the arrival, so that a request which waits isn't refused later on although
+    // the estimate holds.
+    const Duration roomAfterArrival = input.waited + timeUntilRoom;
+    const bool canBeInTime = roomAfterArrival < input.route->latencyObjective;
+    const bool canReturn
+        = roomAfterArrival <= scaled(input.waited + input.timeLeft, m_settings.maxRetryAfterShare);
+    if (timeUntilRoom < timeForFirstByte(input) && (canBeInTime || !canReturn)) {
+        decision.action = AdmissionDecision::Action::Wait;
+        return decision;
+    }
+    decision.action = AdmissionDecision::Action::Refuse;
+    decision.retryAfter = returnDelay(timeUntilRoom, input, spread);
+    return decision;
+}
+
+Duration AdmissionPolicy::maxAdapterWaitTime(const AdmissionInput &input) const
+{
+    const Duration objective = input.route->latencyObjective;
+    const Duration maxWait
+        = maxWaitTime(input, scaled(objective, m_settings.adapterWaitShareOfObjective));
+    if (!input.timeUntilRoom)
+        return maxWait;
+    if (*input.timeUntilRoom > maxWait)
+        return Duration::zero();
+    return std::min(maxWait,
+                    scaled(objective, m_settings.cheapWaitShareOfObjective)
+                        + scaled(*input.timeUntilRoom, m_settings.adapterWaitPerLoadTime));
+}
+
 Duration AdmissionPolicy::maxWaitTime(const AdmissionInput &input, Duration minWait) const
 {
     const Duration share = scaled(input.waited + input.timeLeft, m_settings.waitShareOfTimeout);
@@ -35,7 +104,8 @@
 {
     AdmissionDecision decision;
     decision.reason = serverChoiceOutcomeText(input.serverChoice.outcome);
-    if (input.waited < std::min(maxWait, input.timeLeft)) {
+    if (input.waited < std::min(maxWait, input.timeLeft)
+        && timeForFirstByte(input) > Duration::zero()) {
         decision.action = AdmissionDecision::Action::Wait;
         return decision;
     }
@@ -64,13 +134,11 @@
         const Duration loadTime = input.serverChoice.isModelStoredLocally
             ? model->second.localLoadTime + localLoadPreparation
             : Duration(model->second.weightStoreLoadTime);
-        return waitOrRefuse(input, scaled(objective, m_settings.serverWaitShareOfObjective),
-                            loadTime, spread);
+        return waitOrReturn(input, input.timeUntilRoom.value_or(loadTime), spread);
     }
     case ServerChoice::Outcome::NoAdapter:
-        return waitOrRefuse(
-            input, maxWaitTime(input, scaled(objective, m_settings.adapterWaitShareOfObjective)),
-            objective, spread);
+        return waitOrRefuse(input, maxAdapterWaitTime(input),
+                            input.timeUntilRoom.value_or(objective), spread);
     case ServerChoice::Outcome::AllPaused:
     case ServerChoice::Outcome::AllLimited: {
         // An adapter is loaded on another server within milliseconds.
@@ -90,10 +158,13 @@
                            scaled(input.serverChoice.timeUntilResume, 1 + spread / 2));
         return decision;
     }
-    case ServerChoice::Outcome::AllFull:
-        return waitOrRefuse(
-            input, maxWaitTime(input, scaled(objective, m_settings.serverWaitShareOfObjective)),
-            objective, spread);
+    case ServerChoice::Outcome::AllFull: {
+        const Duration maxWait
+            = maxWaitTime(input, scaled(objective, m_settings.serverWaitShareOfObjective));
+        const bool isLikely = !input.timeUntilRoom || input.waited + *input.timeUntilRoom < maxWait;
+        return waitOrRefuse(input, isLikely ? maxWait : Duration::zero(),
+                            input.timeUntilRoom.value_or(objective), spread);
+    }
     }
     AdmissionDecision decision;
     const Duration firstByteAt = input.waited + input.serverChoice.expectedTimeToFirstByte;
--- a/src/Serving/Requests/AdmissionPolicy.h
+++ b/src/Serving/Requests/AdmissionPolicy.h
@@ -14,6 +14,8 @@
     ServerChoice serverChoice;
     Duration waited{0}; ///< Since the request arrived.
     Duration timeLeft{0}; ///< Until the timeout of the caller or of the route.
+    /// Until a server is expected to take the request, if it is known. \sa RetryAfterEstimator
+    std::optional<Duration> timeUntilRoom = {};
 };
 
 struct AdmissionDecision
@@ -30,7 +32,8 @@
 /// In a burst that exceeds the servers' capacity, a request whose first byte would come too long
 /// after its objective would only delay those behind it. It is refused at once, with the time after
 /// which to retry. Requests wait only for capacity that is likely to become free within a fraction
-/// of the objective or of their timeout.
+/// of the objective or of their timeout, or for the load of a model that ends while the response
+/// still has value and that the caller can't await elsewhere.
 class AdmissionPolicy
 {
 public:
@@ -47,6 +50,10 @@
         /// Wait for an adapter that is always allowed, as a share of the latency objective;
         /// adapters load within milliseconds.
         double adapterWaitShareOfObjective = 0.5;
+        /// With a known mean load time, a request waits for an adapter for this multiple of it and
+        /// this share of the latency objective. A longer wait that ends in a refusal costs callers.
+        double adapterWaitPerLoadTime = 3;
+        double cheapWaitShareOfObjective = 0.125;
         /// A request is sent only if its first byte is expected within this multiple of the latency
         /// objective.
         double maxFirstByteToObjective = 2.0;
@@ -63,7 +70,12 @@
     AdmissionDecision decide(const AdmissionInput &input, double spread) const;
 
 private:
+    Duration timeForFirstByte(const AdmissionInput &input) const;
     Duration maxWaitTime(const AdmissionInput &input, Duration minWait) const;
+    Duration maxAdapterWaitTime(const AdmissionInput &input) const;
+    Duration returnDelay(Duration delay, const AdmissionInput &input, double spread) const;
+    AdmissionDecision waitOrReturn(const AdmissionInput &input, Duration timeUntilRoom,
+                                   double spread) const;
     Duration boundedRetryAfter(Duration delay, const AdmissionInput &input, double spread) const;
     AdmissionDecision waitOrRefuse(const AdmissionInput &input, Duration maxWait,
                                    Duration retryAfter, double spread) const;
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -383,3 +383,99 @@
     EXPECT_GE(refusal.retryAfter, Duration(4s));
     EXPECT_EQ(decide(50ms).action, AdmissionDecision::Action::Wait);
 }
+
+namespace {
+
+// The decision on a request for a model that no engine has and that comes after \a timeUntilRoom.
+AdmissionDecision decideWithoutModel(Milliseconds objective, Milliseconds timeout,
+                                     Duration timeUntilRoom, Duration waited = Duration(0))
+{
+    Site site;
+    ListedServer server;
+    server.id = ServerName("engine-1");
+    server.service = site.service.name;
+    server.address = "10.0.0.1:80";
+    site.directory.put(server, start);
+    site.route.latencyObjective = objective;
+    site.route.timeout = timeout;
+    site.route.eventGapObjective = Milliseconds(400);
+    const RequestMetadata metadata = site.makeRequest(100);
+    AdmissionInput input{&site.route,           &site.service, &metadata,
+                         site.choose(metadata), waited,        timeout - waited};
+    input.timeUntilRoom = timeUntilRoom;
+    return site.policy.decide(input, 0);
+}
+
+} // namespace
+
+// Load pattern: requests for a model whose load takes 8.6 s. In the baseline they wait for a
+// quarter of their objective, which can't help, and those whose limit of 20 s lets them wait are
+// refused.
+TEST(AdmissionPolicyTest, waitsForALoadThatEndsWithinTheTimeLeft)
+{
+    // The load ends after the time limit.
+    EXPECT_EQ(decideWithoutModel(600ms, 5s, 8600ms).action, AdmissionDecision::Action::Refuse);
+    EXPECT_GE(decideWithoutModel(600ms, 5s, 8600ms).retryAfter, 8600ms);
+    // The caller can't return that late but may wait.
+    EXPECT_EQ(decideWithoutModel(6s, 20s, 8600ms).action, AdmissionDecision::Action::Wait);
+    EXPECT_EQ(decideWithoutModel(6s, 20s, 2s, 6600ms).action, AdmissionDecision::Action::Wait);
+    // Overdue, so that it is expected to end after the time limit.
+    EXPECT_EQ(decideWithoutModel(6s, 20s, 8600ms, 12s).action, AdmissionDecision::Action::Refuse);
+}
+
+// A caller that abandons a stream after 3.2 s must not be kept waiting for longer, but may return.
+TEST(AdmissionPolicyTest, letsACallerReturnWhenItsModelIsLoaded)
+{
+    const AdmissionDecision decision = decideWithoutModel(500ms, 15s, 4s);
+    EXPECT_EQ(decision.action, AdmissionDecision::Action::Refuse);
+    EXPECT_EQ(decision.retryAfter, 4s);
+    // Returning as late as it can, the caller waits for the rest.
+    const AdmissionDecision earlier = decideWithoutModel(500ms, 15s, 7s);
+    EXPECT_EQ(earlier.action, AdmissionDecision::Action::Refuse);
+    EXPECT_LE(earlier.retryAfter, 5s);
+    EXPECT_GE(earlier.retryAfter, 4s);
+}
+
+TEST(AdmissionPolicyTest, waitsForALoadThatEndsWithinTheObjective)
+{
+    EXPECT_EQ(decideWithoutModel(1500ms, 15s, 1200ms).action, AdmissionDecision::Action::Wait);
+    EXPECT_EQ(decideWithoutModel(600ms, 5s, 300ms).action, AdmissionDecision::Action::Wait);
+}
+
+// Load pattern: an adapter whose engines are busy with the load of a model. Other adapters are
+// known to be loaded within milliseconds.
+TEST(AdmissionPolicyTest, waitsForAnAdapterNoLongerThanLoadsUsuallyTake)
+{
+    Site site;
+    site.addServer("engine-1");
+    RequestMetadata metadata = site.makeRequest(600);
+    metadata.adapter = AdapterName("a1");
+    const auto actionAfter = [&](Duration waited, Duration timeUntilRoom) {
+        AdmissionInput input{&site.route,           &site.service, &metadata,
+                             site.choose(metadata), waited,        5s - waited};
+        input.timeUntilRoom = timeUntilRoom;
+        return site.policy.decide(input, 0.5).action;
+    };
+    EXPECT_EQ(actionAfter(0ms, 40ms), AdmissionDecision::Action::Wait);
+    EXPECT_EQ(actionAfter(200ms, 40ms), AdmissionDecision::Action::Wait);
+    EXPECT_EQ(actionAfter(230ms, 40ms), AdmissionDecision::Action::Refuse);
+    EXPECT_EQ(actionAfter(0ms, 2s), AdmissionDecision::Action::Refuse);
+}
+
+// Load pattern: more requests wait for slots than become free within the longest wait.
+TEST(AdmissionPolicyTest, refusesAtOnceIfNoSlotBecomesFreeInTime)
+{
+    Site site;
+    site.addServer("engine-1");
+    const RequestMetadata metadata = site.makeRequest(600);
+    site.directory.find(ServerName("engine-1"))->ownWork.requestsInFlight = 64;
+    const auto decide = [&](Duration timeUntilRoom) {
+        AdmissionInput input{&site.route,           &site.service, &metadata,
+                             site.choose(metadata), Duration(0),   5s};
+        input.timeUntilRoom = timeUntilRoom;
+        return site.policy.decide(input, 0);
+    };
+    EXPECT_EQ(decide(300ms).action, AdmissionDecision::Action::Wait);
+    EXPECT_EQ(decide(900ms).action, AdmissionDecision::Action::Refuse);
+    EXPECT_EQ(decide(900ms).retryAfter, 900ms);
+}
