Retry-After: callers refused together return at the pace of free capacity

Cause: refusals over an account's quota stated the time until there is any credit, so that all callers refused at one moment returned for the credit of one request. The same held for slots, and delays at their bound had no jitter. Delays under a millisecond were stated as 0.000.

Change: RetryAfterEstimator plans returns one after the other: per account at the interval in which this gateway's share of the rate covers the request's cost, per pool of servers at the interval of free slots. Callers that can't return late enough are spread over the time that they honour. Delays are at least 100 ms, have jitter also at their bound and are rounded up.

--- a/src/Apps/Entry/RequestAdmission.cpp
+++ b/src/Apps/Entry/RequestAdmission.cpp
@@ -156,7 +156,10 @@
                 {"burst", static_cast<std::int64_t>(account->burst)},
                 {"gateways", m_state.gatewayCount()},
                 {"config", context.config->version}});
-    return Rejection{429, "over_quota", scaled(quota->timeUntilCredit(now), 1 + m_state.random())};
+    return Rejection{429, "over_quota",
+                     m_state.retryAfterEstimator.planQuotaReturn(
+                         account->name, quota->timeUntilCredit(now), cost,
+                         quota->ownRatePerSecond(), context.deadline - now, m_state.random(), now)};
 }
 
 const ServiceSpec *RequestAdmission::chooseService(const RequestContext &context) const
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -281,7 +281,10 @@
     case AdmissionDecision::Action::Refuse:
         if (outcome == ServerChoice::Outcome::NoAdapter && m_isWaiting)
             m_state.retryAfterEstimator.recordAdapterRefusal(m_context.metadata, now);
-        refuse(503, decision.reason, decision.retryAfter);
+        refuse(503, decision.reason,
+               m_state.retryAfterEstimator.planReturn(choiceInput({}), input.serverChoice,
+                                                      decision.retryAfter, input.timeLeft,
+                                                      m_state.random(), now));
         return true;
     }
     return true;
@@ -291,11 +294,12 @@
                                                               Instant now)
 {
     RetryAfterEstimator &estimator = m_state.retryAfterEstimator;
-    estimator.recordChoice(choiceInput({}), choice, m_isWaiting ? age() : Duration::zero(), now);
+    const ServerChoiceInput request = choiceInput({});
+    estimator.recordChoice(request, choice, m_isWaiting ? age() : Duration::zero(), m_state.servers,
+                           m_state.gatewayCount(), now);
     const std::size_t ahead
         = m_state.waitQueue.countBefore(m_context.priority, m_request.arrivedAt);
-    return estimator.timeUntilRoom(choiceInput({}), choice, m_state.servers, ahead,
-                                   m_state.gatewayCount(), now);
+    return estimator.timeUntilRoom(request, choice, ahead, now);
 }
 
 void RequestHandler::enqueue()
@@ -1074,7 +1078,7 @@
     }
     std::optional<Milliseconds> retryAfterMs;
     if (retryAfter)
-        retryAfterMs = std::chrono::duration_cast<Milliseconds>(*retryAfter);
+        retryAfterMs = std::chrono::ceil<Milliseconds>(*retryAfter);
     logNotable("refused",
                {{"id", m_context.metadata.id},
                 {"status", status},
--- a/src/Serving/Accounts/SharedQuota.h
+++ b/src/Serving/Accounts/SharedQuota.h
@@ -34,6 +34,9 @@
     /// Returns how long it takes until there is credit again.
     Duration timeUntilCredit(Instant now);
 
+    /// Returns the rate that this gateway may spend while all gateways use up the quota.
+    double ownRatePerSecond() const { return m_rate * ownShare(); }
+
     /// Returns the sum of this gateway's charges since its start, less refunds.
     double spent() const { return m_spent; }
     /// Returns the sum of all costs requested from this gateway, refused ones included.
--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -22,14 +22,6 @@
 
 } // namespace
 
-Duration AdmissionPolicy::boundedRetryAfter(Duration delay, const AdmissionInput &input,
-                                            double spread) const
-{
-    const Duration spreadDelay = scaled(delay, 1 + spread / 2);
-    const Duration maxDelay = scaled(input.timeLeft, m_settings.maxRetryAfterShare);
-    return std::max(m_settings.minRetryAfter, std::min(spreadDelay, maxDelay));
-}
-
 // Returns how long from now on the caller waits for the first byte.
 Duration AdmissionPolicy::timeForFirstByte(const AdmissionInput &input) const
 {
@@ -49,12 +41,12 @@
                                       double spread) const
 {
     AdmissionInput later = input;
-    const Duration maxDelay = scaled(input.timeLeft, m_settings.maxRetryAfterShare);
+    const Duration maxDelay = scaled(input.timeLeft, maxRetryAfterShare);
     later.waited = Duration::zero();
     later.timeLeft = input.timeLeft - maxDelay;
     if (delay < maxDelay + timeForFirstByte(later))
-        return boundedRetryAfter(delay, input, spread);
-    return std::max(m_settings.minRetryAfter, scaled(delay, 1 + spread / 2));
+        return boundedRetryAfter(delay, input.timeLeft, spread);
+    return std::max(minRetryAfter, scaled(delay, 1 + spread / 2));
 }
 
 // Decides by an estimate that is likely to hold. A request waits if it can still be in time, or if
@@ -69,7 +61,7 @@
     const Duration roomAfterArrival = input.waited + timeUntilRoom;
     const bool canBeInTime = roomAfterArrival < input.route->latencyObjective;
     const bool canReturn
-        = roomAfterArrival <= scaled(input.waited + input.timeLeft, m_settings.maxRetryAfterShare);
+        = roomAfterArrival <= scaled(input.waited + input.timeLeft, maxRetryAfterShare);
     if (timeUntilRoom < timeForFirstByte(input) && (canBeInTime || !canReturn)) {
         decision.action = AdmissionDecision::Action::Wait;
         return decision;
@@ -110,7 +102,7 @@
         return decision;
     }
     decision.action = AdmissionDecision::Action::Refuse;
-    decision.retryAfter = boundedRetryAfter(retryAfter, input, spread);
+    decision.retryAfter = boundedRetryAfter(retryAfter, input.timeLeft, spread);
     return decision;
 }
 
@@ -128,7 +120,7 @@
         if (model == input.service->engine->models.end()) {
             AdmissionDecision decision;
             decision.reason = "unknown_model";
-            decision.retryAfter = boundedRetryAfter(expectedServerRestart, input, spread);
+            decision.retryAfter = boundedRetryAfter(expectedServerRestart, input.timeLeft, spread);
             return decision;
         }
         const Duration loadTime = input.serverChoice.isModelStoredLocally
@@ -153,9 +145,8 @@
                                                   input.serverChoice.timeUntilResume, spread);
         // The delay is not bounded by the time left, since no server accepts the request sooner.
         if (decision.action == AdmissionDecision::Action::Refuse)
-            decision.retryAfter
-                = std::max(m_settings.minRetryAfter,
-                           scaled(input.serverChoice.timeUntilResume, 1 + spread / 2));
+            decision.retryAfter = std::max(
+                minRetryAfter, scaled(input.serverChoice.timeUntilResume, 1 + spread / 2));
         return decision;
     }
     case ServerChoice::Outcome::AllFull: {
@@ -172,7 +163,7 @@
         || firstByteAt > scaled(objective, m_settings.maxFirstByteToObjective)) {
         decision.reason = "too_late";
         decision.retryAfter
-            = boundedRetryAfter(input.serverChoice.expectedTimeToFirstByte, input, spread);
+            = boundedRetryAfter(input.serverChoice.expectedTimeToFirstByte, input.timeLeft, spread);
         return decision;
     }
     decision.action = AdmissionDecision::Action::Send;
--- a/src/Serving/Requests/AdmissionPolicy.h
+++ b/src/Serving/Requests/AdmissionPolicy.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALYOKE_SERVING_REQUESTS_ADMISSIONPOLICY_H
 #define QUETZALYOKE_SERVING_REQUESTS_ADMISSIONPOLICY_H
 
-#include "Serving/Servers/ServerChooser.h"
+#include "Serving/Requests/RetryAfterEstimator.h"
 
 namespace quetzalyoke {
 
@@ -57,10 +57,6 @@
         /// A request is sent only if its first byte is expected within this multiple of the latency
         /// objective.
         double maxFirstByteToObjective = 2.0;
-        /// Longest retry delay, as a share of the time left; a pause that servers asked for may
-        /// exceed it.
-        double maxRetryAfterShare = 0.3;
-        Duration minRetryAfter{100'000};
     };
 
     explicit AdmissionPolicy(const Settings &settings) : m_settings(settings) { }
@@ -76,7 +72,6 @@
     Duration returnDelay(Duration delay, const AdmissionInput &input, double spread) const;
     AdmissionDecision waitOrReturn(const AdmissionInput &input, Duration timeUntilRoom,
                                    double spread) const;
-    Duration boundedRetryAfter(Duration delay, const AdmissionInput &input, double spread) const;
     AdmissionDecision waitOrRefuse(const AdmissionInput &input, Duration maxWait,
                                    Duration retryAfter, double spread) const;
 
--- a/src/Serving/Requests/RetryAfterEstimator.cpp
+++ b/src/Serving/Requests/RetryAfterEstimator.cpp
@@ -13,6 +13,13 @@
 // Models and adapters are named by callers.
 constexpr std::size_t maxRecords = 4'096;
 
+// Callers state any cost, and an account may have next to no rate.
+constexpr double maxQuotaIntervalSeconds = 3'600;
+
+// Share of the latest time at which a caller returns over which callers are spread that would all
+// return then.
+constexpr double spreadOfLatestReturns = 0.1;
+
 bool namesAdapter(const RequestMetadata &metadata)
 {
     return !metadata.model.isEmpty() && !metadata.adapter.isEmpty();
@@ -20,15 +27,27 @@
 
 } // namespace
 
+Duration boundedRetryAfter(Duration delay, Duration timeLeft, double spread)
+{
+    const Duration maxDelay = scaled(timeLeft, maxRetryAfterShare);
+    const Duration bounded = std::max(delay, minRetryAfter);
+    if (bounded >= maxDelay)
+        return std::max(minRetryAfter, scaled(maxDelay, 1 - spread * spreadOfLatestReturns));
+    return bounded + scaled(std::min(bounded / 2, maxDelay - bounded), spread);
+}
+
 void RetryAfterEstimator::updateMean(std::optional<Duration> &mean, Duration observed) const
 {
     mean = mean ? *mean + scaled(observed - *mean, m_settings.meanWeight) : observed;
 }
 
 void RetryAfterEstimator::recordChoice(const ServerChoiceInput &request, const ServerChoice &choice,
-                                       Duration waited, Instant now)
+                                       Duration waited, const ServerDirectory &directory,
+                                       std::size_t gateways, Instant now)
 {
     const RequestMetadata &metadata = *request.metadata;
+    if (choice.outcome == ServerChoice::Outcome::AllFull)
+        recordFullServers(request, directory, gateways);
     if (!request.service->engine || metadata.model.isEmpty()
         || choice.outcome == ServerChoice::Outcome::NoServer)
         return;
@@ -110,17 +129,19 @@
 
 std::optional<Duration> RetryAfterEstimator::timeUntilRoom(const ServerChoiceInput &request,
                                                            const ServerChoice &choice,
-                                                           const ServerDirectory &directory,
-                                                           std::size_t ahead, std::size_t gateways,
-                                                           Instant now) const
+                                                           std::size_t ahead, Instant now) const
 {
     switch (choice.outcome) {
     case ServerChoice::Outcome::NoModel:
         return timeUntilModel(request.metadata->model, now);
     case ServerChoice::Outcome::NoAdapter:
         return timeUntilAdapter(*request.metadata, now);
-    case ServerChoice::Outcome::AllFull:
-        return timeUntilSlot(request, directory, ahead, gateways);
+    case ServerChoice::Outcome::AllFull: {
+        const auto pool = m_fullPools.find({request.service->name, request.metadata->model});
+        if (pool == m_fullPools.end() || !pool->second.slotInterval)
+            return {};
+        return scaled(*pool->second.slotInterval, static_cast<double>(ahead + 1));
+    }
     case ServerChoice::Outcome::AllPaused:
     case ServerChoice::Outcome::AllLimited:
         return choice.timeUntilResume;
@@ -152,14 +173,12 @@
 // By Little's law, N running requests that take D on average end at N/D per second. This gateway
 // gets the share of the freed slots that it has of the running requests, or at least its equal
 // share.
-std::optional<Duration> RetryAfterEstimator::timeUntilSlot(const ServerChoiceInput &request,
-                                                           const ServerDirectory &directory,
-                                                           std::size_t ahead,
-                                                           std::size_t gateways) const
+void RetryAfterEstimator::recordFullServers(const ServerChoiceInput &request,
+                                            const ServerDirectory &directory, std::size_t gateways)
 {
     const auto mean = m_meanRuns.find(request.service->name);
     if (mean == m_meanRuns.end() || !mean->second)
-        return {};
+        return;
     const bool needsModel = request.service->engine && !request.metadata->model.isEmpty();
     const ServerDirectory::ServerSet &servers = needsModel
         ? directory.serversWithModel(request.metadata->model)
@@ -172,9 +191,48 @@
     }
     const double equal = total / static_cast<double>(std::max<std::size_t>(1, gateways));
     const double running = std::max(own, equal);
-    if (running <= 0)
-        return {};
-    return scaled(*mean->second, static_cast<double>(ahead + 1) / running);
+    if (running <= 0 || m_fullPools.size() >= maxRecords)
+        return;
+    m_fullPools[{request.service->name, request.metadata->model}].slotInterval
+        = scaled(*mean->second, 1 / running);
+}
+
+Duration RetryAfterEstimator::planReturn(const ServerChoiceInput &request,
+                                         const ServerChoice &choice, Duration delay,
+                                         Duration timeLeft, double spread, Instant now)
+{
+    const auto pool = m_fullPools.find({request.service->name, request.metadata->model});
+    if (choice.outcome != ServerChoice::Outcome::AllFull || pool == m_fullPools.end()
+        || !pool->second.slotInterval)
+        return delay;
+    return planReturn(pool->second.nextReturnAt, delay, *pool->second.slotInterval, timeLeft,
+                      spread, now);
+}
+
+Duration RetryAfterEstimator::planQuotaReturn(const AccountId &account, Duration delay, double cost,
+                                              double ratePerSecond, Duration timeLeft,
+                                              double spread, Instant now)
+{
+    if (delay > scaled(timeLeft, maxRetryAfterShare))
+        return delay + scaled(delay / 2, spread);
+    const double interval = ratePerSecond > 0
+        ? std::min(maxQuotaIntervalSeconds, cost / ratePerSecond)
+        : maxQuotaIntervalSeconds;
+    return planReturn(m_nextQuotaReturns[account], std::max(minRetryAfter, delay),
+                      Duration(static_cast<std::int64_t>(interval * 1e6)), timeLeft, spread, now);
+}
+
+// Callers that can't return as late as there is room for them are spread over the time until then;
+// the room may come earlier because others don't return.
+Duration RetryAfterEstimator::planReturn(Instant &nextReturnAt, Duration delay, Duration interval,
+                                         Duration timeLeft, double spread, Instant now)
+{
+    const Duration maxDelay = scaled(timeLeft, maxRetryAfterShare);
+    const Duration planned = std::max(delay, nextReturnAt - now);
+    if (planned > maxDelay)
+        return delay + scaled(std::max(Duration::zero(), maxDelay - delay), spread);
+    nextReturnAt = now + planned + interval;
+    return planned;
 }
 
 } // namespace quetzalyoke
--- a/test/RetryAfterEstimatorTest.cpp
+++ b/test/RetryAfterEstimatorTest.cpp
@@ -53,8 +53,8 @@
         choice.outcome = outcome;
         choice.isModelStoredLocally = isStoredLocally;
         const ServerChoiceInput request{&service, &metadata, &prefixHashes, {}};
-        estimator.recordChoice(request, choice, waited, now);
-        return estimator.timeUntilRoom(request, choice, directory, ahead, 4, now);
+        estimator.recordChoice(request, choice, waited, directory, 4, now);
+        return estimator.timeUntilRoom(request, choice, ahead, now);
     }
 
     ServiceSpec service;
@@ -144,3 +144,63 @@
     EXPECT_GE(site.find(model, Outcome::NoAdapter, start + 250ms, 0ms, 0, "a2"), 2s);
     EXPECT_EQ(site.find(model, Outcome::NoAdapter, start + 3s, 0ms, 0, "a2"), 40ms);
 }
+
+// Load pattern: many callers are refused at the same moment because all slots are taken. Told the
+// same delay, they would return together, and all but one would be refused again.
+TEST(RetryAfterEstimatorTest, letsCallersRefusedTogetherReturnAtThePaceOfFreeSlots)
+{
+    Site site;
+    site.addServer(8, 4);
+    site.estimator.recordEnd(site.service.name, 500ms);
+    site.find(model, Outcome::AllFull, start);
+    RequestMetadata metadata;
+    metadata.model = model;
+    const ServerChoiceInput request{&site.service, &metadata, &site.prefixHashes, {}};
+    ServerChoice choice;
+    choice.outcome = Outcome::AllFull;
+    Duration last{0};
+    for (int i = 0; i < 11; ++i) {
+        const Duration delay = site.estimator.planReturn(request, choice, 125ms, 5s, 0.5, start);
+        EXPECT_EQ(delay, 125ms * (i + 1));
+        last = delay;
+    }
+    EXPECT_LE(last, 1500ms);
+    // There is no room for more within the time that callers honour; they come at differing times.
+    for (int i = 0; i < 5; ++i)
+        site.estimator.planReturn(request, choice, 125ms, 5s, 0.5, start);
+    const Duration early = site.estimator.planReturn(request, choice, 125ms, 5s, 0.1, start);
+    const Duration late = site.estimator.planReturn(request, choice, 125ms, 5s, 0.9, start);
+    EXPECT_LT(early + 500ms, late);
+    EXPECT_LE(late, 1500ms);
+}
+
+// Load pattern: an account sends several times its rate. Refused callers that all return when there
+// is credit for one of them are refused again, which costs them most.
+TEST(RetryAfterEstimatorTest, spacesTheReturnsOfAnAccountByTheCostOfItsRequests)
+{
+    RetryAfterEstimator estimator{RetryAfterEstimator::Settings()};
+    const AccountId account("shop");
+    const auto plan = [&](Duration untilCredit, Instant now) {
+        return estimator.planQuotaReturn(account, untilCredit, 10'000, 50'000, 5s, 0, now);
+    };
+    EXPECT_EQ(plan(150ms, start), 150ms);
+    EXPECT_EQ(plan(150ms, start), 350ms);
+    EXPECT_EQ(plan(100ms, start + 50ms), 500ms);
+    EXPECT_EQ(plan(100ms, start + 2s), 100ms);
+    // Credit that comes too late for this caller is stated as it is, and others' places remain.
+    EXPECT_EQ(plan(4s, start + 2s), 4s);
+    EXPECT_EQ(plan(100ms, start + 2s), 300ms);
+    // Less than a millisecond is never stated.
+    EXPECT_EQ(plan(1us, start + 5s), 100ms);
+    EXPECT_GT(estimator.planQuotaReturn(AccountId("none"), 1us, 1e300, 0, 5s, 0.5, start), 0ms);
+}
+
+// Load pattern: callers whose delay exceeds what they honour are refused together.
+TEST(RetryAfterEstimatorTest, spreadsDelaysAtTheirBound)
+{
+    EXPECT_NE(boundedRetryAfter(9s, 5s, 0.1), boundedRetryAfter(9s, 5s, 0.8));
+    EXPECT_LE(boundedRetryAfter(9s, 5s, 0), Duration(5s) / 3);
+    EXPECT_LE(boundedRetryAfter(1400ms, 5s, 0.9), 1500ms);
+    EXPECT_GE(boundedRetryAfter(0ms, 5s, 0), 100ms);
+    EXPECT_NE(boundedRetryAfter(0ms, 5s, 0), boundedRetryAfter(0ms, 5s, 0.9));
+}
--- a/test/SharedQuotaTest.cpp
+++ b/test/SharedQuotaTest.cpp
@@ -251,3 +251,35 @@
             << percent << " %";
     }
 }
+
+// A refused caller that is told to return at once is refused again.
+TEST(SharedQuotaTest, statesWhenTheNextChargeIsAccepted)
+{
+    for (const int gateways : {1, 25}) {
+        SharedQuota quota(rate, burst, start);
+        quota.setGatewayCount(static_cast<std::size_t>(gateways), silenceTimeout);
+        int refused = 0;
+        int atOnce = 0;
+        for (Duration t{0}; t < Duration(20s); t += 7ms) {
+            const Instant now = start + t;
+            // The peers' reports keep coming, so that nothing is deducted for silence.
+            if (gateways > 1)
+                quota.updatePeerSpending(InstanceId("peers"), Incarnation(1), 0,
+                                         toSeconds(now - start) * rate, now, gateways - 1);
+            if (quota.charge(requestCost, now))
+                continue;
+            ++refused;
+            const Duration wait = quota.timeUntilCredit(now);
+            atOnce += wait < 1ms ? 1 : 0;
+            SharedQuota later = quota;
+            // The share of several gateways changes until then.
+            if (gateways == 1) {
+                EXPECT_TRUE(later.charge(requestCost, now + wait + 1ms));
+            }
+        }
+        std::cout << gateways << " gateways: refused " << refused
+                  << ", told to return within a millisecond " << atOnce << "\n";
+        EXPECT_GT(refused, 100);
+        EXPECT_LT(atOnce, refused / 10);
+    }
+}
