--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -15,6 +15,7 @@
 #include "Serving/Placement/PlacementLease.h"
 #include "Serving/Placement/ReplicaController.h"
 #include "Serving/Requests/AdmissionPolicy.h"
+#include "Serving/Requests/RetryAfterEstimator.h"
 #include "Serving/Servers/RequestPermitIssuer.h"
 
 #include <random>
@@ -42,6 +43,7 @@
     ServerChooser chooser;
     ReplicaController replicaController;
     AdmissionPolicy admissionPolicy;
+    RetryAfterEstimator retryAfterEstimator;
     HttpConnectionPool pool;
     AccountQuotas quotas;
     CrashingRequestDetector crashDetector;
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -264,6 +264,7 @@
     input.serverChoice = chooseServer(now);
     input.waited = age();
     input.timeLeft = remainingTime(now);
+    input.timeUntilRoom = estimateTimeUntilRoom(input.serverChoice, now);
     const ServerChoice::Outcome outcome = input.serverChoice.outcome;
     const bool lacksReplica = outcome == ServerChoice::Outcome::NoModel
         || outcome == ServerChoice::Outcome::NoAdapter
@@ -286,12 +287,29 @@
         enqueue();
         return false;
     case AdmissionDecision::Action::Refuse:
-        refuse(503, decision.reason, decision.retryAfter);
+        if (outcome == ServerChoice::Outcome::NoAdapter && m_isWaiting)
+            m_state.retryAfterEstimator.recordAdapterRefusal(m_context.metadata, now);
+        refuse(503, decision.reason,
+               m_state.retryAfterEstimator.planReturn(choiceInput({}), input.serverChoice,
+                                                      decision.retryAfter, input.timeLeft,
+                                                      m_state.random(), now));
         return true;
     }
     return true;
 }
 
+std::optional<Duration> RequestHandler::estimateTimeUntilRoom(const ServerChoice &choice,
+                                                              Instant now)
+{
+    RetryAfterEstimator &estimator = m_state.retryAfterEstimator;
+    const ServerChoiceInput request = choiceInput({});
+    estimator.recordChoice(request, choice, m_isWaiting ? age() : Duration::zero(), m_state.servers,
+                           m_state.gatewayCount(), now);
+    const std::size_t ahead
+        = m_state.waitQueue.countBefore(m_context.priority, m_request.arrivedAt);
+    return estimator.timeUntilRoom(request, choice, ahead, now);
+}
+
 void RequestHandler::enqueue()
 {
     if (m_isWaiting)
@@ -797,6 +815,7 @@
     const std::unique_ptr<BackendAttempt> attempt = std::move(m_attempt);
     m_attempt = nullptr;
     releaseWork(*attempt);
+    m_state.retryAfterEstimator.recordEnd(m_context.service->name, steadyNow() - attempt->sentAt);
     if (attempt->isForwarding) {
         if (!m_isStreaming)
             m_callerConnection->beginChunkedResponse(attempt->status, attempt->fields);
@@ -1091,7 +1110,7 @@
     }
     std::optional<Milliseconds> retryAfterMs;
     if (retryAfter)
-        retryAfterMs = std::chrono::duration_cast<Milliseconds>(*retryAfter);
+        retryAfterMs = std::chrono::ceil<Milliseconds>(*retryAfter);
     logNotable("refused",
                {{"id", m_context.metadata.id},
                 {"status", status},
