Servers' stated pace counts in the expected time to first byte

Servers state in the fourth figure of Server-Load how long work takes on their machine at the moment; it was cut off. A machine that is slowed 2.5 times got as many requests as the others.

ServerPace keeps the stated figure: the latest one loses its weight within 300 ms in favour of the mean over 10 s. ServerChooser multiplies its estimates for plain servers and engines by it. The learned latency ratio is divided by the pace (mean of the one at the send and the one at the first byte), so that a slow-down is not counted twice. The ratio is learned relative to the estimate at the send, without the penalties for failures and pauses: with these, a failing server was learned to be faster than expected. Figures out of bounds are ignored.

--- a/src/Apps/Entry/BackendAttempt.h
+++ b/src/Apps/Entry/BackendAttempt.h
@@ -21,6 +21,8 @@
     Instant sentAt;
     Instant permitUntil; ///< End of its permit, if the server has a request limit.
     Duration expectedFirstByteDelay{0}; ///< Predicted time to first byte.
+    Duration usualFirstByteDelay{0}; ///< Predicted for a server of usual speed.
+    double pace = 1; ///< Expected pace of the server when the request was sent.
     ServerWork serverWork; ///< Work counted at the server for this attempt.
     CrashingRequestDetector::RunNumber run = 0; ///< Once the request is sent.
     bool isForwarding = false; ///< The response is streamed to the caller as it arrives.
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -339,6 +339,8 @@
     m_attempt->softwareVersion = server->listed.softwareVersion;
     m_attempt->sentAt = now;
     m_attempt->expectedFirstByteDelay = choice.expectedTimeToFirstByte;
+    m_attempt->usualFirstByteDelay = choice.usualTimeToFirstByte;
+    m_attempt->pace = choice.pace;
     m_attempt->serverWork = {1, choice.prefillTokens, choice.kvCacheTokens};
     server->ownWork.requestsInFlight += 1;
     server->ownWork.prefillTokens += choice.prefillTokens;
@@ -363,6 +365,7 @@
                 {"expected_ms", choice.expectedTimeToFirstByte},
                 {"prefill", choice.prefillTokens},
                 {"running", server->totalWork().requestsInFlight},
+                {"pace", static_cast<int>(choice.pace * 100)},
                 {"limited", server->isLimited() ? 1 : 0},
                 {"config", m_context.config->version},
                 {"attempt", m_sentAttempts + 1}});
@@ -564,9 +567,12 @@
 void RequestHandler::recordServerLoad(const BackendResponseInfo &responseInfo)
 {
     ServerState *server = m_state.servers.find(m_attempt->server);
-    if (responseInfo.load && server && server->listed.incarnation == m_attempt->incarnation)
-        server->loadEstimator.record(responseInfo.load->running, responseInfo.load->waiting,
-                                     steadyNow());
+    if (!responseInfo.load || !server || server->listed.incarnation != m_attempt->incarnation)
+        return;
+    const ReportedLoad &load = *responseInfo.load;
+    server->loadEstimator.record(load.running, load.waiting, steadyNow());
+    if (load.pacePercent)
+        server->pace.record(*load.pacePercent, steadyNow());
 }
 
 void RequestHandler::onBody(std::string_view data)
@@ -598,12 +604,11 @@
     m_attempt->serverWork.prefillTokens = 0;
     const Duration elapsed = steadyNow() - m_attempt->sentAt;
     Metrics::observeLatency("first_byte_seconds", toSeconds(elapsed));
-    if (m_attempt->status >= httpMultipleChoices || m_attempt->expectedFirstByteDelay.count() <= 0)
+    if (m_attempt->status >= httpMultipleChoices)
         return;
-    server->health.recordLatencyRatio(
-        static_cast<double>(elapsed.count())
-        / static_cast<double>(m_attempt->expectedFirstByteDelay.count())
-        * server->health.latencyRatio());
+    // The pace may have changed while the request ran.
+    const double pace = (m_attempt->pace + server->pace.factor(steadyNow())) / 2;
+    server->health.recordLatency(elapsed, m_attempt->usualFirstByteDelay, pace);
 }
 
 // Only whole events are forwarded, so that another server can continue after the last one if this
--- a/src/Ports/ServingProtocol.h
+++ b/src/Ports/ServingProtocol.h
@@ -30,6 +30,8 @@
 {
     int running = 0;
     int waiting = 0;
+    /// How long work takes there now, in percent of the usual time, if the server states it.
+    std::optional<double> pacePercent = {};
 
     bool operator==(const ReportedLoad &) const = default;
 };
--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -152,6 +152,8 @@
         choice.outcome = ServerChoice::Outcome::Chosen;
         choice.server = best.state->listed.id;
         choice.expectedTimeToFirstByte = best.expectedTimeToFirstByte;
+        choice.usualTimeToFirstByte = best.usualTimeToFirstByte;
+        choice.pace = best.pace;
         choice.prefillTokens = best.prefillTokens;
         choice.kvCacheTokens = best.kvCacheTokens;
         choice.needsPermit = best.needsPermit;
@@ -225,11 +227,12 @@
             = milliseconds(static_cast<double>(m_settings.defaultRequestDuration.count()) / 1000
                            * (1 + requestsPerSlot));
     }
-    candidate.expectedTimeToFirstByte = Duration(
-        static_cast<std::int64_t>(static_cast<double>(candidate.expectedTimeToFirstByte.count())
-                                  * state.health.latencyRatio()));
+    candidate.pace = state.pace.factor(now);
+    const double factor = state.health.latencyRatio() * candidate.pace;
+    candidate.expectedTimeToFirstByte = scaled(candidate.expectedTimeToFirstByte, factor);
     if (state.listed.zone != m_zone)
         candidate.expectedTimeToFirstByte += m_settings.otherZonePenalty;
+    candidate.usualTimeToFirstByte = scaled(candidate.expectedTimeToFirstByte, 1 / factor);
     return candidate;
 }
 
--- a/src/Serving/Servers/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -41,6 +41,10 @@
     /// Time until the first paused or limited server may accept requests again.
     Duration timeUntilResume{0};
     Duration expectedTimeToFirstByte{0}; ///< Until the first byte of the response.
+    /// The time divided by the learned latency ratio and the stated pace, without the penalties for
+    /// failures and pauses. The ratio is learned from it.
+    Duration usualTimeToFirstByte{0};
+    double pace = 1; ///< Expected factor of the duration of work there; 1 is usual.
     std::int64_t prefillTokens = 0; ///< Prompt tokens that the server has to process.
     std::int64_t kvCacheTokens = 0;
     /// A server that has the model loaded and would respond much sooner if it also had the
@@ -97,6 +101,8 @@
     {
         const ServerState *state = nullptr;
         Duration expectedTimeToFirstByte{0};
+        Duration usualTimeToFirstByte{0};
+        double pace = 1;
         std::int64_t prefillTokens = 0;
         std::int64_t kvCacheTokens = 0;
         bool needsPermit = false;
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -78,6 +78,7 @@
         state.health.reset(now);
         state.ownWork = own;
         state.loadEstimator = ServerLoadEstimator();
+        state.pace = ServerPace();
         state.pausedUntil = Instant();
         state.peerPausedUntil = Instant();
         state.requestLimit = StatedRequestLimit();
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -6,6 +6,7 @@
 #include "Serving/Servers/RequestPermits.h"
 #include "Serving/Servers/ServerHealth.h"
 #include "Serving/Servers/ServerLoadEstimator.h"
+#include "Serving/Servers/ServerPace.h"
 #include "Serving/Servers/StatedRequestLimit.h"
 
 #include <map>
@@ -46,6 +47,7 @@
     ServerWork peerWork; ///< Of all other gateways.
     ServerHealth health;
     ServerLoadEstimator loadEstimator; ///< From the loads in its responses; plain servers only.
+    ServerPace pace; ///< From the paces in its responses.
     std::optional<Instant>
         unlistedSince; ///< Set if its entry was removed during an outage of the list.
     Instant pausedUntil; ///< End of the pause that it asked this gateway for.
--- a/src/Serving/Servers/ServerHealth.cpp
+++ b/src/Serving/Servers/ServerHealth.cpp
@@ -42,10 +42,13 @@
     m_avoidedUntil = std::max(m_avoidedUntil, now + initialPause * (1 << doublings));
 }
 
-void ServerHealth::recordLatencyRatio(double ratio)
+void ServerHealth::recordLatency(Duration measured, Duration usual, double pace)
 {
-    const double bounded = std::clamp(ratio, minLatencyRatio, maxLatencyRatio);
-    m_latencyRatio += (bounded - m_latencyRatio) * latencyWeight;
+    if (usual <= Duration::zero() || pace <= 0)
+        return;
+    const double ratio = std::clamp(toSeconds(measured) / toSeconds(usual) / pace, minLatencyRatio,
+                                    maxLatencyRatio);
+    m_latencyRatio += (ratio - m_latencyRatio) * latencyWeight;
 }
 
 void ServerHealth::reset(Instant now)
--- a/src/Serving/Servers/ServerHealth.h
+++ b/src/Serving/Servers/ServerHealth.h
@@ -22,8 +22,10 @@
 
     void recordSuccess(Instant now);
     void recordFailure(Failure failure, Instant now);
-    /// Records the measured time to first byte divided by the expected one.
-    void recordLatencyRatio(double ratio);
+    /// Records a \a measured time to first byte. \a usual is the time expected at a server of usual
+    /// speed; \a pace is the factor that the server stated at the time, which the ratio must not
+    /// contain, since estimates are multiplied by both.
+    void recordLatency(Duration measured, Duration usual, double pace);
     void reset(Instant now);
 
     bool isAvoided(Instant now) const { return now < m_avoidedUntil; }
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -337,3 +337,21 @@
     for (const char *text : {"", "3", "3,0", "x,0,8", "-1,0,8", "3,,8", "99999999999,0,8"})
         EXPECT_FALSE(load(200, text, "id-1")) << text;
 }
+
+// A pace that can't be read must neither be believed nor cost the rest of the stated load.
+TEST(PlatformDecoderTest, readsThePaceThatAServerStates)
+{
+    const PlatformProtocol protocol;
+    const auto load = [&protocol](const std::string &pace) {
+        HeaderFields fields;
+        fields.set("Attempt-Id", "id-1");
+        fields.set("Server-Load", "3,1,8" + pace);
+        return protocol.parseResponseHeaders(200, fields, RequestId("id-1")).load;
+    };
+    EXPECT_EQ(load(",250"), (ReportedLoad{3, 1, 250}));
+    EXPECT_EQ(load(",55"), (ReportedLoad{3, 1, 55}));
+    EXPECT_EQ(load(",250,7"), (ReportedLoad{3, 1, 250}));
+    for (const char *text : {"", ",", ",,", ",0", ",-100", ",4", ",5001", ",1e9", ",nan", ",inf",
+                             ",x", ",100x", ", 100", ",99999999999999999999"})
+        EXPECT_EQ(load(text), (ReportedLoad{3, 1})) << text;
+}
