Time to the first event of an engine from its queue, batch, stated load and age of reports

The estimate of an engine was queued tokens divided by the prefill rate. It left out the steps of the batch, the load that the engine states and the pause that another long prompt causes in the streams that run there, and gateways with the same news all chose the same engine: ties within 8 ms went to the first by a hash of the shared prefix.

FirstEventEstimator computes the time from queued prompts (those of peers less what an engine has read since an overdue report), batch steps, running and waiting requests and pace, and a cost for pauses over the route's event gap objective. Engines whose costs differ by less than 15 ms or a tenth share the requests by weighted rendezvous hashing of the request's id; the weight falls with the number of requests. Decisions for plain services are the same as before.

--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -568,7 +568,7 @@
     std::map<std::int32_t, ServerWork> work;
     for (const wire::PeerWork &entry : message.work)
         work[entry.server] = {entry.running, entry.prefillTokens, entry.memoryTokens};
-    m_state.servers.setPeerWork(from, work);
+    m_state.servers.setPeerWork(from, work, steadyNow());
     if (!m_spending.isRelaying()) {
         m_state.quotas.updatePeerSpending(from, Incarnation(message.incarnation),
                                           decodeSpending(message.spent), now);
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -218,8 +218,8 @@
 
 ServerChoiceInput RequestHandler::choiceInput(std::set<ServerName> excluded) const
 {
-    return {m_context.service, &m_context.metadata, &m_context.prefixHashes, std::move(excluded),
-            m_streamVersion};
+    return {m_context.service,   &m_context.metadata, &m_context.prefixHashes,
+            std::move(excluded), m_streamVersion,     m_context.route->eventGapObjective};
 }
 
 // Returns whether no server may go on with the stream, so that waiting for one would be in vain.
--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -1,6 +1,7 @@
 #include "Serving/Servers/ServerChooser.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quetzalyoke {
 
@@ -12,23 +13,19 @@
 // A server that fails far more often than the others is used only if all others are worse.
 constexpr Duration failurePenalty = std::chrono::seconds(10);
 
-// Servers whose expected times differ by less than this are ranked by rendezvous hashing, so that
-// gateways which don't know each other's prompts send the same prefixes to the same server.
-constexpr Duration tieWindow = std::chrono::milliseconds(8);
+// Plain servers whose expected times differ by less than this are ranked by a hash.
+constexpr Duration plainTieWindow = std::chrono::milliseconds(8);
 
-std::uint64_t rendezvousHash(const ServerName &server, std::uint64_t sharedHash)
-{
-    const std::uint64_t x
-        = std::hash<std::string>()(server.text()) ^ (sharedHash * 0x9e3779b97f4a7c15ULL);
-    return (x ^ (x >> 29)) * 0xbf58476d1ce4e5b9ULL;
-}
+// Engines whose costs differ by less than this, or by this share, are taken to be equally good:
+// what peers sent in the last 400 ms is not known, which is up to one long prompt.
+constexpr Duration engineTieWindow = std::chrono::milliseconds(15);
+constexpr double engineTieShare = 0.1;
 
-// Returns the hash of all parts but the last, which is not shared with other requests.
-std::uint64_t sharedPrefixHash(const std::vector<std::uint64_t> &prefixHashes)
+std::uint64_t rendezvousHash(const ServerName &server, std::uint64_t key)
 {
-    if (prefixHashes.size() < 2)
-        return 0;
-    return prefixHashes[prefixHashes.size() - 2];
+    std::uint64_t x = std::hash<std::string>()(server.text()) ^ (key * 0x9e3779b97f4a7c15ULL);
+    x = (x ^ (x >> 29)) * 0xbf58476d1ce4e5b9ULL;
+    return x ^ (x >> 32);
 }
 
 // The mean over many servers changes slowly compared with the share of one server.
@@ -92,9 +89,7 @@
         ? directory.serversWithModel(request.metadata->model)
         : directory.serversOfService(request.service->name);
     const double mean = meanFailureShare(request.service->name, directory, now);
-    const std::uint64_t sharedHash = sharedPrefixHash(*request.prefixHashes);
-    Candidate best;
-    std::uint64_t bestRank = 0;
+    std::vector<Candidate> candidates;
     bool anyModel = false;
     bool anyAdapter = false;
     bool anyFull = false;
@@ -128,22 +123,19 @@
             anyFull = true;
             continue;
         }
+        Duration penalty(0);
         if (now < state->peerPausedUntil)
-            candidate.expectedTimeToFirstByte += m_settings.peerPausePenalty;
+            penalty += m_settings.peerPausePenalty;
         if (state->health.failureShare() > mean + m_settings.failureShareMargin)
-            candidate.expectedTimeToFirstByte += failurePenalty;
-        const std::uint64_t rank = rendezvousHash(state->listed.id, sharedHash);
-        const bool isTie = best.state
-            && candidate.expectedTimeToFirstByte < best.expectedTimeToFirstByte + tieWindow
-            && best.expectedTimeToFirstByte < candidate.expectedTimeToFirstByte + tieWindow;
-        const bool isBetter = !best.state
-            || (isTie ? rank > bestRank
-                      : candidate.expectedTimeToFirstByte < best.expectedTimeToFirstByte);
-        if (!isBetter)
-            continue;
-        best = candidate;
-        bestRank = rank;
+            penalty += failurePenalty;
+        candidate.expectedTimeToFirstByte += penalty;
+        candidate.cost += penalty;
+        candidates.push_back(candidate);
     }
+    Candidate best;
+    if (!candidates.empty())
+        best = request.service->engine ? bestEngine(candidates, *request.metadata)
+                                       : bestPlain(candidates);
     ServerChoice choice;
     const bool isSlow = !best.state || best.expectedTimeToFirstByte > m_settings.adapterReplicaGain;
     if (anyAdapter && needsModel && !request.metadata->adapter.isEmpty() && isSlow)
@@ -180,6 +172,50 @@
     return choice;
 }
 
+const ServerChooser::Candidate &ServerChooser::bestPlain(const std::vector<Candidate> &candidates)
+{
+    const Candidate *best = nullptr;
+    for (const Candidate &it : candidates) {
+        const bool isTie = best && it.cost < best->cost + plainTieWindow
+            && best->cost < it.cost + plainTieWindow;
+        const bool isBetter = !best
+            || (isTie ? rendezvousHash(it.state->listed.id, 0)
+                        > rendezvousHash(best->state->listed.id, 0)
+                      : it.cost < best->cost);
+        if (isBetter)
+            best = &it;
+    }
+    return *best;
+}
+
+// Equally good engines share the requests by weighted rendezvous hashing of the request's id. The
+// weight falls with the number of requests there.
+const ServerChooser::Candidate &ServerChooser::bestEngine(const std::vector<Candidate> &candidates,
+                                                          const RequestMetadata &metadata)
+{
+    const auto fastest
+        = std::min_element(candidates.begin(), candidates.end(),
+                           [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    const Duration limit
+        = fastest->cost + std::max(engineTieWindow, scaled(fastest->cost, engineTieShare));
+    const std::uint64_t key = std::hash<RequestId>()(metadata.id);
+    const Candidate *best = nullptr;
+    double bestRank = 0;
+    for (const Candidate &it : candidates) {
+        if (it.cost > limit)
+            continue;
+        // Uniformly distributed between 0 and 1.
+        const double hash
+            = (static_cast<double>(rendezvousHash(it.state->listed.id, key) >> 11) + 0.5) / 0x1p53;
+        const double rank = -std::log(hash) * (1 + it.requests);
+        if (best && rank >= bestRank)
+            continue;
+        best = &it;
+        bestRank = rank;
+    }
+    return *best;
+}
+
 // \a best is the fastest server that has the adapter loaded; its state is null if none has room.
 ServerName ServerChooser::findAdapterReplicaServer(const ServerChoiceInput &request,
                                                    const ServerDirectory::ServerSet &servers,
@@ -210,7 +246,8 @@
 {
     Candidate candidate;
     candidate.state = &state;
-    const ServerWork work = state.totalWork();
+    candidate.pace = state.pace.factor(now);
+    const double factor = state.health.latencyRatio() * candidate.pace;
     if (request.service->engine) {
         const RequestMetadata &metadata = *request.metadata;
         const auto prefixCache = m_prefixCaches.find(state.listed.id);
@@ -219,20 +256,32 @@
             : prefixCache->second.cachedTokens(metadata, *request.prefixHashes);
         candidate.prefillTokens = std::max<std::int64_t>(0, metadata.promptTokens.count() - cached);
         candidate.kvCacheTokens = candidate.prefillTokens + metadata.maxOutputTokens.count();
-        const double queued = static_cast<double>(work.prefillTokens + candidate.prefillTokens);
-        candidate.expectedTimeToFirstByte = milliseconds(queued / m_settings.prefillTokensPerMs);
+        FirstEventEstimator::Input input;
+        input.promptTokens = static_cast<double>(candidate.prefillTokens);
+        input.ownQueuedTokens = static_cast<double>(state.ownWork.prefillTokens);
+        input.peerQueuedTokens = static_cast<double>(state.peerWork.prefillTokens);
+        if (state.peerWorkAt != Instant())
+            input.peerAge = now - state.peerWorkAt;
+        input.ownRequests = state.ownWork.requestsInFlight;
+        input.peerRequests = state.peerWork.requestsInFlight;
+        input.statedRequests = state.loadEstimator.estimatedRequests(now);
+        input.slots = state.listed.slots;
+        input.slowness = factor;
+        input.eventGapObjective = request.eventGapObjective;
+        const FirstEventEstimator::Estimate estimate = m_firstEventEstimator.estimate(input);
+        candidate.expectedTimeToFirstByte = estimate.timeToFirstEvent;
+        candidate.cost = estimate.gapCost;
+        candidate.requests = estimate.requests;
     } else {
         const double requestsPerSlot = state.estimatedRequests(now) / state.listed.slots;
         candidate.expectedTimeToFirstByte
             = milliseconds(static_cast<double>(m_settings.defaultRequestDuration.count()) / 1000
-                           * (1 + requestsPerSlot));
+                           * (1 + requestsPerSlot) * factor);
     }
-    candidate.pace = state.pace.factor(now);
-    const double factor = state.health.latencyRatio() * candidate.pace;
-    candidate.expectedTimeToFirstByte = scaled(candidate.expectedTimeToFirstByte, factor);
     if (state.listed.zone != m_zone)
         candidate.expectedTimeToFirstByte += m_settings.otherZonePenalty;
     candidate.usualTimeToFirstByte = scaled(candidate.expectedTimeToFirstByte, 1 / factor);
+    candidate.cost += candidate.expectedTimeToFirstByte;
     return candidate;
 }
 
--- a/src/Serving/Servers/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALYOKE_SERVING_SERVERS_SERVERCHOOSER_H
 #define QUETZALYOKE_SERVING_SERVERS_SERVERCHOOSER_H
 
+#include "Serving/Servers/FirstEventEstimator.h"
 #include "Serving/Servers/PrefixCacheEstimator.h"
 #include "Serving/Servers/ServerDirectory.h"
 
@@ -18,6 +19,8 @@
     std::set<ServerName> triedServers; ///< Servers that the request was already sent to.
     /// The only one whose servers may go on with a stream; no server does if it is empty.
     std::optional<SoftwareVersion> softwareVersion = {};
+    Duration eventGapObjective{0}; ///< Of the request's route; 0: none is stated.
+    std::size_t gateways = 1; ///< Known gateways, this one included.
 };
 
 /// \brief The server chosen for a request, or why there is none.
@@ -56,11 +59,13 @@
 
 /// \brief Chooses the server with the earliest expected first byte.
 ///
-/// In bursts on a few models the prompt processing dominates. The estimate therefore depends on the
-/// prompt tokens queued at a server, the part of this prompt that it has cached and its measured
-/// latency ratio. Servers whose batch or memory is full get no requests, since these would displace
-/// running ones. In bursts on one adapter, a less busy server that lacks only the adapter is named
-/// as well, so that the adapter can be loaded there.
+/// In bursts on a few models the prompt processing dominates; see FirstEventEstimator. The choice
+/// weighs the time to the first event and the pause that the prompt causes in the streams that run
+/// at the engine. Engines that are equally good, as far as is known, share the requests according
+/// to their load, so that gateways with the same information don't all choose the same one. Servers
+/// whose batch or memory is full get no requests, since these would displace running ones. In
+/// bursts on one adapter, a less busy server that lacks only the adapter is named as well, so that
+/// the adapter can be loaded there.
 class ServerChooser
 {
 public:
@@ -84,7 +89,11 @@
     };
 
     ServerChooser(const Settings &settings, ZoneName zone)
-        : m_settings(settings), m_zone(std::move(zone))
+        : m_settings(settings), m_zone(std::move(zone)), m_firstEventEstimator([&settings] {
+              FirstEventEstimator::Settings estimator;
+              estimator.prefillTokensPerMs = settings.prefillTokensPerMs;
+              return estimator;
+          }())
     { }
 
     /// Returns whether a server that accepts requests could run the request, now or later.
@@ -103,6 +112,8 @@
         Duration expectedTimeToFirstByte{0};
         Duration usualTimeToFirstByte{0};
         double pace = 1;
+        Duration cost{0}; ///< By which the candidates are compared.
+        double requests = 0; ///< Expected number of requests at an engine.
         std::int64_t prefillTokens = 0;
         std::int64_t kvCacheTokens = 0;
         bool needsPermit = false;
@@ -116,6 +127,10 @@
 
     Candidate evaluate(const ServerChoiceInput &request, const ServerState &state,
                        Instant now) const;
+    /// Returns the best of \a candidates, which are not empty.
+    static const Candidate &bestPlain(const std::vector<Candidate> &candidates);
+    static const Candidate &bestEngine(const std::vector<Candidate> &candidates,
+                                       const RequestMetadata &metadata);
     ServerName findAdapterReplicaServer(const ServerChoiceInput &request,
                                         const ServerDirectory::ServerSet &servers,
                                         const Candidate &best, Instant now) const;
@@ -126,6 +141,7 @@
 
     const Settings m_settings;
     const ZoneName m_zone;
+    const FirstEventEstimator m_firstEventEstimator;
     std::map<ServerName, PrefixCacheEstimator> m_prefixCaches;
     std::map<ServiceName, MeanFailureShare> m_meanFailureShares;
 };
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -288,26 +288,27 @@
     indexLoadedModels(server);
 }
 
-void ServerDirectory::setPeerWork(const InstanceId &peer, const WorkByServerHash &work)
+void ServerDirectory::setPeerWork(const InstanceId &peer, const WorkByServerHash &work, Instant now)
 {
     WorkByServerHash &known = m_peerWork[peer];
     const auto replaceWork
-        = [this](std::int32_t hash, const ServerWork &from, const ServerWork &to) {
+        = [this, now](std::int32_t hash, const ServerWork &from, const ServerWork &to) {
               const auto [first, last] = m_byHash.equal_range(hash);
               for (auto it = first; it != last; ++it) {
                   ServerWork &total = it->second->peerWork;
                   total.requestsInFlight += to.requestsInFlight - from.requestsInFlight;
                   total.prefillTokens += to.prefillTokens - from.prefillTokens;
                   total.kvCacheTokens += to.kvCacheTokens - from.kvCacheTokens;
+                  it->second->peerWorkAt = now;
               }
           };
     for (const auto &[hash, before] : known) {
         if (work.count(hash) == 0)
             replaceWork(hash, before, {});
     }
-    for (const auto &[hash, now] : work) {
+    for (const auto &[hash, current] : work) {
         const auto before = known.find(hash);
-        replaceWork(hash, before == known.end() ? ServerWork() : before->second, now);
+        replaceWork(hash, before == known.end() ? ServerWork() : before->second, current);
     }
     if (work.empty())
         m_peerWork.erase(peer);
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -45,8 +45,9 @@
     LoadedModels loadedModels; ///< As listed, with later changes applied.
     ServerWork ownWork;
     ServerWork peerWork; ///< Of all other gateways.
+    Instant peerWorkAt; ///< When a peer last reported a change of it.
     ServerHealth health;
-    ServerLoadEstimator loadEstimator; ///< From the loads in its responses; plain servers only.
+    ServerLoadEstimator loadEstimator; ///< From the loads in its responses.
     ServerPace pace; ///< From the paces in its responses.
     std::optional<Instant>
         unlistedSince; ///< Set if its entry was removed during an outage of the list.
@@ -127,8 +128,8 @@
     std::vector<LeavingServer> unlistedLeavingServers() const;
 
     void addLoadedModelChange(const LoadedModelChange &change, Instant now);
-    /// Replaces the work of \a peer at all servers.
-    void setPeerWork(const InstanceId &peer, const WorkByServerHash &work);
+    /// Replaces the work of \a peer at all servers, as reported at \a now.
+    void setPeerWork(const InstanceId &peer, const WorkByServerHash &work, Instant now = {});
 
     ServerState *find(const ServerName &id);
     const ServerState *find(const ServerName &id) const;
--- a/test/ServerPaceTest.cpp
+++ b/test/ServerPaceTest.cpp
@@ -91,7 +91,8 @@
         directory.find(other.server)->pace.record(250, start);
         const ServerChoice slow = choose();
         EXPECT_EQ(slow.server, usual.server);
-        EXPECT_EQ(slow.expectedTimeToFirstByte, scaled(usual.expectedTimeToFirstByte, 2.5));
+        EXPECT_NEAR(toSeconds(slow.expectedTimeToFirstByte),
+                    2.5 * toSeconds(usual.expectedTimeToFirstByte), 1e-5);
         EXPECT_NEAR(toSeconds(slow.usualTimeToFirstByte), toSeconds(usual.usualTimeToFirstByte),
                     1e-5);
         EXPECT_DOUBLE_EQ(slow.pace, 2.5);
