--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -221,8 +221,9 @@
 
 ServerChoiceInput RequestHandler::choiceInput(std::set<ServerName> excluded) const
 {
-    return {m_context.service, &m_context.metadata, &m_context.prefixHashes, std::move(excluded),
-            m_streamVersion};
+    return {m_context.service,     &m_context.metadata, &m_context.prefixHashes,
+            std::move(excluded),   m_streamVersion,     m_context.route->eventGapObjective,
+            m_state.gatewayCount()};
 }
 
 // Returns whether no server may go on with the stream, so that waiting for one would be in vain.
@@ -365,6 +366,8 @@
     m_attempt->softwareVersion = server->listed.softwareVersion;
     m_attempt->sentAt = now;
     m_attempt->expectedFirstByteDelay = choice.expectedTimeToFirstByte;
+    m_attempt->usualFirstByteDelay = choice.usualTimeToFirstByte;
+    m_attempt->pace = choice.pace;
     m_attempt->serverWork = {1, choice.prefillTokens, choice.kvCacheTokens};
     server->ownWork.requestsInFlight += 1;
     server->ownWork.prefillTokens += choice.prefillTokens;
@@ -381,6 +384,10 @@
         m_state.recordAdapterUse(choice.server, m_context.metadata.model,
                                  m_context.metadata.adapter,
                                  expectedDuration(choice.expectedTimeToFirstByte, now));
+    Metrics::incrementCounter("prompt_tokens_sent", {{"expected", "read"}},
+                              static_cast<double>(choice.prefillTokens));
+    Metrics::incrementCounter("prompt_tokens_sent", {{"expected", "cached"}},
+                              static_cast<double>(choice.cachedTokens));
     logRoutine("sent",
                {{"id", m_context.metadata.id},
                 {"route", m_context.route->name},
@@ -389,7 +396,9 @@
                 {"age_ms", age()},
                 {"expected_ms", choice.expectedTimeToFirstByte},
                 {"prefill", choice.prefillTokens},
+                {"cached", choice.cachedTokens},
                 {"running", server->totalWork().requestsInFlight},
+                {"pace", static_cast<int>(choice.pace * 100)},
                 {"limited", isLimited ? 1 : 0},
                 {"cold", server->isCold(now) ? 1 : 0},
                 {"config", m_context.config->version},
@@ -600,9 +609,12 @@
 void RequestHandler::recordServerLoad(const BackendResponseInfo &responseInfo)
 {
     ServerState *server = m_state.servers.find(m_attempt->server);
-    if (responseInfo.load && server && server->listed.incarnation == m_attempt->incarnation)
-        server->loadEstimator.record(responseInfo.load->running, responseInfo.load->waiting,
-                                     steadyNow());
+    if (!responseInfo.load || !server || server->listed.incarnation != m_attempt->incarnation)
+        return;
+    const ReportedLoad &load = *responseInfo.load;
+    server->loadEstimator.record(load.running, load.waiting, steadyNow());
+    if (load.pacePercent)
+        server->pace.record(*load.pacePercent, steadyNow());
 }
 
 void RequestHandler::onBody(std::string_view data)
@@ -641,12 +653,11 @@
     m_attempt->serverWork.prefillTokens = 0;
     const Duration elapsed = steadyNow() - m_attempt->sentAt;
     Metrics::observeLatency("first_byte_seconds", toSeconds(elapsed));
-    if (m_attempt->status >= httpMultipleChoices || m_attempt->expectedFirstByteDelay.count() <= 0)
+    if (m_attempt->status >= httpMultipleChoices)
         return;
-    server->health.recordLatencyRatio(
-        static_cast<double>(elapsed.count())
-        / static_cast<double>(m_attempt->expectedFirstByteDelay.count())
-        * server->health.latencyRatio());
+    // The pace may have changed while the request ran.
+    const double pace = (m_attempt->pace + server->pace.factor(steadyNow())) / 2;
+    server->health.recordLatency(elapsed, m_attempt->usualFirstByteDelay, pace);
 }
 
 // Ends the attempt because of its response, whose rest is of no use. The server may have run the
--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -1,35 +1,22 @@
 #include "Serving/Servers/ServerChooser.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quetzalyoke {
 
 namespace {
 
-// Share of an engine's KV cache assumed to hold cached prefixes; running requests take the rest.
-constexpr double prefixCacheShare = 0.5;
-
 // A server that fails far more often than the others is used only if all others are worse.
 constexpr Duration failurePenalty = std::chrono::seconds(10);
 
-// Servers whose expected times differ by less than this are ranked by rendezvous hashing, so that
-// gateways which don't know each other's prompts send the same prefixes to the same server.
-constexpr Duration tieWindow = std::chrono::milliseconds(8);
+// Plain servers whose expected times differ by less than this are ranked by a hash.
+constexpr Duration plainTieWindow = std::chrono::milliseconds(8);
 
-std::uint64_t rendezvousHash(const ServerName &server, std::uint64_t sharedHash)
-{
-    const std::uint64_t x
-        = std::hash<std::string>()(server.text()) ^ (sharedHash * 0x9e3779b97f4a7c15ULL);
-    return (x ^ (x >> 29)) * 0xbf58476d1ce4e5b9ULL;
-}
-
-// Returns the hash of all parts but the last, which is not shared with other requests.
-std::uint64_t sharedPrefixHash(const std::vector<std::uint64_t> &prefixHashes)
-{
-    if (prefixHashes.size() < 2)
-        return 0;
-    return prefixHashes[prefixHashes.size() - 2];
-}
+// Engines whose costs differ by less than this, or by this share, are taken to be equally good:
+// what peers sent in the last 400 ms is not known, which is up to one long prompt.
+constexpr Duration engineTieWindow = std::chrono::milliseconds(15);
+constexpr double engineTieShare = 0.1;
 
 // The mean over many servers changes slowly compared with the share of one server.
 constexpr Duration meanFailureShareLifetime = std::chrono::milliseconds(100);
@@ -111,9 +98,8 @@
         ? directory.serversWithModel(request.metadata->model)
         : directory.serversOfService(request.service->name);
     const double mean = meanFailureShare(request.service->name, directory, now);
-    const std::uint64_t sharedHash = sharedPrefixHash(*request.prefixHashes);
-    Candidate best;
-    std::uint64_t bestRank = 0;
+    const HeldPrefixes held = heldPrefixes(request, servers, now);
+    std::vector<Candidate> candidates;
     bool anyModel = false;
     bool anyAdapter = false;
     bool anyFull = false;
@@ -141,37 +127,44 @@
             addResumeTime(state->permits.exhaustedUntil());
             continue;
         }
-        Candidate candidate = evaluate(request, *state, now);
+        Candidate candidate = evaluate(request, *state, held, now);
         candidate.needsPermit = permits == RequestPermits::Availability::Requestable;
         if (isFull(request, *state, candidate, now)) {
             anyFull = true;
             continue;
         }
+        Duration penalty(0);
         if (now < state->peerPausedUntil)
-            candidate.expectedTimeToFirstByte += m_settings.peerPausePenalty;
+            penalty += m_settings.peerPausePenalty;
         if (state->health.failureShare() > mean + m_settings.failureShareMargin)
-            candidate.expectedTimeToFirstByte += failurePenalty;
-        const std::uint64_t rank = rendezvousHash(state->listed.id, sharedHash);
-        const bool isTie = best.state
-            && candidate.expectedTimeToFirstByte < best.expectedTimeToFirstByte + tieWindow
-            && best.expectedTimeToFirstByte < candidate.expectedTimeToFirstByte + tieWindow;
-        const bool isBetter = !best.state
-            || (isTie ? rank > bestRank
-                      : candidate.expectedTimeToFirstByte < best.expectedTimeToFirstByte);
-        if (!isBetter)
-            continue;
-        best = candidate;
-        bestRank = rank;
+            penalty += failurePenalty;
+        candidate.expectedTimeToFirstByte += penalty;
+        candidate.cost += penalty;
+        candidates.push_back(candidate);
     }
+    Candidate best;
+    if (!candidates.empty())
+        best = request.service->engine ? bestEngine(candidates, *request.metadata)
+                                       : bestPlain(candidates);
     ServerChoice choice;
     const bool isSlow = !best.state || best.expectedTimeToFirstByte > m_settings.adapterReplicaGain;
     if (anyAdapter && needsModel && !request.metadata->adapter.isEmpty() && isSlow)
         choice.adapterReplicaServer = findAdapterReplicaServer(request, servers, best, now);
     if (best.state) {
+        m_lastChoiceAt = now;
+        if (request.service->engine) {
+            PrefixCache &prefixCache = m_prefixCaches[best.state->listed.id];
+            if (prefixCache.incarnation != best.state->listed.incarnation)
+                prefixCache = {best.state->listed.incarnation, {}, {}};
+            prefixCache.memory = memory(request, *best.state);
+        }
         choice.outcome = ServerChoice::Outcome::Chosen;
         choice.server = best.state->listed.id;
         choice.expectedTimeToFirstByte = best.expectedTimeToFirstByte;
+        choice.usualTimeToFirstByte = best.usualTimeToFirstByte;
+        choice.pace = best.pace;
         choice.prefillTokens = best.prefillTokens;
+        choice.cachedTokens = best.cachedTokens;
         choice.kvCacheTokens = best.kvCacheTokens;
         choice.needsPermit = best.needsPermit;
         return choice;
@@ -198,6 +191,52 @@
     return choice;
 }
 
+const ServerChooser::Candidate &ServerChooser::bestPlain(const std::vector<Candidate> &candidates)
+{
+    const Candidate *best = nullptr;
+    for (const Candidate &it : candidates) {
+        const bool isTie = best && it.cost < best->cost + plainTieWindow
+            && best->cost < it.cost + plainTieWindow;
+        const bool isBetter = !best
+            || (isTie ? PrefixHolders::rendezvousHash(it.state->listed.id, 0)
+                        > PrefixHolders::rendezvousHash(best->state->listed.id, 0)
+                      : it.cost < best->cost);
+        if (isBetter)
+            best = &it;
+    }
+    return *best;
+}
+
+// Equally good engines share the requests by weighted rendezvous hashing of the request's id. The
+// weight falls with the number of requests there.
+const ServerChooser::Candidate &ServerChooser::bestEngine(const std::vector<Candidate> &candidates,
+                                                          const RequestMetadata &metadata)
+{
+    const auto fastest
+        = std::min_element(candidates.begin(), candidates.end(),
+                           [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    const Duration limit
+        = fastest->cost + std::max(engineTieWindow, scaled(fastest->cost, engineTieShare));
+    const std::uint64_t key = std::hash<RequestId>()(metadata.id);
+    const Candidate *best = nullptr;
+    double bestRank = 0;
+    for (const Candidate &it : candidates) {
+        if (it.cost > limit)
+            continue;
+        // Uniformly distributed between 0 and 1.
+        const double hash
+            = (static_cast<double>(PrefixHolders::rendezvousHash(it.state->listed.id, key) >> 11)
+               + 0.5)
+            / 0x1p53;
+        const double rank = -std::log(hash) * (1 + it.requests);
+        if (best && rank >= bestRank)
+            continue;
+        best = &it;
+        bestRank = rank;
+    }
+    return *best;
+}
+
 // \a best is the fastest server that has the adapter loaded; its state is null if none has room.
 ServerName ServerChooser::findAdapterReplicaServer(const ServerChoiceInput &request,
                                                    const ServerDirectory::ServerSet &servers,
@@ -209,7 +248,7 @@
             || state->isLimited(now)
             || state->hasLoaded(request.metadata->model, request.metadata->adapter))
             continue;
-        const Candidate candidate = evaluate(request, *state, now);
+        const Candidate candidate = evaluate(request, *state, {}, now);
         if (isFull(request, *state, candidate, now))
             continue;
         if (!fastest.state || candidate.expectedTimeToFirstByte < fastest.expectedTimeToFirstByte)
@@ -223,33 +262,99 @@
     return fastest.state->listed.id;
 }
 
+ServerChooser::HeldPrefixes ServerChooser::heldPrefixes(const ServerChoiceInput &request,
+                                                        const ServerDirectory::ServerSet &servers,
+                                                        Instant now) const
+{
+    HeldPrefixes heldPrefixes;
+    if (!request.service->engine || request.prefixHashes->size() < 2)
+        return heldPrefixes;
+    // Independent of what is known here alone, such as failed attempts, so that gateways agree.
+    std::vector<const ServerState *> states;
+    std::vector<const ServerName *> names;
+    for (const ServerState *it : servers) {
+        if (it->listed.service != request.service->name || it->listed.isLeaving
+            || !it->hasLoaded(request.metadata->model, request.metadata->adapter))
+            continue;
+        states.push_back(it);
+        names.push_back(&it->listed.id);
+    }
+    const std::vector<HeldPrefix> found
+        = m_prefixHolders.heldPrefixes(*request.metadata, *request.prefixHashes, names,
+                                       request.gateways, m_settings.prefillTokensPerMs, now);
+    for (std::size_t i = 0; i < states.size(); ++i) {
+        if (found[i].parts > 0)
+            heldPrefixes[states[i]] = found[i];
+    }
+    return heldPrefixes;
+}
+
+PrefixCacheEstimator::Memory ServerChooser::memory(const ServerChoiceInput &request,
+                                                   const ServerState &state)
+{
+    return {request.service->engine->kvCacheTokens - state.totalWork().kvCacheTokens,
+            state.peerTokensSent};
+}
+
+double ServerChooser::cachedTokens(const ServerChoiceInput &request, const ServerState &state,
+                                   const HeldPrefixes &heldPrefixes, Instant now) const
+{
+    static const PrefixCacheEstimator unknown;
+    const auto held = heldPrefixes.find(&state);
+    const auto known = m_prefixCaches.find(state.listed.id);
+    const bool isKnown
+        = known != m_prefixCaches.end() && known->second.incarnation == state.listed.incarnation;
+    const PrefixCacheEstimator &estimator = isKnown ? known->second.estimator : unknown;
+    return estimator.cachedTokens(*request.metadata, *request.prefixHashes,
+                                  held == heldPrefixes.end() ? HeldPrefix() : held->second,
+                                  memory(request, state), now);
+}
+
 ServerChooser::Candidate ServerChooser::evaluate(const ServerChoiceInput &request,
-                                                 const ServerState &state, Instant now) const
+                                                 const ServerState &state,
+                                                 const HeldPrefixes &heldPrefixes,
+                                                 Instant now) const
 {
     Candidate candidate;
     candidate.state = &state;
-    const ServerWork work = state.totalWork();
+    candidate.pace = state.pace.factor(now);
+    const double factor = state.health.latencyRatio() * candidate.pace;
+    const double slowness = state.isCold(now) ? factor * m_settings.coldSlowdown : factor;
+    const Duration pathDelay
+        = state.listed.zone == m_zone ? Duration(0) : m_settings.otherZonePenalty;
     if (request.service->engine) {
         const RequestMetadata &metadata = *request.metadata;
-        const auto prefixCache = m_prefixCaches.find(state.listed.id);
-        const std::int64_t cached = prefixCache == m_prefixCaches.end()
-            ? 0
-            : prefixCache->second.cachedTokens(metadata, *request.prefixHashes);
-        candidate.prefillTokens = std::max<std::int64_t>(0, metadata.promptTokens.count() - cached);
+        candidate.cachedTokens
+            = std::min(metadata.promptTokens.count(),
+                       static_cast<std::int64_t>(cachedTokens(request, state, heldPrefixes, now)));
+        candidate.prefillTokens = metadata.promptTokens.count() - candidate.cachedTokens;
         candidate.kvCacheTokens = candidate.prefillTokens + metadata.maxOutputTokens.count();
-        const double queued = static_cast<double>(work.prefillTokens + candidate.prefillTokens);
-        candidate.expectedTimeToFirstByte = milliseconds(queued / m_settings.prefillTokensPerMs);
+        FirstEventEstimator::Input input;
+        input.promptTokens = static_cast<double>(candidate.prefillTokens);
+        input.ownQueuedTokens = static_cast<double>(state.ownWork.prefillTokens);
+        input.peerQueuedTokens = static_cast<double>(state.peerWork.prefillTokens);
+        if (state.peerWorkAt != Instant())
+            input.peerAge = now - state.peerWorkAt;
+        input.ownRequests = state.ownWork.requestsInFlight;
+        input.peerRequests = state.peerWork.requestsInFlight;
+        input.statedRequests = state.loadEstimator.estimatedRequests(now);
+        input.slots = state.listed.slots;
+        input.slowness = slowness;
+        input.pathDelay = pathDelay;
+        input.eventGapObjective = request.eventGapObjective;
+        const FirstEventEstimator::Estimate estimate = m_firstEventEstimator.estimate(input);
+        candidate.expectedTimeToFirstByte = estimate.timeToFirstEvent;
+        candidate.cost = estimate.gapCost;
+        candidate.requests = estimate.requests;
     } else {
         const double requestsPerSlot = state.estimatedRequests(now) / state.listed.slots;
         candidate.expectedTimeToFirstByte
             = milliseconds(static_cast<double>(m_settings.defaultRequestDuration.count()) / 1000
-                           * (1 + requestsPerSlot));
+                           * (1 + requestsPerSlot) * slowness)
+            + pathDelay;
     }
-    candidate.expectedTimeToFirstByte = Duration(static_cast<std::int64_t>(
-        static_cast<double>(candidate.expectedTimeToFirstByte.count()) * state.health.latencyRatio()
-        * (state.isCold(now) ? m_settings.coldSlowdown : 1)));
-    if (state.listed.zone != m_zone)
-        candidate.expectedTimeToFirstByte += m_settings.otherZonePenalty;
+    candidate.usualTimeToFirstByte = scaled(candidate.expectedTimeToFirstByte, 1 / factor);
+    candidate.cost += candidate.expectedTimeToFirstByte;
     return candidate;
 }
 
@@ -286,10 +391,12 @@
 {
     if (!request.service->engine || request.prefixHashes->empty())
         return;
-    const auto capacity = static_cast<std::int64_t>(
-        prefixCacheShare * static_cast<double>(request.service->engine->kvCacheTokens));
-    auto &prefixCache = m_prefixCaches.try_emplace(server, capacity).first->second;
-    prefixCache.recordPrompt(*request.metadata, *request.prefixHashes);
+    PrefixCache &prefixCache = m_prefixCaches[server];
+    if (prefixCache.memory.availableTokens == 0)
+        prefixCache.memory.availableTokens = request.service->engine->kvCacheTokens;
+    prefixCache.estimator.recordPrompt(*request.metadata, *request.prefixHashes, prefixCache.memory,
+                                       m_lastChoiceAt);
+    m_prefixHolders.recordRequest(*request.metadata, *request.prefixHashes, m_lastChoiceAt);
 }
 
 } // namespace quetzalyoke
--- a/src/Serving/Servers/ServerChooser.h
+++ b/src/Serving/Servers/ServerChooser.h
@@ -1,7 +1,9 @@
 #ifndef QUETZALYOKE_SERVING_SERVERS_SERVERCHOOSER_H
 #define QUETZALYOKE_SERVING_SERVERS_SERVERCHOOSER_H
 
+#include "Serving/Servers/FirstEventEstimator.h"
 #include "Serving/Servers/PrefixCacheEstimator.h"
+#include "Serving/Servers/PrefixHolders.h"
 #include "Serving/Servers/ServerDirectory.h"
 
 #include <set>
@@ -18,6 +20,8 @@
     std::set<ServerName> triedServers; ///< Servers that the request was already sent to.
     /// The only one whose servers may go on with a stream; no server does if it is empty.
     std::optional<SoftwareVersion> softwareVersion = {};
+    Duration eventGapObjective{0}; ///< Of the request's route; 0: none is stated.
+    std::size_t gateways = 1; ///< Known gateways, this one included.
 };
 
 /// \brief The server chosen for a request, or why there is none.
@@ -42,7 +46,12 @@
     /// Time until the first paused or limited server may accept requests again.
     Duration timeUntilResume{0};
     Duration expectedTimeToFirstByte{0}; ///< Until the first byte of the response.
+    /// The time divided by the learned latency ratio and the stated pace, without the penalties for
+    /// failures and pauses. The ratio is learned from it.
+    Duration usualTimeToFirstByte{0};
+    double pace = 1; ///< Expected factor of the duration of work there; 1 is usual.
     std::int64_t prefillTokens = 0; ///< Prompt tokens that the server has to process.
+    std::int64_t cachedTokens = 0; ///< Prompt tokens that it is expected to have cached.
     std::int64_t kvCacheTokens = 0;
     /// A server that has the model loaded and would respond much sooner if it also had the
     /// adapter; empty if there is none.
@@ -53,11 +62,13 @@
 
 /// \brief Chooses the server with the earliest expected first byte.
 ///
-/// In bursts on a few models the prompt processing dominates. The estimate therefore depends on the
-/// prompt tokens queued at a server, the part of this prompt that it has cached and its measured
-/// latency ratio. Servers whose batch or memory is full get no requests, since these would displace
-/// running ones. In bursts on one adapter, a less busy server that lacks only the adapter is named
-/// as well, so that the adapter can be loaded there.
+/// In bursts on a few models the prompt processing dominates; see FirstEventEstimator. The choice
+/// weighs the time to the first event and the pause that the prompt causes in the streams that run
+/// at the engine. Engines that are equally good, as far as is known, share the requests according
+/// to their load, so that gateways with the same information don't all choose the same one. Servers
+/// whose batch or memory is full get no requests, since these would displace running ones. In
+/// bursts on one adapter, a less busy server that lacks only the adapter is named as well, so that
+/// the adapter can be loaded there.
 class ServerChooser
 {
 public:
@@ -82,7 +93,11 @@
     };
 
     ServerChooser(const Settings &settings, ZoneName zone)
-        : m_settings(settings), m_zone(std::move(zone))
+        : m_settings(settings), m_zone(std::move(zone)), m_firstEventEstimator([&settings] {
+              FirstEventEstimator::Settings estimator;
+              estimator.prefillTokensPerMs = settings.prefillTokensPerMs;
+              return estimator;
+          }())
     { }
 
     /// Returns whether a server that accepts requests could run the request, now or later.
@@ -91,7 +106,8 @@
     bool isEvacuated(const ServerChoiceInput &request, const ServerDirectory &directory) const;
     ServerChoice choose(const ServerChoiceInput &request, const ServerDirectory &directory,
                         Instant now);
-    /// Records that the request was sent to \a server, which then caches its prompt.
+    /// Records that the request was sent to \a server, which then caches its prompt. The time is
+    /// that of the last choice.
     void recordRequestSent(const ServerName &server, const ServerChoiceInput &request);
     /// Forgets which prompts \a server has cached.
     void clearPrefixCache(const ServerName &server) { m_prefixCaches.erase(server); }
@@ -101,7 +117,12 @@
     {
         const ServerState *state = nullptr;
         Duration expectedTimeToFirstByte{0};
+        Duration usualTimeToFirstByte{0};
+        double pace = 1;
+        Duration cost{0}; ///< By which the candidates are compared.
+        double requests = 0; ///< Expected number of requests at an engine.
         std::int64_t prefillTokens = 0;
+        std::int64_t cachedTokens = 0;
         std::int64_t kvCacheTokens = 0;
         bool needsPermit = false;
     };
@@ -112,8 +133,28 @@
         Instant until; ///< Time of the next computation.
     };
 
+    struct PrefixCache
+    {
+        Incarnation incarnation; ///< Of the engine; a new one has cached nothing.
+        PrefixCacheEstimator estimator;
+        PrefixCacheEstimator::Memory memory; ///< As of the last choice of the engine.
+    };
+
+    using HeldPrefixes = std::map<const ServerState *, HeldPrefix>;
+
     Candidate evaluate(const ServerChoiceInput &request, const ServerState &state,
-                       Instant now) const;
+                       const HeldPrefixes &heldPrefixes, Instant now) const;
+    static PrefixCacheEstimator::Memory memory(const ServerChoiceInput &request,
+                                               const ServerState &state);
+    double cachedTokens(const ServerChoiceInput &request, const ServerState &state,
+                        const HeldPrefixes &heldPrefixes, Instant now) const;
+    /// Returns PrefixHolders::heldPrefixes() of the engines among \a servers that hold any.
+    HeldPrefixes heldPrefixes(const ServerChoiceInput &request,
+                              const ServerDirectory::ServerSet &servers, Instant now) const;
+    /// Returns the best of \a candidates, which are not empty.
+    static const Candidate &bestPlain(const std::vector<Candidate> &candidates);
+    static const Candidate &bestEngine(const std::vector<Candidate> &candidates,
+                                       const RequestMetadata &metadata);
     ServerName findAdapterReplicaServer(const ServerChoiceInput &request,
                                         const ServerDirectory::ServerSet &servers,
                                         const Candidate &best, Instant now) const;
@@ -124,7 +165,10 @@
 
     const Settings m_settings;
     const ZoneName m_zone;
-    std::map<ServerName, PrefixCacheEstimator> m_prefixCaches;
+    const FirstEventEstimator m_firstEventEstimator;
+    Instant m_lastChoiceAt;
+    std::map<ServerName, PrefixCache> m_prefixCaches;
+    PrefixHolders m_prefixHolders;
     std::map<ServiceName, MeanFailureShare> m_meanFailureShares;
 };
 
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -8,6 +8,7 @@
 #include "Serving/Servers/RequestPermits.h"
 #include "Serving/Servers/ServerHealth.h"
 #include "Serving/Servers/ServerLoadEstimator.h"
+#include "Serving/Servers/ServerPace.h"
 #include "Serving/Servers/StatedRequestLimit.h"
 
 #include <map>
@@ -46,8 +47,13 @@
     LoadedModels loadedModels; ///< As listed, with later changes applied.
     ServerWork ownWork;
     ServerWork peerWork; ///< Of all other gateways.
+    /// Tokens that peers are known to have sent to this incarnation: the sum of all increases of
+    /// their work. Requests that begin and end between two reports are missing.
+    std::int64_t peerTokensSent = 0;
+    Instant peerWorkAt; ///< When a peer last reported a change of it.
     ServerHealth health;
-    ServerLoadEstimator loadEstimator; ///< From the loads in its responses; plain servers only.
+    ServerLoadEstimator loadEstimator; ///< From the loads in its responses.
+    ServerPace pace; ///< From the paces in its responses.
     std::optional<Instant>
         unlistedSince; ///< Set if its entry was removed during an outage of the list.
     Instant pausedUntil; ///< End of the pause that it asked this gateway for.
@@ -166,8 +172,8 @@
     std::vector<LeavingServer> unlistedLeavingServers() const;
 
     void addLoadedModelChange(const LoadedModelChange &change, Instant now);
-    /// Replaces the work of \a peer at all servers.
-    void setPeerWork(const InstanceId &peer, const WorkByServerHash &work);
+    /// Replaces the work of \a peer at all servers, as reported at \a now.
+    void setPeerWork(const InstanceId &peer, const WorkByServerHash &work, Instant now = {});
 
     ServerState *find(const ServerName &id);
     const ServerState *find(const ServerName &id) const;
