Client connections: timeout of Keep-Alive, reading after a pause

The stated timeout was read from a string that had been destroyed (with more than 15 bytes the default was used), and seconds * 1000 overflowed, so that a connection with a large timeout expired at once.

A response that ended while its reader was paused left the idle connection unread: the next response on it was never read, nor its end noticed.

--- a/src/Adapters/Async/HttpClientConnection.cpp
+++ b/src/Adapters/Async/HttpClientConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -29,18 +30,25 @@
 // response, up to a round trip earlier than this side's.
 constexpr double usedShareOfIdleTimeout = 0.8;
 
+// Longer stated timeouts are cut, so that times calculated from them don't overflow.
+constexpr std::int64_t maxIdleTimeoutSeconds = 24 * 3600;
+
 std::chrono::milliseconds usableIdleTimeout(const boost::beast::http::fields &fields)
 {
-    for (const auto &parameter : boost::beast::http::param_list(
-             ";" + std::string(fields[boost::beast::http::field::keep_alive]))) {
+    // The list refers to the text, which therefore has a name.
+    const std::string list = ";" + std::string(fields[boost::beast::http::field::keep_alive]);
+    for (const auto &parameter : boost::beast::http::param_list(list)) {
         if (!boost::beast::iequals(parameter.first, "timeout"))
             continue;
-        int seconds = 0;
+        std::int64_t seconds = 0;
         const auto text = parameter.second;
-        std::from_chars(text.data(), text.data() + text.size(), seconds);
+        const auto result = std::from_chars(text.data(), text.data() + text.size(), seconds);
+        const bool isTooLarge
+            = result.ec == std::errc::result_out_of_range && !text.starts_with('-');
+        seconds = isTooLarge ? maxIdleTimeoutSeconds : std::min(seconds, maxIdleTimeoutSeconds);
         if (seconds > 0)
-            return std::chrono::milliseconds(
-                static_cast<std::int64_t>(seconds * 1000 * usedShareOfIdleTimeout));
+            return std::chrono::milliseconds(static_cast<std::int64_t>(
+                static_cast<double>(seconds) * 1000 * usedShareOfIdleTimeout));
     }
     return defaultIdleTimeout;
 }
@@ -302,6 +310,7 @@
         return;
     }
     m_state = State::Idle;
+    m_paused = false; // the response may have ended while its reader was paused
     m_idleExpiresAt = steadyNow() + m_idleTimeout;
     awaitBytes();
     if (m_onIdle)
--- a/test/HttpClientConnectionTest.cpp
+++ b/test/HttpClientConnectionTest.cpp
@@ -158,11 +158,11 @@
 {
     int port = 0;
     {
-        Tcp::acceptor unused(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        Tcp::acceptor unused(loop, Tcp::endpoint(asio::ip::make_address(loopbackHost()), 0));
         port = unused.local_endpoint().port();
     }
     Exchange exchange;
-    exchange.run(loop, pool, "127.0.0.1:" + std::to_string(port), "1");
+    exchange.run(loop, pool, loopbackHost() + ":" + std::to_string(port), "1");
     EXPECT_EQ(exchange.outcome, ExchangeOutcome::NotSent);
     Exchange nowhere;
     nowhere.run(loop, pool, "not-an-address:80", "1");
@@ -230,3 +230,62 @@
     EXPECT_EQ(exchange.body, "fine");
     EXPECT_TRUE(runUntil(loop, [this] { return !server.isRepeating(); }));
 }
+
+// A timeout was read from a text that no longer existed, and became negative if it was large: the
+// connection then counted as expired at once.
+TEST_F(HttpClientConnectionTest, readsAnyTimeoutThatTheServerStates)
+{
+    const auto idleTimeFor = [this](const std::string &keepAlive) {
+        server.setResponse("HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: " + keepAlive
+                           + "\r\nContent-Length: 0\r\n\r\n");
+        Exchange exchange;
+        const auto connection = exchange.run(loop, pool, server.address(), "1");
+        const Duration idleTime = connection->idleExpiresAt() - steadyNow();
+        connection->close();
+        return idleTime;
+    };
+    EXPECT_GT(idleTimeFor("timeout=100"), Duration(70s));
+    EXPECT_GT(idleTimeFor("timeout=100; a-parameter-that-is-longer-than-others=1"), Duration(70s));
+    EXPECT_GT(idleTimeFor("a-parameter-that-is-longer-than-others=1; timeout=100"), Duration(70s));
+    for (const char *seconds :
+         {"2147484", "2147483647", "9223372036854775807", "99999999999999999999999999"}) {
+        const Duration idleTime = idleTimeFor(std::string("timeout=") + seconds);
+        EXPECT_GT(idleTime, Duration(70s)) << seconds;
+        EXPECT_LT(idleTime, Duration(25h)) << seconds;
+    }
+    for (const char *text : {"timeout=0", "timeout=-5", "timeout=x", "timeout", "timeout=", "=",
+                             ";", "max=5", "\xff"}) {
+        EXPECT_GT(idleTimeFor(text), Duration(0s)) << text;
+        EXPECT_LT(idleTimeFor(text), Duration(1s)) << text;
+    }
+}
+
+// A response may end while its reader is paused, and the reader doesn't resume an exchange that has
+// ended. The next response must be read nevertheless.
+TEST_F(HttpClientConnectionTest, readsOnAfterAResponseThatEndedWhileReadingWasPaused)
+{
+    server.setResponse(completeResponse("1", "fine"));
+    const auto connection = pool.acquire(server.address());
+    bool hasEnded = false;
+    ExchangeHooks hooks;
+    hooks.onHeader = [](int, const auto &) { return ExchangeHooks::HeaderDecision::Accept; };
+    hooks.onBody = [&connection](std::string_view) { connection->pauseReading(); };
+    hooks.onEnd = [&hasEnded](ExchangeOutcome) { hasEnded = true; };
+    connection->send(request, false, std::move(hooks));
+    ASSERT_TRUE(runUntil(loop, [&] { return hasEnded; }));
+    server.setResponse(completeResponse("2", "again"));
+    Exchange second;
+    EXPECT_EQ(second.run(loop, pool, server.address(), "2"), connection);
+    EXPECT_EQ(second.outcome, ExchangeOutcome::Complete);
+    EXPECT_EQ(second.body, "again");
+    // While it is idle, too, the end of the connection is noticed.
+    server.setResponse(completeResponse("3", "fine"), ScriptedServer::End::Close);
+    bool hasEndedAgain = false;
+    ExchangeHooks pausing;
+    pausing.onHeader = [](int, const auto &) { return ExchangeHooks::HeaderDecision::Accept; };
+    pausing.onBody = [&connection](std::string_view) { connection->pauseReading(); };
+    pausing.onEnd = [&hasEndedAgain](ExchangeOutcome) { hasEndedAgain = true; };
+    connection->send(request, false, std::move(pausing));
+    ASSERT_TRUE(runUntil(loop, [&] { return hasEndedAgain; }));
+    EXPECT_TRUE(runUntil(loop, [&] { return connection->isClosed(); }));
+}
