Server directory: a returning entry keeps its pause, request limit and work

An entry that expired during an outage of the list and returned with the same incarnation had lost its server's pause and request limit, and the count of requests in flight became negative when the old attempts ended. Removed entries are now remembered for five minutes, and for as long as requests run. Work counts whatever incarnation returns; the rest holds for the incarnation that said it.

ServerDirectoryTest.keepsWhatItKnowsOfAnIncarnationWhoseEntryReturns, countsWorkThatEndsWhileTheEntryIsMissing and forgetsWhatAnEarlierIncarnationSaidAndWhatIsOld are new; the first two failed before. ServerDirectoryTest, ServerChooserTest and PlatformExchangeTest pass.

--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -920,12 +920,7 @@
 void RequestHandler::releaseWork(const BackendAttempt &attempt)
 {
     m_state.crashDetector.endRun(attempt.run);
-    ServerState *server = m_state.servers.find(attempt.server);
-    if (!server)
-        return;
-    server->ownWork.requestsInFlight -= attempt.serverWork.requestsInFlight;
-    server->ownWork.prefillTokens -= attempt.serverWork.prefillTokens;
-    server->ownWork.kvCacheTokens -= attempt.serverWork.kvCacheTokens;
+    m_state.servers.releaseWork(attempt.server, attempt.serverWork);
 }
 
 void RequestHandler::releaseAttempt()
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace quetzalyoke {
 
@@ -16,6 +17,23 @@
 // been read again by then.
 constexpr Duration leavingRetention = std::chrono::minutes(5);
 
+// What a server has said is remembered this long after its entry is gone.
+constexpr Duration removedRetention = std::chrono::minutes(5);
+
+void add(const ServerWork &work, ServerWork &total)
+{
+    total.requestsInFlight += work.requestsInFlight;
+    total.prefillTokens += work.prefillTokens;
+    total.kvCacheTokens += work.kvCacheTokens;
+}
+
+void subtract(const ServerWork &work, ServerWork &total)
+{
+    total.requestsInFlight -= work.requestsInFlight;
+    total.prefillTokens -= work.prefillTokens;
+    total.kvCacheTokens -= work.kvCacheTokens;
+}
+
 void apply(const LoadedModelChange &change, LoadedModels &loadedModels)
 {
     if (change.adapter.isEmpty()) {
@@ -82,6 +100,7 @@
         state.peerPausedUntil = Instant();
         state.requestLimit = StatedRequestLimit();
         state.permits = RequestPermits();
+        restoreRemoved(state, server);
         clearPeerWork(serverHash(server.id));
     }
     // An entry from a copy of the list may be older than the announcement.
@@ -122,12 +141,13 @@
             it->second.unlistedSince = now;
         return;
     }
-    erase(it);
+    erase(it, now);
 }
 
-void ServerDirectory::erase(Servers::iterator it)
+void ServerDirectory::erase(Servers::iterator it, Instant now)
 {
     ServerState &state = it->second;
+    remember(state, now);
     unindexLoadedModels(state);
     m_serversByService[state.listed.service].erase(&state);
     const auto [first, last] = m_byHash.equal_range(state.idHash);
@@ -139,6 +159,59 @@
     m_servers.erase(it);
 }
 
+void ServerDirectory::remember(const ServerState &state, Instant now)
+{
+    const auto [it, isNew] = m_removedServers.try_emplace(state.listed.id);
+    ServerState &known = it->second.state;
+    const ServerWork earlierWork = known.ownWork;
+    // A late entry of an earlier incarnation may come and go after the one that is remembered.
+    if (isNew || known.listed.incarnation <= state.listed.incarnation)
+        known = state;
+    else
+        known.ownWork = state.ownWork;
+    add(earlierWork, known.ownWork);
+    it->second.removedAt = now;
+}
+
+// Work counts until its requests end, whatever incarnation they were sent to. The rest holds for
+// the incarnation that said it.
+void ServerDirectory::restoreRemoved(ServerState &state, const ListedServer &server)
+{
+    const auto it = m_removedServers.find(server.id);
+    if (it == m_removedServers.end())
+        return;
+    ServerState &known = it->second.state;
+    add(std::exchange(known.ownWork, {}), state.ownWork);
+    if (known.listed.incarnation > server.incarnation)
+        return;
+    if (known.listed.incarnation == server.incarnation && known.listed.address == server.address) {
+        state.pausedUntil = known.pausedUntil;
+        state.peerPausedUntil = known.peerPausedUntil;
+        state.requestLimit = known.requestLimit;
+        state.permits = known.permits;
+    }
+    m_removedServers.erase(it);
+}
+
+void ServerDirectory::removeExpiredRemoved(Instant now)
+{
+    std::erase_if(m_removedServers, [now](const auto &entry) {
+        return now - entry.second.removedAt > removedRetention
+            && entry.second.state.ownWork.requestsInFlight == 0;
+    });
+}
+
+void ServerDirectory::releaseWork(const ServerName &id, const ServerWork &work)
+{
+    if (ServerState *server = find(id)) {
+        subtract(work, server->ownWork);
+        return;
+    }
+    const auto it = m_removedServers.find(id);
+    if (it != m_removedServers.end())
+        subtract(work, it->second.state.ownWork);
+}
+
 bool ServerDirectory::recordLeaving(const ServerName &id, Incarnation incarnation)
 {
     const auto server = m_servers.find(id);
@@ -207,6 +280,7 @@
 std::vector<ListedServer> ServerDirectory::removeExpired(Instant now)
 {
     removeExpiredLeaving(now);
+    removeExpiredRemoved(now);
     for (auto it = m_pendingChanges.begin(); it != m_pendingChanges.end();) {
         const auto server = m_servers.find(it->first);
         if (server != m_servers.end())
@@ -221,7 +295,7 @@
         expired.push_back(server.listed);
     }
     for (const ListedServer &it : expired)
-        erase(m_servers.find(it.id));
+        erase(m_servers.find(it.id), now);
     return expired;
 }
 
--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -82,7 +82,9 @@
 ///
 /// An entry that is removed while the platform's list can't be read is kept for a grace period,
 /// since running servers register again when the list is back. When a server has said that it is
-/// leaving, this holds for its incarnation, whatever older entries say.
+/// leaving, this holds for its incarnation, whatever older entries say. What else a server has said
+/// and the work sent to it are remembered for a while after its entry is removed, since the entry
+/// of a running server may return.
 class ServerDirectory
 {
 public:
@@ -119,6 +121,9 @@
     bool recordPause(const ServerName &id, Incarnation incarnation, Instant until);
     /// Records that a server asked another gateway for a pause until \a until.
     void recordPeerPause(const ServerName &id, Incarnation incarnation, Instant until);
+    /// Subtracts \a work, which was counted in the server's ownWork and has ended; its entry may be
+    /// gone.
+    void releaseWork(const ServerName &id, const ServerWork &work);
     /// Drops the granted permits for all servers, after this gateway was suspended.
     void dropGrantedPermits();
     /// Returns the leaving servers that the list doesn't show as leaving yet.
@@ -149,12 +154,20 @@
         std::optional<Instant> unlistedSince;
         bool isListedLeaving = false; ///< The list shows it as leaving, too.
     };
+    struct RemovedServer
+    {
+        ServerState state;
+        Instant removedAt;
+    };
     using AdapterKey = std::pair<ModelName, AdapterName>;
     using PendingChanges = std::map<AdapterKey, PendingChange>;
 
     void setListed(ServerState &state, const ListedServer &server);
     void removeExpiredLeaving(Instant now);
-    void erase(Servers::iterator it);
+    void erase(Servers::iterator it, Instant now);
+    void remember(const ServerState &state, Instant now);
+    void restoreRemoved(ServerState &state, const ListedServer &server);
+    void removeExpiredRemoved(Instant now);
     void clearPeerWork(std::int32_t hash);
     void applyPendingChanges(ServerState &server, Instant now);
     void indexLoadedModels(const ServerState &server);
@@ -169,6 +182,7 @@
         m_peerWork; // current work of each peer; no entry for a peer without work
     std::map<ServerName, PendingChanges> m_pendingChanges;
     std::map<ServerName, LeavingRecord> m_leavingServers;
+    std::map<ServerName, RemovedServer> m_removedServers;
     std::optional<Instant> m_listOutageUntil;
 };
 
--- a/test/ServerDirectoryTest.cpp
+++ b/test/ServerDirectoryTest.cpp
@@ -262,3 +262,70 @@
     directory.put(listed(2), start + 5s);
     EXPECT_FALSE(directory.find(engine)->listed.isLeaving);
 }
+
+// An entry expires during an outage of the list although its server runs on. What the server has
+// said holds for its incarnation, and requests sent to it still run.
+TEST(ServerDirectoryTest, keepsWhatItKnowsOfAnIncarnationWhoseEntryReturns)
+{
+    ServerDirectory directory(2s);
+    directory.put(listed(1), start);
+    directory.recordPause(engine, Incarnation(1), start + 60s);
+    directory.recordPeerPause(engine, Incarnation(1), start + 61s);
+    directory.find(engine)->requestLimit.recordResponse(RequestRate(3), start, start);
+    directory.find(engine)->permits.recordSent(start + 3s);
+    directory.find(engine)->ownWork = {2, 30, 400};
+    directory.remove(engine, start + 3s);
+    ASSERT_EQ(directory.find(engine), nullptr);
+    directory.put(listed(1), start + 4s);
+    const ServerState &state = *directory.find(engine);
+    EXPECT_EQ(state.pausedUntil, start + 60s);
+    EXPECT_EQ(state.peerPausedUntil, start + 61s);
+    EXPECT_TRUE(state.isLimited());
+    EXPECT_EQ(state.permits.recentRequests(start + 3s, start + 3s), 1);
+    EXPECT_EQ(state.ownWork.requestsInFlight, 2);
+}
+
+// The count of requests became negative, so that the server seemed to have room.
+TEST(ServerDirectoryTest, countsWorkThatEndsWhileTheEntryIsMissing)
+{
+    for (const int nextIncarnation : {1, 2}) {
+        ServerDirectory directory(2s);
+        directory.put(listed(1), start);
+        directory.find(engine)->ownWork = {2, 30, 400};
+        directory.remove(engine, start);
+        directory.releaseWork(engine, {1, 10, 100});
+        directory.put(listed(nextIncarnation), start + 1s);
+        EXPECT_EQ(directory.find(engine)->ownWork.requestsInFlight, 1);
+        EXPECT_EQ(directory.find(engine)->ownWork.prefillTokens, 20);
+        EXPECT_EQ(directory.find(engine)->ownWork.kvCacheTokens, 300);
+        EXPECT_FALSE(directory.find(engine)->isPaused(start + 1s));
+        directory.releaseWork(engine, {1, 20, 300});
+        EXPECT_EQ(directory.find(engine)->ownWork.requestsInFlight, 0);
+        directory.remove(engine, start + 2s);
+        directory.put(listed(nextIncarnation), start + 3s);
+        EXPECT_EQ(directory.find(engine)->ownWork.requestsInFlight, 0);
+    }
+}
+
+TEST(ServerDirectoryTest, forgetsWhatAnEarlierIncarnationSaidAndWhatIsOld)
+{
+    ServerDirectory directory(2s);
+    const auto pauseAndRemove = [&](std::int64_t incarnation, Instant now) {
+        directory.put(listed(incarnation), now);
+        directory.recordPause(engine, Incarnation(incarnation), now + 1h);
+        directory.find(engine)->requestLimit.recordResponse(RequestRate(3), now, now);
+        directory.remove(engine, now);
+    };
+    pauseAndRemove(1, start);
+    directory.put(listed(2), start + 1s);
+    EXPECT_FALSE(directory.find(engine)->isPaused(start + 1s));
+    EXPECT_FALSE(directory.find(engine)->isLimited());
+    pauseAndRemove(3, start + 2s);
+    directory.removeExpired(start + 1min);
+    directory.put(listed(3), start + 1min);
+    EXPECT_TRUE(directory.find(engine)->isPaused(start + 1min));
+    directory.remove(engine, start + 1min);
+    directory.removeExpired(start + 10min);
+    directory.put(listed(3), start + 10min);
+    EXPECT_FALSE(directory.find(engine)->isPaused(start + 10min));
+}
