Grace period of server entries: counts from the last failed call to the store

It counted from the first failed call, since later ones changed nothing in the follower's reachability; after an outage longer than the grace period, running servers whose entries were lost were dropped at once. Each failed call is now reported.

TableFollowerTest.reportsEachFailedCall is new; in its first form, with the existing hook, it counted one failure in five. PlatformStoreTest passes.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -129,6 +129,8 @@
     hooks.onReachabilityChanged = [this](bool isReachable, const std::string &reason) {
         onReachabilityChanged(isReachable, reason);
     };
+    // The grace period of entries begins when the outage ends, so each call counts.
+    hooks.onCallFailed = [this] { m_state.servers.recordListOutage(steadyNow()); };
     hooks.onStoreRestored = [this](StoreEra era) { onStoreRestored(era); };
     hooks.onInvalidEntry = [](const std::string &key, const std::string &problem) {
         logNotable("bad_entry", {{"key", key}, {"reason", problem}});
@@ -198,8 +200,6 @@
 
 void EntryGateway::onReachabilityChanged(bool isReachable, const std::string &reason)
 {
-    if (!isReachable)
-        m_state.servers.recordListOutage(steadyNow());
     if (isReachable == m_isReachable)
         return;
     m_isReachable = isReachable;
--- a/src/Ports/EntryPlatform.h
+++ b/src/Ports/EntryPlatform.h
@@ -48,6 +48,7 @@
         std::function<void()> onBatchApplied; ///< Called after a batch of the calls above.
         /// The store became unreachable or reachable; \a reason gives the observed error.
         std::function<void(bool isReachable, const std::string &reason)> onReachabilityChanged;
+        std::function<void()> onCallFailed; ///< Called for each failed call that reads changes.
         /// The store has come back from a copy: its latest changes are lost, and what the operators
         /// and the servers wrote is written again soon.
         std::function<void(StoreEra era)> onStoreRestored;
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -23,10 +23,10 @@
                                   [] { return HttpServerConnectionLimits(); }, [] { return false; },
                                   [](int, const char *) {}})
     {
-        m_server.listen({"127.0.0.1", 0});
+        m_server.listen({loopbackHost(), 0});
     }
 
-    Address address() const { return {"127.0.0.1", m_server.port()}; }
+    Address address() const { return {loopbackHost(), m_server.port()}; }
 
     /// Waits for a call whose target contains \a part, and sends the response. Returns false if no
     /// such call arrives.
@@ -356,3 +356,46 @@
     EXPECT_EQ(outcomes[1], EntryPlatform::WriteOutcome::Failed);
     EXPECT_FALSE(store.respond("/rows-tx", 200, R"({"ver":5,"now_ms":1})", 1));
 }
+
+// The grace period of entries counts from the last call that failed, not from the first: a server
+// whose entry was lost in a long outage needs it after the outage.
+TEST(TableFollowerTest, reportsEachFailedCall)
+{
+    TableSource source;
+    std::function<void()> next;
+    bool isAvailable = false;
+    const auto respond = [&isAvailable](const TableSource::ReadHook &done) {
+        StoreReadResult result;
+        result.version = Version(1);
+        if (isAvailable)
+            result.status = StoreReadResult::Status::Ok;
+        done(result);
+    };
+    int polls = 0;
+    source.readRows
+        = [&](const std::string &, const TableSource::ReadHook &done) { respond(done); };
+    source.pollChanges
+        = [&](Version, std::chrono::milliseconds, const TableSource::ReadHook &done) {
+              if (!isAvailable || polls++ == 0)
+                  respond(done);
+          };
+    source.schedule = [&next](std::chrono::milliseconds, std::function<void()> action) {
+        next = std::move(action);
+    };
+    source.now = [] { return Instant(); };
+    int failures = 0;
+    int changes = 0;
+    TableFollower follower(
+        source, std::chrono::milliseconds(1),
+        {[](const StoreRow &) {}, [] {}, [&](bool, const std::string &) { ++changes; },
+         [&] { ++failures; }});
+    follower.start();
+    for (int i = 1; i < 5; ++i) {
+        EXPECT_EQ(failures, i);
+        std::exchange(next, nullptr)();
+    }
+    isAvailable = true;
+    std::exchange(next, nullptr)();
+    EXPECT_EQ(failures, 5);
+    EXPECT_EQ(changes, 2);
+}
