--- a/src/Serving/Requests/EventStreamSplitter.cpp
+++ b/src/Serving/Requests/EventStreamSplitter.cpp
@@ -1,5 +1,7 @@
 #include "Serving/Requests/EventStreamSplitter.h"
 
+#include "Core/ExternalText.h"
+
 namespace quetzalyoke {
 
 namespace {
@@ -8,6 +10,9 @@
 constexpr std::string_view eventEndCrLf = "\r\n\r\n";
 constexpr std::string_view idField = "id:";
 
+// An id becomes a header; servers accept headers of some kilobytes.
+constexpr std::size_t maxEventIdBytes = 4096;
+
 // Returns the position after the last event that ends in \a text, 0 if none does. The first
 // \a searchedBytes bytes are known to contain no end of an event.
 std::size_t endOfLastEvent(std::string_view text, std::size_t searchedBytes)
@@ -69,7 +74,9 @@
         line.remove_prefix(idField.size());
         if (!line.empty() && line.front() == ' ')
             line.remove_prefix(1);
-        m_lastEventId = std::string(line);
+        // Without a usable id the stream isn't continued elsewhere: after an earlier id, events
+        // would come twice.
+        m_lastEventId = isExternalName(line, maxEventIdBytes) ? std::string(line) : std::string();
     }
 }
 
--- a/test/EventStreamSplitterTest.cpp
+++ b/test/EventStreamSplitterTest.cpp
@@ -74,3 +74,24 @@
     splitter.extractEvents("i");
     EXPECT_TRUE(splitter.isInsideEvent());
 }
+
+// The id goes into a header of the request that continues the stream at another server. A control
+// character there would begin a header of its own or make the request invalid.
+TEST(EventStreamSplitterTest, remembersNoIdThatNoHeaderCanHold)
+{
+    for (int byte = 0; byte < 0x100; ++byte) {
+        if (byte == '\n')
+            continue;
+        EventStreamSplitter splitter;
+        const std::string id = std::string("a") + static_cast<char>(byte) + "b";
+        splitter.extractEvents("id: 1\ndata: x\n\nid: " + id + "\ndata: y\n\n");
+        const bool isUsable = byte >= 0x20 && byte < 0x7f;
+        // Without an id the stream isn't continued; after the earlier one, events would come twice.
+        EXPECT_EQ(splitter.lastEventId(), isUsable ? id : "") << byte;
+        splitter.extractEvents("id: 3\ndata: z\n\n");
+        EXPECT_EQ(splitter.lastEventId(), "3") << byte;
+    }
+    EventStreamSplitter splitter;
+    splitter.extractEvents("id: " + std::string(5000, 'x') + "\ndata: y\n\n");
+    EXPECT_EQ(splitter.lastEventId(), "");
+}
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -385,10 +385,9 @@
     source.now = [] { return Instant(); };
     int failures = 0;
     int changes = 0;
-    TableFollower follower(
-        source, std::chrono::milliseconds(1),
-        {[](const StoreRow &) {}, [] {}, [&](bool, const std::string &) { ++changes; },
-         [&] { ++failures; }});
+    TableFollower follower(source, std::chrono::milliseconds(1),
+                           {[](const StoreRow &) {}, [] {},
+                            [&](bool, const std::string &) { ++changes; }, [&] { ++failures; }});
     follower.start();
     for (int i = 1; i < 5; ++i) {
         EXPECT_EQ(failures, i);
