Base64: texts without padding were decoded beyond the buffer

The value of a row of the store is such a text. With one to three characters after the last whole group, up to two bytes were written beyond the string's memory; without the change Base64Test ends by 'corrupted size vs. prev_size'. Both tests of Base64Test pass.

--- a/src/Adapters/Base64.cpp
+++ b/src/Adapters/Base64.cpp
@@ -15,7 +15,9 @@
 
 std::string decodeBase64(const std::string &text)
 {
-    std::string bytes(base64::decoded_size(text.size()), '\0');
+    // decoded_size() counts whole groups of four characters; a text without padding has up to three
+    // more, which the library decodes, too.
+    std::string bytes(base64::decoded_size(text.size()) + 3, '\0');
     bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
     return bytes;
 }
