--- a/src/Serving/Servers/ServerDirectory.h
+++ b/src/Serving/Servers/ServerDirectory.h
@@ -105,7 +105,9 @@
 ///
 /// An entry that is removed while the platform's list can't be read is kept for a grace period,
 /// since running servers register again when the list is back. When a server has said that it is
-/// leaving, this holds for its incarnation, whatever older entries say.
+/// leaving, this holds for its incarnation, whatever older entries say. What else a server has said
+/// and the work sent to it are remembered for a while after its entry is removed, since the entry
+/// of a running server may return.
 class ServerDirectory
 {
 public:
@@ -166,6 +168,9 @@
     bool recordPause(const ServerName &id, Incarnation incarnation, Instant until);
     /// Records that a server asked another gateway for a pause until \a until.
     void recordPeerPause(const ServerName &id, Incarnation incarnation, Instant until);
+    /// Subtracts \a work, which was counted in the server's ownWork and has ended; its entry may be
+    /// gone.
+    void releaseWork(const ServerName &id, const ServerWork &work);
     /// Drops the granted permits for all servers, after this gateway was suspended.
     void dropGrantedPermits();
     /// Returns the leaving servers that the list doesn't show as leaving yet.
@@ -203,6 +208,11 @@
         ColdPeriod coldPeriod;
         Instant endedAt;
     };
+    struct RemovedServer
+    {
+        ServerState state;
+        Instant removedAt;
+    };
     using AdapterKey = std::pair<ModelName, AdapterName>;
     using PendingChanges = std::map<AdapterKey, PendingChange>;
 
@@ -211,6 +221,9 @@
     void updateZones();
     void removeExpiredLeaving(Instant now);
     void erase(Servers::iterator it, Instant now);
+    void remember(const ServerState &state, Instant now);
+    void restoreRemoved(ServerState &state, const ListedServer &server);
+    void removeExpiredRemoved(Instant now);
     void clearPeerWork(std::int32_t hash);
     void applyPendingChanges(ServerState &server, Instant now);
     void indexLoadedModels(const ServerState &server);
@@ -229,6 +242,7 @@
     std::map<ServiceName, ColdRule> m_coldRules;
     bool m_isListRead = false;
     EvacuatedZones m_evacuatedZones;
+    std::map<ServerName, RemovedServer> m_removedServers;
     std::optional<Instant> m_listOutageUntil;
 };
 
