Test what a gateway remembers by names that callers choose

Each new name in the Model header leaves entries in tables that expire only at the lease holder, or never: 15,000 requests with names of 15 KB raise a gateway to 664 MB at a plain service and to 255 MB at a service with models (limit 64 MB). Adapters of a known model: 29 MB, passes.

--- a/test/UnboundedCallersTest.cpp
+++ b/test/UnboundedCallersTest.cpp
@@ -50,6 +50,7 @@
     std::string begin;
     std::string unit;
     std::size_t units = 0;
+    std::string numbered = {}; // a text in the unit that becomes another number in each
 };
 
 // Sends its script and keeps the connection open without ever reading from it.
@@ -91,12 +92,20 @@
         if (m_isDone)
             return;
         ++m_sentUnits;
-        write(m_script->unit);
+        m_unit = m_script->unit;
+        if (const std::string &text = m_script->numbered; !text.empty()) {
+            static std::size_t number = 0;
+            std::string digits = std::to_string(++number);
+            digits.insert(0, text.size() - digits.size(), '0');
+            m_unit.replace(m_unit.find(text), text.size(), digits);
+        }
+        write(m_unit);
     }
 
     Tcp::socket m_socket;
     std::shared_ptr<const Script> m_script;
     std::size_t m_sentUnits = 0;
+    std::string m_unit;
     bool m_isDone = false;
 };
 
@@ -255,12 +264,12 @@
     void writeRows()
     {
         Json json{{"version", 1}};
-        const auto route = [](const char *id, const char *kind) {
+        const auto route = [](const char *id, const char *kind, const char *service = "app") {
             return Json{{"name", id},
                         {"host", "callers.example"},
                         {"prefix", std::string("/") + id + "/"},
                         {"kind", kind},
-                        {"service", "app"},
+                        {"service", service},
                         {"timeout_ms", 60'000},
                         {"target_latency_ms", 60'000},
                         {"priority", 1},
@@ -270,8 +279,21 @@
                         {"target_gap_ms", 60'000}};
         };
         json["routes"] = {route("ordinary", "idempotent"), route("held", "non_idempotent"),
-                          route("large", "idempotent"), route("stream", "stream")};
-        json["services"] = {{{"name", "app"}, {"max_conns", 400}}};
+                          route("large", "idempotent"), route("stream", "stream"),
+                          route("model", "stream", "llm")};
+        const Json engine{{"slots", 64},
+                          {"kv_capacity", 200'000},
+                          {"mb", 3000.0},
+                          {"adapter_slots", 4},
+                          {"loads_per_s", 2.0},
+                          {"models",
+                           {{{"name", "m0"},
+                             {"mb", 900.0},
+                             {"load_s", 0.3},
+                             {"adapters", 3},
+                             {"adapter_mb", 20.0}}}}};
+        json["services"] = {{{"name", "app"}, {"max_conns", 400}},
+                            {{"name", "llm"}, {"max_conns", 400}, {"engine", engine}}};
         // Timeouts end no connection meanwhile, so that only the limits on memory can.
         json["limits"] = {{"max_header_bytes", 16384},
                           {"max_body_bytes", bodyLimit},
@@ -279,8 +301,15 @@
                           {"idle_timeout_ms", 120'000}};
         json["tenants"] = Json::array();
         store.put("op", "config", json.dump());
-        store.put("servers", "app-0",
-                  Json{{"service", "app"},
+        writeServer("app-0", "app", Json::array());
+        writeServer("engine-0", "llm",
+                    {{{"name", "m0"}, {"version", 1}, {"adapters", Json::array()}}});
+    }
+
+    void writeServer(const std::string &id, const std::string &service, const Json &models)
+    {
+        store.put("servers", id,
+                  Json{{"service", service},
                        {"address", "127.0.0.1:" + std::to_string(server.port())},
                        {"zone", "east"},
                        {"version", "v1"},
@@ -288,7 +317,7 @@
                        {"state", "ready"},
                        {"seq", 1},
                        {"born", 1},
-                       {"models", Json::array()}}
+                       {"models", models}}
                       .dump());
     }
 
@@ -474,3 +503,34 @@
     checkCrowd({head("/held/x", "Content-Length: 2883584\r\n"), std::string(chunkBytes, 'x'), 44},
                60);
 }
+
+// What a gateway remembers by names that callers choose must not grow with each new name.
+TEST_F(UnboundedCallersTest, survivesManyNamesOfModelsAndAdapters)
+{
+    checkCrowd({"",
+                head("/ordinary/x",
+                     "Content-Length: 0\r\nModel: NNNNNNNN" + std::string(5000, 'm') + "/"
+                         + std::string(10'000, 'a') + "\r\n"),
+                100, "NNNNNNNN"},
+               crowdSize, responseTime);
+}
+
+// As above, where the service has models. Without a price, quotas don't limit such requests.
+TEST_F(UnboundedCallersTest, survivesManyNamesOfModelsAtAServiceWithModels)
+{
+    checkCrowd({"",
+                head("/model/x",
+                     "Content-Length: 0\r\nModel: NNNNNNNN" + std::string(5000, 'm') + "/"
+                         + std::string(10'000, 'a') + "\r\n"),
+                100, "NNNNNNNN"},
+               crowdSize, responseTime);
+}
+
+TEST_F(UnboundedCallersTest, survivesManyNamesOfAdaptersOfAModel)
+{
+    checkCrowd({"",
+                head("/model/x",
+                     "Content-Length: 0\r\nModel: m0/NNNNNNNN" + std::string(15'000, 'a') + "\r\n"),
+                100, "NNNNNNNN"},
+               crowdSize, responseTime);
+}
