Limit what a gateway remembers by names that callers choose

Records of waiting requests and of adapters in use expired only at the lease holder, and the demand for a model never did, so each new name in the Model header stayed. Prompt parts of length 0 or less took no room in the estimate of a server's cache, so their number was not limited.

Only models of the configuration are recorded now, adapters only at services with models; each gateway removes expired records, and each table has a limit (1,024 waiting, 4,096 in use, 8,192 prefixes a server).

UnboundedCallersTest, 15,000 requests with names of 15 KB: 664 -> 22 MB at a plain service, 255 -> 16 MB at one with models, 29 MB with adapters of a known model as before. PrefixCacheEstimatorTest fails on the code before for lengths of 0 and -100.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -334,6 +334,7 @@
         m_state.pool.closeExpiredConnections(now);
         m_state.crashDetector.expire(now);
         m_state.permitIssuer.removeUnused(now);
+        m_state.replicaController.removeExpiredRecords(now);
         for (const ListedServer &server : m_state.servers.removeExpired(now)) {
             logNotable("server_gone",
                        {{"server", server.id},
--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -31,6 +31,9 @@
     return chooser;
 }
 
+// Callers choose the names of adapters; without peers nothing is sent.
+constexpr std::size_t maxUnsentKeys = 1024;
+
 } // namespace
 
 EntryState::EntryState(const EntrySettings &entrySettings, asio::io_context &eventLoop,
@@ -92,12 +95,16 @@
 
 void EntryState::recordPromptTokens(const ModelName &model, std::int64_t tokens)
 {
+    if (!replicaController.isConfigured(model))
+        return;
     replicaController.recordPromptTokens(model, tokens, steadyNow());
     unsentDemand[model] += tokens;
 }
 
 void EntryState::recordWaitingRequest(const ModelName &model, const AdapterName &adapter)
 {
+    if (!replicaController.isConfigured(model) || unsentNeeds.size() >= maxUnsentKeys)
+        return;
     replicaController.recordWaitingRequest(model, adapter, steadyNow());
     if (unsentNeeds.emplace(ServerName(), model, adapter).second && onRequestWaiting)
         onRequestWaiting();
@@ -225,6 +232,8 @@
 void EntryState::recordAdapterUse(const ServerName &server, const ModelName &model,
                                   const AdapterName &adapter, Duration busy)
 {
+    if (!replicaController.isConfigured(model) || unsentAdapterUses.size() >= maxUnsentKeys)
+        return;
     replicaController.recordAdapterUse(server, model, adapter, steadyNow() + busy);
     Duration &longest = unsentAdapterUses[{server, model, adapter}];
     longest = std::max(longest, busy);
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -353,7 +353,7 @@
     m_firstByteTimedOut = false;
 
     m_state.chooser.recordRequestSent(choice.server, choiceInput({}));
-    if (!m_context.metadata.adapter.isEmpty())
+    if (!m_context.metadata.adapter.isEmpty() && m_context.service->engine)
         m_state.recordAdapterUse(choice.server, m_context.metadata.model,
                                  m_context.metadata.adapter,
                                  expectedDuration(choice.expectedTimeToFirstByte, now));
--- a/src/Serving/Placement/ReplicaController.cpp
+++ b/src/Serving/Placement/ReplicaController.cpp
@@ -10,6 +10,11 @@
 // A waiting request or proposed replica that is not reported again for this long is obsolete.
 constexpr Duration waitingRequestLifetime = std::chrono::milliseconds(600);
 
+// Callers choose the names of adapters, so the number of records is limited, far above the number
+// of adapters of a fleet and of their replicas.
+constexpr std::size_t maxWaitingKeys = 1024;
+constexpr std::size_t maxAdapterUses = 4096;
+
 // Time before an order that the engine called invalid is sent again.
 constexpr Duration invalidOrderRetryDelay = std::chrono::seconds(5);
 
@@ -73,8 +78,19 @@
         std::erase_if(engines, [&](const auto &entry) { return listed.count(entry.first) == 0; });
 }
 
+// Callers choose the names, so an entry is kept only for a model that may be loaded.
+bool ReplicaController::isConfigured(const ModelName &model) const
+{
+    return m_config
+        && std::any_of(m_config->services.begin(), m_config->services.end(), [&](const auto &it) {
+               return it.second.engine && it.second.engine->models.count(model) > 0;
+           });
+}
+
 void ReplicaController::recordPromptTokens(const ModelName &model, std::int64_t tokens, Instant now)
 {
+    if (!isConfigured(model))
+        return;
     auto &rate = m_promptTokenRates[model];
     rate.tokensPerSecond = promptTokensPerSecond(model, now);
     rate.updatedAt = now;
@@ -95,7 +111,19 @@
 void ReplicaController::recordWaitingRequest(const ModelName &model, const AdapterName &adapter,
                                              Instant now)
 {
-    m_waitingRequests[{model, adapter}] = now;
+    if (!isConfigured(model))
+        return;
+    if (m_waitingRequests.size() < maxWaitingKeys)
+        m_waitingRequests[{model, adapter}] = now;
+}
+
+void ReplicaController::removeExpiredRecords(Instant now)
+{
+    std::erase_if(m_waitingRequests, [now](const auto &waiting) {
+        return now - waiting.second > waitingRequestLifetime;
+    });
+    std::erase_if(m_adapterUses,
+                  [now](const auto &use) { return now - use.second > adapterUseRetention; });
 }
 
 void ReplicaController::proposeAdapterReplica(const ServerName &server, const ModelName &model,
@@ -107,6 +135,8 @@
 void ReplicaController::recordAdapterUse(const ServerName &server, const ModelName &model,
                                          const AdapterName &adapter, Instant until)
 {
+    if (!isConfigured(model) || m_adapterUses.size() >= maxAdapterUses)
+        return;
     Instant &end = m_adapterUses[{server, {model, adapter}}];
     end = std::max(end, until);
 }
@@ -128,16 +158,12 @@
     Actions actions;
     if (!m_config)
         return actions;
-    std::erase_if(m_waitingRequests, [now](const auto &waiting) {
-        return now - waiting.second > waitingRequestLifetime;
-    });
+    removeExpiredRecords(now);
     std::erase_if(m_proposedAdapterReplicas, [now](const auto &it) {
         return now - it.second.second > waitingRequestLifetime;
     });
     std::erase_if(m_adapterReplicatedAt,
                   [now](const auto &it) { return now - it.second > adapterReplicationInterval; });
-    std::erase_if(m_adapterUses,
-                  [now](const auto &use) { return now - use.second > adapterUseRetention; });
     for (const auto &[name, service] : m_config->services) {
         if (!service.engine)
             continue;
--- a/src/Serving/Placement/ReplicaController.h
+++ b/src/Serving/Placement/ReplicaController.h
@@ -49,6 +49,11 @@
 
     /// Adds the prompt tokens of a request for \a model, whatever became of the request.
     void recordPromptTokens(const ModelName &model, std::int64_t tokens, Instant now);
+    /// Returns whether any service may load \a model. Other models are not recorded.
+    bool isConfigured(const ModelName &model) const;
+    /// Removes what has expired of the records below. To be called regularly at each gateway, also
+    /// where nextActions() is not called because another one holds the lease.
+    void removeExpiredRecords(Instant now);
     /// Records that a request waits for \a adapter of \a model, or for the model if \a adapter is
     /// empty.
     void recordWaitingRequest(const ModelName &model, const AdapterName &adapter, Instant now);
--- a/src/Serving/Servers/PrefixCacheEstimator.cpp
+++ b/src/Serving/Servers/PrefixCacheEstimator.cpp
@@ -1,11 +1,16 @@
 #include "Serving/Servers/PrefixCacheEstimator.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace quetzalyoke {
 
 namespace {
 
+// Far above the prefixes that fit into a server's memory. Callers choose the lengths of the parts,
+// which may be 0, so that the capacity alone would not limit their number.
+constexpr std::size_t maxEntries = 8192;
+
 std::uint64_t mix(std::uint64_t seed, std::uint64_t value)
 {
     // The finalizer of SplitMix64 makes every bit of the result depend on all bits of both values.
@@ -52,12 +57,14 @@
             m_recent.splice(m_recent.begin(), m_recent, known->second);
             continue;
         }
-        const std::int64_t tokens = metadata.promptParts[i].length.count();
+        const std::int64_t tokens
+            = std::max<std::int64_t>(0, metadata.promptParts[i].length.count());
         m_recent.push_front({prefixHashes[i], tokens});
         m_entries.emplace(prefixHashes[i], m_recent.begin());
         m_cachedTokens += tokens;
     }
-    while (m_cachedTokens > m_capacityTokens && !m_recent.empty()) {
+    while ((m_cachedTokens > m_capacityTokens || m_entries.size() > maxEntries)
+           && !m_recent.empty()) {
         m_cachedTokens -= m_recent.back().tokens;
         m_entries.erase(m_recent.back().hash);
         m_recent.pop_back();
