--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -382,6 +382,7 @@
     m_state.pool.closeExpiredConnections(now);
     m_state.crashDetector.expire(now);
     m_state.permitIssuer.removeUnused(now);
+    m_state.replicaController.removeExpiredRecords(now);
     m_state.coldServers.tick();
     const std::vector<ZoneName> zones = m_state.servers.removeExpiredEvacuations(now);
     for (const ZoneName &zone : zones)
--- a/src/Serving/Servers/PrefixCacheEstimator.cpp
+++ b/src/Serving/Servers/PrefixCacheEstimator.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Far above the prefixes that fit into a server's memory. Callers choose the lengths of the parts,
+// which may be 0, so that the capacity alone would not limit their number.
+constexpr std::size_t maxEntries = 8192;
+
 std::uint64_t mix(std::uint64_t seed, std::uint64_t value)
 {
     // The finalizer of SplitMix64 makes every bit of the result depend on all bits of both values.
--- a/test/PrefixCacheEstimatorTest.cpp
+++ b/test/PrefixCacheEstimatorTest.cpp
@@ -120,6 +120,23 @@
     EXPECT_DOUBLE_EQ(cached(estimator, longPrompt(10, 100), memory, start, {1, 0.8}), 0.8 * 2520);
 }
 
+// Callers state the lengths of the parts. With lengths of 0, the capacity in tokens limits nothing,
+// and the estimate would grow with each request.
+TEST(PrefixCacheEstimatorTest, keepsALimitedNumberOfPrefixesWhateverTheirLength)
+{
+    const Memory memory{100'000, 0};
+    for (const std::int64_t length : {100, 0, -100}) {
+        PrefixCacheEstimator estimator;
+        const Prompt known({{1, Tokens(10)}});
+        estimator.recordPrompt(known.metadata, known.hashes, memory, start);
+        for (std::uint64_t i = 0; i < 20'000; ++i) {
+            const Prompt other({{2 + i, Tokens(length)}});
+            estimator.recordPrompt(other.metadata, other.hashes, memory, start);
+        }
+        EXPECT_EQ(cached(estimator, known, memory), 0) << length;
+    }
+}
+
 // Gateways that have seen different requests must send a shared part to the same engine, and
 // different parts to different engines.
 TEST(PrefixHoldersTest, gatewaysAgreeWithoutMessages)
