--- a/src/Serving/Servers/PrefixCacheEstimator.cpp
+++ b/src/Serving/Servers/PrefixCacheEstimator.cpp
@@ -31,9 +31,6 @@
 // prefix for requests of gateways that are cut off.
 constexpr double fadeSeconds = 120;
 
-// Bounds the memory for one engine.
-constexpr std::size_t maxEntries = 4096;
-
 } // namespace
 
 std::vector<std::uint64_t> computePrefixHashes(const RequestMetadata &metadata)
