Token counts that callers state can't overflow the estimates; fewer prefixes per engine

Sums of tokens and times are bounded (PrefixCacheEstimatorTest.boundsAbsurdTokenCounts), and beliefs are kept for 2,048 prefixes per engine instead of 4,096: an engine's KV cache holds some hundred prompts, and the smallest gateway has 120 MB. A report that a peer's work has ended because the peer is silent does not reset the age of the other peers' reports.

--- a/src/Serving/Servers/FirstEventEstimator.cpp
+++ b/src/Serving/Servers/FirstEventEstimator.cpp
@@ -11,9 +11,12 @@
 // place of those that have been read; a peer that reports nothing for longer may be cut off.
 constexpr Duration usualPeerAge = std::chrono::milliseconds(500);
 
+// Callers may state any number of tokens, whose time must not overflow.
+constexpr double maxMilliseconds = 1e9;
+
 Duration fromMilliseconds(double count)
 {
-    return Duration(static_cast<std::int64_t>(count * 1000));
+    return Duration(static_cast<std::int64_t>(std::min(count, maxMilliseconds) * 1000));
 }
 
 } // namespace
--- a/src/Serving/Servers/PrefixCacheEstimator.cpp
+++ b/src/Serving/Servers/PrefixCacheEstimator.cpp
@@ -27,8 +27,11 @@
 // prefix for requests of gateways that are cut off.
 constexpr double fadeSeconds = 120;
 
-// Bounds the memory for one engine.
-constexpr std::size_t maxEntries = 4096;
+// Bounds the memory for one engine. Its KV cache holds some hundred prompts.
+constexpr std::size_t maxEntries = 2048;
+
+// Callers may state any number of tokens, which must not overflow the sums.
+constexpr double maxPromptTokens = 1e9;
 
 } // namespace
 
@@ -72,7 +75,7 @@
             = std::min(chainProbability, std::max(own, i < held.parts ? held.probability : 0));
         tokens += chainProbability * static_cast<double>(metadata.promptParts[i].length.count());
     }
-    return tokens;
+    return std::min(tokens, maxPromptTokens);
 }
 
 void PrefixCacheEstimator::recordPrompt(const RequestMetadata &metadata,
@@ -80,10 +83,9 @@
                                         const Memory &memory, Instant now)
 {
     const double cached = cachedTokens(metadata, prefixHashes, {}, memory, now);
-    m_ownTokens
-        += std::max<std::int64_t>(0,
-                                  metadata.promptTokens.count() + metadata.maxOutputTokens.count()
-                                      - static_cast<std::int64_t>(cached));
+    const double sent = static_cast<double>(metadata.promptTokens.count())
+        + static_cast<double>(metadata.maxOutputTokens.count()) - cached;
+    m_ownTokens += static_cast<std::int64_t>(std::clamp(sent, 0.0, maxPromptTokens));
     for (const std::uint64_t hash : prefixHashes) {
         const Entry entry{hash, m_ownTokens + memory.peerTokens, now};
         const auto known = m_entries.find(hash);
--- a/src/Serving/Servers/ServerDirectory.cpp
+++ b/src/Serving/Servers/ServerDirectory.cpp
@@ -302,7 +302,7 @@
                   total.kvCacheTokens += to.kvCacheTokens - from.kvCacheTokens;
                   it->second->peerTokensSent
                       += std::max<std::int64_t>(0, to.kvCacheTokens - from.kvCacheTokens);
-                  it->second->peerWorkAt = now;
+                  it->second->peerWorkAt = std::max(it->second->peerWorkAt, now);
               }
           };
     for (const auto &[hash, before] : known) {
--- a/test/EnginePlacementTest.cpp
+++ b/test/EnginePlacementTest.cpp
@@ -488,8 +488,9 @@
     std::cout << name << ": long p50 " << p(it.longMs, 0.5) << " p95 " << p(it.longMs, 0.95)
               << " in time " << it.inTime(it.longMs, 600) << ", short p50 " << p(it.shortMs, 0.5)
               << " p95 " << p(it.shortMs, 0.95) << " in time " << it.inTime(it.shortMs, 500)
-              << ", tokens read " << it.readTokens * 1e-6 << "M of " << it.promptTokens * 1e-6
-              << "M, shared again " << it.sharedRead * 1e-6 << "M, events late "
+              << ", tokens read " << static_cast<double>(it.readTokens) * 1e-6 << "M of "
+              << static_cast<double>(it.promptTokens) * 1e-6 << "M, shared again "
+              << static_cast<double>(it.sharedRead) * 1e-6 << "M, events late "
               << static_cast<double>(it.lateEvents) / it.events << ", sends median "
               << it.medianSends << " max " << it.maxSends << '\n';
 }
--- a/test/PrefixCacheEstimatorTest.cpp
+++ b/test/PrefixCacheEstimatorTest.cpp
@@ -1,8 +1,10 @@
 #include "Serving/Servers/PrefixCacheEstimator.h"
+#include "Serving/Servers/FirstEventEstimator.h"
 #include "Serving/Servers/PrefixHolders.h"
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <set>
 
 using namespace quetzalyoke;
@@ -120,6 +122,24 @@
     EXPECT_DOUBLE_EQ(cached(estimator, longPrompt(10, 100), memory, start, {1, 0.8}), 0.8 * 2520);
 }
 
+// A caller may state any number of tokens; sums and times must not overflow.
+TEST(PrefixCacheEstimatorTest, boundsAbsurdTokenCounts)
+{
+    PrefixCacheEstimator estimator;
+    const Memory memory{100'000, 0};
+    const Tokens most(std::numeric_limits<std::int64_t>::max());
+    Prompt absurd({{2, most}});
+    absurd.metadata.maxOutputTokens = most;
+    for (int i = 0; i < 3; ++i)
+        estimator.recordPrompt(absurd.metadata, absurd.hashes, memory, start);
+    EXPECT_LE(cached(estimator, absurd, memory), 1e9);
+    EXPECT_EQ(cached(estimator, longPrompt(10, 100), memory), 0);
+    FirstEventEstimator::Input input;
+    input.promptTokens = static_cast<double>(most.count());
+    const auto estimate = FirstEventEstimator(FirstEventEstimator::Settings()).estimate(input);
+    EXPECT_GT(estimate.timeToFirstEvent, 24h);
+}
+
 // Gateways that have seen different requests must send a shared part to the same engine, and
 // different parts to different engines.
 TEST(PrefixHoldersTest, gatewaysAgreeWithoutMessages)
