--- a/src/Serving/Servers/PrefixCacheEstimator.cpp
+++ b/src/Serving/Servers/PrefixCacheEstimator.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-// Far above the prefixes that fit into a server's memory. Callers choose the lengths of the parts,
-// which may be 0, so that the capacity alone would not limit their number.
-constexpr std::size_t maxEntries = 8192;
-
 std::uint64_t mix(std::uint64_t seed, std::uint64_t value)
 {
     // The finalizer of SplitMix64 makes every bit of the result depend on all bits of both values.
@@ -31,6 +27,13 @@
 // prefix for requests of gateways that are cut off.
 constexpr double fadeSeconds = 120;
 
+// Bounds the memory for one engine, whose KV cache holds some hundred prompts. Callers choose the
+// lengths of the parts, which may be 0, so that the capacity alone would not limit their number.
+constexpr std::size_t maxEntries = 2048;
+
+// Callers may state any number of tokens, which must not overflow the sums.
+constexpr double maxPromptTokens = 1e9;
+
 } // namespace
 
 std::vector<std::uint64_t> computePrefixHashes(const RequestMetadata &metadata)
@@ -73,7 +76,7 @@
             = std::min(chainProbability, std::max(own, i < held.parts ? held.probability : 0));
         tokens += chainProbability * static_cast<double>(metadata.promptParts[i].length.count());
     }
-    return tokens;
+    return std::min(tokens, maxPromptTokens);
 }
 
 void PrefixCacheEstimator::recordPrompt(const RequestMetadata &metadata,
@@ -81,10 +84,9 @@
                                         const Memory &memory, Instant now)
 {
     const double cached = cachedTokens(metadata, prefixHashes, {}, memory, now);
-    m_ownTokens
-        += std::max<std::int64_t>(0,
-                                  metadata.promptTokens.count() + metadata.maxOutputTokens.count()
-                                      - static_cast<std::int64_t>(cached));
+    const double sent = static_cast<double>(metadata.promptTokens.count())
+        + static_cast<double>(metadata.maxOutputTokens.count()) - cached;
+    m_ownTokens += static_cast<std::int64_t>(std::clamp(sent, 0.0, maxPromptTokens));
     for (const std::uint64_t hash : prefixHashes) {
         const Entry entry{hash, m_ownTokens + memory.peerTokens, now};
         const auto known = m_entries.find(hash);
