--- a/src/Apps/Entry/ColdServerWatch.cpp
+++ b/src/Apps/Entry/ColdServerWatch.cpp
@@ -76,9 +76,12 @@
     const Instant now = steadyNow();
     int cold = 0;
     for (const auto &[name, known] : m_servers.servers()) {
-        cold += known.isCold(now) ? 1 : 0;
-        if (known.wasCold && !known.isCold(now))
-            logBelief(*m_servers.find(name), "time", now);
+        const bool isCold = known.isCold(now);
+        cold += isCold ? 1 : 0;
+        // A server also becomes cold here when a new configuration states the rate of its service.
+        if (isCold != known.wasCold)
+            logBelief(*m_servers.find(name),
+                      isCold ? coldSourceText(known.coldPeriod.source()) : "time", now);
     }
     Metrics::setGauge("cold_servers", cold);
 }
--- a/src/Apps/Entry/ColdServerWatch.h
+++ b/src/Apps/Entry/ColdServerWatch.h
@@ -36,7 +36,8 @@
                    const std::string &peer);
     /// Logs what the directory has taken from the entry of \a server.
     void onEntryApplied(const ServerName &server);
-    /// Logs the periods that have ended since the last call.
+    /// Logs the periods that have ended since the last call, and those that a new configuration has
+    /// made relevant.
     void tick();
 
 private:
--- a/test/ColdPeriodTest.cpp
+++ b/test/ColdPeriodTest.cpp
@@ -183,6 +183,28 @@
     EXPECT_EQ(server.requestRate(start + 40s), RequestRate(20));
 }
 
+// What was on its way when the server became cold, and what an earlier issuer granted, counts in
+// the first second.
+TEST(ColdPeriodTest, hasNoPermitsInTheFirstSecond)
+{
+    ColdDirectory directory;
+    directory.put(listed(1, 30s), start);
+    const ServerState &server = *directory.find(engine);
+    const auto firstPermit = [&server](RequestPermitIssuer &issuer, int recentRequests) {
+        Instant now = start;
+        while (!issuer.decide(server.limitedServer(now), InstanceId("a"), recentRequests, now)
+                    .isGranted)
+            now += 10ms;
+        return now - start;
+    };
+    RequestPermitIssuer issuer;
+    EXPECT_GE(firstPermit(issuer, 0), Duration(1s));
+    issuer.clear(); // the next lease holder
+    EXPECT_GE(firstPermit(issuer, 0), Duration(1s));
+    RequestPermitIssuer busy;
+    EXPECT_LE(firstPermit(busy, 500), Duration(1500ms));
+}
+
 // Orders don't count towards the rate for a cold server, but towards a stated limit.
 TEST(ColdPeriodTest, delaysNoOrders)
 {
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -519,6 +519,7 @@
     const Instant sentAt = steadyNow();
     const std::string response = sendRequest("/i/x", "key", "evacuated");
     EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("evacuated"), std::string::npos);
     EXPECT_NE(response.find("Retry-After"), std::string::npos);
     EXPECT_LT(steadyNow() - sentAt, Duration(500ms));
     EXPECT_TRUE(firstServer.received().empty());
@@ -533,7 +534,9 @@
         state.servers.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, steadyNow());
         state.waitQueue.retryDispatches();
     };
-    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "evacuated"), 503));
+    const std::string response = sendRequest("/i/x", "key", "evacuated");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("evacuated"), std::string::npos);
     EXPECT_TRUE(firstServer.received().empty());
 }
 
@@ -541,16 +544,15 @@
 TEST_F(PlatformExchangeTest, resumesNoStreamInAnEvacuatedZone)
 {
     addServer("b", secondServer);
-    firstServer.setResponse(signedHeader
-                                + "Content-Type: text/event-stream\r\nTransfer-Encoding: "
-                                  "chunked\r\n\r\n12\r\nid: 1\ndata: one\n\n\r\n",
-                            ScriptedServer::End::Close);
-    secondServer.setResponse(signedHeader + fineResponse);
+    firstServer.setResponse(streamHeader + chunkText(eventText(1)), ScriptedServer::End::Close);
+    secondServer.setResponse(streamHeader + chunkText(eventText(2)) + lastChunk);
     afterStart = [this] {
         state.servers.applyEvacuation(ZoneName("west"), EvacuationChange::Begun, steadyNow());
     };
-    sendRequest("/r/x", "key", "never");
-    EXPECT_TRUE(secondServer.received().empty());
+    const std::string response = sendRequest("/r/x", "key", lastChunk);
+    EXPECT_NE(response.find(eventText(1)), std::string::npos);
+    EXPECT_TRUE(caller->waitForClose());
+    EXPECT_EQ(secondServer.connections(), 0);
 }
 
 namespace {
@@ -622,7 +624,9 @@
         };
         state.awaitList(steadyNow() + 1s);
     };
-    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "limited"), 503));
+    const std::string response = sendRequest("/i/x", "key", "limited");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("limited"), std::string::npos);
     EXPECT_TRUE(firstServer.received().empty());
 }
 
