--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -109,12 +109,6 @@
     });
 }
 
-void EntryState::recordServerLoss(const ServerName &server, Incarnation incarnation)
-{
-    crashDetector.recordServerLoss(server, incarnation, steadyNow());
-    coldServers.recordProcessEnd(server, incarnation);
-}
-
 void EntryState::setGatewayCount(std::size_t gateways, Duration silenceTimeout)
 {
     m_gateways = std::max<std::size_t>(1, gateways);
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -71,8 +71,6 @@
     /// Lets such requests wait for the list, but no longer than until \a until.
     void awaitList(Instant until);
     Instant lastTickAt; ///< Of the gateway's timer, which stands still with the process.
-    /// Records that the process of \a incarnation of a server has ended.
-    void recordServerLoss(const ServerName &server, Incarnation incarnation);
     WaitQueue waitQueue;
     RequestPermitIssuer permitIssuer; ///< Used while this gateway holds the lease.
 
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -679,24 +679,26 @@
                                                steadyNow());
     if (!isChecked)
         return;
-    m_state.crashCheck.start(m_attempt->address,
-                             [self = shared_from_this(), server = m_attempt->server,
-                              incarnation = m_attempt->incarnation](bool isRefused) {
-                                 const ServerState *known = self->m_state.servers.find(server);
-                                 // A server that announces its end ends as planned.
-                                 const bool hasCrashed = isRefused
-                                     && !(known && known->listed.incarnation == incarnation
-                                          && known->listed.isLeaving);
-                                 logNotable("crash_check",
-                                            {{"id", self->m_context.metadata.id},
-                                             {"server", server},
-                                             {"incarnation", incarnation},
-                                             {"refused", isRefused ? 1 : 0},
-                                             {"crashed", hasCrashed ? 1 : 0}});
-                                 if (hasCrashed)
-                                     self->m_state.recordServerLoss(server, incarnation);
-                                 self->onCrashChecked(server, hasCrashed);
-                             });
+    m_state.crashCheck.start(
+        m_attempt->address,
+        [self = shared_from_this(), server = m_attempt->server,
+         incarnation = m_attempt->incarnation](bool isRefused) {
+            const ServerState *known = self->m_state.servers.find(server);
+            // A server that announces its end ends as planned.
+            const bool hasCrashed = isRefused
+                && !(known && known->listed.incarnation == incarnation && known->listed.isLeaving);
+            logNotable("crash_check",
+                       {{"id", self->m_context.metadata.id},
+                        {"server", server},
+                        {"incarnation", incarnation},
+                        {"refused", isRefused ? 1 : 0},
+                        {"crashed", hasCrashed ? 1 : 0}});
+            if (hasCrashed) {
+                self->m_state.crashDetector.recordServerLoss(server, incarnation, steadyNow());
+                self->m_state.coldServers.recordProcessEnd(server, incarnation);
+            }
+            self->onCrashChecked(server, hasCrashed);
+        });
 }
 
 void RequestHandler::onEnd(ExchangeOutcome outcome)
@@ -842,8 +844,10 @@
                 {"age_ms", age()}});
     Metrics::incrementCounter("attempts_broken", {{"end", exchangeOutcomeText(outcome)}});
     if (outcome == ExchangeOutcome::NotSent) {
-        if (m_attempt->connection->wasRefused() && !wasWithheld)
-            m_state.recordServerLoss(name, m_attempt->incarnation);
+        if (m_attempt->connection->wasRefused() && !wasWithheld) {
+            m_state.crashDetector.recordServerLoss(name, m_attempt->incarnation, now);
+            m_state.coldServers.recordProcessEnd(name, m_attempt->incarnation);
+        }
         if (wasWithheld)
             m_excludedUntil.erase(name);
         releaseAttempt();
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -584,6 +584,35 @@
     EXPECT_NE(refusal.find("Retry-After"), std::string::npos);
 }
 
+// The lease holder may not know yet that a server is cold, and the rate of a cold server must not
+// become one that the server states.
+TEST_F(PlatformExchangeTest, issuesPermitsAtTheLowerOfTheRatesThatItAndThePeerKnow)
+{
+    std::vector<wire::PeerPermitReply> replies;
+    PermitExchange permits(
+        state,
+        {[] { return true; }, [](const auto &) { return false; },
+         [&](const InstanceId &, const auto &reply) { replies.push_back(reply); }});
+    const ServerState &server = *state.servers.find(ServerName("a"));
+    wire::PeerPermitRequest request;
+    request.server = "a";
+    request.number = 1;
+    request.requestsPerSecond = 6.9;
+    request.__set_coldRequestsPerSecond(6.9);
+    permits.onRequest(InstanceId("peer"), request);
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_FALSE(replies.back().isGranted);
+    EXPECT_GT(replies.back().retryAfterMs, 1000);
+    EXPECT_FALSE(server.isLimited(steadyNow()));
+    setColdRate(state, 0.5);
+    state.coldServers.applyPeer(ServerName("a"), Incarnation(), 60s, "peer");
+    EXPECT_TRUE(server.isCold(steadyNow()));
+    permits.onRequest(InstanceId("peer"), request);
+    EXPECT_GT(replies.back().retryAfterMs, 2000);
+    EXPECT_FALSE(server.requestLimit.limit());
+    EXPECT_EQ(server.requestRate(steadyNow()), RequestRate(0.5));
+}
+
 // A service without a rate for cold servers is served as before.
 TEST_F(PlatformExchangeTest, sendsToAColdServerWithoutARate)
 {
