--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -552,6 +552,7 @@
     const Instant sentAt = steadyNow();
     const std::string response = sendRequest("/i/x", "key", "evacuated");
     EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("evacuated"), std::string::npos);
     EXPECT_NE(response.find("Retry-After"), std::string::npos);
     EXPECT_LT(steadyNow() - sentAt, Duration(500ms));
     EXPECT_TRUE(firstServer.received().empty());
@@ -566,7 +567,9 @@
         state.servers.applyEvacuation(ZoneName("east"), EvacuationChange::Begun, steadyNow());
         state.waitQueue.retryDispatches();
     };
-    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "evacuated"), 503));
+    const std::string response = sendRequest("/i/x", "key", "evacuated");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("evacuated"), std::string::npos);
     EXPECT_TRUE(firstServer.received().empty());
 }
 
@@ -574,16 +577,15 @@
 TEST_F(PlatformExchangeTest, resumesNoStreamInAnEvacuatedZone)
 {
     addServer("b", secondServer);
-    firstServer.setResponse(signedHeader
-                                + "Content-Type: text/event-stream\r\nTransfer-Encoding: "
-                                  "chunked\r\n\r\n12\r\nid: 1\ndata: one\n\n\r\n",
-                            ScriptedServer::End::Close);
-    secondServer.setResponse(signedHeader + fineResponse);
+    firstServer.setResponse(streamHeader + chunkText(eventText(1)), ScriptedServer::End::Close);
+    secondServer.setResponse(streamHeader + chunkText(eventText(2)) + lastChunk);
     afterStart = [this] {
         state.servers.applyEvacuation(ZoneName("west"), EvacuationChange::Begun, steadyNow());
     };
-    sendRequest("/r/x", "key", "never");
-    EXPECT_TRUE(secondServer.received().empty());
+    const std::string response = sendRequest("/r/x", "key", lastChunk);
+    EXPECT_NE(response.find(eventText(1)), std::string::npos);
+    EXPECT_TRUE(caller->waitForClose());
+    EXPECT_EQ(secondServer.connections(), 0);
 }
 
 namespace {
@@ -615,6 +617,35 @@
     EXPECT_NE(refusal.find("Retry-After"), std::string::npos);
 }
 
+// The lease holder may not know yet that a server is cold, and the rate of a cold server must not
+// become one that the server states.
+TEST_F(PlatformExchangeTest, issuesPermitsAtTheLowerOfTheRatesThatItAndThePeerKnow)
+{
+    std::vector<wire::PeerPermitReply> replies;
+    PermitExchange permits(
+        state,
+        {[] { return true; }, [](const auto &) { return false; },
+         [&](const InstanceId &, const auto &reply) { replies.push_back(reply); }});
+    const ServerState &server = *state.servers.find(ServerName("a"));
+    wire::PeerPermitRequest request;
+    request.server = "a";
+    request.number = 1;
+    request.requestsPerSecond = 6.9;
+    request.__set_coldRequestsPerSecond(6.9);
+    permits.onRequest(InstanceId("peer"), request);
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_FALSE(replies.back().isGranted);
+    EXPECT_GT(replies.back().retryAfterMs, 1000);
+    EXPECT_FALSE(server.isLimited(steadyNow()));
+    setColdRate(state, 0.5);
+    state.coldServers.applyPeer(ServerName("a"), Incarnation(), 60s, "peer");
+    EXPECT_TRUE(server.isCold(steadyNow()));
+    permits.onRequest(InstanceId("peer"), request);
+    EXPECT_GT(replies.back().retryAfterMs, 2000);
+    EXPECT_FALSE(server.requestLimit.limit());
+    EXPECT_EQ(server.requestRate(steadyNow()), RequestRate(0.5));
+}
+
 // A service without a rate for cold servers is served as before.
 TEST_F(PlatformExchangeTest, sendsToAColdServerWithoutARate)
 {
@@ -655,7 +686,9 @@
         };
         state.awaitList(steadyNow() + 1s);
     };
-    EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "limited"), 503));
+    const std::string response = sendRequest("/i/x", "key", "limited");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("limited"), std::string::npos);
     EXPECT_TRUE(firstServer.received().empty());
 }
 
