--- a/src/Adapters/Async/HttpServerConnection.cpp
+++ b/src/Adapters/Async/HttpServerConnection.cpp
@@ -18,6 +18,10 @@
 // Memory that the parser takes for a header field beside its text.
 constexpr std::size_t fieldOverheadBytes = 128;
 
+// Memory for what the owner decodes from a byte of a header field. The part of a prompt, the
+// densest content, has at least 4 bytes and takes 32 once decoded and hashed.
+constexpr std::size_t decodedBytesPerByte = 8;
+
 // Bytes that are discarded after the last request. A caller that sends more has not read the
 // response; the rest is not read.
 constexpr std::size_t maxDiscardedBytes = 65'536;
@@ -93,6 +97,7 @@
     m_requestBegun = false;
     m_chunked = false;
     m_headerBytes = 0;
+    m_decodedBytes = 0;
     m_waitingSince = steadyNow();
     setTimer(limits.idleTimeout);
 }
@@ -207,8 +212,11 @@
 {
     m_headerChecked = true;
     const auto &message = m_parser->get();
-    for (const auto &field : message)
-        m_headerBytes += field.name_string().size() + field.value().size() + fieldOverheadBytes;
+    for (const auto &field : message) {
+        const std::size_t text = field.name_string().size() + field.value().size();
+        m_headerBytes += text + fieldOverheadBytes;
+        m_decodedBytes += text * decodedBytesPerByte;
+    }
     if (message.version() != 11)
         return Problem{505, "only HTTP/1.1 is supported"};
     const auto coding = message[http::field::transfer_encoding];
@@ -293,11 +301,12 @@
         request.slot = ResourceCharge(slots, 1);
     }
     if (m_hooks->budget) {
-        if (!m_hooks->budget->mayTakeOn(requestBytes())) {
+        const std::size_t bytes = requestBytes() + m_decodedBytes;
+        if (!m_hooks->budget->mayTakeOn(bytes)) {
             reject(503, "memory");
             return;
         }
-        request.memory = m_hooks->budget->chargeRequest(requestBytes());
+        request.memory = m_hooks->budget->chargeRequest(bytes);
     }
     m_state = State::Handling;
     m_timer.cancel();
--- a/src/Adapters/Async/HttpServerConnection.h
+++ b/src/Adapters/Async/HttpServerConnection.h
@@ -67,7 +67,7 @@
 
     HttpServerConnection(Tcp::socket socket, std::shared_ptr<const Hooks> hooks);
 
-    ~HttpServerConnection();
+    ~HttpServerConnection() override;
     HttpServerConnection(const HttpServerConnection &) = delete;
     HttpServerConnection &operator=(const HttpServerConnection &) = delete;
 
@@ -159,6 +159,7 @@
     ReadableWait m_readable;
     Instant m_waitingSince;
     std::size_t m_headerBytes = 0; // memory of the parsed header
+    std::size_t m_decodedBytes = 0; // memory of what the owner decodes from it, at most
     std::size_t m_discardedBytes = 0; // that arrived after the last request
     bool m_headerChecked = false;
     bool m_requestBegun = false;
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -135,6 +135,8 @@
          {"retry_share = 2", "is not a number within its bounds"},
          {"stop_grace_s = soon", "is not a number within its bounds"},
          {"descriptors = 1", "is out of range"},
+         {"memory_mb = 3", "is not a number within its bounds"},
+         {"memory_mb = {{limits.memory_mb}}", "is not a number within its bounds"},
          {"[gateway]", "unknown section"}});
     for (const char *usedAddress : {"127.0.0.1:7001", "127.0.0.1:7002"}) {
         const Problems problems
@@ -144,6 +146,38 @@
     }
 }
 
+// The platform may leave the memory empty or state it as a fraction. Callers' connections, the
+// requests being handled and the descriptors for everything else must fit into all descriptors.
+TEST(SettingsTest, derivesLimitsOfAnEntryGatewayFromItsMachine)
+{
+    const auto settingsWith = [](const std::string &lines) {
+        Problems problems;
+        const auto settings = EntrySettings::read(
+            IniDocument::parse("[entry]\ninstance = i-1\nzone = a\nlisten_callers = 127.0.0.1:1\n"
+                               "listen_readiness = 127.0.0.1:2\nlisten_peers = 127.0.0.1:3\n"
+                               "store = 127.0.0.1:9\n"
+                                   + lines,
+                               "f", problems),
+            problems);
+        EXPECT_TRUE(problems.empty()) << lines;
+        return settings;
+    };
+    EXPECT_EQ(settingsWith("").memoryMb, 1024);
+    EXPECT_EQ(settingsWith("memory_mb =\n").memoryMb, 1024);
+    EXPECT_EQ(settingsWith("memory_mb = 120\n").memoryMb, 120);
+    EXPECT_EQ(settingsWith("memory_mb = 119.5\n").memoryMb, 119.5);
+    const EntrySettings smallest = settingsWith("descriptors = 3075\n");
+    EXPECT_EQ(smallest.maxCallerConnections, 1675U);
+    EXPECT_EQ(smallest.maxRequests, 1240U);
+    for (const int descriptors : {256, 400, 2800, 4096, 1'048'576}) {
+        const EntrySettings settings
+            = settingsWith("descriptors = " + std::to_string(descriptors) + "\n");
+        EXPECT_GT(settings.maxRequests, 0U);
+        EXPECT_LT(settings.maxCallerConnections + settings.maxRequests,
+                  static_cast<std::size_t>(descriptors));
+    }
+}
+
 TEST(SettingsTest, reportsMissingSettings)
 {
     for (const char *it : {"instance", "zone", "listen", "http_listen", "fleet_secret_file",
--- a/test/UnboundedCallersTest.cpp
+++ b/test/UnboundedCallersTest.cpp
@@ -256,6 +256,7 @@
     AsyncHttpServer server;
     std::filesystem::path folder;
     Address address;
+    Address peers;
     std::unique_ptr<ChildProcess> gateway;
     std::size_t peakDescriptors = 0;
     int ordinaryRequests = 0;
@@ -325,13 +326,14 @@
     void startGateway()
     {
         address = freeAddress();
+        peers = freeAddress();
         const std::map<std::string, std::string> values{
             {"node", "gateway-0"},
             {"zone", "east"},
             {"listen.front", address.text()},
             {"listen.ready", freeAddress().text()},
             {"ip", loopbackHost()},
-            {"internal_ports.0", std::to_string(freeAddress().port)},
+            {"internal_ports.0", std::to_string(peers.port)},
             {"platform.address", store.address().text()},
             {"limits.max_fds", std::to_string(maxDescriptors)},
             {"limits.memory_mb", std::to_string(memoryMb)},
@@ -534,3 +536,20 @@
                 100, "NNNNNNNN"},
                crowdSize, responseTime);
 }
+
+// A datagram of a few bytes can announce a list of millions of entries, whose memory must not be
+// reserved before they are there.
+TEST_F(UnboundedCallersTest, survivesDatagramsThatAnnounceLongLists)
+{
+    ASSERT_TRUE(isAnswered());
+    asio::ip::udp::socket sender(loop, asio::ip::udp::v4());
+    const asio::ip::udp::endpoint to(asio::ip::make_address(peers.host),
+                                     static_cast<unsigned short>(peers.port));
+    for (char field = 1; field < 60; ++field) {
+        // In Thrift's compact protocol: field of type list, its id, structs, 6 million of them.
+        const std::string bytes = std::string{
+            '\x09', static_cast<char>(field * 2), '\xfc', '\x80', '\x9b', '\xee', '\x02'};
+        sender.send_to(asio::buffer(bytes), to);
+    }
+    checkCrowd({"GET /ordinary/x HTTP/1.1\r\nHost: c", "", 0}, 1);
+}
