Don't reserve memory for the lists that a datagram announces

Thrift's generated code resizes a list to its stated length before it reads the entries, and entries that are structs have no least size, so 59 datagrams of 7 bytes raised a gateway to 742 MB (limit 64 MB). Each datagram is now skipped first, which fails at its end. The names of peers are limited to 1,024.

UnboundedCallersTest.survivesDatagramsThatAnnounceLongLists: 742 -> 10 MB.

--- a/src/Adapters/Async/PeerSocket.cpp
+++ b/src/Adapters/Async/PeerSocket.cpp
@@ -81,10 +81,15 @@
 void PeerSocket::onDatagram(std::size_t n)
 {
     wire::PeerNews message;
-    try {
-        const auto buffer = std::make_shared<TMemoryBuffer>(
+    const auto newBuffer = [n] {
+        return std::make_shared<TMemoryBuffer>(
             reinterpret_cast<std::uint8_t *>(datagramBuffer.data()), static_cast<std::uint32_t>(n));
-        TCompactProtocol protocol(buffer);
+    };
+    try {
+        // Reading a list reserves memory for its stated length, which may be millions in a datagram
+        // of a few bytes. Skipping it fails at the end of the datagram instead.
+        TCompactProtocol(newBuffer()).skip(apache::thrift::protocol::T_STRUCT);
+        TCompactProtocol protocol(newBuffer());
         message.read(&protocol);
     } catch (const std::exception &e) {
         LOG_EVERY_N(WARNING, 100) << "event=bad_datagram reason=\"" << e.what() << '"';
--- a/src/Apps/Entry/PeerNetwork.cpp
+++ b/src/Apps/Entry/PeerNetwork.cpp
@@ -34,6 +34,9 @@
 // when it takes over the lease. With more peers only the lease holder receives them.
 constexpr std::size_t maxPeersForFullBroadcast = 8;
 
+// Far above the size of a fleet, since anybody who reaches the address can state another name.
+constexpr std::size_t maxPeers = 1024;
+
 // Until the gateways are known, this one takes its share as if there were this many.
 constexpr std::size_t assumedGatewaysBeforeJoin = 16;
 
@@ -510,6 +513,8 @@
     if (instance == m_state.settings.instance || instance.isEmpty())
         return;
     const bool isNew = m_peers.count(instance) == 0;
+    if (isNew && m_peers.size() >= maxPeers)
+        return;
     addMember(instance, from);
     Peer &peer = m_peers[instance];
     const Incarnation incarnation(message.incarnation);
