--- a/src/Adapters/Async/HttpClientConnection.cpp
+++ b/src/Adapters/Async/HttpClientConnection.cpp
@@ -31,7 +31,7 @@
 constexpr double usedShareOfIdleTimeout = 0.8;
 
 // Longer stated timeouts are cut, so that times calculated from them don't overflow.
-constexpr std::int64_t maxIdleTimeoutSeconds = 24 * 3600;
+constexpr std::int64_t maxIdleTimeoutSeconds = 24LL * 3600;
 
 std::chrono::milliseconds usableIdleTimeout(const boost::beast::http::fields &fields)
 {
--- a/src/Core/ExternalText.cpp
+++ b/src/Core/ExternalText.cpp
@@ -83,6 +83,8 @@
 
 std::string readableText(std::string_view text, std::size_t maxBytes)
 {
+    if (isExternalName(text, maxBytes))
+        return std::string(text);
     std::string out;
     while (!text.empty()) {
         const Character character = firstCharacter(text);
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -345,8 +345,12 @@
 {
     std::vector<std::string> texts;
     for (int byte = 0; byte < 0x100; ++byte) {
-        if (byte != '\r' && byte != '\n')
-            texts.push_back(before + static_cast<char>(byte) + after);
+        if (byte == '\r' || byte == '\n')
+            continue;
+        std::string text = before;
+        text += static_cast<char>(byte);
+        text += after;
+        texts.push_back(std::move(text));
     }
     return texts;
 }
