One order for who is sent, held back and refused when room is short

Cause: requests were sent while their first byte was expected within twice their objective, so above the capacity each engine's queue stayed longer than all objectives and nearly everything was late. Short urgent prompts queued behind long ones of less urgent classes, bulk work with a long objective was served most, and an account's burst cost all accounts the same. The queue was ordered by priority and age, and new arrivals were tried before it.

Change: urgencyRank orders the queue by priority, time until the objective and the account's excess over the mean work; waiting requests that come before an arrival are tried first. AdmissionPolicy sends a request that would delay others only if it is in time and leaves more urgent classes in time; late ones that delay none, or have waited, are bounded by the caller's patience. Deferrable requests wait while they would delay more urgent ones or these are refused, for at most half of their limit. While others are refused, an account with excess leaves room. Where neither demand nor other classes are known, the former bound holds. The wait for a load counts the prompts before a request. The lines waiting and refused state priority and reason, waits are counted.

--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -60,6 +60,7 @@
     /// Returns whether this holds for any service.
     bool mayHaveSeveralVersions() const;
     WaitQueue waitQueue;
+    RecentUrgencies recentUrgencies;
     RequestPermitIssuer permitIssuer; ///< Used while this gateway holds the lease.
 
     /// Whether this gateway is shutting down. It accepts connections until the platform has
--- a/src/Apps/Entry/RequestAdmission.cpp
+++ b/src/Apps/Entry/RequestAdmission.cpp
@@ -58,6 +58,16 @@
 
 } // namespace
 
+RequestUrgency requestUrgency(const RequestContext &context, Instant arrivedAt)
+{
+    return {context.service->name,
+            context.metadata.model,
+            context.account ? context.account->name : AccountId(),
+            context.priority,
+            arrivedAt,
+            context.route->latencyObjective};
+}
+
 std::optional<Rejection> RequestAdmission::admit(RequestContext &context) const
 {
     std::string problem;
--- a/src/Apps/Entry/RequestAdmission.h
+++ b/src/Apps/Entry/RequestAdmission.h
@@ -22,6 +22,9 @@
     int priority = 0; ///< 0 is the most urgent.
 };
 
+/// Returns the urgency of an admitted request.
+RequestUrgency requestUrgency(const RequestContext &context, Instant arrivedAt);
+
 /// \brief Why the gateway refuses a request without sending it to a server; it has not run.
 struct Rejection
 {
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -107,7 +107,12 @@
         refuse(rejection->status, rejection->reason, rejection->retryAfter);
         return;
     }
+    const Instant now = steadyNow();
+    m_urgency = requestUrgency(m_context, m_request.arrivedAt);
+    m_state.waitQueue.accountWork.add(m_urgency->account);
+    m_state.recentUrgencies.record(*m_urgency, now);
     setTimer();
+    m_state.waitQueue.retryMoreUrgent(*m_urgency, now);
     if (isUnboundTakeUp())
         determineStreamVersion();
     else
@@ -256,7 +261,7 @@
     input.serverChoice = chooseServer(now);
     input.waited = age();
     input.timeLeft = remainingTime(now);
-    input.timeUntilRoom = estimateTimeUntilRoom(input.serverChoice, now);
+    estimate(input, now);
     const ServerChoice::Outcome outcome = input.serverChoice.outcome;
     const bool lacksReplica = outcome == ServerChoice::Outcome::NoModel
         || outcome == ServerChoice::Outcome::NoAdapter
@@ -270,17 +275,19 @@
     switch (decision.action) {
     case AdmissionDecision::Action::Send:
         if (input.serverChoice.needsPermit) {
-            enqueue();
+            enqueue(input, "permit");
             return false;
         }
         send(input.serverChoice);
         return true;
     case AdmissionDecision::Action::Wait:
-        enqueue();
+        enqueue(input, decision.reason);
         return false;
     case AdmissionDecision::Action::Refuse:
         if (outcome == ServerChoice::Outcome::NoAdapter && m_isWaiting)
             m_state.retryAfterEstimator.recordAdapterRefusal(m_context.metadata, now);
+        if (decision.isForShortage)
+            m_state.recentUrgencies.recordShortage(*m_urgency, m_state.waitQueue.accountWork, now);
         refuse(503, decision.reason,
                m_state.retryAfterEstimator.planReturn(choiceInput({}), input.serverChoice,
                                                       decision.retryAfter, input.timeLeft,
@@ -290,29 +297,45 @@
     return true;
 }
 
-std::optional<Duration> RequestHandler::estimateTimeUntilRoom(const ServerChoice &choice,
-                                                              Instant now)
+void RequestHandler::estimate(AdmissionInput &input, Instant now)
 {
     RetryAfterEstimator &estimator = m_state.retryAfterEstimator;
     const ServerChoiceInput request = choiceInput({});
-    estimator.recordChoice(request, choice, m_isWaiting ? age() : Duration::zero(), m_state.servers,
-                           m_state.gatewayCount(), now);
-    const std::size_t ahead
-        = m_state.waitQueue.countBefore(m_context.priority, m_request.arrivedAt);
-    return estimator.timeUntilRoom(request, choice, ahead, now);
+    estimator.recordChoice(request, input.serverChoice, m_isWaiting ? age() : Duration::zero(),
+                           m_state.servers, m_state.gatewayCount(), now);
+    const std::size_t ahead = m_state.waitQueue.countBefore(*m_urgency, now);
+    input.timeUntilRoom = estimator.timeUntilRoom(request, input.serverChoice, ahead, now);
+    input.urgentObjective = m_state.recentUrgencies.moreUrgentObjective(*m_urgency, now);
+    input.accountExcess
+        = m_state.recentUrgencies.excessInShortage(*m_urgency, m_state.waitQueue.accountWork, now);
+    input.areMoreUrgentRefused = m_state.recentUrgencies.areMoreUrgentRefused(*m_urgency, now);
+    const ServerState *server = m_state.servers.find(input.serverChoice.server);
+    if (!server || !m_context.service->engine)
+        return;
+    input.freeSlotShare
+        = 1 - static_cast<double>(server->totalWork().requestsInFlight) / server->listed.slots;
+    input.arrivalsBeforeFirstByte = expectedArrivals(
+        m_context.metadata, m_state.servers,
+        m_state.replicaController.promptTokensPerSecond(m_context.metadata.model, now),
+        input.serverChoice.expectedTimeToFirstByte);
 }
 
-void RequestHandler::enqueue()
+void RequestHandler::enqueue(const AdmissionInput &input, const char *reason)
 {
     if (m_isWaiting)
         return;
     m_isWaiting = true;
-    m_state.waitQueue.add(m_context.priority, m_request.arrivedAt, shared_from_this());
+    m_state.waitQueue.add(*m_urgency, shared_from_this());
     logRoutine("waiting",
                {{"id", m_context.metadata.id},
+                {"reason", reason},
                 {"model", m_context.metadata.model},
                 {"adapter", m_context.metadata.adapter},
+                {"priority", m_context.priority},
+                {"expected_ms", input.serverChoice.expectedTimeToFirstByte},
+                {"room_ms", input.timeUntilRoom.value_or(Duration::zero())},
                 {"age_ms", age()}});
+    Metrics::incrementCounter("waits", {{"reason", reason}});
 }
 
 bool RequestHandler::retryDispatch()
@@ -1087,6 +1110,7 @@
                 {"account", m_context.account ? m_context.account->name : AccountId()},
                 {"model", m_context.metadata.model},
                 {"adapter", m_context.metadata.adapter},
+                {"priority", m_context.priority},
                 {"age_ms", age()},
                 {"retry_after_ms", retryAfterMs ? retryAfterMs->count() : 0},
                 {"config", m_context.config ? m_context.config->version : Version()},
@@ -1133,6 +1157,8 @@
     m_timer.cancel();
     if (m_isWaiting)
         m_state.waitQueue.remove(this);
+    if (m_urgency)
+        m_state.waitQueue.accountWork.remove(m_urgency->account);
     Metrics::incrementCounter("requests", {{"outcome", outcome}});
     m_callerConnection.reset();
 }
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -34,8 +34,8 @@
     ServerChoice chooseServer(Instant now);
     ServerChoiceInput choiceInput(std::set<ServerName> excluded) const;
     bool lacksServerOfVersion() const;
-    std::optional<Duration> estimateTimeUntilRoom(const ServerChoice &choice, Instant now);
-    void enqueue();
+    void estimate(AdmissionInput &input, Instant now);
+    void enqueue(const AdmissionInput &input, const char *reason);
     void send(const ServerChoice &choice);
     bool goesOnWithStream() const;
     bool mustKnowIncarnation(bool isLimited) const;
@@ -86,6 +86,7 @@
     HttpServerConnection::Pointer m_callerConnection;
     HttpRequest m_request;
     RequestContext m_context;
+    std::optional<RequestUrgency> m_urgency; // once the request is admitted
     asio::steady_timer m_timer;
     std::unique_ptr<BackendAttempt> m_attempt;
     std::map<ServerName, Instant> m_excludedUntil; // servers not to be tried before that time
--- a/src/Apps/Entry/WaitQueue.h
+++ b/src/Apps/Entry/WaitQueue.h
@@ -1,10 +1,11 @@
 #ifndef QUETZALYOKE_APPS_ENTRY_WAITQUEUE_H
 #define QUETZALYOKE_APPS_ENTRY_WAITQUEUE_H
 
-#include "Core/StrongTypes.h"
+#include "Serving/Requests/RequestUrgency.h"
 
-#include <map>
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace quetzalyoke {
 
@@ -17,21 +18,35 @@
     virtual bool retryDispatch() = 0;
 };
 
-/// \brief Queue of waiting requests, ordered by priority, then by age.
+/// \brief Queue of waiting requests, in the order of their UrgencyRank.
 class WaitQueue
 {
 public:
-    void add(int priority, Instant arrivedAt, const std::shared_ptr<Waiter> &waiter);
+    void add(const RequestUrgency &urgency, const std::shared_ptr<Waiter> &waiter);
     void remove(const Waiter *waiter);
     /// Lets each waiting request try to dispatch again, in order.
+    void retryDispatches(Instant now);
     void retryDispatches();
-    /// Returns the number of requests that come before one with this priority and arrival.
-    std::size_t countBefore(int priority, Instant arrivedAt) const;
-    bool isEmpty() const { return m_waiters.empty(); }
-    std::size_t size() const { return m_waiters.size(); }
+    /// Does the same for the requests to the same service that come before an arriving one.
+    void retryMoreUrgent(const RequestUrgency &arriving, Instant now);
+    /// Returns the number of requests for the same service and model that come before this one.
+    std::size_t countBefore(const RequestUrgency &urgency, Instant now) const;
+    bool isEmpty() const { return m_entries.empty(); }
+    std::size_t size() const { return m_entries.size(); }
+
+    /// The waiting and running requests of each account.
+    AccountWork accountWork;
 
 private:
-    std::multimap<std::pair<int, Instant>, std::shared_ptr<Waiter>> m_waiters;
+    struct Entry
+    {
+        RequestUrgency urgency;
+        std::shared_ptr<Waiter> waiter;
+    };
+
+    void retry(const std::function<bool(const Entry &entry)> &isSelected, Instant now);
+
+    std::vector<Entry> m_entries; // in the order of arrival
 };
 
 } // namespace quetzalyoke
--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -22,6 +22,16 @@
 
 } // namespace
 
+double expectedArrivals(const RequestMetadata &metadata, const ServerDirectory &directory,
+                        double promptTokensPerSecond, Duration time)
+{
+    const std::size_t replicas = directory.serversWithModel(metadata.model).size();
+    const auto tokens
+        = static_cast<double>(std::max<std::int64_t>(1, metadata.promptTokens.count()));
+    return promptTokensPerSecond * toSeconds(time) / tokens
+        / static_cast<double>(std::max<std::size_t>(1, replicas));
+}
+
 // Returns how long from now on the caller waits for the first byte.
 Duration AdmissionPolicy::timeForFirstByte(const AdmissionInput &input) const
 {
@@ -44,7 +54,8 @@
     const Duration maxDelay = scaled(input.timeLeft, maxRetryAfterShare);
     later.waited = Duration::zero();
     later.timeLeft = input.timeLeft - maxDelay;
-    if (delay < maxDelay + timeForFirstByte(later))
+    // The jitter may let it return earlier by a tenth.
+    if (delay < scaled(maxDelay, 0.9) + timeForFirstByte(later))
         return boundedRetryAfter(delay, input.timeLeft, spread);
     return std::max(minRetryAfter, scaled(delay, 1 + spread / 2));
 }
@@ -102,6 +113,7 @@
         return decision;
     }
     decision.action = AdmissionDecision::Action::Refuse;
+    decision.isForShortage = input.serverChoice.outcome == ServerChoice::Outcome::AllFull;
     decision.retryAfter = boundedRetryAfter(retryAfter, input.timeLeft, spread);
     return decision;
 }
@@ -157,18 +169,102 @@
                             input.timeUntilRoom.value_or(objective), spread);
     }
     }
+    return decideOnServer(input, spread);
+}
+
+AdmissionDecision AdmissionPolicy::decideOnServer(const AdmissionInput &input, double spread) const
+{
     AdmissionDecision decision;
-    const Duration firstByteAt = input.waited + input.serverChoice.expectedTimeToFirstByte;
-    if (input.serverChoice.expectedTimeToFirstByte >= input.timeLeft
-        || firstByteAt > scaled(objective, m_settings.maxFirstByteToObjective)) {
+    const Duration expected = input.serverChoice.expectedTimeToFirstByte;
+    if (expected >= timeForFirstByte(input) || input.waited + expected > maxFirstByteTime(input)) {
         decision.reason = "too_late";
-        decision.retryAfter
-            = boundedRetryAfter(input.serverChoice.expectedTimeToFirstByte, input.timeLeft, spread);
+        decision.isForShortage = true;
+        decision.retryAfter = boundedRetryAfter(expected, input.timeLeft, spread);
         return decision;
     }
-    decision.action = AdmissionDecision::Action::Send;
-    decision.reason = "sent";
+    const bool isHeld = mustYield(input);
+    decision.action = isHeld ? AdmissionDecision::Action::Wait : AdmissionDecision::Action::Send;
+    decision.reason = isHeld ? "yields" : "sent";
     return decision;
 }
 
+// Returns the time that the chosen server needs for the request's own prompt.
+Duration AdmissionPolicy::ownPrefillTime(const AdmissionInput &input) const
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(input.serverChoice.prefillTokens)
+                                              / m_settings.prefillTokensPerMs * 1000));
+}
+
+// Returns whether more urgent requests lately arrived that this one would delay noticeably. Engines
+// process prompts in the order of arrival, so that what is queued at one delays all that come
+// later.
+bool AdmissionPolicy::delaysMoreUrgent(const AdmissionInput &input) const
+{
+    return input.urgentObjective
+        && ownPrefillTime(input) > scaled(*input.urgentObjective, m_settings.urgentHeadroom);
+}
+
+bool AdmissionPolicy::isDeferrable(const AdmissionInput &input) const
+{
+    return input.urgentObjective
+        && Duration(input.route->latencyObjective)
+        >= scaled(*input.urgentObjective, m_settings.deferrableToUrgentObjective);
+}
+
+// A deferrable request waits here until it delays more urgent ones by little or its own time is
+// used up. Then it is sent like any other request, so that it isn't starved.
+bool AdmissionPolicy::mustYield(const AdmissionInput &input) const
+{
+    if (!isDeferrable(input))
+        return false;
+    const Duration total = input.waited + input.timeLeft;
+    if (input.waited >= scaled(total, m_settings.maxYieldShareOfTimeout))
+        return false;
+    if (input.areMoreUrgentRefused && delaysMoreUrgent(input))
+        return true;
+    const ServerChoice &choice = input.serverChoice;
+    const Duration slack = input.route->latencyObjective - choice.expectedTimeToFirstByte;
+    if (input.waited >= slack)
+        return false;
+    if (input.freeSlotShare && *input.freeSlotShare < m_settings.reservedSlotShare)
+        return true;
+    if (!delaysMoreUrgent(input))
+        return false;
+    const Duration ownPrefill = ownPrefillTime(input);
+    const Duration queued = choice.expectedTimeToFirstByte - ownPrefill;
+    const Duration reserve = std::max(
+        scaled(*input.urgentObjective, m_settings.minDeferrableShareOfObjective),
+        scaled(*input.urgentObjective, m_settings.deferrableShareOfObjective) - ownPrefill);
+    const double used
+        = static_cast<double>(input.waited.count()) / static_cast<double>(slack.count());
+    return queued > reserve + scaled(*input.urgentObjective - reserve, used);
+}
+
+// Returns the latest time of the first byte, since the arrival, at which a request is sent. A late
+// response has less value, and at a busy server it makes later ones late, too. Where others arrive
+// in the meantime, a request is therefore sent only if it is in time, or if it has waited: a
+// refusal would then cost its caller most. One that can't be deferred must also leave the more
+// urgent ones in time.
+Duration AdmissionPolicy::maxFirstByteTime(const AdmissionInput &input) const
+{
+    const Duration objective = input.route->latencyObjective;
+    if (!input.arrivalsBeforeFirstByte)
+        return scaled(objective, m_settings.maxFirstByteToObjective);
+    const bool hasWaited = input.waited > scaled(objective, m_settings.cheapWaitShareOfObjective);
+    if (*input.arrivalsBeforeFirstByte < 1 || hasWaited)
+        return input.waited + timeForFirstByte(input);
+    // An account with more than its share of the work makes room for the others first.
+    const double share = 1 - m_settings.maxAccountHeadroom * std::min(1.0, input.accountExcess);
+    const Duration strict = delaysMoreUrgent(input) && !isDeferrable(input)
+        ? std::min(objective, scaled(*input.urgentObjective, 1 - m_settings.urgentHeadroom))
+        : objective;
+    // A prompt that no server can process that fast must not be refused for ever.
+    const Duration least = scaled(ownPrefillTime(input), m_settings.minFirstByteToOwnPrefill);
+    for (const Duration bound : {scaled(strict, share), objective}) {
+        if (bound >= least)
+            return bound;
+    }
+    return scaled(objective, m_settings.maxFirstByteToObjective);
+}
+
 } // namespace quetzalyoke
--- a/src/Serving/Requests/AdmissionPolicy.h
+++ b/src/Serving/Requests/AdmissionPolicy.h
@@ -16,6 +16,18 @@
     Duration timeLeft{0}; ///< Until the timeout of the caller or of the route.
     /// Until a server is expected to take the request, if it is known. \sa RetryAfterEstimator
     std::optional<Duration> timeUntilRoom = {};
+    /// Shortest latency objective of the more urgent classes that have lately arrived, if any.
+    /// \sa RecentUrgencies
+    std::optional<Duration> urgentObjective = {};
+    double accountExcess = 0; ///< \sa RecentUrgencies::excessInShortage
+    /// Whether more urgent requests for the same model have lately been refused as servers are
+    /// busy.
+    bool areMoreUrgentRefused = false;
+    /// Requests expected to arrive for the chosen server until the first byte of this one, if that
+    /// is known.
+    std::optional<double> arrivalsBeforeFirstByte = {};
+    /// Share of the chosen server's slots that are free, if that is known.
+    std::optional<double> freeSlotShare = {};
 };
 
 struct AdmissionDecision
@@ -25,8 +37,14 @@
     Action action = Action::Refuse;
     Duration retryAfter{0}; ///< Of a refusal: when the request could be accepted.
     const char *reason = "";
+    bool isForShortage = false; ///< Refused because all servers that could serve it are busy.
 };
 
+/// Returns how many requests like this one are expected within \a time at one server that has its
+/// model, of which \a promptTokensPerSecond are requested.
+double expectedArrivals(const RequestMetadata &metadata, const ServerDirectory &directory,
+                        double promptTokensPerSecond, Duration time);
+
 /// \brief Decides whether a request is sent, waits or is refused; no I/O.
 ///
 /// In a burst that exceeds the servers' capacity, a request whose first byte would come too long
@@ -54,9 +72,31 @@
         /// this share of the latency objective. A longer wait that ends in a refusal costs callers.
         double adapterWaitPerLoadTime = 3;
         double cheapWaitShareOfObjective = 0.125;
-        /// A request is sent only if its first byte is expected within this multiple of the latency
-        /// objective.
+        /// If it isn't known whether a late request delays others, it is sent only if its first
+        /// byte is expected within this multiple of the latency objective.
         double maxFirstByteToObjective = 2.0;
+        /// Prompt tokens that an engine processes per millisecond; see ServerChooser::Settings.
+        double prefillTokensPerMs = 38;
+        /// A request counts as deferrable if its objective is this multiple of the shortest one of
+        /// the more urgent classes.
+        double deferrableToUrgentObjective = 2;
+        /// Share of that objective that the prompts queued at a server, with those of a deferrable
+        /// request, may take up.
+        double deferrableShareOfObjective = 0.5;
+        /// Share of that objective within which a deferrable request may always be queued.
+        double minDeferrableShareOfObjective = 0.1;
+        /// Share of that objective that other less urgent requests leave to the urgent ones. A
+        /// request whose own prompt takes less than this doesn't delay them noticeably.
+        double urgentHeadroom = 0.1;
+        /// A bound below this multiple of the time for the request's own prompt is not applied.
+        double minFirstByteToOwnPrefill = 1.25;
+        /// Share of the objective that an account with twice the mean work of all leaves to others.
+        double maxAccountHeadroom = 0.25;
+        /// While more urgent requests are refused, deferrable ones wait for this share of their
+        /// time.
+        double maxYieldShareOfTimeout = 0.5;
+        /// Share of a server's slots that deferrable requests leave free.
+        double reservedSlotShare = 0.125;
     };
 
     explicit AdmissionPolicy(const Settings &settings) : m_settings(settings) { }
@@ -69,6 +109,12 @@
     Duration timeForFirstByte(const AdmissionInput &input) const;
     Duration maxWaitTime(const AdmissionInput &input, Duration minWait) const;
     Duration maxAdapterWaitTime(const AdmissionInput &input) const;
+    AdmissionDecision decideOnServer(const AdmissionInput &input, double spread) const;
+    Duration ownPrefillTime(const AdmissionInput &input) const;
+    bool delaysMoreUrgent(const AdmissionInput &input) const;
+    bool isDeferrable(const AdmissionInput &input) const;
+    bool mustYield(const AdmissionInput &input) const;
+    Duration maxFirstByteTime(const AdmissionInput &input) const;
     Duration returnDelay(Duration delay, const AdmissionInput &input, double spread) const;
     AdmissionDecision waitOrReturn(const AdmissionInput &input, Duration timeUntilRoom,
                                    double spread) const;
--- a/src/Serving/Requests/RetryAfterEstimator.cpp
+++ b/src/Serving/Requests/RetryAfterEstimator.cpp
@@ -13,6 +13,9 @@
 // Models and adapters are named by callers.
 constexpr std::size_t maxRecords = 4'096;
 
+// Callers state any number of prompt tokens.
+constexpr double maxPromptSeconds = 3'600;
+
 // Callers state any cost, and an account may have next to no rate.
 constexpr double maxQuotaIntervalSeconds = 3'600;
 
@@ -46,8 +49,9 @@
                                        std::size_t gateways, Instant now)
 {
     const RequestMetadata &metadata = *request.metadata;
+    m_gateways = std::max<std::size_t>(1, gateways);
     if (choice.outcome == ServerChoice::Outcome::AllFull)
-        recordFullServers(request, directory, gateways);
+        recordFullServers(request, directory);
     if (!request.service->engine || metadata.model.isEmpty()
         || choice.outcome == ServerChoice::Outcome::NoServer)
         return;
@@ -132,8 +136,17 @@
                                                            std::size_t ahead, Instant now) const
 {
     switch (choice.outcome) {
-    case ServerChoice::Outcome::NoModel:
-        return timeUntilModel(request.metadata->model, now);
+    case ServerChoice::Outcome::NoModel: {
+        // Once the model is loaded, its engine processes the prompts that wait for it.
+        const double tokens = static_cast<double>(ahead * m_gateways + 1)
+            * static_cast<double>(request.metadata->promptTokens.count());
+        const double seconds
+            = std::min(maxPromptSeconds, tokens / m_settings.prefillTokensPerMs / 1000);
+        const auto loaded = timeUntilModel(request.metadata->model, now);
+        if (!loaded)
+            return {};
+        return *loaded + Duration(static_cast<std::int64_t>(seconds * 1e6));
+    }
     case ServerChoice::Outcome::NoAdapter:
         return timeUntilAdapter(*request.metadata, now);
     case ServerChoice::Outcome::AllFull: {
@@ -174,7 +187,7 @@
 // gets the share of the freed slots that it has of the running requests, or at least its equal
 // share.
 void RetryAfterEstimator::recordFullServers(const ServerChoiceInput &request,
-                                            const ServerDirectory &directory, std::size_t gateways)
+                                            const ServerDirectory &directory)
 {
     const auto mean = m_meanRuns.find(request.service->name);
     if (mean == m_meanRuns.end() || !mean->second)
@@ -189,7 +202,7 @@
         own += server->ownWork.requestsInFlight;
         total += server->totalWork().requestsInFlight;
     }
-    const double equal = total / static_cast<double>(std::max<std::size_t>(1, gateways));
+    const double equal = total / static_cast<double>(m_gateways);
     const double running = std::max(own, equal);
     if (running <= 0 || m_fullPools.size() >= maxRecords)
         return;
--- a/src/Serving/Requests/RetryAfterEstimator.h
+++ b/src/Serving/Requests/RetryAfterEstimator.h
@@ -36,6 +36,7 @@
         double maxOverdueShare = 0.25;
         /// A model that no request has missed for this long is no longer expected to be loaded.
         Duration missingModelRetention{2'000'000};
+        double prefillTokensPerMs = 38; ///< \sa ServerChooser::Settings
         /// Weight of the latest observation in the mean times.
         double meanWeight = 0.2;
     };
@@ -86,13 +87,13 @@
     void recordMissingModel(const ServerChoiceInput &request, bool isStoredLocally, Instant now);
     std::optional<Duration> timeUntilModel(const ModelName &model, Instant now) const;
     std::optional<Duration> timeUntilAdapter(const RequestMetadata &metadata, Instant now) const;
-    void recordFullServers(const ServerChoiceInput &request, const ServerDirectory &directory,
-                           std::size_t gateways);
+    void recordFullServers(const ServerChoiceInput &request, const ServerDirectory &directory);
     static Duration planReturn(Instant &nextReturnAt, Duration delay, Duration interval,
                                Duration timeLeft, double spread, Instant now);
     void updateMean(std::optional<Duration> &mean, Duration observed) const;
 
     const Settings m_settings;
+    std::size_t m_gateways = 1; // this one included, each with about the same waiting requests
     std::map<ModelName, MissingModel> m_missingModels;
     std::map<AdapterKey, Instant> m_missingAdapters; // since when requests have lacked them
     std::map<AdapterKey, Instant> m_adapterRefusedAt;
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -479,3 +479,117 @@
     EXPECT_EQ(decide(900ms).action, AdmissionDecision::Action::Refuse);
     EXPECT_EQ(decide(900ms).retryAfter, 900ms);
 }
+
+namespace {
+
+// Decisions on a request for a server with a free slot.
+struct ServerDecision
+{
+    AdmissionDecision operator()(Milliseconds objective, Milliseconds timeout, Duration expected,
+                                 Duration waited = Duration(0))
+    {
+        Site site;
+        site.route.latencyObjective = objective;
+        site.route.timeout = timeout;
+        site.route.eventGapObjective = Milliseconds(400);
+        const RequestMetadata metadata = site.makeRequest(100);
+        input.route = &site.route;
+        input.service = &site.service;
+        input.metadata = &metadata;
+        input.serverChoice.outcome = ServerChoice::Outcome::Chosen;
+        input.serverChoice.expectedTimeToFirstByte = expected;
+        input.serverChoice.prefillTokens = prefillTokens;
+        input.waited = waited;
+        input.timeLeft = timeout - waited;
+        return site.policy.decide(input, 0);
+    }
+
+    AdmissionInput input;
+    std::int64_t prefillTokens = 9190; // 242 ms at the assumed pace
+};
+
+using Action = AdmissionDecision::Action;
+
+} // namespace
+
+// Load pattern: a burst after which nothing more arrives. A late response still has value, so the
+// caller's patience bounds its delay, not a multiple of its objective.
+TEST(AdmissionPolicyTest, sendsALateRequestThatDelaysNoOther)
+{
+    ServerDecision decide;
+    decide.input.arrivalsBeforeFirstByte = 0.2;
+    EXPECT_EQ(decide(600ms, 5s, 2500ms).action, Action::Send);
+    EXPECT_EQ(decide(600ms, 5s, 3300ms).action, Action::Refuse);
+    decide.input.arrivalsBeforeFirstByte = 3;
+    EXPECT_EQ(decide(600ms, 5s, 700ms).action, Action::Refuse);
+    EXPECT_STREQ(decide(600ms, 5s, 700ms).reason, "too_late");
+    EXPECT_EQ(decide(600ms, 5s, 550ms).action, Action::Send);
+    // One that has waited is not refused for being late, which would cost its caller most.
+    EXPECT_EQ(decide(600ms, 5s, 700ms, 300ms).action, Action::Send);
+    // Without knowledge of other requests the former bound holds.
+    decide.input.arrivalsBeforeFirstByte.reset();
+    EXPECT_EQ(decide(600ms, 5s, 1100ms).action, Action::Send);
+    EXPECT_EQ(decide(600ms, 5s, 1300ms).action, Action::Refuse);
+}
+
+// Load pattern: long prompts of a less urgent class fill the engines' queues up to their objective,
+// so that short ones with a shorter objective are late.
+TEST(AdmissionPolicyTest, leavesMoreUrgentRequestsInTime)
+{
+    ServerDecision decide;
+    decide.input.arrivalsBeforeFirstByte = 3;
+    decide.input.urgentObjective = 500ms;
+    EXPECT_EQ(decide(600ms, 5s, 440ms).action, Action::Send);
+    EXPECT_EQ(decide(600ms, 5s, 460ms).action, Action::Refuse);
+    // A prompt that is almost wholly cached delays nobody.
+    decide.prefillTokens = 800;
+    EXPECT_EQ(decide(600ms, 5s, 590ms).action, Action::Send);
+}
+
+// Load pattern: bulk work among urgent requests of its priority.
+TEST(AdmissionPolicyTest, holdsDeferrableRequestsBackUntilTheyAge)
+{
+    ServerDecision decide;
+    decide.input.arrivalsBeforeFirstByte = 3;
+    EXPECT_EQ(decide(6s, 20s, 600ms).action, Action::Send);
+    decide.input.urgentObjective = 500ms;
+    EXPECT_EQ(decide(6s, 20s, 260ms).action, Action::Send);
+    EXPECT_EQ(decide(6s, 20s, 600ms).action, Action::Wait);
+    EXPECT_STREQ(decide(6s, 20s, 600ms).reason, "yields");
+    EXPECT_EQ(decide(6s, 20s, 600ms, 5s).action, Action::Send);
+    EXPECT_EQ(decide(6s, 20s, 800ms, 5500ms).action, Action::Send);
+    // While more urgent requests are refused it waits for half of its time, but no longer.
+    decide.input.areMoreUrgentRefused = true;
+    EXPECT_EQ(decide(6s, 20s, 260ms, 7s).action, Action::Wait);
+    EXPECT_EQ(decide(6s, 20s, 260ms, 11s).action, Action::Send);
+    decide.input.areMoreUrgentRefused = false;
+    decide.input.freeSlotShare = 0.1;
+    EXPECT_EQ(decide(6s, 20s, 260ms).action, Action::Wait);
+    decide.input.freeSlotShare = 0.2;
+    EXPECT_EQ(decide(6s, 20s, 260ms).action, Action::Send);
+}
+
+// Load pattern: requests of other accounts are refused while one account has twice the mean work.
+TEST(AdmissionPolicyTest, anAccountInABurstLeavesRoomToOthers)
+{
+    ServerDecision decide;
+    decide.input.arrivalsBeforeFirstByte = 3;
+    EXPECT_EQ(decide(600ms, 5s, 500ms).action, Action::Send);
+    decide.input.accountExcess = 1;
+    EXPECT_EQ(decide(600ms, 5s, 500ms).action, Action::Refuse);
+    EXPECT_EQ(decide(600ms, 5s, 440ms).action, Action::Send);
+}
+
+// A class whose prompts take longer than the bound at an idle server must not be refused for ever.
+TEST(AdmissionPolicyTest, sendsPromptsThatNoServerProcessesInTime)
+{
+    ServerDecision decide;
+    decide.input.arrivalsBeforeFirstByte = 3;
+    decide.prefillTokens = 40'000; // 1,053 ms
+    EXPECT_EQ(decide(600ms, 5s, 1100ms).action, Action::Send);
+    EXPECT_EQ(decide(600ms, 5s, 1300ms).action, Action::Refuse);
+    decide.prefillTokens = 9190;
+    decide.input.urgentObjective = 200ms;
+    EXPECT_EQ(decide(390ms, 5s, 380ms).action, Action::Send);
+    EXPECT_EQ(decide(390ms, 5s, 400ms).action, Action::Refuse);
+}
