A request whose model is loaded at an excluded server waits as before

Cause: a request that the only server of its model has just turned down excludes that server for 20 ms and then finds the model nowhere. It was refused at once for the time of a load.

--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -138,7 +138,10 @@
         const Duration loadTime = input.serverChoice.isModelStoredLocally
             ? model->second.localLoadTime + localLoadPreparation
             : Duration(model->second.weightStoreLoadTime);
-        return waitOrReturn(input, input.timeUntilRoom.value_or(loadTime), spread);
+        if (input.timeUntilRoom)
+            return waitOrReturn(input, *input.timeUntilRoom, spread);
+        return waitOrRefuse(input, scaled(objective, m_settings.serverWaitShareOfObjective),
+                            loadTime, spread);
     }
     case ServerChoice::Outcome::NoAdapter:
         return waitOrRefuse(input, maxAdapterWaitTime(input),
--- a/src/Serving/Requests/RetryAfterEstimator.cpp
+++ b/src/Serving/Requests/RetryAfterEstimator.cpp
@@ -55,11 +55,18 @@
     if (!request.service->engine || metadata.model.isEmpty()
         || choice.outcome == ServerChoice::Outcome::NoServer)
         return;
-    if (choice.outcome == ServerChoice::Outcome::NoModel) {
+    // The request may exclude the servers that have the model, such as one that has just turned it
+    // down.
+    const ServerDirectory::ServerSet &servers = directory.serversWithModel(metadata.model);
+    const bool isLoaded = std::any_of(servers.begin(), servers.end(),
+                                      [](const ServerState *it) { return !it->listed.isLeaving; });
+    if (choice.outcome == ServerChoice::Outcome::NoModel && !isLoaded) {
         recordMissingModel(request, choice.isModelStoredLocally, now);
         return;
     }
     m_missingModels.erase(metadata.model);
+    if (choice.outcome == ServerChoice::Outcome::NoModel)
+        return;
     if (!namesAdapter(metadata))
         return;
     const AdapterKey key(metadata.model, metadata.adapter);
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -423,6 +423,28 @@
     EXPECT_EQ(decideWithoutModel(6s, 20s, 8600ms, 12s).action, AdmissionDecision::Action::Refuse);
 }
 
+// A request that has just been turned down by the only server of its model waits for it.
+TEST(AdmissionPolicyTest, waitsForAnExcludedServerThatHasTheModel)
+{
+    Site site;
+    site.addServer("engine-1");
+    ListedServer other = site.directory.find(ServerName("engine-1"))->listed;
+    other.id = ServerName("engine-2");
+    other.loadedModels.clear();
+    site.directory.put(other, start);
+    const RequestMetadata metadata = site.makeRequest(100);
+    ASSERT_EQ(site.choose(metadata, {ServerName("engine-1")}).outcome,
+              ServerChoice::Outcome::NoModel);
+    const auto actionAfter = [&](Duration waited) {
+        const AdmissionInput input{&site.route, &site.service,
+                                   &metadata,   site.choose(metadata, {ServerName("engine-1")}),
+                                   waited,      5s - waited};
+        return site.policy.decide(input, 0).action;
+    };
+    EXPECT_EQ(actionAfter(20ms), AdmissionDecision::Action::Wait);
+    EXPECT_EQ(actionAfter(250ms), AdmissionDecision::Action::Refuse);
+}
+
 // A caller that abandons a stream after 3.2 s must not be kept waiting for longer, but may return.
 TEST(AdmissionPolicyTest, letsACallerReturnWhenItsModelIsLoaded)
 {
--- a/test/RetryAfterEstimatorTest.cpp
+++ b/test/RetryAfterEstimatorTest.cpp
@@ -108,6 +108,19 @@
     EXPECT_EQ(site.find(model, Outcome::NoModel, start + 6s), 8600ms);
 }
 
+// A request that was turned down by the only server of its model excludes that server for some
+// milliseconds. No load is to be expected, and it must not be refused for the time of one.
+TEST(RetryAfterEstimatorTest, expectsNoLoadOfAModelThatIsLoadedAtAnExcludedServer)
+{
+    Site site;
+    site.addServer(8, 4);
+    EXPECT_FALSE(site.find(model, Outcome::NoModel, start));
+    ListedServer leaving = site.directory.find(ServerName("engine-0"))->listed;
+    leaving.isLeaving = true;
+    site.directory.put(leaving, start);
+    EXPECT_EQ(site.find(model, Outcome::NoModel, start), 8600ms);
+}
+
 // Load pattern: all slots of a model's replicas are taken by requests that take 500 ms on average.
 TEST(RetryAfterEstimatorTest, derivesTheTimeUntilASlotFromThePaceAtWhichRequestsEnd)
 {
