Late requests are bounded by the objective only above the capacity

Change: the bound is the objective only where the demand for a server's models, which all gateways tell each other, exceeds what it can process; otherwise twice the objective as before. Deferrable requests yield under the same condition, since a gateway of many sees few refusals itself; a shortage is remembered for 2 s. What a decision needs to know is gathered in AdmissionEstimates. Rates of prompt processing come from the setting.

--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -31,6 +31,20 @@
     return chooser;
 }
 
+AdmissionPolicy::Settings admissionSettings(const EntrySettings &settings)
+{
+    AdmissionPolicy::Settings admission;
+    admission.prefillTokensPerMs = settings.prefillTokensPerMs;
+    return admission;
+}
+
+RetryAfterEstimator::Settings estimatorSettings(const EntrySettings &settings)
+{
+    RetryAfterEstimator::Settings estimator;
+    estimator.prefillTokensPerMs = settings.prefillTokensPerMs;
+    return estimator;
+}
+
 } // namespace
 
 EntryState::EntryState(const EntrySettings &entrySettings, asio::io_context &eventLoop,
@@ -39,8 +53,8 @@
       servers(entrySettings.entryExpiryGrace),
       chooser(chooserSettings(entrySettings), entrySettings.zone),
       replicaController(controllerSettings(entrySettings)),
-      admissionPolicy(AdmissionPolicy::Settings()),
-      retryAfterEstimator(RetryAfterEstimator::Settings()), pool(eventLoop, backendLimits),
+      admissionPolicy(admissionSettings(entrySettings)),
+      retryAfterEstimator(estimatorSettings(entrySettings)), pool(eventLoop, backendLimits),
       crashDetector(entrySettings.instance), crashCheck(eventLoop),
       streamVersions(StreamVersions::Settings()),
       serviceVersions(StreamVersions::Settings().retention),
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -2,6 +2,7 @@
 
 #include "Adapters/Metrics.h"
 #include "Adapters/StructuredLog.h"
+#include "Apps/Entry/AdmissionEstimates.h"
 #include "Apps/Entry/ServerIncarnationCheck.h"
 
 namespace quetzalyoke {
@@ -261,7 +262,7 @@
     input.serverChoice = chooseServer(now);
     input.waited = age();
     input.timeLeft = remainingTime(now);
-    estimate(input, now);
+    addAdmissionEstimates(m_state, *m_urgency, choiceInput({}), m_isWaiting, input, now);
     const ServerChoice::Outcome outcome = input.serverChoice.outcome;
     const bool lacksReplica = outcome == ServerChoice::Outcome::NoModel
         || outcome == ServerChoice::Outcome::NoAdapter
@@ -297,29 +298,6 @@
     return true;
 }
 
-void RequestHandler::estimate(AdmissionInput &input, Instant now)
-{
-    RetryAfterEstimator &estimator = m_state.retryAfterEstimator;
-    const ServerChoiceInput request = choiceInput({});
-    estimator.recordChoice(request, input.serverChoice, m_isWaiting ? age() : Duration::zero(),
-                           m_state.servers, m_state.gatewayCount(), now);
-    const std::size_t ahead = m_state.waitQueue.countBefore(*m_urgency, now);
-    input.timeUntilRoom = estimator.timeUntilRoom(request, input.serverChoice, ahead, now);
-    input.urgentObjective = m_state.recentUrgencies.moreUrgentObjective(*m_urgency, now);
-    input.accountExcess
-        = m_state.recentUrgencies.excessInShortage(*m_urgency, m_state.waitQueue.accountWork, now);
-    input.areMoreUrgentRefused = m_state.recentUrgencies.areMoreUrgentRefused(*m_urgency, now);
-    const ServerState *server = m_state.servers.find(input.serverChoice.server);
-    if (!server || !m_context.service->engine)
-        return;
-    input.freeSlotShare
-        = 1 - static_cast<double>(server->totalWork().requestsInFlight) / server->listed.slots;
-    input.arrivalsBeforeFirstByte = expectedArrivals(
-        m_context.metadata, m_state.servers,
-        m_state.replicaController.promptTokensPerSecond(m_context.metadata.model, now),
-        input.serverChoice.expectedTimeToFirstByte);
-}
-
 void RequestHandler::enqueue(const AdmissionInput &input, const char *reason)
 {
     if (m_isWaiting)
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -34,7 +34,6 @@
     ServerChoice chooseServer(Instant now);
     ServerChoiceInput choiceInput(std::set<ServerName> excluded) const;
     bool lacksServerOfVersion() const;
-    void estimate(AdmissionInput &input, Instant now);
     void enqueue(const AdmissionInput &input, const char *reason);
     void send(const ServerChoice &choice);
     bool goesOnWithStream() const;
--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -22,14 +22,17 @@
 
 } // namespace
 
-double expectedArrivals(const RequestMetadata &metadata, const ServerDirectory &directory,
-                        double promptTokensPerSecond, Duration time)
+double expectedUtilization(const ServerState &server, const ServerDirectory &directory,
+                           double prefillTokensPerMs,
+                           const std::function<double(const ModelName &)> &promptTokensPerSecond)
 {
-    const std::size_t replicas = directory.serversWithModel(metadata.model).size();
-    const auto tokens
-        = static_cast<double>(std::max<std::int64_t>(1, metadata.promptTokens.count()));
-    return promptTokensPerSecond * toSeconds(time) / tokens
-        / static_cast<double>(std::max<std::size_t>(1, replicas));
+    double tokensPerSecond = 0;
+    for (const auto &[model, adapters] : server.loadedModels) {
+        const std::size_t replicas = directory.serversWithModel(model).size();
+        tokensPerSecond += promptTokensPerSecond(model)
+            / static_cast<double>(std::max<std::size_t>(1, replicas));
+    }
+    return tokensPerSecond / (prefillTokensPerMs * 1000);
 }
 
 // Returns how long from now on the caller waits for the first byte.
@@ -223,7 +226,9 @@
     const Duration total = input.waited + input.timeLeft;
     if (input.waited >= scaled(total, m_settings.maxYieldShareOfTimeout))
         return false;
-    if (input.areMoreUrgentRefused && delaysMoreUrgent(input))
+    const bool isShort
+        = input.areMoreUrgentRefused || input.utilization.value_or(0) >= m_settings.highUtilization;
+    if (isShort && delaysMoreUrgent(input))
         return true;
     const ServerChoice &choice = input.serverChoice;
     const Duration slack = input.route->latencyObjective - choice.expectedTimeToFirstByte;
@@ -244,18 +249,20 @@
 }
 
 // Returns the latest time of the first byte, since the arrival, at which a request is sent. A late
-// response has less value, and at a busy server it makes later ones late, too. Where others arrive
-// in the meantime, a request is therefore sent only if it is in time, or if it has waited: a
-// refusal would then cost its caller most. One that can't be deferred must also leave the more
-// urgent ones in time.
+// response has less value, and where the demand exceeds the capacity it makes all later ones late,
+// too. There a request is therefore sent only if it is in time. One that can't be deferred must
+// also leave the more urgent ones in time. A request that has waited is sent as long as its caller
+// stays, since a refusal would cost the caller most.
 Duration AdmissionPolicy::maxFirstByteTime(const AdmissionInput &input) const
 {
     const Duration objective = input.route->latencyObjective;
-    if (!input.arrivalsBeforeFirstByte)
-        return scaled(objective, m_settings.maxFirstByteToObjective);
-    const bool hasWaited = input.waited > scaled(objective, m_settings.cheapWaitShareOfObjective);
-    if (*input.arrivalsBeforeFirstByte < 1 || hasWaited)
+    const Duration usual = scaled(objective, m_settings.maxFirstByteToObjective);
+    if (!input.utilization)
+        return usual;
+    if (input.waited > scaled(objective, m_settings.cheapWaitShareOfObjective))
         return input.waited + timeForFirstByte(input);
+    if (*input.utilization < m_settings.highUtilization)
+        return usual;
     // An account with more than its share of the work makes room for the others first.
     const double share = 1 - m_settings.maxAccountHeadroom * std::min(1.0, input.accountExcess);
     const Duration strict = delaysMoreUrgent(input) && !isDeferrable(input)
@@ -267,7 +274,7 @@
         if (bound >= least)
             return bound;
     }
-    return scaled(objective, m_settings.maxFirstByteToObjective);
+    return usual;
 }
 
 } // namespace quetzalyoke
--- a/src/Serving/Requests/AdmissionPolicy.h
+++ b/src/Serving/Requests/AdmissionPolicy.h
@@ -3,6 +3,8 @@
 
 #include "Serving/Requests/RetryAfterEstimator.h"
 
+#include <functional>
+
 namespace quetzalyoke {
 
 /// \brief Input for deciding on a request that has arrived or waits.
@@ -23,9 +25,9 @@
     /// Whether more urgent requests for the same model have lately been refused as servers are
     /// busy.
     bool areMoreUrgentRefused = false;
-    /// Requests expected to arrive for the chosen server until the first byte of this one, if that
-    /// is known.
-    std::optional<double> arrivalsBeforeFirstByte = {};
+    /// Share of the chosen server's time that the demand for its models takes, if it is known.
+    /// \sa expectedUtilization
+    std::optional<double> utilization = {};
     /// Share of the chosen server's slots that are free, if that is known.
     std::optional<double> freeSlotShare = {};
 };
@@ -40,10 +42,12 @@
     bool isForShortage = false; ///< Refused because all servers that could serve it are busy.
 };
 
-/// Returns how many requests like this one are expected within \a time at one server that has its
-/// model, of which \a promptTokensPerSecond are requested.
-double expectedArrivals(const RequestMetadata &metadata, const ServerDirectory &directory,
-                        double promptTokensPerSecond, Duration time);
+/// Returns the share of a server's time that the prompts for its models take if each model's are
+/// evenly spread over its replicas; above 1 its queue grows. \a promptTokensPerSecond returns a
+/// model's demand.
+double expectedUtilization(const ServerState &server, const ServerDirectory &directory,
+                           double prefillTokensPerMs,
+                           const std::function<double(const ModelName &)> &promptTokensPerSecond);
 
 /// \brief Decides whether a request is sent, waits or is refused; no I/O.
 ///
@@ -72,9 +76,11 @@
         /// this share of the latency objective. A longer wait that ends in a refusal costs callers.
         double adapterWaitPerLoadTime = 3;
         double cheapWaitShareOfObjective = 0.125;
-        /// If it isn't known whether a late request delays others, it is sent only if its first
-        /// byte is expected within this multiple of the latency objective.
+        /// Unless servers are highly utilized, a request is sent only if its first byte is expected
+        /// within this multiple of the latency objective.
         double maxFirstByteToObjective = 2.0;
+        /// From this share of its time on, the demand exceeds what a server can process.
+        double highUtilization = 1;
         /// Prompt tokens that an engine processes per millisecond; see ServerChooser::Settings.
         double prefillTokensPerMs = 38;
         /// A request counts as deferrable if its objective is this multiple of the shortest one of
--- a/src/Serving/Requests/RequestUrgency.cpp
+++ b/src/Serving/Requests/RequestUrgency.cpp
@@ -17,7 +17,7 @@
 constexpr Duration classRetention = std::chrono::seconds(2);
 
 // A shortage counts as over when no request has been refused for this long.
-constexpr Duration shortageRetention = std::chrono::seconds(1);
+constexpr Duration shortageRetention = std::chrono::seconds(2);
 
 } // namespace
 
