--- a/src/Apps/Entry/EntryState.cpp
+++ b/src/Apps/Entry/EntryState.cpp
@@ -34,6 +34,20 @@
 // Callers choose the names of adapters; without peers nothing is sent.
 constexpr std::size_t maxUnsentKeys = 1024;
 
+AdmissionPolicy::Settings admissionSettings(const EntrySettings &settings)
+{
+    AdmissionPolicy::Settings admission;
+    admission.prefillTokensPerMs = settings.prefillTokensPerMs;
+    return admission;
+}
+
+RetryAfterEstimator::Settings estimatorSettings(const EntrySettings &settings)
+{
+    RetryAfterEstimator::Settings estimator;
+    estimator.prefillTokensPerMs = settings.prefillTokensPerMs;
+    return estimator;
+}
+
 } // namespace
 
 EntryState::EntryState(const EntrySettings &entrySettings, asio::io_context &eventLoop,
@@ -51,8 +65,8 @@
                                                             }}),
       chooser(chooserSettings(entrySettings), entrySettings.zone),
       replicaController(controllerSettings(entrySettings)),
-      admissionPolicy(AdmissionPolicy::Settings()),
-      retryAfterEstimator(RetryAfterEstimator::Settings()), pool(eventLoop, backendLimits),
+      admissionPolicy(admissionSettings(entrySettings)),
+      retryAfterEstimator(estimatorSettings(entrySettings)), pool(eventLoop, backendLimits),
       crashDetector(entrySettings.instance), crashCheck(eventLoop),
       streamVersions(StreamVersions::Settings()),
       serviceVersions(StreamVersions::Settings().retention),
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -74,6 +74,7 @@
     void awaitList(Instant until);
     Instant lastTickAt; ///< Of the gateway's timer, which stands still with the process.
     WaitQueue waitQueue;
+    RecentUrgencies recentUrgencies;
     RequestPermitIssuer permitIssuer; ///< Used while this gateway holds the lease.
 
     /// Whether this gateway is shutting down. It accepts connections until the platform has
