--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -261,7 +261,7 @@
         return true;
     }
     if (m_state.mustAwaitList(*m_context.service)) {
-        enqueue();
+        enqueue({}, "list");
         return false;
     }
     AdmissionInput input;
--- a/test/OrderReplayTest.cpp
+++ b/test/OrderReplayTest.cpp
@@ -208,7 +208,8 @@
         ServerName server;
         Instant sentAt;
         Instant firstByteAt;
-        Duration expected;
+        Duration expected; ///< Time to the first byte at a server of usual speed.
+        double pace = 1;
         ServerWork work;
         AccountId account;
         bool hasFirstByte = false;
@@ -412,7 +413,8 @@
         run.gateway = m_gateway;
         run.server = choice.server;
         run.sentAt = now;
-        run.expected = choice.expectedTimeToFirstByte;
+        run.expected = choice.usualTimeToFirstByte;
+        run.pace = choice.pace;
         run.work = {1, choice.prefillTokens, choice.kvCacheTokens};
         run.account = accountOf(caller);
         server.ownWork.requestsInFlight += 1;
@@ -482,9 +484,7 @@
             if (!run.hasFirstByte && now >= run.firstByteAt) {
                 run.hasFirstByte = true;
                 server.ownWork.prefillTokens -= run.work.prefillTokens;
-                server.health.recordLatencyRatio(toSeconds(run.firstByteAt - run.sentAt)
-                                                 / toSeconds(run.expected)
-                                                 * server.health.latencyRatio());
+                server.health.recordLatency(run.firstByteAt - run.sentAt, run.expected, run.pace);
             }
             if (now < run.firstByteAt + responseTime)
                 continue;
