Tests: a raw client's handler may be called after its end

AddressSanitizer found a use after free in RawClient, whose pending read was completed after a test had replaced it. PlatformExchangeTest (70) and HttpServerConnectionTest (10) pass in the usual build.

--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -69,15 +69,18 @@
 private:
     void read()
     {
-        m_socket.async_read_some(asio::buffer(m_buf),
-                                 [this](const SystemErrorCode &ec, std::size_t n) {
-                                     if (ec) {
-                                         m_isClosed = true;
-                                         return;
-                                     }
-                                     m_received.append(m_buf.data(), n);
-                                     read();
-                                 });
+        m_socket.async_read_some(
+            asio::buffer(m_buf),
+            [this, alive = std::weak_ptr<int>(m_alive)](const SystemErrorCode &ec, std::size_t n) {
+                if (alive.expired())
+                    return;
+                if (ec) {
+                    m_isClosed = true;
+                    return;
+                }
+                m_received.append(m_buf.data(), n);
+                read();
+            });
     }
 
     asio::io_context &m_loop;
@@ -85,6 +88,8 @@
     std::array<char, 4096> m_buf{};
     std::string m_received;
     bool m_isClosed = false;
+    // The loop may call a handler after this object's end.
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
 /// \brief A server that responds to the next request with bytes that the test has set.
