--- a/src/Serving/Servers/ServerChooser.cpp
+++ b/src/Serving/Servers/ServerChooser.cpp
@@ -21,6 +21,13 @@
 // The mean over many servers changes slowly compared with the share of one server.
 constexpr Duration meanFailureShareLifetime = std::chrono::milliseconds(100);
 
+// Rank of a plain server among those whose expected times hardly differ.
+std::uint64_t plainServerRank(const ServerName &server)
+{
+    const std::uint64_t x = std::hash<std::string>()(server.text());
+    return (x ^ (x >> 29)) * 0xbf58476d1ce4e5b9ULL;
+}
+
 bool hasRequiredVersion(const ServerChoiceInput &request, const ServerState &state)
 {
     if (!request.softwareVersion)
@@ -198,9 +205,9 @@
         const bool isTie = best && it.cost < best->cost + plainTieWindow
             && best->cost < it.cost + plainTieWindow;
         const bool isBetter = !best
-            || (isTie ? PrefixHolders::rendezvousHash(it.state->listed.id, 0)
-                        > PrefixHolders::rendezvousHash(best->state->listed.id, 0)
-                      : it.cost < best->cost);
+            || (isTie
+                    ? plainServerRank(it.state->listed.id) > plainServerRank(best->state->listed.id)
+                    : it.cost < best->cost);
         if (isBetter)
             best = &it;
     }
