--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -3,6 +3,7 @@
 #include "Adapters/Metrics.h"
 #include "Adapters/StructuredLog.h"
 #include "Apps/Entry/AdmissionEstimates.h"
+#include "Apps/Entry/RequestLog.h"
 #include "Apps/Entry/ServerIncarnationCheck.h"
 
 namespace quetzalyoke {
@@ -54,25 +55,6 @@
 constexpr Duration versionLookupTime = std::chrono::milliseconds(600);
 constexpr std::chrono::milliseconds versionLookupInterval{100};
 
-// Bounds the length of a log line.
-constexpr std::size_t maxLoggedParts = 8;
-
-// Returns the parts of the prompt that other requests may share, which are all but the last.
-std::string sharedPartsText(const RequestMetadata &metadata)
-{
-    std::string text;
-    for (std::size_t i = 0; i + 1 < metadata.promptParts.size() && i < maxLoggedParts; ++i)
-        text += (i == 0 ? "" : ",") + promptPartText(metadata.promptParts[i].id);
-    return text;
-}
-
-// Returns the fingerprint of the whole request.
-Fingerprint requestFingerprint(const std::vector<Fingerprint> &suspects)
-{
-    const auto it = std::find_if_not(suspects.begin(), suspects.end(), isPromptPart);
-    return it == suspects.end() ? Fingerprint() : *it;
-}
-
 // Returns whether a successful response can go on with a stream whose header the caller has.
 bool isEventStream(int status, const boost::beast::http::fields &fields)
 {
@@ -80,19 +62,6 @@
     return status == httpOk && (type.empty() || type.starts_with("text/event-stream"));
 }
 
-const char *kindText(RouteKind kind)
-{
-    switch (kind) {
-    case RouteKind::Idempotent:
-        return "idempotent";
-    case RouteKind::NonIdempotent:
-        return "non_idempotent";
-    case RouteKind::Stream:
-        return "stream";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 RequestHandler::RequestHandler(EntryState &state, HttpServerConnection::Pointer callerConnection,
@@ -313,16 +282,7 @@
         return;
     m_isWaiting = true;
     m_state.waitQueue.add(*m_urgency, shared_from_this());
-    logRoutine("waiting",
-               {{"id", m_context.metadata.id},
-                {"reason", reason},
-                {"model", m_context.metadata.model},
-                {"adapter", m_context.metadata.adapter},
-                {"priority", m_context.priority},
-                {"expected_ms", input.serverChoice.expectedTimeToFirstByte},
-                {"room_ms", input.timeUntilRoom.value_or(Duration::zero())},
-                {"age_ms", age()}});
-    Metrics::incrementCounter("waits", {{"reason", reason}});
+    logWaiting(m_context, input, reason, age());
 }
 
 bool RequestHandler::retryDispatch()
@@ -385,25 +345,7 @@
         m_state.recordAdapterUse(choice.server, m_context.metadata.model,
                                  m_context.metadata.adapter,
                                  expectedDuration(choice.expectedTimeToFirstByte, now));
-    Metrics::incrementCounter("prompt_tokens_sent", {{"expected", "read"}},
-                              static_cast<double>(choice.prefillTokens));
-    Metrics::incrementCounter("prompt_tokens_sent", {{"expected", "cached"}},
-                              static_cast<double>(choice.cachedTokens));
-    logRoutine("sent",
-               {{"id", m_context.metadata.id},
-                {"route", m_context.route->name},
-                {"server", choice.server},
-                {"software", server->listed.softwareVersion},
-                {"age_ms", age()},
-                {"expected_ms", choice.expectedTimeToFirstByte},
-                {"prefill", choice.prefillTokens},
-                {"cached", choice.cachedTokens},
-                {"running", server->totalWork().requestsInFlight},
-                {"pace", static_cast<int>(choice.pace * 100)},
-                {"limited", isLimited ? 1 : 0},
-                {"cold", server->isCold(now) ? 1 : 0},
-                {"config", m_context.config->version},
-                {"attempt", m_sentAttempts + 1}});
+    logSent(m_context, choice, *server, isLimited, age(), m_sentAttempts + 1);
 
     m_attempt->connection = m_state.pool.acquire(server->listed.address, m_refusedOn);
     // Status requests count towards a stated limit, not towards the rate for a cold server.
@@ -846,16 +788,7 @@
     } else {
         m_callerConnection->sendResponse(attempt->status, attempt->fields, attempt->body);
     }
-    logRoutine("answered",
-               {{"id", m_context.metadata.id},
-                {"route", m_context.route->name},
-                {"kind", kindText(m_context.route->kind)},
-                {"server", attempt->server},
-                {"status", attempt->status},
-                {"age_ms", age()},
-                {"events", m_events.eventCount()}});
-    Metrics::observeLatency("request_seconds", toSeconds(age()),
-                            {{"kind", kindText(m_context.route->kind)}});
+    logAnswered(m_context, *attempt, m_events.eventCount(), age());
     finish("answered");
 }
 
@@ -877,20 +810,7 @@
                         {"for_ms", server->health.avoidedUntil() - now}});
         }
     }
-    logNotable("attempt_broken",
-               {{"id", m_context.metadata.id},
-                {"server", name},
-                {"address", m_attempt->address},
-                {"incarnation", m_attempt->incarnation},
-                {"end", exchangeOutcomeText(outcome)},
-                {"refused", m_attempt->connection->wasRefused() ? 1 : 0},
-                {"status", m_attempt->status},
-                {"events", m_events.eventCount()},
-                {"request", requestFingerprint(m_context.crashSuspects)},
-                {"parts", sharedPartsText(m_context.metadata)},
-                {"took_ms", now - m_attempt->sentAt},
-                {"age_ms", age()}});
-    Metrics::incrementCounter("attempts_broken", {{"end", exchangeOutcomeText(outcome)}});
+    logAttemptBroken(m_context, *m_attempt, outcome, m_events.eventCount(), age());
     if (outcome == ExchangeOutcome::NotSent) {
         if (m_attempt->connection->wasRefused() && !wasWithheld) {
             m_state.crashDetector.recordServerLoss(name, m_attempt->incarnation, now);
@@ -1122,20 +1042,7 @@
     std::optional<Milliseconds> retryAfterMs;
     if (retryAfter)
         retryAfterMs = std::chrono::ceil<Milliseconds>(*retryAfter);
-    logNotable("refused",
-               {{"id", m_context.metadata.id},
-                {"status", status},
-                {"reason", reason},
-                {"route", m_context.route ? m_context.route->name : std::string("none")},
-                {"account", m_context.account ? m_context.account->name : AccountId()},
-                {"model", m_context.metadata.model},
-                {"adapter", m_context.metadata.adapter},
-                {"priority", m_context.priority},
-                {"age_ms", age()},
-                {"retry_after_ms", retryAfterMs ? retryAfterMs->count() : 0},
-                {"config", m_context.config ? m_context.config->version : Version()},
-                {"arrivals", m_sentAttempts}});
-    Metrics::incrementCounter("refused", {{"reason", reason}, {"status", std::to_string(status)}});
+    logRefused(m_context, status, reason, retryAfterMs, age(), m_sentAttempts);
     std::string fields;
     m_state.protocol.writeOwnResponseHeaders(m_context.metadata.id, retryAfterMs, fields);
     if (m_context.chargedCost > 0) {
@@ -1150,16 +1057,7 @@
 // Called when the request may have run: the response doesn't state that it has not.
 void RequestHandler::fail(int status, const char *reason)
 {
-    logNotable("failed",
-               {{"id", m_context.metadata.id},
-                {"status", status},
-                {"reason", reason},
-                {"route", m_context.route->name},
-                {"age_ms", age()},
-                {"events", m_events.eventCount()},
-                {"arrivals", m_sentAttempts},
-                {"config", m_context.config->version}});
-    Metrics::incrementCounter("failed", {{"reason", reason}, {"status", std::to_string(status)}});
+    logFailed(m_context, status, reason, m_events.eventCount(), age(), m_sentAttempts);
     if (m_isStreaming) {
         m_callerConnection->abort();
     } else {
