Admission: a request waits for its adapter unless a wait has just ended in vain

Cause: the wait was cut at three times the mean load of adapters, but an engine that loads a model accepts no adapter for longer.

--- a/src/Serving/Requests/AdmissionPolicy.cpp
+++ b/src/Serving/Requests/AdmissionPolicy.cpp
@@ -93,13 +93,10 @@
     const Duration objective = input.route->latencyObjective;
     const Duration maxWait
         = maxWaitTime(input, scaled(objective, m_settings.adapterWaitShareOfObjective));
-    if (!input.timeUntilRoom)
-        return maxWait;
-    if (*input.timeUntilRoom > maxWait)
-        return Duration::zero();
-    return std::min(maxWait,
-                    scaled(objective, m_settings.cheapWaitShareOfObjective)
-                        + scaled(*input.timeUntilRoom, m_settings.adapterWaitPerLoadTime));
+    // An adapter that usually loads within milliseconds may have to wait for its engine's load of a
+    // model. Only a wait that has ended in vain shows that the next one will.
+    const bool isHopeless = input.timeUntilRoom && *input.timeUntilRoom > maxWait;
+    return isHopeless ? Duration::zero() : maxWait;
 }
 
 Duration AdmissionPolicy::maxWaitTime(const AdmissionInput &input, Duration minWait) const
--- a/src/Serving/Requests/AdmissionPolicy.h
+++ b/src/Serving/Requests/AdmissionPolicy.h
@@ -72,9 +72,7 @@
         /// Wait for an adapter that is always allowed, as a share of the latency objective;
         /// adapters load within milliseconds.
         double adapterWaitShareOfObjective = 0.5;
-        /// With a known mean load time, a request waits for an adapter for this multiple of it and
-        /// this share of the latency objective. A longer wait that ends in a refusal costs callers.
-        double adapterWaitPerLoadTime = 3;
+        /// A refusal after a wait of more than this share of the latency objective costs callers.
         double cheapWaitShareOfObjective = 0.125;
         /// Unless servers are highly utilized, a request is sent only if its first byte is expected
         /// within this multiple of the latency objective.
