--- a/src/Apps/Entry/WaitQueue.cpp
+++ b/src/Apps/Entry/WaitQueue.cpp
@@ -61,7 +61,8 @@
     }
     std::stable_sort(selected.begin(), selected.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
-    for (const auto &[rank, waiter] : selected) {
+    for (const auto &entry : selected) {
+        const std::shared_ptr<Waiter> &waiter = entry.second;
         bool isDone = true; // also after an exception; the request then ends at its deadline
         callGuarded("waiting_request", [&] { isDone = waiter->retryDispatch(); });
         if (isDone)
