--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -391,8 +391,9 @@
     EXPECT_EQ(config->findService(ServiceName("app"))->coldStartTime, Milliseconds(0));
     // The rest of the configuration stays usable.
     for (const char *value : {"-1", "\"6\"", "true", "1e300", "[]"}) {
-        const std::string text(value);
-        const auto bad = decode("\"cold_start_s\":" + text + ",\"cold_per_s\":" + text + ",");
+        std::string fields = R"("cold_start_s":)";
+        fields.append(value).append(R"(,"cold_per_s":)").append(value).append(",");
+        const auto bad = decode(fields);
         EXPECT_EQ(bad->findService(ServiceName("llm"))->coldRequestsPerSecond, 0) << value;
         EXPECT_EQ(bad->findService(ServiceName("llm"))->coldStartTime, Milliseconds(0)) << value;
         EXPECT_EQ(bad->problems.size(), 2U) << value;
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -649,9 +649,9 @@
 // A service without a rate for cold servers is served as before.
 TEST_F(PlatformExchangeTest, sendsToAColdServerWithoutARate)
 {
-    firstServer.setResponse(signedHeader + "Cold-Ms: 60000\r\n" + fineResponse);
+    const std::string cold = signedHeader + "Cold-Ms: 60000\r\n" + fineResponse;
     for (int i = 0; i < 5; ++i) {
-        firstServer.setResponse(signedHeader + "Cold-Ms: 60000\r\n" + fineResponse);
+        firstServer.setResponse(cold);
         EXPECT_TRUE(hasStatus(sendRequest("/i/x", "key", "fine"), 200));
     }
 }
