A gateway that stops refuses what still waits before its process ends

Cause: since the admission policy lets a request wait for a load for as long as its caller does, a wait can be longer than the shutdown. Ruled out: a running request, which the platform excuses. Change: while a gateway stops, the time left of its requests ends 1.4 s before the process does. PlatformExchangeTest.refusesAWaitingRequestBeforeTheShutdownEnds is new.

--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -28,6 +28,10 @@
 // Part of the shutdown timeout that is kept for the last bytes of responses.
 constexpr Duration stopMargin = std::chrono::milliseconds(400);
 
+// Part of the shutdown timeout in which no request waits for a server any more, so that those that
+// did are refused and their callers read it.
+constexpr Duration refusalMargin = std::chrono::milliseconds(1400);
+
 // Until the list of servers has been read again after a stall.
 constexpr Duration listRefreshTime = std::chrono::seconds(1);
 
@@ -428,6 +432,7 @@
                {{"handling", m_callers.activeRequestCount()},
                 {"connections", m_callers.connectionCount()}});
     m_stopBegunAt = steadyNow();
+    m_state.waitsUntil = m_stopBegunAt + m_state.settings.shutdownTimeout - refusalMargin;
     m_orderSender.resign();
     m_peers.announceLeaving();
     checkStopped();
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -80,6 +80,8 @@
     /// Whether this gateway is shutting down. It accepts connections until the platform has
     /// noticed.
     bool isStopping = false;
+    /// Time until which requests may wait for a server; set once this gateway is shutting down.
+    Instant waitsUntil = Instant::max();
     /// Returns the number of known gateways, this one included.
     std::size_t gatewayCount() const { return m_gateways; }
     /// A peer counts as silent after \a silenceTimeout without a message.
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -239,7 +239,7 @@
     input.metadata = &m_context.metadata;
     input.serverChoice = chooseServer(now);
     input.waited = age();
-    input.timeLeft = remainingTime(now);
+    input.timeLeft = std::min(m_context.deadline, m_state.waitsUntil) - now;
     addAdmissionEstimates(m_state, *m_urgency, choiceInput({}), m_isWaiting, input, now);
     const ServerChoice::Outcome outcome = input.serverChoice.outcome;
     const bool lacksReplica = outcome == ServerChoice::Outcome::NoModel
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -573,6 +573,23 @@
     EXPECT_TRUE(firstServer.received().empty());
 }
 
+// A request with a long limit may wait for longer than its gateway's shutdown takes. It must be
+// refused before the process ends, not cut off.
+TEST_F(PlatformExchangeTest, refusesAWaitingRequestBeforeTheShutdownEnds)
+{
+    state.servers.find(ServerName("a"))->ownWork.requestsInFlight = 1000;
+    afterStart = [this] {
+        EXPECT_EQ(state.waitQueue.size(), 1U);
+        state.waitsUntil = steadyNow();
+        state.waitQueue.retryDispatches();
+        EXPECT_EQ(state.waitQueue.size(), 0U);
+    };
+    const std::string response = sendRequest("/i/x");
+    EXPECT_TRUE(hasStatus(response, 503)) << response;
+    EXPECT_NE(response.find("Retry-After: "), std::string::npos);
+    EXPECT_TRUE(firstServer.received().empty());
+}
+
 // A resumable stream breaks off in a zone that is evacuated meanwhile.
 TEST_F(PlatformExchangeTest, resumesNoStreamInAnEvacuatedZone)
 {
