A response that is reset while its request is still written is not whole

Cause: a response without a length ends with its connection, and HttpClientConnection took every end of the stream for that. The system reports a reset to one call only. While a request is being written, that is the write, whose error only kept the connection from being used again; the read that follows shows an ordinary end.

Change: the connection remembers that a write failed, and a response that ends by close is whole only without that. If the stream ends while the request is still being written, the response is held until the write has ended, or for 250 ms if the server reads no more: a process that has ended may close in order first and reset when more of the request arrives.

Why it works: with a write under way, its result tells a reset from an end; without one, the read reports the reset itself.

--- a/src/Adapters/Async/HttpClientConnection.cpp
+++ b/src/Adapters/Async/HttpClientConnection.cpp
@@ -53,6 +53,9 @@
     return defaultIdleTimeout;
 }
 
+// Time in which the reset by a server that has ended arrives, several round trips.
+constexpr std::chrono::milliseconds resetArrivalTime{250};
+
 } // namespace
 
 const char *exchangeOutcomeText(ExchangeOutcome outcome)
@@ -72,7 +75,7 @@
 
 HttpClientConnection::HttpClientConnection(asio::io_context &loop, const Address &peer,
                                            const Limits &limits)
-    : m_loop(loop), m_socket(loop), m_connectTimer(loop), m_peer(peer), m_limits(limits),
+    : m_loop(loop), m_socket(loop), m_timer(loop), m_peer(peer), m_limits(limits),
       m_idleTimeout(defaultIdleTimeout)
 { }
 
@@ -83,6 +86,7 @@
     m_isHeadRequest = isHead;
     m_responseEnded = false;
     m_sent = false;
+    m_writeFailed = false;
     m_paused = false;
     startParser();
     if (m_state == State::New) {
@@ -103,8 +107,8 @@
         asio::post(m_loop, [self = shared_from_this()] { self->fail(ExchangeOutcome::NotSent); });
         return;
     }
-    m_connectTimer.expires_after(m_limits.connectTimeout);
-    m_connectTimer.async_wait([weak = weak_from_this()](const SystemErrorCode &timerEc) {
+    m_timer.expires_after(m_limits.connectTimeout);
+    m_timer.async_wait([weak = weak_from_this()](const SystemErrorCode &timerEc) {
         const auto self = weak.lock();
         if (!timerEc && self && self->m_state == State::Connecting)
             self->fail(ExchangeOutcome::NotSent);
@@ -119,7 +123,7 @@
 {
     if (m_state != State::Connecting)
         return;
-    m_connectTimer.cancel();
+    m_timer.cancel();
     m_wasRefused = ec == asio::error::connection_refused;
     if (ec || (m_hooks.maySend && !m_hooks.maySend())) {
         fail(ExchangeOutcome::NotSent);
@@ -149,9 +153,12 @@
     std::string().swap(m_request);
     // A response that was sent before the connection broke may still be received, so reading goes
     // on.
-    if (ec)
+    m_writeFailed = ec.failed();
+    if (m_writeFailed)
         m_keepAlive = false;
-    if (m_responseEnded)
+    if (m_awaitsEndOfRequest)
+        endByClose();
+    else if (m_responseEnded)
         becomeIdle();
 }
 
@@ -280,15 +287,42 @@
     SystemErrorCode ec;
     m_parser->put_eof(ec);
     // A response without a length ends when the server closes the connection.
-    if (!ec && m_parser->is_done() && m_headerParsed && !m_skippingResponse) {
-        m_keepAlive = false;
-        m_isResponseEndedByClose = true;
-        const auto hooks = std::exchange(m_hooks, {});
-        close();
-        hooks.onEnd(ExchangeOutcome::Complete);
+    const bool isEndedByClose = !ec && m_parser->is_done() && m_headerParsed && !m_skippingResponse;
+    if (!isEndedByClose)
+        fail(ExchangeOutcome::Incomplete);
+    else if (m_writing)
+        awaitEndOfRequest();
+    else
+        endByClose();
+}
+
+// Called when a response without a length has ended before its request was written. The system
+// reports a reset once: if the write gets that error, reading shows an ordinary end. A server whose
+// process has ended may also close in order first, and reset only when more of the request arrives.
+// So the response counts once the request is written, or if the server reads no more of it but does
+// not reset the connection either.
+void HttpClientConnection::awaitEndOfRequest()
+{
+    m_awaitsEndOfRequest = true;
+    m_timer.expires_after(resetArrivalTime);
+    m_timer.async_wait([weak = weak_from_this()](const SystemErrorCode &ec) {
+        const auto self = weak.lock();
+        if (!ec && self && self->m_state == State::Busy)
+            self->endByClose();
+    });
+}
+
+void HttpClientConnection::endByClose()
+{
+    if (m_writeFailed) {
+        fail(ExchangeOutcome::Incomplete);
         return;
     }
-    fail(ExchangeOutcome::Incomplete);
+    m_keepAlive = false;
+    m_isResponseEndedByClose = true;
+    const auto hooks = std::exchange(m_hooks, {});
+    close();
+    hooks.onEnd(ExchangeOutcome::Complete);
 }
 
 void HttpClientConnection::onResponseEnd()
@@ -337,7 +371,7 @@
     // close() may be called from one of the hooks, and a hook must not be destroyed while it runs.
     if (m_hooks.onEnd)
         asio::post(m_loop, [hooks = std::exchange(m_hooks, {})] {});
-    m_connectTimer.cancel();
+    m_timer.cancel();
     SystemErrorCode ignored;
     m_socket.close(ignored);
     m_onIdle = nullptr;
--- a/src/Adapters/Async/HttpClientConnection.h
+++ b/src/Adapters/Async/HttpClientConnection.h
@@ -98,13 +98,15 @@
     void startParser();
     bool onHeaderParsed();
     void onEndOfStream();
+    void awaitEndOfRequest();
+    void endByClose();
     void onResponseEnd();
     void becomeIdle();
     void fail(ExchangeOutcome outcome);
 
     asio::io_context &m_loop;
     Tcp::socket m_socket;
-    asio::steady_timer m_connectTimer;
+    asio::steady_timer m_timer; // for connecting, and for a reset after the end of a response
     const Address m_peer;
     const Limits m_limits;
     IdleHook m_onIdle;
@@ -121,6 +123,8 @@
     bool m_wasRefused = false;
     bool m_isResponseEndedByClose = false;
     bool m_writing = false;
+    bool m_writeFailed = false;
+    bool m_awaitsEndOfRequest = false; // a response that the server's close has ended is held back
     ReadableWait m_readable;
     bool m_paused = false;
     bool m_keepAlive = false;
--- a/test/HttpClientConnectionTest.cpp
+++ b/test/HttpClientConnectionTest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <list>
+
 using namespace quetzalyoke;
 using namespace std::chrono_literals;
 
@@ -17,6 +19,12 @@
         + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string uploadOf(std::size_t bytes)
+{
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
+        + std::string(bytes, 'u');
+}
+
 // One exchange over a connection from a pool, as in a gateway.
 struct Exchange
 {
@@ -26,7 +34,8 @@
 
     std::shared_ptr<HttpClientConnection> run(asio::io_context &loop, HttpConnectionPool &pool,
                                               const std::string &address, const std::string &id,
-                                              bool isHead = false)
+                                              bool isHead = false,
+                                              const std::string &text = request)
     {
         ExchangeHooks hooks;
         hooks.onHeader = [this, id](int headerStatus, const boost::beast::http::fields &fields) {
@@ -38,7 +47,7 @@
         hooks.onBody = [this](std::string_view data) { body.append(data); };
         hooks.onEnd = [this](ExchangeOutcome result) { outcome = result; };
         const auto connection = pool.acquire(address);
-        connection->send(request, isHead, std::move(hooks));
+        connection->send(text, isHead, std::move(hooks));
         runUntil(loop, [this] { return outcome.has_value(); });
         return connection;
     }
@@ -51,14 +60,29 @@
                               bool isHead = false)
     {
         server.setResponse(response, end);
+        return outcomeAt(server, isHead, request);
+    }
+
+    // A server responds while more of a request arrives than the system buffers.
+    ExchangeOutcome outcomeOfUpload(const std::string &response, ScriptedServer::End end,
+                                    std::chrono::milliseconds delay)
+    {
+        ScriptedServer &uploadServer = uploadServers.emplace_back(loop);
+        uploadServer.setResponseThenEnd(response, end, delay);
+        return outcomeAt(uploadServer, false, uploadOf(16'000'000));
+    }
+
+    ExchangeOutcome outcomeAt(const ScriptedServer &peer, bool isHead, const std::string &text)
+    {
         Exchange exchange;
-        exchange.run(loop, pool, server.address(), "1", isHead);
+        exchange.run(loop, pool, peer.address(), "1", isHead, text);
         lastBody = exchange.body;
         return exchange.outcome.value_or(ExchangeOutcome::NotSent);
     }
 
     asio::io_context loop;
     ScriptedServer server{loop};
+    std::list<ScriptedServer> uploadServers; // rests of uploads arrive until the test ends
     HttpConnectionPool pool{loop, {300ms, 1000ms}};
     std::string lastBody;
 };
@@ -88,6 +112,32 @@
     EXPECT_EQ(lastBody, "until the end");
 }
 
+// The error of a reset may be reported to the side that writes; reading then shows an ordinary end.
+TEST_F(HttpClientConnectionTest, takesNoResponseForWholeIfItsConnectionIsResetDuringTheRequest)
+{
+    using End = ScriptedServer::End;
+    for (const End end : {End::Reset, End::Close}) { // bytes that aren't read make it a reset, too
+        for (const auto delay : {0ms, 1ms, 5ms, 40ms}) {
+            SCOPED_TRACE(std::to_string(delay.count()) + " ms");
+            for (int i = 0; i < 10; ++i)
+                EXPECT_EQ(outcomeOfUpload("HTTP/1.1 200 OK\r\n\r\npart", end, delay),
+                          ExchangeOutcome::Incomplete);
+        }
+    }
+}
+
+TEST_F(HttpClientConnectionTest, takesAResponseThatEndsInOrderDuringTheRequestForWhole)
+{
+    using End = ScriptedServer::End;
+    for (const End end : {End::Finish, End::FinishUnread}) {
+        for (const auto delay : {0ms, 40ms}) {
+            EXPECT_EQ(outcomeOfUpload("HTTP/1.1 200 OK\r\n\r\nwhole", end, delay),
+                      ExchangeOutcome::Complete);
+            EXPECT_EQ(lastBody, "whole");
+        }
+    }
+}
+
 // Guards against a response with an empty or short body that is taken for whole because its server
 // stopped inside the header.
 TEST_F(HttpClientConnectionTest, takesNoHeaderThatEndsAtAnyByteForAResponse)
--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -48,6 +48,13 @@
     }
 
     void send(const std::string &bytes) { asio::write(m_socket, asio::buffer(bytes)); }
+    /// Sends as the loop runs, for more bytes than the system buffers.
+    void sendFromLoop(std::string bytes)
+    {
+        const auto text = std::make_shared<const std::string>(std::move(bytes));
+        asio::async_write(m_socket, asio::buffer(*text),
+                          [text](const SystemErrorCode &, std::size_t) {});
+    }
     void close() { m_socket.close(); }
     /// Closes the connection with a TCP reset.
     void reset()
@@ -102,6 +109,8 @@
         Reset, ///< Reset after the bytes, as a server that has crashed.
         Crash, ///< Like Reset, and refuse new connections.
         Exit, ///< Like Close, and refuse new connections.
+        Finish, ///< Close for writing only and read what is still sent.
+        FinishUnread, ///< Close for writing only and read nothing more.
     };
 
     explicit ScriptedServer(asio::io_context &loop)
@@ -111,6 +120,11 @@
         accept();
     }
 
+    /// Makes connections from now on take in little that is not read.
+    void limitReceiveBuffer()
+    {
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(16'384));
+    }
     int port() const { return m_port; }
     bool isListening() const { return m_acceptor.is_open(); }
     std::string address() const { return loopbackHost() + ":" + std::to_string(port()); }
@@ -119,6 +133,12 @@
     {
         m_script = {std::move(bytes), end};
     }
+    /// Like setResponse(), but reads nothing more after the bytes, and ends after \a delay.
+    void setResponseThenEnd(std::string bytes, End end, std::chrono::milliseconds delay)
+    {
+        m_script = {std::move(bytes), end};
+        m_endDelay = delay;
+    }
     /// Sets the response to every request that begins with \a begin; it replaces no other response.
     void setResponseTo(std::string begin, std::string bytes)
     {
@@ -162,6 +182,7 @@
         explicit Connection(Tcp::socket s) : socket(std::move(s)) { }
         Tcp::socket socket;
         std::array<char, 65536> buf{};
+        bool isReading = true;
     };
 
     void accept()
@@ -193,7 +214,7 @@
                     asio::write(connection->socket, asio::buffer(m_fixedResponse.second), ignored);
                 else if (m_received.find("\r\n\r\n") != std::string::npos)
                     reply(connection);
-                if (connection->socket.is_open())
+                if (connection->socket.is_open() && connection->isReading)
                     read(connection);
             });
     }
@@ -204,17 +225,39 @@
         SystemErrorCode ignored;
         if (!script.first.empty())
             asio::write(connection->socket, asio::buffer(script.first), ignored);
-        if (script.second == End::Crash || script.second == End::Exit)
-            m_acceptor.close(ignored);
-        if (script.second == End::Reset || script.second == End::Crash)
-            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        if (script.second != End::KeepOpen)
-            connection->socket.close(ignored);
+        const auto delay = std::exchange(m_endDelay, std::chrono::milliseconds(0));
+        if (delay.count() > 0) {
+            connection->isReading = false;
+            const auto timer = std::make_shared<asio::steady_timer>(m_loop, delay);
+            timer->async_wait([this, connection, end = script.second, timer](SystemErrorCode) {
+                this->end(connection, end);
+                if (connection->isReading)
+                    read(connection);
+            });
+        } else {
+            end(connection, script.second);
+        }
         if (!m_unit.empty())
             writeNextUnit(connection,
                           std::make_shared<const std::string>(std::exchange(m_unit, {})));
     }
 
+    void end(const std::shared_ptr<Connection> &connection, End end)
+    {
+        SystemErrorCode ignored;
+        if (end == End::Crash || end == End::Exit)
+            m_acceptor.close(ignored);
+        if (end == End::Reset || end == End::Crash)
+            connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        if (end == End::Finish || end == End::FinishUnread) {
+            connection->isReading = end == End::Finish;
+            m_unread = connection;
+            connection->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        } else if (end != End::KeepOpen) {
+            connection->socket.close(ignored);
+        }
+    }
+
     void writeNextUnit(const std::shared_ptr<Connection> &connection,
                        const std::shared_ptr<const std::string> &unit)
     {
@@ -238,12 +281,14 @@
     Tcp::acceptor m_acceptor;
     const int m_port;
     std::vector<std::weak_ptr<Connection>> m_open;
+    std::shared_ptr<Connection> m_unread; // nothing else keeps it open
     std::pair<std::string, End> m_script;
     std::pair<std::string, std::string> m_fixedResponse; // begin of the request, response
     std::string m_unit;
     std::size_t m_repeatedBytes = 0;
     bool m_isRepeating = false;
     std::chrono::milliseconds m_pause{0};
+    std::chrono::milliseconds m_endDelay{0};
     std::string m_received;
     int m_connections = 0;
 };
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -12,6 +12,8 @@
 
 #include <gtest/gtest.h>
 
+#include <list>
+
 using namespace quetzalyoke;
 using namespace std::chrono_literals;
 
@@ -112,6 +114,16 @@
         state.servers.put(listed, steadyNow());
     }
 
+    // Starts a server again under its id; nothing of earlier requests is on its connections.
+    ScriptedServer &startAgain(const std::string &id)
+    {
+        ScriptedServer &server = startedServers.emplace_back(loop);
+        server.limitReceiveBuffer();
+        addServer(id, server, Incarnation(static_cast<std::int64_t>(startedServers.size())));
+        state.servers.find(ServerName(id))->health.reset(steadyNow());
+        return server;
+    }
+
     // Sends a request as a caller and returns what is received until \a until has arrived.
     std::string sendRequest(const std::string &path, const std::string &key = "key",
                             const std::string &until = "\r\n\r\n", const std::string &fields = "")
@@ -122,11 +134,21 @@
                             + key + "\r\n" + fields + "Content-Length: 4\r\n\r\nbody",
                         until);
     }
+    // Sends a request whose body is more than the system buffers.
+    std::string sendUpload(const std::string &path, const std::string &until)
+    {
+        const std::string body(4'000'000, 'u');
+        return exchange("POST " + path
+                            + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n"
+                              "Deadline-Ms: 1500\r\nApi-Key: key\r\nContent-Length: "
+                            + std::to_string(body.size()) + "\r\n\r\n" + body,
+                        until);
+    }
     // Sends \a text as a caller and returns what is received until \a until has arrived.
     std::string exchange(const std::string &text, const std::string &until)
     {
         caller = std::make_unique<RawClient>(loop, gateway.port());
-        caller->send(text);
+        caller->sendFromLoop(text);
         runUntil(
             loop,
             [&] {
@@ -145,6 +167,7 @@
     FakePlatform platform;
     ScriptedServer firstServer{loop};
     ScriptedServer secondServer{loop};
+    std::list<ScriptedServer> startedServers;
     EntryState state;
     AsyncHttpServer gateway;
     std::unique_ptr<RawClient> caller;
@@ -311,6 +334,60 @@
     EXPECT_NE(sendRequest("/s/x", "key", lastChunk).find(lastChunk), std::string::npos);
 }
 
+// A response without a length that is reset while the request is still being sent is not whole, on
+// any kind of route.
+TEST_F(PlatformExchangeTest, forwardsNoResponseThatIsResetDuringTheRequestAsWhole)
+{
+    struct Case
+    {
+        const char *path;
+        std::string part;
+        int status;
+        std::string rest = {}; // of the other server, if the request may go there
+    };
+    const std::vector<Case> cases = {
+        {"/n/x", "part", 502},
+        {"/once/x", "part", 502},
+        {"/i/x", "part", 200, signedHeader + "Content-Length: 4\r\n\r\nfine"},
+        {"/s/x", "id: 1\nda", 502},
+        {"/s/x", eventText(1), 200},
+        {"/once-resumable/x", eventText(1), 200},
+        {"/r/x", "id: 1\nda", 200,
+         streamHeader + chunkText(eventText(1) + eventText(2)) + lastChunk},
+        {"/r/x", eventText(1), 200, streamHeader + chunkText(eventText(2)) + lastChunk},
+    };
+    for (const Case &it : cases) {
+        const bool isStream = it.part != "part";
+        for (const auto delay : {0ms, 5ms, 30ms}) {
+            SCOPED_TRACE(it.path + it.part + " after " + std::to_string(delay.count()) + " ms");
+            startAgain("a").setResponseThenEnd(signedHeader + "\r\n" + it.part,
+                                               ScriptedServer::End::Reset, delay);
+            startAgain("b").setResponse(it.rest);
+            const std::string response = sendUpload(it.path,
+                                                    it.status != 200 ? "\r\n\r\n"
+                                                        : isStream   ? lastChunk
+                                                                     : "fine");
+            EXPECT_TRUE(hasStatus(response, it.status)) << response;
+            EXPECT_EQ(response.find("part"), std::string::npos);
+            if (!isStream)
+                continue;
+            EXPECT_EQ(response.find(lastChunk) != std::string::npos, !it.rest.empty());
+            EXPECT_EQ(response.find(eventText(2)) != std::string::npos, !it.rest.empty());
+        }
+    }
+}
+
+TEST_F(PlatformExchangeTest, forwardsAResponseThatEndsInOrderDuringTheRequest)
+{
+    for (const char *path : {"/n/x", "/i/x", "/s/x", "/r/x"}) {
+        startAgain("a").setResponseThenEnd(signedHeader + "\r\n" + eventText(1),
+                                           ScriptedServer::End::FinishUnread, 5ms);
+        const std::string response = sendUpload(path, eventText(1));
+        EXPECT_TRUE(hasStatus(response, 200)) << path << response;
+        EXPECT_NE(response.find(eventText(1)), std::string::npos) << path;
+    }
+}
+
 TEST_F(PlatformExchangeTest, rejectsUnknownKeysAndRoutesWithoutContactingAServer)
 {
     EXPECT_TRUE(hasStatus(sendRequest("/n/x", "other"), 401));
