A response whose status is not from 100 to 599 is malformed

Here the caller did not get it as an answer, but it was not handled either: the caller of a request that may not be repeated waited until its deadline if the engine kept the connection open, and statuses from 600 to 999 were forwarded.

Cause: the parser accepts any three digits. What is below 100 was taken for an interim response after which the response follows, and its body was skipped.

Evidence, on the code as it was: HttpClientConnectionTest. takesNoResponseWithAnInvalidStatus failed for 000, 001, 099, 600 and 999; PlatformExchangeTest.forwardsNothingOfAnInvalidResponse failed for 000 and 099 with an open connection (504 at the deadline instead of 502 at once) on the four routes without a retry, and for 600 on all six.

Change: the parser of responses rejects the status line, so the exchange ends as malformed with its connection, like any bytes that are no response.

Why it works: every answer that HttpClientConnection reads passes through this parser, so orders, status checks, the store and peers are covered, too. Both tests pass.

--- a/src/Adapters/Async/internal/ResponseParser.h
+++ b/src/Adapters/Async/internal/ResponseParser.h
@@ -25,7 +25,7 @@
     using Text = boost::beast::string_view;
 
     void on_request_impl(boost::beast::http::verb, Text, Text, int, Error &) override { }
-    void on_response_impl(int status, Text, int, Error &) override { m_status = status; }
+    void on_response_impl(int status, Text reason, int version, Error &ec) override;
     void on_field_impl(boost::beast::http::field name, Text text, Text value, Error &) override;
     void on_header_impl(Error &) override { }
     void on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) override { }
--- a/test/HttpClientConnectionTest.cpp
+++ b/test/HttpClientConnectionTest.cpp
@@ -138,6 +138,54 @@
     }
 }
 
+// A response whose status is none is rejected at once: it is neither a response nor an interim one
+// after which the response follows.
+TEST_F(HttpClientConnectionTest, takesNoResponseWithAnInvalidStatus)
+{
+    using End = ScriptedServer::End;
+    for (const std::string status : {"000", "001", "099", "600", "999", "00", "20", "2000", "-20",
+                                     "+20", "2x0", " 200", "0x0", ""}) {
+        for (const std::string framing :
+             {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+            for (const End end : {End::KeepOpen, End::Close}) {
+                SCOPED_TRACE(status + ' ' + framing);
+                const std::string body
+                    = framing.starts_with("T") ? "4\r\nbody\r\n0\r\n\r\n" : "body";
+                EXPECT_EQ(
+                    outcomeOf("HTTP/1.1 " + status + " OK\r\nId: 1\r\n" + framing + "\r\n" + body,
+                              end),
+                    ExchangeOutcome::Malformed);
+                EXPECT_TRUE(lastBody.empty());
+            }
+        }
+    }
+}
+
+TEST_F(HttpClientConnectionTest, takesNoResponseWithAnInvalidFieldName)
+{
+    using End = ScriptedServer::End;
+    const std::string nul(1, '\0');
+    for (const std::string &field :
+         {std::string("Content Length: 2"), std::string("Content-Length : 2"),
+          std::string("Content-Length\t: 2"), std::string("\x01Id: 1"), std::string("I\x1f: 1"),
+          std::string("I\x7f"
+                      "d: 1"),
+          std::string("X\x80: 1"), "X" + nul + ": 1", nul + ": 1", std::string("X\rY: 1"),
+          std::string("X\nY: 1"), std::string("Transfer-Encoding : chunked"), std::string(": 1"),
+          std::string("X")}) {
+        for (const bool isFirst : {true, false}) {
+            for (const std::string framing : {"Content-Length: 4\r\n", ""}) {
+                SCOPED_TRACE(field + ' ' + framing);
+                const std::string fields
+                    = isFirst ? field + "\r\n" + framing : framing + field + "\r\n";
+                EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\n" + fields + "\r\nbody", End::Close),
+                          ExchangeOutcome::Malformed);
+                EXPECT_TRUE(lastBody.empty());
+            }
+        }
+    }
+}
+
 // Guards against a response with an empty or short body that is taken for whole because its server
 // stopped inside the header.
 TEST_F(HttpClientConnectionTest, takesNoHeaderThatEndsAtAnyByteForAResponse)
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -94,7 +94,12 @@
         state.config = config;
         gateway.listen({loopbackHost(), 0});
         addServer("a", firstServer);
-        // A gateway that has handled requests before may retry the next ones.
+        allowRetries();
+    }
+
+    // A gateway that has handled requests before may retry the next ones.
+    void allowRetries()
+    {
         for (int i = 0; i < 100; ++i)
             state.retryBudget(ServiceName("app")).onRequest();
     }
@@ -388,6 +393,41 @@
     }
 }
 
+// Bytes that are no response are never forwarded, on any kind of route. A request that may not be
+// repeated fails at once.
+TEST_F(PlatformExchangeTest, forwardsNothingOfAnInvalidResponse)
+{
+    const std::string fields = "Attempt-Id: id-1\r\nResponse-Stamp: s\r\n";
+    const std::string event = eventText(1);
+    std::vector<std::string> invalid;
+    for (const std::string framing :
+         {"Content-Length: " + std::to_string(event.size()) + "\r\n", std::string()}) {
+        for (const std::string status : {"000", "099", "600"})
+            invalid.push_back("HTTP/1.1 " + status + " OK\r\n" + fields + framing + "\r\n" + event);
+        for (const std::string field : {"X Y: 1", "X : 1", "X\x01: 1", "Content-Length : 2"})
+            invalid.push_back(signedHeader + field + "\r\n" + framing + "\r\n" + event);
+    }
+    for (const std::string &response : invalid) {
+        for (const auto end : {ScriptedServer::End::KeepOpen, ScriptedServer::End::Close}) {
+            for (const std::string path : {"/n/x", "/once/x", "/s/x", "/once-resumable/x"}) {
+                startAgain("a").setResponse(response, end);
+                EXPECT_TRUE(hasStatus(sendRequest(path), 502)) << path << response;
+            }
+            for (const std::string path : {"/i/x", "/r/x"}) {
+                allowRetries();
+                startAgain("a").setResponse(response, end);
+                startAgain("b").setResponse(streamHeader + chunkText("sound\n\n") + lastChunk);
+                const std::string received = sendRequest(path, "key", "sound");
+                EXPECT_TRUE(hasStatus(received, 200)) << path << response;
+                EXPECT_EQ(received.find(event), std::string::npos) << path << response;
+            }
+            ListedServer gone = state.servers.find(ServerName("b"))->listed;
+            gone.isLeaving = true;
+            state.servers.put(gone, steadyNow());
+        }
+    }
+}
+
 TEST_F(PlatformExchangeTest, rejectsUnknownKeysAndRoutesWithoutContactingAServer)
 {
     EXPECT_TRUE(hasStatus(sendRequest("/n/x", "other"), 401));
