A stream's incomplete event counts towards the memory for requests

Cause: only whole events of a stream are forwarded, and what follows the last one is kept, up to 1 MB for each stream. Unlike a body that isn't streamed, it was not counted, so its sum over all streams had no limit.

Change: ResponseMemory counts all that an attempt holds, the incomplete event included. When the memory for requests is used up, an attempt that holds over 64 KB fails with 502 and closes the server's connection, as it was for bodies; a stream that has begun is broken off.

Why it works: the sum of all events is within the budget plus 64 KB a request.

--- a/src/Apps/Entry/BackendAttempt.h
+++ b/src/Apps/Entry/BackendAttempt.h
@@ -2,8 +2,8 @@
 #define QUETZALYOKE_APPS_ENTRY_BACKENDATTEMPT_H
 
 #include "Adapters/Async/HttpClientConnection.h"
-#include "Adapters/Async/ResourceCharge.h"
 #include "Apps/Entry/CrashingRequestDetector.h"
+#include "Apps/Entry/ResponseMemory.h"
 #include "Ports/ServingProtocol.h"
 #include "Serving/Servers/ServerDirectory.h"
 
@@ -34,7 +34,7 @@
     BackendResponseInfo responseInfo;
     std::string fields;
     std::string body;
-    ResourceCharge memory; ///< For the copy of the request that is sent and for the body.
+    ResponseMemory memory;
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -13,9 +13,6 @@
 // Largest response that is not a stream; the caller gets it only when it is complete.
 constexpr std::size_t maxResponseBytes = 8'388'608;
 
-// When the memory for requests is used up, only responses up to this size are still completed.
-constexpr std::size_t maxSmallResponseBytes = 65'536;
-
 // With more unsent bytes for a slow caller than this, the server's response is no longer read.
 constexpr std::size_t maxUnsentBytes = 262'144;
 
@@ -471,7 +468,7 @@
     if (m_attempt->isConnectionUsed)
         beginRun();
     std::string text = buildBackendRequest(remainingTime(now));
-    m_attempt->memory = m_request.memory.another(text.size());
+    m_attempt->memory = ResponseMemory(m_request.memory.another(text.size()));
     m_attempt->connection->send(std::move(text), m_request.method == "HEAD", std::move(hooks));
 }
 
@@ -573,12 +570,8 @@
         abandonResponse();
         return;
     }
-    m_attempt->memory.add(data.size());
-    if (m_attempt->memory.isTotalOverLimit() && m_attempt->body.size() > maxSmallResponseBytes) {
-        ++m_possibleRuns;
-        m_attempt->connection->close();
-        releaseAttempt();
-        fail(502, "memory");
+    if (!m_attempt->memory.addBody(data.size())) {
+        failAttempt(502, "memory");
         return;
     }
     m_attempt->body.append(data);
@@ -620,6 +613,10 @@
         abandonResponse();
         return;
     }
+    if (!m_attempt->memory.setIncompleteEvent(m_events.remainder().size())) {
+        failAttempt(502, "memory");
+        return;
+    }
     if (events.empty())
         return;
     const Instant now = steadyNow();
@@ -1007,14 +1004,11 @@
             refuse(503, "deadline", m_context.route->latencyObjective);
         return;
     }
-    ++m_possibleRuns;
     if (ServerState *server = m_state.servers.find(m_attempt->server);
         server && !m_attempt->firstByteSeen)
         server->health.recordFailure(ServerHealth::Failure::TimedOut, steadyNow());
     recordPossibleCrash(false);
-    m_attempt->connection->close();
-    releaseAttempt();
-    fail(504, "deadline");
+    failAttempt(504, "deadline");
 }
 
 void RequestHandler::onCallerDisconnected()
@@ -1054,6 +1048,15 @@
     finish("refused");
 }
 
+// Ends the attempt, which may have run, and the request with it.
+void RequestHandler::failAttempt(int status, const char *reason)
+{
+    ++m_possibleRuns;
+    m_attempt->connection->close();
+    releaseAttempt();
+    fail(status, reason);
+}
+
 // Called when the request may have run: the response doesn't state that it has not.
 void RequestHandler::fail(int status, const char *reason)
 {
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -77,6 +77,7 @@
     void onCallerDisconnected();
 
     void refuse(int status, const char *reason, std::optional<Duration> retryAfter);
+    void failAttempt(int status, const char *reason);
     void fail(int status, const char *reason);
     void finish(const char *outcome);
     Duration remainingTime(Instant now) const { return m_context.deadline - now; }
--- a/test/UnboundedCallersTest.cpp
+++ b/test/UnboundedCallersTest.cpp
@@ -1,4 +1,5 @@
-// Crowds of callers that try to make a gateway hold as much as they can. Each test starts the real
+// Crowds of callers, and backend servers, that try to make a gateway hold as much as they can. Each
+// test starts the real
 // quetzalyoke-entry on loopback addresses with the settings of deploy/entry.ini, filled in for a
 // small machine, and checks only that the process lives, that its memory and descriptors stay
 // within the stated limits and that it answers an ordinary request afterwards.
@@ -109,6 +110,65 @@
     bool m_isDone = false;
 };
 
+// A faulty backend server: responds to each request with a beginning, then with a unit again and
+// again until the gateway closes the connection.
+class EndlessServer
+{
+public:
+    explicit EndlessServer(asio::io_context &loop)
+        : m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        accept();
+    }
+
+    int port() const { return m_acceptor.local_endpoint().port(); }
+    void setResponse(std::string begin, std::string unit)
+    {
+        m_begin = std::move(begin);
+        m_unit = std::move(unit);
+    }
+    std::size_t requests() const { return m_requests; }
+
+private:
+    struct Connection
+    {
+        explicit Connection(Tcp::socket s) : socket(std::move(s)) { }
+        Tcp::socket socket;
+        std::array<char, 65536> buf{};
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const SystemErrorCode &ec, Tcp::socket socket) {
+            if (ec)
+                return;
+            const auto connection = std::make_shared<Connection>(std::move(socket));
+            connection->socket.async_read_some(
+                asio::buffer(connection->buf),
+                [this, connection](const SystemErrorCode &readEc, std::size_t) {
+                    if (readEc)
+                        return;
+                    ++m_requests;
+                    write(connection, m_begin);
+                });
+            accept();
+        });
+    }
+    void write(const std::shared_ptr<Connection> &connection, const std::string &bytes)
+    {
+        asio::async_write(connection->socket, asio::buffer(bytes),
+                          [this, connection](const SystemErrorCode &ec, std::size_t) {
+                              if (!ec)
+                                  write(connection, m_unit);
+                          });
+    }
+
+    Tcp::acceptor m_acceptor;
+    std::string m_begin;
+    std::string m_unit;
+    std::size_t m_requests = 0;
+};
+
 std::string loopbackHost()
 {
     return "127." + std::to_string(1 + getpid() / 250 % 250) + "."
@@ -160,16 +220,18 @@
 {
 protected:
     UnboundedCallersTest()
-        : store(loop), server(loop, 512,
-                              {[this](const HttpServerConnection::Pointer &connection,
-                                      HttpRequest &&request) { run(connection, request); },
-                               [] {
-                                   HttpServerConnectionLimits limits;
-                                   limits.headerTimeout = 60s;
-                                   limits.idleTimeout = 60s;
-                                   return limits;
-                               },
-                               [] { return false; }, [](int, const char *) {}})
+        : store(loop), endless(loop),
+          server(loop, 512,
+                 {[this](const HttpServerConnection::Pointer &connection, HttpRequest &&request) {
+                      run(connection, request);
+                  },
+                  [] {
+                      HttpServerConnectionLimits limits;
+                      limits.headerTimeout = 60s;
+                      limits.idleTimeout = 60s;
+                      return limits;
+                  },
+                  [] { return false; }, [](int, const char *) {}})
     {
         std::signal(SIGPIPE, SIG_IGN);
         server.listen({"127.0.0.1", 0});
@@ -253,6 +315,7 @@
 
     asio::io_context loop;
     PlatformStoreStandIn store;
+    EndlessServer endless;
     AsyncHttpServer server;
     std::filesystem::path folder;
     Address address;
@@ -279,9 +342,13 @@
                         {"resumable", false},
                         {"target_gap_ms", 60'000}};
         };
-        json["routes"] = {route("ordinary", "idempotent"), route("held", "non_idempotent"),
-                          route("large", "idempotent"), route("stream", "stream"),
-                          route("model", "stream", "llm")};
+        json["routes"] = {route("ordinary", "idempotent"),
+                          route("held", "non_idempotent"),
+                          route("large", "idempotent"),
+                          route("stream", "stream"),
+                          route("model", "stream", "llm"),
+                          route("endless", "non_idempotent", "faulty"),
+                          route("endless-stream", "stream", "faulty")};
         const Json engine{{"slots", 64},
                           {"kv_capacity", 200'000},
                           {"mb", 3000.0},
@@ -294,6 +361,7 @@
                              {"adapters", 3},
                              {"adapter_mb", 20.0}}}}};
         json["services"] = {{{"name", "app"}, {"max_conns", 400}},
+                            {{"name", "faulty"}, {"max_conns", 400}},
                             {{"name", "llm"}, {"max_conns", 400}, {"engine", engine}}};
         // Timeouts end no connection meanwhile, so that only the limits on memory can.
         json["limits"] = {{"max_header_bytes", 16384},
@@ -302,16 +370,18 @@
                           {"idle_timeout_ms", 120'000}};
         json["tenants"] = Json::array();
         store.put("op", "config", json.dump());
-        writeServer("app-0", "app", Json::array());
-        writeServer("engine-0", "llm",
+        writeServer("app-0", "app", server.port(), Json::array());
+        writeServer("faulty-0", "faulty", endless.port(), Json::array());
+        writeServer("engine-0", "llm", server.port(),
                     {{{"name", "m0"}, {"version", 1}, {"adapters", Json::array()}}});
     }
 
-    void writeServer(const std::string &id, const std::string &service, const Json &models)
+    void writeServer(const std::string &id, const std::string &service, int port,
+                     const Json &models)
     {
         store.put("servers", id,
                   Json{{"service", service},
-                       {"address", "127.0.0.1:" + std::to_string(server.port())},
+                       {"address", "127.0.0.1:" + std::to_string(port)},
                        {"zone", "east"},
                        {"version", "v1"},
                        {"slots", 400},
@@ -553,3 +623,75 @@
     }
     checkCrowd({"GET /ordinary/x HTTP/1.1\r\nHost: c", "", 0}, 1);
 }
+
+// Responses that never end, to a crowd of ordinary requests.
+class UnboundedServersTest : public UnboundedCallersTest
+{
+protected:
+    void checkResponse(const std::string &begin, const std::string &unit)
+    {
+        const std::string signedHead
+            = "HTTP/1.1 200 OK\r\nAttempt-Id: rude\r\nResponse-Stamp: s\r\n";
+        for (const std::string path : {"/endless/x", "/endless-stream/x"}) {
+            endless.setResponse(
+                begin.starts_with("HTTP") || begin.empty() ? begin : signedHead + begin, unit);
+            const std::size_t before = endless.requests();
+            checkCrowd({head(path, "Content-Length: 0\r\n"), "", 0}, crowdSize, responseTime);
+            EXPECT_GT(endless.requests(), before);
+        }
+    }
+};
+
+const std::string filler(chunkBytes, 'x');
+const std::string chunkedBody = "Transfer-Encoding: chunked\r\n\r\n";
+
+TEST_F(UnboundedServersTest, survivesBytesThatAreNoResponse)
+{
+    checkResponse("", filler);
+}
+
+TEST_F(UnboundedServersTest, survivesOneEndlessField)
+{
+    checkResponse("X: ", filler);
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessFields)
+{
+    checkResponse("X: 1\r\n", repeated("X: " + std::string(60, 'x') + "\r\n", 1000));
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessBodiesWithoutALength)
+{
+    checkResponse("\r\n", filler);
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessChunkedBodies)
+{
+    checkResponse(chunkedBody, chunk(chunkBytes));
+}
+
+TEST_F(UnboundedServersTest, survivesBodiesOfAnEnormousLength)
+{
+    checkResponse("Content-Length: 1000000000000\r\n\r\n", filler);
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessChunkExtensions)
+{
+    checkResponse(chunkedBody + "1;x=", filler);
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessTrailers)
+{
+    checkResponse(chunkedBody + "0\r\n", repeated("X: " + std::string(60, 'x') + "\r\n", 1000));
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessInterimResponses)
+{
+    checkResponse("HTTP/1.1 100 Continue\r\n\r\n", repeated("HTTP/1.1 100 Continue\r\n\r\n", 1000));
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessResponsesToAnotherRequest)
+{
+    const std::string foreign = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n";
+    checkResponse(foreign, repeated(foreign, 1000));
+}
