The header of a response is limited in fields, counted, and not kept when idle

Cause: a header may have 64 KB, and a field of four bytes takes over eighty once it is parsed. Nothing counted that, and an idle connection kept the parsed header of its last response.

Change: the parser of responses rejects a header of more than 256 fields; ResponseMemory counts the header, and a connection that becomes idle releases its parser and its buffer. What a parsed header takes is stated once, in FieldsMemory.h, for requests and responses.

Why it works: a header is bounded by about 100 KB, and the sum by the budget.

--- a/src/Adapters/Async/HttpClientConnection.cpp
+++ b/src/Adapters/Async/HttpClientConnection.cpp
@@ -344,6 +344,8 @@
         return;
     }
     m_state = State::Idle;
+    m_parser.reset(); // of a long header it holds far more than its text
+    std::string().swap(m_unparsed);
     m_paused = false; // the response may have ended while its reader was paused
     m_idleExpiresAt = steadyNow() + m_idleTimeout;
     awaitBytes();
--- a/src/Adapters/Async/HttpServerConnection.cpp
+++ b/src/Adapters/Async/HttpServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "Adapters/Async/HttpServerConnection.h"
 
+#include "Adapters/Async/FieldsMemory.h"
 #include "Adapters/Async/HandlerGuard.h"
 #include "Adapters/Async/SocketOptions.h"
 
@@ -16,9 +17,6 @@
 // Beyond the request being handled, no more is read once this many bytes have been.
 constexpr std::size_t maxReadAheadBytes = 16'384;
 
-// Memory that the parser takes for a header field beside its text.
-constexpr std::size_t fieldOverheadBytes = 128;
-
 // Memory for what the owner decodes from a byte of a header field. The part of a prompt, the
 // densest content, has at least 4 bytes and takes 32 once decoded and hashed.
 constexpr std::size_t decodedBytesPerByte = 8;
@@ -213,11 +211,9 @@
 {
     m_headerChecked = true;
     const auto &message = m_parser->get();
-    for (const auto &field : message) {
-        const std::size_t text = field.name_string().size() + field.value().size();
-        m_headerBytes += text + fieldOverheadBytes;
-        m_decodedBytes += text * decodedBytesPerByte;
-    }
+    m_headerBytes = fieldsBytes(message);
+    for (const auto &field : message)
+        m_decodedBytes += (field.name_string().size() + field.value().size()) * decodedBytesPerByte;
     if (message.version() != 11)
         return Problem{505, "only HTTP/1.1 is supported"};
     const auto coding = message[http::field::transfer_encoding];
--- a/src/Adapters/Async/internal/ResponseParser.cpp
+++ b/src/Adapters/Async/internal/ResponseParser.cpp
@@ -6,6 +6,13 @@
 
 namespace quetzalyoke::internal {
 
+namespace {
+
+// A field of a few bytes takes some hundred once it is parsed. Servers send some dozens.
+constexpr int maxFields = 256;
+
+} // namespace
+
 ResponseParser::ResponseParser(std::function<void(std::string_view)> onBody)
     : m_onBody(std::move(onBody))
 { }
@@ -18,11 +25,15 @@
         ec = boost::beast::http::error::bad_status;
 }
 
-void ResponseParser::on_field_impl(boost::beast::http::field name, Text text, Text value, Error &)
+void ResponseParser::on_field_impl(boost::beast::http::field name, Text text, Text value, Error &ec)
 {
     // Trailers follow the body and must not change the fields of the header.
     if (is_header_done())
         return;
+    if (++m_fieldCount > maxFields) {
+        ec = boost::beast::http::error::header_limit;
+        return;
+    }
     m_fields.insert(name, text, value);
 }
 
--- a/src/Adapters/Async/internal/ResponseParser.h
+++ b/src/Adapters/Async/internal/ResponseParser.h
@@ -36,6 +36,7 @@
 
     std::function<void(std::string_view)> m_onBody;
     int m_status = 0;
+    int m_fieldCount = 0;
     boost::beast::http::fields m_fields;
 };
 
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -1,5 +1,6 @@
 #include "Apps/Entry/RequestHandler.h"
 
+#include "Adapters/Async/FieldsMemory.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/StructuredLog.h"
 #include "Apps/Entry/AdmissionEstimates.h"
@@ -542,6 +543,10 @@
         return ExchangeHooks::HeaderDecision::Skip;
     }
     m_state.protocol.writeCallerResponseHeaders(fields, m_attempt->fields);
+    if (!m_attempt->memory.addHeader(fieldsBytes(fields) + m_attempt->fields.size())) {
+        failAttempt(502, "memory");
+        return ExchangeHooks::HeaderDecision::Skip;
+    }
     m_attempt->isForwarding = isSuccess && m_context.route->kind == RouteKind::Stream;
     return ExchangeHooks::HeaderDecision::Accept;
 }
--- a/src/Apps/Entry/ResponseMemory.h
+++ b/src/Apps/Entry/ResponseMemory.h
@@ -16,6 +16,12 @@
     ResponseMemory() = default;
     explicit ResponseMemory(ResourceCharge requestCopy) : m_requestCopy(std::move(requestCopy)) { }
 
+    /// Counts the header with \a bytes.
+    bool addHeader(std::size_t bytes)
+    {
+        m_header = m_requestCopy.another(bytes);
+        return mayHold(bytes);
+    }
     /// Counts further \a bytes of the body.
     bool addBody(std::size_t bytes)
     {
@@ -39,6 +45,7 @@
     }
 
     ResourceCharge m_requestCopy;
+    ResourceCharge m_header;
     ResourceCharge m_body = m_requestCopy.another(0);
     std::size_t m_bodyBytes = 0;
     ResourceCharge m_incompleteEvent;
--- a/test/UnboundedCallersTest.cpp
+++ b/test/UnboundedCallersTest.cpp
@@ -158,7 +158,7 @@
     {
         asio::async_write(connection->socket, asio::buffer(bytes),
                           [this, connection](const SystemErrorCode &ec, std::size_t) {
-                              if (!ec)
+                              if (!ec && !m_unit.empty())
                                   write(connection, m_unit);
                           });
     }
@@ -643,6 +643,8 @@
 };
 
 const std::string filler(chunkBytes, 'x');
+const std::string longFields = repeated("X: " + std::string(300, 'x') + "\r\n", 200);
+const std::string keptConnection = "Keep-Alive: timeout=50\r\nContent-Length: 0\r\n\r\n";
 const std::string chunkedBody = "Transfer-Encoding: chunked\r\n\r\n";
 
 TEST_F(UnboundedServersTest, survivesBytesThatAreNoResponse)
@@ -675,6 +677,27 @@
     checkResponse("Content-Length: 1000000000000\r\n\r\n", filler);
 }
 
+// A field of four bytes costs the parser some hundred.
+TEST_F(UnboundedServersTest, survivesEndlessBodiesAfterHeadsOfManyFields)
+{
+    checkResponse(repeated("a:\r\n", 16'000) + "\r\n", filler);
+}
+
+TEST_F(UnboundedServersTest, survivesEndlessBodiesAfterLongHeads)
+{
+    checkResponse(longFields + "\r\n", filler);
+}
+
+TEST_F(UnboundedServersTest, survivesHeadsOfManyFieldsOnKeptConnections)
+{
+    checkResponse(repeated("a:\r\n", 16'000) + keptConnection, "");
+}
+
+TEST_F(UnboundedServersTest, survivesLongHeadsOnKeptConnections)
+{
+    checkResponse(longFields + keptConnection, "");
+}
+
 TEST_F(UnboundedServersTest, survivesEndlessChunkExtensions)
 {
     checkResponse(chunkedBody + "1;x=", filler);
