A call whose response has too long a body ends as malformed

Cause: HttpClient dropped the bytes over its limit and went on.

Evidence: with the former code and a limit of 100,000 bytes (a trial), HttpClientConnectionTest.endsACallWhoseBodyIsTooLong got Complete for a body of 200,000 bytes and a timeout for one without end.

Change: such a call ends as malformed and closes its connection. Engines that get orders and status requests may send 256 KB, not 8 MB: there are hundreds of them, and one status has a few kilobytes.

Why it works: only bodies that were read whole are handed on. The test passes.

--- a/src/Adapters/Async/HttpClient.cpp
+++ b/src/Adapters/Async/HttpClient.cpp
@@ -11,9 +11,6 @@
 // Few calls to one server run at a time, so more idle connections would only use descriptors.
 constexpr std::size_t maxIdleConnections = 4;
 
-// Largest response body that is kept; the platform's largest is about a megabyte.
-constexpr std::size_t maxResponseBytes = 8'388'608;
-
 } // namespace
 
 struct HttpClient::Call
@@ -28,8 +25,9 @@
 };
 
 HttpClient::HttpClient(asio::io_context &loop, const Address &peer,
-                       const HttpClientConnection::Limits &limits)
-    : m_loop(loop), m_peer(peer), m_pool(loop, limits, maxIdleConnections)
+                       const HttpClientConnection::Limits &limits, std::size_t maxBodyBytes)
+    : m_loop(loop), m_peer(peer), m_maxBodyBytes(maxBodyBytes),
+      m_pool(loop, limits, maxIdleConnections)
 { }
 
 HttpClient::~HttpClient()
@@ -56,9 +54,11 @@
         call->result.fields = fields;
         return ExchangeHooks::HeaderDecision::Accept;
     };
-    hooks.onBody = [call](std::string_view data) {
-        if (call->result.body.size() + data.size() <= maxResponseBytes)
+    hooks.onBody = [this, call](std::string_view data) {
+        if (call->result.body.size() + data.size() <= m_maxBodyBytes)
             call->result.body.append(data);
+        else
+            abandon(call, ExchangeOutcome::Malformed);
     };
     hooks.onEnd = [this, call](ExchangeOutcome outcome) {
         call->result.outcome = outcome;
@@ -70,13 +70,19 @@
         if (ec || !it || !it->done)
             return;
         it->result.timedOut = true;
-        it->result.outcome = ExchangeOutcome::Incomplete;
-        it->connection->close();
-        finish(it);
+        abandon(it, ExchangeOutcome::Incomplete);
     });
     call->connection->send(std::move(request), false, std::move(hooks));
 }
 
+// Ends the call without the rest of its response.
+void HttpClient::abandon(const std::shared_ptr<Call> &call, ExchangeOutcome outcome)
+{
+    call->result.outcome = outcome;
+    call->connection->close();
+    finish(call);
+}
+
 void HttpClient::finish(const std::shared_ptr<Call> &call)
 {
     call->timer.cancel();
--- a/src/Adapters/Async/HttpClient.h
+++ b/src/Adapters/Async/HttpClient.h
@@ -28,8 +28,10 @@
 public:
     using Callback = std::function<void(const HttpCallResult &)>;
 
+    /// A response whose body has more than \a maxBodyBytes counts as Malformed.
     HttpClient(asio::io_context &loop, const Address &peer,
-               const HttpClientConnection::Limits &limits);
+               const HttpClientConnection::Limits &limits,
+               std::size_t maxBodyBytes = defaultMaxBodyBytes);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -42,12 +44,17 @@
     const Address &peer() const { return m_peer; }
 
 private:
+    /// The platform's largest response is about a megabyte.
+    static constexpr std::size_t defaultMaxBodyBytes = 8'388'608;
+
     struct Call;
 
+    void abandon(const std::shared_ptr<Call> &call, ExchangeOutcome outcome);
     void finish(const std::shared_ptr<Call> &call);
 
     asio::io_context &m_loop;
     const Address m_peer;
+    const std::size_t m_maxBodyBytes;
     HttpConnectionPool m_pool;
     std::list<std::shared_ptr<Call>> m_calls;
 };
--- a/src/Apps/Entry/OrderSender.cpp
+++ b/src/Apps/Entry/OrderSender.cpp
@@ -18,6 +18,9 @@
 constexpr HttpClientConnection::Limits engineLimits{std::chrono::milliseconds(400),
                                                     std::chrono::milliseconds(800)};
 
+// An engine with some hundred adapters tells its status in a few kilobytes.
+constexpr std::size_t maxEngineBodyBytes = 262'144;
+
 constexpr int statusOk = 200;
 
 // Planning for some dozens of engines takes a few hundredths of a core. Instances with a smaller
@@ -309,7 +312,8 @@
 {
     auto &client = m_clients[address];
     if (!client)
-        client = std::make_unique<HttpClient>(m_state.loop, Address::parse(address), engineLimits);
+        client = std::make_unique<HttpClient>(m_state.loop, Address::parse(address), engineLimits,
+                                              maxEngineBodyBytes);
     return *client;
 }
 
--- a/test/HttpClientConnectionTest.cpp
+++ b/test/HttpClientConnectionTest.cpp
@@ -291,6 +291,25 @@
     EXPECT_EQ(result->status, 0);
 }
 
+// A body over the limit is neither kept nor handed on in part.
+TEST_F(HttpClientConnectionTest, endsACallWhoseBodyIsTooLong)
+{
+    constexpr std::size_t maxBodyBytes = 100'000;
+    HttpClient caller(loop, Address::parse(server.address()), {300ms, 1000ms}, maxBodyBytes);
+    for (const std::string &begin :
+         {std::string("HTTP/1.1 200 OK\r\n\r\n"),
+          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * maxBodyBytes) + "\r\n\r\n"}) {
+        server.setRepeatingResponse(begin, std::string(1000, 'x'));
+        std::optional<HttpCallResult> result;
+        caller.call(request, 4s, [&result](const HttpCallResult &it) { result = it; });
+        ASSERT_TRUE(runUntil(loop, [&] { return result.has_value(); }));
+        EXPECT_EQ(result->outcome, ExchangeOutcome::Malformed);
+        EXPECT_FALSE(result->timedOut);
+        EXPECT_LE(result->body.size(), maxBodyBytes);
+        EXPECT_TRUE(runUntil(loop, [this] { return !server.isRepeating(); }));
+    }
+}
+
 // The server sends bytes without end, in each part of a response that has no fixed length.
 TEST_F(HttpClientConnectionTest, limitsEachPartOfAResponse)
 {
