A planned stop sends no late request to a server that may outlast the process

Cause: after SIGTERM a gateway took requests on as before, as long as it listened and from connections whose request had begun to arrive. Only the wait for a server was bounded. What still ran when the process ended lost its connection.

Change: PlannedStop states the times of a stop. Once the platform sends no new connections, a request that has not run is refused with 503 and a Retry-After if its deadline is after the time at which running requests are ended. Moved, unchanged: the text of a server's request, the test for event streams and the timeout of the first byte, out of RequestHandler.

Why it works: what is sent late has its final answer by its deadline, which is before the end; everything else that was sent gets 504 while its connection is still there. refusesAWaitingRequestBeforeTheShutdownEnds sets the same time by begin(), its checks are unchanged.

--- a/src/Apps/Entry/BackendAttempt.h
+++ b/src/Apps/Entry/BackendAttempt.h
@@ -7,6 +7,8 @@
 #include "Ports/ServingProtocol.h"
 #include "Serving/Servers/ServerDirectory.h"
 
+#include <algorithm>
+
 namespace quetzalyoke {
 
 /// \brief One request at one backend server, from sending it to the end of the response.
@@ -35,6 +37,18 @@
     std::string fields;
     std::string body;
     ResponseMemory memory;
+
+    /// Returns when a server that has sent no byte counts as timed out, on a route with \a
+    /// latencyObjective. The attempt is then abandoned if the request may be retried.
+    Instant firstByteTimeoutAt(Duration latencyObjective) const
+    {
+        constexpr double timeoutPerObjective = 1.5;
+        constexpr double timeoutPerExpectedDelay = 4;
+        constexpr Duration minTimeout = std::chrono::milliseconds(250);
+        return sentAt
+            + std::max({minTimeout, scaled(latencyObjective, timeoutPerObjective),
+                        scaled(expectedFirstByteDelay, timeoutPerExpectedDelay)});
+    }
 };
 
 } // namespace quetzalyoke
--- a/src/Apps/Entry/EntryGateway.cpp
+++ b/src/Apps/Entry/EntryGateway.cpp
@@ -21,17 +21,6 @@
 // Between removals of idle connections, expired entries and old suspicions.
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(500);
 
-// The platform takes an instance out of rotation after two failed readiness checks one second
-// apart; connections that it has already assigned may still arrive after that.
-constexpr Duration rotationRemovalTime = std::chrono::milliseconds(2800);
-
-// Part of the shutdown timeout that is kept for the last bytes of responses.
-constexpr Duration stopMargin = std::chrono::milliseconds(400);
-
-// Part of the shutdown timeout in which no request waits for a server any more, so that those that
-// did are refused and their callers read it.
-constexpr Duration refusalMargin = std::chrono::milliseconds(1400);
-
 // Until the list of servers has been read again after a stall.
 constexpr Duration listRefreshTime = std::chrono::seconds(1);
 
@@ -431,8 +420,7 @@
     logNotable("stopping",
                {{"handling", m_callers.activeRequestCount()},
                 {"connections", m_callers.connectionCount()}});
-    m_stopBegunAt = steadyNow();
-    m_state.waitsUntil = m_stopBegunAt + m_state.settings.shutdownTimeout - refusalMargin;
+    m_state.stop.begin(steadyNow(), m_state.settings.shutdownTimeout);
     m_orderSender.resign();
     m_peers.announceLeaving();
     checkStopped();
@@ -440,16 +428,18 @@
 
 void EntryGateway::checkStopped()
 {
-    const Duration since = steadyNow() - m_stopBegunAt;
-    const Duration grace = m_state.settings.shutdownTimeout;
-    const bool isOutOfRotation = since >= rotationRemovalTime;
+    const Instant now = steadyNow();
+    const PlannedStop &stop = m_state.stop;
+    const bool isOutOfRotation = stop.isOutOfRotation(now);
     if (isOutOfRotation) {
         // The only instance of a zone receives connections as long as it accepts them, even if it
         // is not ready.
         m_callers.stopListening();
         m_callers.closeIdleConnections();
     }
-    if ((isOutOfRotation && m_callers.connectionCount() == 0) || since >= grace - stopMargin) {
+    if (now >= stop.runsUntil())
+        m_state.runningRequests.endAll();
+    if ((isOutOfRotation && m_callers.connectionCount() == 0) || now >= stop.endsAt()) {
         m_state.platform.stop();
         m_loop.stop();
         return;
--- a/src/Apps/Entry/EntryGateway.h
+++ b/src/Apps/Entry/EntryGateway.h
@@ -61,7 +61,6 @@
     asio::signal_set m_signals;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_stopTimer;
-    Instant m_stopBegunAt;
     Instant m_lastClockCheck;
     Duration m_totalSuspended{0}; // lead of the boot clock over the steady clock
     Instant m_lastHousekeepingAt;
--- a/src/Apps/Entry/EntryState.h
+++ b/src/Apps/Entry/EntryState.h
@@ -7,6 +7,7 @@
 #include "Apps/Entry/CrashingRequestDetector.h"
 #include "Apps/Entry/EntrySettings.h"
 #include "Apps/Entry/ListConfirmation.h"
+#include "Apps/Entry/RunningRequests.h"
 #include "Apps/Entry/ServerCrashCheck.h"
 #include "Apps/Entry/WaitQueue.h"
 #include "Core/Requests/RetryBudget.h"
@@ -15,6 +16,7 @@
 #include "Serving/Placement/PlacementLease.h"
 #include "Serving/Placement/ReplicaController.h"
 #include "Serving/Requests/AdmissionPolicy.h"
+#include "Serving/Requests/PlannedStop.h"
 #include "Serving/Requests/RetryAfterEstimator.h"
 #include "Serving/Servers/RequestPermitIssuer.h"
 
@@ -80,8 +82,8 @@
     /// Whether this gateway is shutting down. It accepts connections until the platform has
     /// noticed.
     bool isStopping = false;
-    /// Time until which requests may wait for a server; set once this gateway is shutting down.
-    Instant waitsUntil = Instant::max();
+    PlannedStop stop; ///< Begins once this gateway is shutting down.
+    RunningRequests runningRequests;
     /// Returns the number of known gateways, this one included.
     std::size_t gatewayCount() const { return m_gateways; }
     /// A peer counts as silent after \a silenceTimeout without a message.
--- a/src/Apps/Entry/RequestHandler.cpp
+++ b/src/Apps/Entry/RequestHandler.cpp
@@ -1,9 +1,9 @@
 #include "Apps/Entry/RequestHandler.h"
 
-#include "Adapters/Async/FieldsMemory.h"
 #include "Adapters/Metrics.h"
 #include "Adapters/StructuredLog.h"
 #include "Apps/Entry/AdmissionEstimates.h"
+#include "Apps/Entry/BackendMessages.h"
 #include "Apps/Entry/RequestLog.h"
 #include "Apps/Entry/ServerIncarnationCheck.h"
 
@@ -17,12 +17,6 @@
 // With more unsent bytes for a slow caller than this, the server's response is no longer read.
 constexpr std::size_t maxUnsentBytes = 262'144;
 
-// A server whose first byte takes longer than these multiples of the latency objective and of the
-// expected delay counts as timed out. The attempt is then abandoned if the request may be retried.
-constexpr double timeoutPerObjective = 1.5;
-constexpr double timeoutPerExpectedDelay = 4;
-constexpr Duration minFirstByteTimeout = std::chrono::milliseconds(250);
-
 // A retry needs at least this much time before the deadline.
 constexpr Duration minTimeForRetry = std::chrono::milliseconds(30);
 
@@ -53,13 +47,6 @@
 constexpr Duration versionLookupTime = std::chrono::milliseconds(600);
 constexpr std::chrono::milliseconds versionLookupInterval{100};
 
-// Returns whether a successful response can go on with a stream whose header the caller has.
-bool isEventStream(int status, const boost::beast::http::fields &fields)
-{
-    const auto type = fields[boost::beast::http::field::content_type];
-    return status == httpOk && (type.empty() || type.starts_with("text/event-stream"));
-}
-
 } // namespace
 
 RequestHandler::RequestHandler(EntryState &state, HttpServerConnection::Pointer callerConnection,
@@ -81,6 +68,7 @@
     const Instant now = steadyNow();
     m_urgency = requestUrgency(m_context, m_request.arrivedAt);
     m_state.waitQueue.accountWork.add(m_urgency->account);
+    m_state.runningRequests.add(shared_from_this());
     m_state.recentUrgencies.record(*m_urgency, now);
     setTimer();
     m_state.waitQueue.retryMoreUrgent(*m_urgency, now);
@@ -213,6 +201,10 @@
         refuse(503, "crashes_servers", {});
         return true;
     }
+    if (m_possibleRuns == 0 && m_state.stop.comesTooLate(m_context.deadline, now)) {
+        refuse(503, "stopping", minRetryAfter);
+        return true;
+    }
     if (lacksServerOfVersion()) {
         const bool isEvacuated = m_state.chooser.isEvacuated(choiceInput({}), m_state.servers);
         refuse(503, isEvacuated ? "evacuated" : "no_server_of_version", {});
@@ -237,7 +229,7 @@
     input.metadata = &m_context.metadata;
     input.serverChoice = chooseServer(now);
     input.waited = age();
-    input.timeLeft = std::min(m_context.deadline, m_state.waitsUntil) - now;
+    input.timeLeft = std::min(m_context.deadline, m_state.stop.waitsUntil()) - now;
     addAdmissionEstimates(m_state, *m_urgency, choiceInput({}), m_isWaiting, input, now);
     const ServerChoice::Outcome outcome = input.serverChoice.outcome;
     const bool lacksReplica = outcome == ServerChoice::Outcome::NoModel
@@ -304,14 +296,7 @@
         call.priority = std::min(m_context.priority, lowestPriority);
     if (m_isStreaming)
         call.lastEventId = m_events.lastEventId();
-    std::string text = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
-    m_state.protocol.writeBackendRequestHeaders(m_request.fields, call, text);
-    if (!m_request.body.empty() || m_request.fields.count("Content-Length") > 0
-        || m_request.fields.count("Transfer-Encoding") > 0)
-        text += "Content-Length: " + std::to_string(m_request.body.size()) + "\r\n";
-    text += "\r\n";
-    text += m_request.body;
-    return text;
+    return backendRequestText(m_state.protocol, m_request, call);
 }
 
 void RequestHandler::send(const ServerChoice &choice)
@@ -543,7 +528,7 @@
         return ExchangeHooks::HeaderDecision::Skip;
     }
     m_state.protocol.writeCallerResponseHeaders(fields, m_attempt->fields);
-    if (!m_attempt->memory.addHeader(fieldsBytes(fields) + m_attempt->fields.size())) {
+    if (!m_attempt->memory.addHeader(fields, m_attempt->fields)) {
         failAttempt(502, "memory");
         return ExchangeHooks::HeaderDecision::Skip;
     }
@@ -940,10 +925,7 @@
     if (m_attempt && m_attempt->isBeingChecked) {
         at = std::min(at, m_attempt->sentAt + incarnationCheckTimeout);
     } else if (m_attempt && !m_firstByteTimedOut && !m_attempt->firstByteSeen) {
-        const Duration firstByteTimeout = std::max(
-            {minFirstByteTimeout, scaled(m_context.route->latencyObjective, timeoutPerObjective),
-             scaled(m_attempt->expectedFirstByteDelay, timeoutPerExpectedDelay)});
-        at = std::min(at, m_attempt->sentAt + firstByteTimeout);
+        at = std::min(at, m_attempt->firstByteTimeoutAt(m_context.route->latencyObjective));
     }
     m_timer.expires_at(at);
     m_timer.async_wait([weak = weak_from_this()](const SystemErrorCode &ec) {
@@ -1001,19 +983,24 @@
 
 void RequestHandler::onDeadline()
 {
-    if (!isSentToServer()) {
-        abandonCheck();
-        if (m_possibleRuns > 0)
-            fail(504, "deadline");
-        else
-            refuse(503, "deadline", m_context.route->latencyObjective);
+    ServerState *server = isSentToServer() ? m_state.servers.find(m_attempt->server) : nullptr;
+    if (server && !m_attempt->firstByteSeen)
+        server->health.recordFailure(ServerHealth::Failure::TimedOut, steadyNow());
+    endWithoutResponse("deadline");
+}
+
+void RequestHandler::endWithoutResponse(const char *reason)
+{
+    if (isSentToServer()) {
+        recordPossibleCrash(false);
+        failAttempt(504, reason);
         return;
     }
-    if (ServerState *server = m_state.servers.find(m_attempt->server);
-        server && !m_attempt->firstByteSeen)
-        server->health.recordFailure(ServerHealth::Failure::TimedOut, steadyNow());
-    recordPossibleCrash(false);
-    failAttempt(504, "deadline");
+    abandonCheck();
+    if (m_possibleRuns > 0)
+        fail(504, reason);
+    else
+        refuse(503, reason, m_context.route->latencyObjective);
 }
 
 void RequestHandler::onCallerDisconnected()
@@ -1082,6 +1069,7 @@
         return;
     m_isFinished = true;
     m_timer.cancel();
+    m_state.runningRequests.remove(this);
     if (m_isWaiting)
         m_state.waitQueue.remove(this);
     if (m_urgency)
--- a/src/Apps/Entry/RequestHandler.h
+++ b/src/Apps/Entry/RequestHandler.h
@@ -14,7 +14,9 @@
 /// server, only if the attempt's request never left this gateway or the server states that it did
 /// not run. After any other failed attempt, the route's kind and its retry limits decide whether
 /// the request may be retried.
-class RequestHandler : public Waiter, public std::enable_shared_from_this<RequestHandler>
+class RequestHandler : public Waiter,
+                       public RunningRequest,
+                       public std::enable_shared_from_this<RequestHandler>
 {
 public:
     RequestHandler(EntryState &state, HttpServerConnection::Pointer callerConnection,
@@ -22,6 +24,7 @@
 
     void start();
     bool retryDispatch() override;
+    void endForStop() override { endWithoutResponse("stopping"); }
 
 private:
     bool dispatch();
@@ -74,6 +77,7 @@
     void onTimer();
     void onFirstByteTimeout();
     void onDeadline();
+    void endWithoutResponse(const char *reason);
     void onCallerDisconnected();
 
     void refuse(int status, const char *reason, std::optional<Duration> retryAfter);
--- a/src/Apps/Entry/ResponseMemory.h
+++ b/src/Apps/Entry/ResponseMemory.h
@@ -1,8 +1,11 @@
 #ifndef QUETZALYOKE_APPS_ENTRY_RESPONSEMEMORY_H
 #define QUETZALYOKE_APPS_ENTRY_RESPONSEMEMORY_H
 
+#include "Adapters/Async/FieldsMemory.h"
 #include "Adapters/Async/ResourceCharge.h"
 
+#include <string>
+
 namespace quetzalyoke {
 
 /// \brief Counts what one attempt holds: the copy of the request that is sent, and what of the
@@ -16,9 +19,10 @@
     ResponseMemory() = default;
     explicit ResponseMemory(ResourceCharge requestCopy) : m_requestCopy(std::move(requestCopy)) { }
 
-    /// Counts the header with \a bytes.
-    bool addHeader(std::size_t bytes)
+    /// Counts the header \a fields and its \a text for the caller.
+    bool addHeader(const boost::beast::http::fields &fields, const std::string &text)
     {
+        const std::size_t bytes = fieldsBytes(fields) + text.size();
         m_header = m_requestCopy.another(bytes);
         return mayHold(bytes);
     }
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -697,7 +697,7 @@
     state.servers.find(ServerName("a"))->ownWork.requestsInFlight = 1000;
     afterStart = [this] {
         EXPECT_EQ(state.waitQueue.size(), 1U);
-        state.waitsUntil = steadyNow();
+        state.stop.begin(steadyNow() - 1s, 2400ms);
         state.waitQueue.retryDispatches();
         EXPECT_EQ(state.waitQueue.size(), 0U);
     };
@@ -707,6 +707,47 @@
     EXPECT_TRUE(firstServer.received().empty());
 }
 
+// Once the platform sends no new connections, a request is sent to a server only if its deadline
+// comes before the process ends.
+TEST_F(PlatformExchangeTest, sendsNoLateRequestThatMayOutlastTheProcess)
+{
+    const std::string sound = streamHeader + chunkText(eventText(1)) + lastChunk;
+    for (const char *path : {"/n/x", "/i/x", "/s/x", "/r/x"}) {
+        firstServer.setResponse(sound);
+        state.stop.begin(steadyNow() - 3s, 5s); // ends running requests in 1.4 s
+        const std::string before = firstServer.received();
+        const std::string response = sendRequest(path);
+        EXPECT_TRUE(hasStatus(response, 503)) << response;
+        EXPECT_NE(response.find("Retry-After: "), std::string::npos);
+        EXPECT_EQ(firstServer.received(), before);
+        state.stop.begin(steadyNow() - 3s, 6s);
+        EXPECT_TRUE(hasStatus(sendRequest(path, "key", eventText(1)), 200));
+        state.stop.begin(steadyNow() - 2s, 4s);
+        firstServer.setResponse(sound);
+        EXPECT_TRUE(hasStatus(sendRequest(path, "key", eventText(1)), 200));
+    }
+}
+
+TEST_F(PlatformExchangeTest, endsRunningRequestsBeforeTheProcess)
+{
+    const auto end = [this] { state.runningRequests.endAll(); };
+    for (const char *path : {"/n/x", "/i/x", "/s/x", "/r/x"}) { // the server is silent
+        asio::steady_timer timer(loop, 100ms);
+        timer.async_wait([&](const SystemErrorCode &) { end(); });
+        EXPECT_TRUE(hasStatus(sendRequest(path), 504)) << path;
+        EXPECT_EQ(state.servers.find(ServerName("a"))->ownWork.requestsInFlight, 0);
+    }
+    firstServer.setResponse(streamHeader + chunkText(eventText(1)));
+    sendRequest("/s/x", "key", eventText(1));
+    end();
+    EXPECT_TRUE(caller->waitForClose());
+    EXPECT_EQ(caller->received().find(lastChunk), std::string::npos);
+    // One that waits has not run.
+    state.servers.find(ServerName("a"))->ownWork.requestsInFlight = 1000;
+    afterStart = end;
+    EXPECT_TRUE(hasStatus(sendRequest("/i/x"), 503));
+}
+
 // A resumable stream breaks off in a zone that is evacuated meanwhile.
 TEST_F(PlatformExchangeTest, resumesNoStreamInAnEvacuatedZone)
 {
