A response with an unknown transfer coding is malformed

The field concerns one connection and is not passed on, so the caller would have got a body in a coding that it isn't told of, or raw chunks as a body.

Cause: the parser takes each coding but `chunked` at the end for a body that ends with the connection or has the stated length, and leaves the coding to its user. The agents' client does the same.

Invalid and repeated lengths were rejected before.

Change: any transfer coding but `chunked` alone makes a response malformed, as it does for callers' requests.

Why it works: the check is made where the header is complete and before any byte of the body.

--- a/src/Adapters/Async/internal/ResponseParser.cpp
+++ b/src/Adapters/Async/internal/ResponseParser.cpp
@@ -37,6 +37,17 @@
     m_fields.insert(name, text, value);
 }
 
+// The base class takes a body with another coding for one that ends with the connection or has the
+// stated length.
+void ResponseParser::on_header_impl(Error &ec)
+{
+    constexpr auto transferEncoding = boost::beast::http::field::transfer_encoding;
+    const Text coding = m_fields[transferEncoding];
+    if (m_fields.count(transferEncoding) > 1
+        || (!coding.empty() && !boost::beast::iequals(coding, "chunked")))
+        ec = boost::beast::http::error::bad_transfer_encoding;
+}
+
 std::size_t ResponseParser::on_body_impl(Text body, Error &)
 {
     m_onBody({body.data(), body.size()});
--- a/src/Adapters/Async/internal/ResponseParser.h
+++ b/src/Adapters/Async/internal/ResponseParser.h
@@ -27,7 +27,7 @@
     void on_request_impl(boost::beast::http::verb, Text, Text, int, Error &) override { }
     void on_response_impl(int status, Text reason, int version, Error &ec) override;
     void on_field_impl(boost::beast::http::field name, Text text, Text value, Error &) override;
-    void on_header_impl(Error &) override { }
+    void on_header_impl(Error &ec) override;
     void on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) override { }
     std::size_t on_body_impl(Text body, Error &) override;
     void on_chunk_header_impl(std::uint64_t, Text, Error &) override { }
--- a/src/Adapters/HttpResponseCheck.h
+++ b/src/Adapters/HttpResponseCheck.h
@@ -7,8 +7,9 @@
 
 namespace quetzalyoke {
 
-/// Returns whether the status and the field names of \a response, which httplib doesn't check, are
-/// those of an HTTP response. The framing of an invalid one isn't known, so its body means nothing.
+/// Returns whether the status, the field names and the transfer coding of \a response, which
+/// httplib doesn't check, are those of an HTTP response that this process can read. The framing of
+/// any other isn't known, so its body means nothing.
 bool isValidHttpResponse(const httplib::Response &response);
 
 } // namespace quetzalyoke
--- a/test/HttpClientConnectionTest.cpp
+++ b/test/HttpClientConnectionTest.cpp
@@ -186,6 +186,29 @@
     }
 }
 
+// The body would be passed on in a coding that the reader isn't told of, or with another length.
+TEST_F(HttpClientConnectionTest, takesNoResponseWhoseFramingIsUnknown)
+{
+    using End = ScriptedServer::End;
+    const std::string chunked = "4\r\nbody\r\n0\r\n\r\n";
+    for (const std::string framing :
+         {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: identity\r\n",
+          "Transfer-Encoding: x\r\nContent-Length: 4\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: x\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+          "Content-Length: 4\r\nContent-Length: 5\r\n", "Content-Length: 4, 5\r\n",
+          "Content-Length: -1\r\n", "Content-Length: 4x\r\n", "Content-Length: \r\n",
+          "Content-Length: 99999999999999999999999\r\n"}) {
+        SCOPED_TRACE(framing);
+        const std::string body = framing.find("chunked") == std::string::npos ? "body" : chunked;
+        EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\n" + framing + "\r\n" + body, End::Close),
+                  ExchangeOutcome::Malformed);
+        EXPECT_TRUE(lastBody.empty());
+    }
+}
+
 // Guards against a response with an empty or short body that is taken for whole because its server
 // stopped inside the header.
 TEST_F(HttpClientConnectionTest, takesNoHeaderThatEndsAtAnyByteForAResponse)
--- a/test/InvalidResponseTest.cpp
+++ b/test/InvalidResponseTest.cpp
@@ -29,7 +29,8 @@
                                                "HTTP/1.1 200 OK\r\nX Y: 1\r\n",
                                                "HTTP/1.1 200 OK\r\nX : 1\r\n",
                                                "HTTP/1.1 200 OK\r\nX\x01: 1\r\n",
-                                               "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n"};
+                                               "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+                                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"};
 
 // The server runs in a thread of its own, since the clients block.
 class InvalidResponseTest : public ::testing::Test
