An agent keeps no endless body, and a known red for endless heads

A backend server whose body never ends would have taken the agent's machine out of memory as fast as a gateway fetched it.

Cause: BackendClient appended to that text without a limit.

Evidence: after 64 MB of such a body the process had grown by 63 MB (InvalidResponseTest.anAgentKeepsNoEndlessBodyThatIsFetched; 32 MB are allowed).

Change: a body over 1 MB is not kept, and reports no tokens. It is still passed on.

Why it works: what else an agent holds of a body is the buffer from which the gateway fetches (anAgentReadsNoMoreOfABodyThanIsFetched, which passed before).

anAgentReadsNoEndlessHead stays red: the agents' HTTP client reads a status line, a field and a chunk extension byte by byte without a limit and has no hook for it.

--- a/src/Apps/Agent/BackendClient.cpp
+++ b/src/Apps/Agent/BackendClient.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds retryAfterFailure{1000};
 constexpr std::chrono::milliseconds retryAfterRefusal{200};
 constexpr int statusNotFound = 404;
+
+// Largest body that is kept for the tokens that it reports; a completion has some kilobytes.
+constexpr std::size_t maxCountedBodyBytes = 1'048'576;
 constexpr int statusUnavailable = 503;
 
 bool isHopByHop(const std::string &name)
@@ -131,7 +134,7 @@
         if (refused)
             return true;
         const Tokens tokens = eventStream ? counter.count({data, n}) : Tokens();
-        if (!eventStream && attempt.submission().model)
+        if (!eventStream && attempt.submission().model && bodyText.size() <= maxCountedBodyBytes)
             bodyText.append(data, n);
         return attempt.append(data, n, tokens.count());
     };
@@ -143,7 +146,7 @@
         return attempt.failAsNotRun(Process::now(), "the model is not ready on this backend server",
                                     retryAfterRefusal);
     }
-    if (!bodyText.empty())
+    if (!bodyText.empty() && bodyText.size() <= maxCountedBodyBytes)
         attempt.append("", 0, completionTokens(bodyText));
     attempt.complete(Process::now());
 }
--- a/test/InvalidResponseTest.cpp
+++ b/test/InvalidResponseTest.cpp
@@ -10,6 +10,7 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <future>
 #include <thread>
 
@@ -23,6 +24,10 @@
 constexpr std::size_t bufferBytes = 262'144;
 constexpr std::chrono::milliseconds timeout{2000};
 
+// Far more than the largest head and than the buffers of the system.
+constexpr std::size_t maxEndlessBytes = 64'000'000;
+const std::string filler(10'000, 'x');
+
 const std::vector<std::string> invalidHeads = {"HTTP/1.1 000 OK\r\n",
                                                "HTTP/1.1 099 OK\r\n",
                                                "HTTP/1.1 600 OK\r\n",
@@ -43,18 +48,23 @@
         m_thread.join();
     }
 
-    void setResponse(const std::string &response, End end, std::chrono::milliseconds delay = 0ms)
+    template<typename Action>
+    void inLoop(Action action)
     {
         std::promise<void> done;
         asio::post(m_loop, [&] {
-            m_server.setResponseThenEnd(response, end, delay);
+            action();
             done.set_value();
         });
         done.get_future().wait();
     }
 
-    // Runs a request with \a bytes bytes and returns what a gateway gets of the response.
-    wire::Progress runAttempt(std::size_t bytes)
+    void setResponse(const std::string &response, End end, std::chrono::milliseconds delay = 0ms)
+    {
+        inLoop([&] { m_server.setResponseThenEnd(response, end, delay); });
+    }
+
+    static wire::Submission submissionOf(std::size_t bytes)
     {
         wire::Submission submission;
         submission.requestId = "1";
@@ -63,12 +73,62 @@
         submission.path = "/";
         submission.body = std::string(bytes, 'b');
         submission.deadlineMillis = 5000;
-        Attempt attempt(submission, Process::now(), bufferBytes);
+        return submission;
+    }
+
+    // Runs a request with \a bytes bytes and returns what a gateway gets of the response.
+    wire::Progress runAttempt(std::size_t bytes)
+    {
+        Attempt attempt(submissionOf(bytes), Process::now(), bufferBytes);
         attempt.tryStart();
+        runAttempt(attempt);
+        return attempt.fetch(0, 0ms);
+    }
+
+    void runAttempt(Attempt &attempt)
+    {
         BackendHealth health(m_address, [](bool) {});
         BackendClient client(m_address, timeout, health, [] { return std::string("incident"); });
         client.run(attempt);
-        return attempt.fetch(0, 0ms);
+    }
+
+    // Returns how much of a response without end was sent: maxEndlessBytes if the agent reads on.
+    // With \a isFetched a gateway fetches all of it.
+    std::size_t bytesOfEndlessResponse(const std::string &begin, const std::string &unit,
+                                       bool isFetched)
+    {
+        std::size_t before = 0;
+        inLoop([&] {
+            before = m_server.repeatedBytes();
+            m_server.setRepeatingResponse(begin, unit);
+        });
+        wire::Submission submission = submissionOf(4);
+        submission.model = isFetched;
+        Attempt attempt(submission, Process::now(), bufferBytes);
+        attempt.tryStart();
+        std::future<void> run = std::async(std::launch::async, [&] { runAttempt(attempt); });
+        const auto end = std::chrono::steady_clock::now() + (isFetched ? 30s : timeout);
+        std::size_t n = 0;
+        std::int64_t offset = 0;
+        while (n < maxEndlessBytes && std::chrono::steady_clock::now() < end
+               && run.wait_for(isFetched ? 0ms : 10ms) != std::future_status::ready) {
+            inLoop([&] { n = m_server.repeatedBytes() - before; });
+            if (isFetched)
+                offset += static_cast<std::int64_t>(attempt.fetch(offset, 10ms).data.size());
+        }
+        m_residentBytes = residentBytes();
+        attempt.cancel();
+        run.wait();
+        return std::min(n, maxEndlessBytes);
+    }
+
+    static std::size_t residentBytes()
+    {
+        std::ifstream file("/proc/self/statm");
+        std::size_t total = 0;
+        std::size_t resident = 0;
+        file >> total >> resident;
+        return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
     }
 
     // Returns the kind of error that \a call throws for a response with \a head and \a body.
@@ -86,6 +146,7 @@
         return std::nullopt;
     }
 
+    std::size_t m_residentBytes = 0; // at the end of the last endless response
     asio::io_context m_loop;
     asio::executor_work_guard<asio::io_context::executor_type> m_work{m_loop.get_executor()};
     ScriptedServer m_server{m_loop};
@@ -124,6 +185,31 @@
     }
 }
 
+TEST_F(InvalidResponseTest, anAgentReadsNoEndlessHead)
+{
+    for (const std::string begin : {"", "HTTP/1.1 200 OK\r\nX: ",
+                                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x="})
+        EXPECT_LT(bytesOfEndlessResponse(begin, filler, false), maxEndlessBytes) << begin;
+}
+
+TEST_F(InvalidResponseTest, anAgentReadsNoEndlessFields)
+{
+    EXPECT_LT(bytesOfEndlessResponse("HTTP/1.1 200 OK\r\n", "X: " + filler + "\r\n", false),
+              maxEndlessBytes);
+}
+
+TEST_F(InvalidResponseTest, anAgentReadsNoMoreOfABodyThanIsFetched)
+{
+    EXPECT_LT(bytesOfEndlessResponse("HTTP/1.1 200 OK\r\n\r\n", filler, false), maxEndlessBytes);
+}
+
+TEST_F(InvalidResponseTest, anAgentKeepsNoEndlessBodyThatIsFetched)
+{
+    const std::size_t before = residentBytes();
+    EXPECT_GE(bytesOfEndlessResponse("HTTP/1.1 200 OK\r\n\r\n", filler, true), maxEndlessBytes);
+    EXPECT_LT(m_residentBytes, before + maxEndlessBytes / 2);
+}
+
 TEST_F(InvalidResponseTest, anAgentBelievesNoInvalidReportAndNoInvalidResponseToAnOrder)
 {
     EngineClient engine(m_address, timeout);
