Tests of invalid responses: lint

Cause: the linter rejects concatenations in loops. Done: joined() and expectMalformed(); the cases and checks are the same.

--- a/test/HttpClientConnectionTest.cpp
+++ b/test/HttpClientConnectionTest.cpp
@@ -63,6 +63,13 @@
         return outcomeAt(server, isHead, request);
     }
 
+    void expectMalformed(const std::string &response, ScriptedServer::End end)
+    {
+        SCOPED_TRACE(response);
+        EXPECT_EQ(outcomeOf(response, end), ExchangeOutcome::Malformed);
+        EXPECT_TRUE(lastBody.empty());
+    }
+
     // A server responds while more of a request arrives than the system buffers.
     ExchangeOutcome outcomeOfUpload(const std::string &response, ScriptedServer::End end,
                                     std::chrono::milliseconds delay)
@@ -148,14 +155,10 @@
         for (const std::string framing :
              {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
             for (const End end : {End::KeepOpen, End::Close}) {
-                SCOPED_TRACE(status + ' ' + framing);
                 const std::string body
                     = framing.starts_with("T") ? "4\r\nbody\r\n0\r\n\r\n" : "body";
-                EXPECT_EQ(
-                    outcomeOf("HTTP/1.1 " + status + " OK\r\nId: 1\r\n" + framing + "\r\n" + body,
-                              end),
-                    ExchangeOutcome::Malformed);
-                EXPECT_TRUE(lastBody.empty());
+                expectMalformed(
+                    joined({"HTTP/1.1 ", status, " OK\r\nId: 1\r\n", framing, "\r\n", body}), end);
             }
         }
     }
@@ -175,12 +178,9 @@
           std::string("X")}) {
         for (const bool isFirst : {true, false}) {
             for (const std::string framing : {"Content-Length: 4\r\n", ""}) {
-                SCOPED_TRACE(field + ' ' + framing);
                 const std::string fields
-                    = isFirst ? field + "\r\n" + framing : framing + field + "\r\n";
-                EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\n" + fields + "\r\nbody", End::Close),
-                          ExchangeOutcome::Malformed);
-                EXPECT_TRUE(lastBody.empty());
+                    = isFirst ? joined({field, "\r\n", framing}) : joined({framing, field, "\r\n"});
+                expectMalformed(joined({"HTTP/1.1 200 OK\r\n", fields, "\r\nbody"}), End::Close);
             }
         }
     }
@@ -201,11 +201,8 @@
           "Content-Length: 4\r\nContent-Length: 5\r\n", "Content-Length: 4, 5\r\n",
           "Content-Length: -1\r\n", "Content-Length: 4x\r\n", "Content-Length: \r\n",
           "Content-Length: 99999999999999999999999\r\n"}) {
-        SCOPED_TRACE(framing);
         const std::string body = framing.find("chunked") == std::string::npos ? "body" : chunked;
-        EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\n" + framing + "\r\n" + body, End::Close),
-                  ExchangeOutcome::Malformed);
-        EXPECT_TRUE(lastBody.empty());
+        expectMalformed(joined({"HTTP/1.1 200 OK\r\n", framing, "\r\n", body}), End::Close);
     }
 }
 
--- a/test/LoopbackSocket.h
+++ b/test/LoopbackSocket.h
@@ -6,7 +6,9 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <unistd.h>
@@ -24,6 +26,14 @@
         + '.' + std::to_string(pid & 0xff);
 }
 
+inline std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string out;
+    for (const std::string_view part : parts)
+        out += part;
+    return out;
+}
+
 /// \brief Runs \a loop until \a done returns true or \a limit has passed; returns done().
 template<typename Condition>
 bool runUntil(asio::io_context &loop, Condition done,
--- a/test/PlatformExchangeTest.cpp
+++ b/test/PlatformExchangeTest.cpp
@@ -399,13 +399,15 @@
 {
     const std::string fields = "Attempt-Id: id-1\r\nResponse-Stamp: s\r\n";
     const std::string event = eventText(1);
+    const std::string sound = streamHeader + chunkText("sound\n\n") + lastChunk;
     std::vector<std::string> invalid;
-    for (const std::string framing :
-         {"Content-Length: " + std::to_string(event.size()) + "\r\n", std::string()}) {
-        for (const std::string status : {"000", "099", "600"})
-            invalid.push_back("HTTP/1.1 " + status + " OK\r\n" + fields + framing + "\r\n" + event);
-        for (const std::string field : {"X Y: 1", "X : 1", "X\x01: 1", "Content-Length : 2"})
-            invalid.push_back(signedHeader + field + "\r\n" + framing + "\r\n" + event);
+    const std::string length = "Content-Length: " + std::to_string(event.size()) + "\r\n";
+    for (const std::string &framing : {length, std::string()}) {
+        for (const char *status : {"000", "099", "600"})
+            invalid.push_back(
+                joined({"HTTP/1.1 ", status, " OK\r\n", fields, framing, "\r\n", event}));
+        for (const char *field : {"X Y: 1", "X : 1", "X\x01: 1", "Content-Length : 2"})
+            invalid.push_back(joined({signedHeader, field, "\r\n", framing, "\r\n", event}));
     }
     for (const std::string &response : invalid) {
         for (const auto end : {ScriptedServer::End::KeepOpen, ScriptedServer::End::Close}) {
@@ -416,7 +418,7 @@
             for (const std::string path : {"/i/x", "/r/x"}) {
                 allowRetries();
                 startAgain("a").setResponse(response, end);
-                startAgain("b").setResponse(streamHeader + chunkText("sound\n\n") + lastChunk);
+                startAgain("b").setResponse(sound);
                 const std::string received = sendRequest(path, "key", "sound");
                 EXPECT_TRUE(hasStatus(received, 200)) << path << response;
                 EXPECT_EQ(received.find(event), std::string::npos) << path << response;
