--- a/review/standins-3/standins.h
+++ b/review/standins-3/standins.h
@@ -24,6 +24,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -563,6 +564,7 @@
         m_startedAt = nowMs();
         m_pid = fork();
         if (m_pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // also if this program is killed
             const int out = open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
             dup2(out, 2);
